--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,21 @@
+import eslint from '@eslint/js'
+import { defineConfig } from 'eslint/config'
+import tseslint from 'typescript-eslint'
+
+export default defineConfig(
+  { ignores: ['eslint.config.js', '**/node_modules/', '**/dist/', 'packages/rpc/src/gen/'] },
+  eslint.configs.recommended,
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+    },
+  },
+)
--- /dev/null
+++ b/packages/base/src/failure.ts
@@ -0,0 +1,54 @@
+/** Typed failures: a result code with a message for people. Every fallible operation returns one inside a `Result`. */
+import { RESULT_CODES, type CodeName, type ResultCode } from './result-code'
+
+export interface Failure {
+  readonly code: CodeName
+  readonly message: string
+}
+
+/** One fault of a settings file or document. */
+export interface Fault {
+  readonly section: string
+  readonly key: string
+  readonly reason: string
+}
+
+/** RFC 9457 problem document with the members `code` and `outcome`. */
+export interface Problem {
+  readonly type: string
+  readonly title: string
+  readonly status: number
+  readonly detail: string
+  readonly code: number
+  readonly outcome?: string
+}
+
+export function failure(code: CodeName, message?: string): Failure {
+  return { code, message: message ?? RESULT_CODES[code].meaning }
+}
+
+export function resultCode(name: CodeName): ResultCode {
+  return RESULT_CODES[name]
+}
+
+export function problem(cause: Failure): Problem {
+  const entry = resultCode(cause.code)
+  const base = {
+    type: `urn:bilberrystall:result:${entry.name}`,
+    title: entry.meaning,
+    status: entry.status === 0 ? 500 : entry.status,
+    detail: cause.message,
+    code: entry.number,
+  }
+  return entry.outcome === undefined ? base : { ...base, outcome: entry.outcome }
+}
+
+/** Text of an unknown thrown value. */
+export function errorMessage(cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause)
+}
+
+export function formatFault(fault: Fault): string {
+  const place = fault.key === '' ? `[${fault.section}]` : `[${fault.section}] ${fault.key}`
+  return `${place}: ${fault.reason}`
+}
--- /dev/null
+++ b/packages/base/src/id.ts
@@ -0,0 +1,34 @@
+/** Branded identifiers. A brand keeps ids of different kinds apart at compile time and costs nothing at run time. */
+declare const brand: unique symbol
+
+export type Branded<Base, Name extends string> = Base & { readonly [brand]: Name }
+
+export type NodeId = Branded<string, 'NodeId'>
+export type ServerId = Branded<string, 'ServerId'>
+export type ServiceName = Branded<string, 'ServiceName'>
+export type Environment = Branded<string, 'Environment'>
+export type FailureDomain = Branded<string, 'FailureDomain'>
+export type ChangeId = Branded<string, 'ChangeId'>
+/** Node name plus disk id: a replica with an empty disk is a new replica. */
+export type ReplicaId = Branded<string, 'ReplicaId'>
+export type IdempotencyKey = Branded<string, 'IdempotencyKey'>
+export type AttemptId = Branded<string, 'AttemptId'>
+/** SHA-256 in lower-case hexadecimal. */
+export type Digest = Branded<string, 'Digest'>
+export type Revision = Branded<number, 'Revision'>
+export type Term = Branded<number, 'Term'>
+export type LogIndex = Branded<number, 'LogIndex'>
+
+export const nodeId = (value: string): NodeId => value as NodeId
+export const serverId = (value: string): ServerId => value as ServerId
+export const serviceName = (value: string): ServiceName => value as ServiceName
+export const environmentName = (value: string): Environment => value as Environment
+export const failureDomain = (value: string): FailureDomain => value as FailureDomain
+export const changeId = (value: string): ChangeId => value as ChangeId
+export const replicaId = (value: string): ReplicaId => value as ReplicaId
+export const idempotencyKey = (value: string): IdempotencyKey => value as IdempotencyKey
+export const attemptId = (value: string): AttemptId => value as AttemptId
+export const digestOf = (value: string): Digest => value as Digest
+export const revision = (value: number): Revision => value as Revision
+export const term = (value: number): Term => value as Term
+export const logIndex = (value: number): LogIndex => value as LogIndex
--- /dev/null
+++ b/packages/base/src/result-code.ts
@@ -0,0 +1,134 @@
+/**
+ * Numbered result codes. One table serves HTTP problem documents, log lines and process exit states, so every number is
+ * between 0 and 255. `docs/result-codes.md` is generated from this table and a test keeps them equal.
+ */
+
+/** What a caller may conclude about the execution of its request. */
+export type Outcome = 'complete' | 'not-run' | 'unknown'
+
+export interface ResultCode {
+  readonly number: number
+  readonly name: string
+  /** HTTP status of the response that carries the code; 0 where the code never appears in a response. */
+  readonly status: number
+  readonly outcome?: Outcome
+  readonly meaning: string
+}
+
+function call(number: number, name: string, status: number, outcome: Outcome, meaning: string): ResultCode {
+  return { number, name, status, outcome, meaning }
+}
+
+function code(number: number, name: string, status: number, meaning: string): ResultCode {
+  return { number, name, status, meaning }
+}
+
+export const RESULT_CODES = {
+  ok: code(0, 'ok', 200, 'The operation completed.'),
+  internal: code(1, 'internal', 500, 'An unexpected fault inside the process.'),
+  usage: code(2, 'usage', 0, 'The command line is not valid.'),
+
+  noRoute: call(10, 'no-route', 404, 'not-run', 'No route of the document in force matches the request.'),
+  malformedHead: call(11, 'malformed-head', 400, 'not-run', 'The request head is malformed or its lengths conflict.'),
+  headTooLarge: call(12, 'head-too-large', 431, 'not-run', 'The request head is larger than 16 KiB.'),
+  bodyTooLarge: call(13, 'body-too-large', 413, 'not-run', 'The request body is larger than the route allows.'),
+  slowSender: call(14, 'slow-sender', 408, 'not-run', 'The request head did not arrive in time.'),
+  loop: call(15, 'loop', 508, 'not-run', 'Nested calls form a loop or exceed the depth limit.'),
+  deadlineNotRun: call(16, 'deadline-not-run', 504, 'not-run', 'The deadline passed before the request was sent.'),
+  overloaded: call(17, 'overloaded', 503, 'not-run', 'The request was shed because it could not meet its deadline.'),
+  noServer: call(18, 'no-server', 503, 'not-run', 'No server of the service is available.'),
+  entryLeaving: call(19, 'entry-leaving', 503, 'not-run', 'The entry is shutting down.'),
+  methodNotAllowed: call(20, 'method-not-allowed', 405, 'not-run', 'The route does not accept the method.'),
+  serverShed: call(21, 'server-shed', 503, 'not-run', 'The server refused the request without running it.'),
+  connectFailed: call(22, 'connect-failed', 503, 'not-run', 'No connection to a server could be opened.'),
+  notReady: call(23, 'not-ready', 503, 'not-run', 'The entry has no confirmed document yet.'),
+
+  connectionLost: call(30, 'connection-lost', 502, 'unknown', 'The connection broke after the request was sent.'),
+  deadlineUnknown: call(31, 'deadline-unknown', 504, 'unknown', 'The deadline passed after the request was sent.'),
+  responseTruncated: call(32, 'response-truncated', 502, 'unknown', 'The response ended before it was complete.'),
+  connectionSilent: call(33, 'connection-silent', 504, 'unknown', 'The connection made no progress.'),
+  callerCancelled: call(34, 'caller-cancelled', 499, 'unknown', 'The caller closed its connection.'),
+  bodyCutShort: call(35, 'body-cut-short', 400, 'unknown', 'The request body ended early or arrived too slowly.'),
+
+  keyRequired: call(40, 'key-required', 428, 'not-run', 'The route requires an idempotency key.'),
+  keyMalformed: call(41, 'key-malformed', 400, 'not-run', 'The idempotency key is not a UUIDv7.'),
+  keyAhead: call(42, 'key-ahead', 400, 'not-run', 'The time in the idempotency key is in the future.'),
+  keyExpired: call(43, 'key-expired', 410, 'not-run', 'The idempotency key is older than the retention.'),
+  keyInProgress: call(44, 'key-in-progress', 409, 'not-run', 'A request with this key is still running.'),
+  keyAlreadyRun: call(45, 'key-already-run', 409, 'not-run', 'A request with this key ran; its response is not kept.'),
+  keyOutcomeUnknown: call(
+    46,
+    'key-outcome-unknown',
+    409,
+    'unknown',
+    'The first request with this key has no known end.',
+  ),
+  keyMismatch: call(47, 'key-mismatch', 422, 'not-run', 'The key was used for a different request.'),
+  claimUnavailable: call(48, 'claim-unavailable', 503, 'not-run', 'No majority of holders could record the key.'),
+  claimTableFull: call(49, 'claim-table-full', 503, 'not-run', 'The holders have no room for another key.'),
+
+  documentInvalid: code(50, 'document-invalid', 422, 'The document has faults; nothing was changed.'),
+  revisionConflict: code(51, 'revision-conflict', 409, 'The change builds on a revision that is not in force.'),
+  notInTrial: code(52, 'not-in-trial', 409, 'The document to promote is not in force in trial.'),
+  changeUnknown: code(53, 'change-unknown', 504, 'The result of the change is unknown; send the same change again.'),
+  changeIdReused: code(54, 'change-id-reused', 409, 'The change id was used for a different change.'),
+  notLeader: code(55, 'not-leader', 503, 'The replica is not the leader.'),
+  noQuorum: code(56, 'no-quorum', 503, 'No majority of replicas answers.'),
+  documentMissing: code(57, 'document-missing', 404, 'The environment has no document.'),
+  changeTooLarge: code(58, 'change-too-large', 413, 'The change is larger than allowed.'),
+  revisionBelowFloor: code(59, 'revision-below-floor', 409, 'A document older than the newest one seen was refused.'),
+  requestInvalid: code(60, 'request-invalid', 400, 'The operator request is malformed.'),
+  notFound: code(61, 'not-found', 404, 'The named resource does not exist.'),
+
+  announcementInvalid: code(70, 'announcement-invalid', 422, 'The announcement has faults.'),
+  announcementStale: code(71, 'announcement-stale', 409, 'A newer announcement of this server is known.'),
+
+  operatorUnauthorized: code(80, 'operator-unauthorized', 401, 'The operator key is missing or wrong.'),
+  nodeUnauthorized: code(81, 'node-unauthorized', 401, 'The node key is missing or wrong.'),
+  serverUnauthorized: code(82, 'server-unauthorized', 401, 'The server key is missing or wrong.'),
+
+  logDamaged: code(90, 'log-damaged', 0, 'The log has a damaged record before its end.'),
+  syncFailed: code(91, 'sync-failed', 0, 'Data could not be synced to disk.'),
+  diskFull: code(92, 'disk-full', 0, 'The disk is full.'),
+  snapshotDamaged: code(93, 'snapshot-damaged', 0, 'The snapshot does not match its checksum.'),
+  folderInUse: code(94, 'folder-in-use', 0, 'Another process uses the data folder.'),
+  folderUnusable: code(95, 'folder-unusable', 0, 'The data folder cannot be read or written.'),
+  formatUnknown: code(96, 'format-unknown', 0, 'The data folder was written by an unknown version.'),
+
+  settingsInvalid: code(100, 'settings-invalid', 0, 'The settings have faults.'),
+  fileUnreadable: code(101, 'file-unreadable', 0, 'A file cannot be read.'),
+  addressInUse: code(102, 'address-in-use', 0, 'A listen address is in use.'),
+  nodeUnreachable: code(103, 'node-unreachable', 0, 'No node answered the command.'),
+  responseMalformed: code(104, 'response-malformed', 0, 'A node sent a response that cannot be read.'),
+  stopLimit: code(105, 'stop-limit', 0, 'Calls were still in flight at the limit of the shutdown.'),
+
+  nodeStarted: code(150, 'node-started', 0, 'The node serves.'),
+  nodeLeaving: code(151, 'node-leaving', 0, 'The node shuts down.'),
+  nodeStopped: code(152, 'node-stopped', 0, 'The node stopped.'),
+  leaderElected: code(153, 'leader-elected', 0, 'This replica became leader.'),
+  leaderLost: code(154, 'leader-lost', 0, 'This replica is no longer leader.'),
+  documentInForce: code(155, 'document-in-force', 0, 'A document revision is in force on this node.'),
+  serverJoined: code(156, 'server-joined', 0, 'A server became available.'),
+  serverLeft: code(157, 'server-left', 0, 'A server is draining, stopped or expired.'),
+  serverEjected: code(158, 'server-ejected', 0, 'A server receives no calls because it is an outlier.'),
+  serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
+  silentRetired: code(160, 'silent-retired', 0, 'Silent connections were retired.'),
+  nodeJoined: code(161, 'node-joined', 0, 'A node joined.'),
+  nodeLost: code(162, 'node-lost', 0, 'A node left or its lease expired.'),
+  replicaSetChanged: code(163, 'replica-set-changed', 0, 'The set of control replicas changed.'),
+  controlUnreachable: code(164, 'control-unreachable', 0, 'No confirmed answer from control.'),
+  controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
+} as const satisfies Record<string, ResultCode>
+
+export type CodeName = keyof typeof RESULT_CODES
+
+/** Renders the table for the documentation. */
+export function renderResultCodes(): string {
+  const rows = Object.values(RESULT_CODES as Record<string, ResultCode>).map((entry) => {
+    const status = entry.status === 0 ? '' : String(entry.status)
+    return `| ${entry.number} | \`${entry.name}\` | ${status} | ${entry.outcome ?? ''} | ${entry.meaning} |`
+  })
+  return ['| Number | Name | HTTP status | Outcome | Meaning |', '| --- | --- | --- | --- | --- |', ...rows, ''].join(
+    '\n',
+  )
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the binary. */
+process.stdout.write('bilberrystall\n')
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,34 @@
+/**
+ * Builds the single binary: bundles the command line to one CommonJS file, turns it into a blob of Node's
+ * single-executable format and injects the blob into a copy of the running Node. Output: `dist/bilberrystall`.
+ */
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { build } from 'esbuild'
+import { inject } from 'postject'
+import { readFile } from 'node:fs/promises'
+
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+const BINARY = 'dist/bilberrystall'
+
+mkdirSync('dist', { recursive: true })
+await build({
+  entryPoints: ['packages/cli/src/main.ts'],
+  outfile: 'dist/bilberrystall.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  // UMD builds of some libraries look up modules at run time; their ESM builds do not.
+  mainFields: ['module', 'main'],
+  legalComments: 'none',
+  sourcemap: false,
+})
+writeFileSync(
+  'dist/sea.json',
+  JSON.stringify({ main: 'dist/bilberrystall.cjs', output: 'dist/sea.blob', disableExperimentalSEAWarning: true }),
+)
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'inherit' })
+copyFileSync(process.execPath, BINARY)
+chmodSync(BINARY, 0o755)
+await inject(BINARY, 'NODE_SEA_BLOB', await readFile('dist/sea.blob'), { sentinelFuse: FUSE })
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/test/**/*.test.ts'],
+    // Integration tests start real processes; a low worker count keeps their timing apart from each other.
+    maxWorkers: 4,
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    reporters: ['default', './scripts/summary-reporter.ts'],
+  },
+})
