Parse and check operator documents as a whole

Cause: operators drive the product only by documents, so every fault of one has to be shown at once. Ruled out: trusting the ini parser alone; it keeps the last of two equal keys silently, so lines are checked first.

--- /dev/null
+++ b/packages/document/src/field.ts
@@ -0,0 +1,61 @@
+/** zod schemas of single INI values: durations, sizes, shares, lists, flags, names and addresses. */
+import { parseDuration, parseShare, parseSize } from '@bilberrystall/base'
+import { z } from 'zod'
+
+const NAME_PATTERN = /^[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?$/
+
+export const name = z.string().regex(NAME_PATTERN, 'must be lower-case letters, digits and hyphens, at most 63')
+
+export function duration(leastMs: number, mostMs: number) {
+  return unit(parseDuration, 'must be a duration such as 250ms, 10s, 5m or 1h', leastMs, mostMs, 'ms')
+}
+
+export function size(least: number, most: number) {
+  return unit(parseSize, 'must be a size such as 512B, 64KiB or 10MiB', least, most, 'bytes')
+}
+
+export const share = z.string().transform((text, context) => {
+  const value = parseShare(text)
+  if (value !== undefined) return value
+  context.addIssue({ code: 'custom', message: 'must be a percentage between 0% and 100%' })
+  return z.NEVER
+})
+
+export function integer(least: number, most: number) {
+  return z.string().transform((text, context) => {
+    const value = /^\d+$/.test(text.trim()) ? Number(text) : Number.NaN
+    if (value >= least && value <= most) return value
+    context.addIssue({ code: 'custom', message: `must be a whole number from ${least} to ${most}` })
+    return z.NEVER
+  })
+}
+
+export const flag = z.enum(['yes', 'no'], 'must be yes or no').transform((text) => text === 'yes')
+
+export const list = z.string().transform((text) =>
+  text
+    .split(',')
+    .map((item) => item.trim())
+    .filter((item) => item !== ''),
+)
+
+/** An IP address and port, `127.0.0.1:8080` or `[::1]:8080`. */
+export const address = z
+  .string()
+  .regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'must be an IP address with a port')
+
+function unit(
+  read: (text: string) => number | undefined,
+  message: string,
+  least: number,
+  most: number,
+  unitName: string,
+) {
+  return z.string().transform((text, context) => {
+    const value = read(text)
+    if (value !== undefined && value >= least && value <= most) return value
+    const reason = value === undefined ? message : `must be from ${least} to ${most} ${unitName}`
+    context.addIssue({ code: 'custom', message: reason })
+    return z.NEVER
+  })
+}
--- /dev/null
+++ b/packages/document/src/ini.ts
@@ -0,0 +1,67 @@
+/**
+ * Reads INI text and checks it as a whole against a zod schema. Every fault is reported with section, key and reason;
+ * duplicate sections or keys and lines that are neither are faults too, because the parser would drop them silently.
+ */
+import { formatFault, type Fault } from '@bilberrystall/base'
+import { parse } from 'ini'
+import { err, ok, type Result } from 'neverthrow'
+import type { z } from 'zod'
+
+export function readIni<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+): Result<z.output<Schema>, readonly Fault[]> {
+  const lineFaults = checkLines(text)
+  const parsed = schema.safeParse(textValues(parse(text)))
+  if (parsed.success && lineFaults.length === 0) return ok(parsed.data)
+  const issues = parsed.success ? [] : parsed.error.issues.flatMap(faultsOf)
+  return err([...lineFaults, ...issues])
+}
+
+export function formatFaults(faults: readonly Fault[]): string {
+  return faults.map(formatFault).join('\n')
+}
+
+function checkLines(text: string): Fault[] {
+  const faults: Fault[] = []
+  const seen = new Set<string>()
+  let section = ''
+  for (const [index, raw] of text.split(/\r?\n/).entries()) {
+    const line = raw.trim()
+    if (line === '' || line.startsWith(';') || line.startsWith('#')) continue
+    const header = /^\[([^\]]*)\]$/.exec(line)
+    const key = header === null ? (line.split('=', 1)[0] ?? '').trim() : ''
+    if (header !== null) section = header[1] ?? ''
+    if (header === null && !line.includes('=')) {
+      faults.push({ section, key: '', reason: `line ${index + 1} is neither a section nor a key with a value` })
+      continue
+    }
+    const place = `${section}\n${key}`
+    if (seen.has(place)) faults.push({ section, key, reason: `appears twice (line ${index + 1})` })
+    seen.add(place)
+  }
+  return faults
+}
+
+/** The parser turns `true`, `false` and `null` into other types; schemas expect the text as it was written. */
+function textValues(value: unknown): unknown {
+  if (value === null || typeof value === 'boolean' || typeof value === 'number') return String(value)
+  if (Array.isArray(value)) return value.map(textValues)
+  if (typeof value !== 'object') return value
+  return Object.fromEntries(Object.entries(value).map(([key, inner]) => [key, textValues(inner)]))
+}
+
+function faultsOf(issue: z.core.$ZodIssue): Fault[] {
+  const path = issue.path.map(String)
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => place([...path, key], 'is not known'))
+  }
+  const missing = issue.code === 'invalid_type' && issue.input === undefined && issue.message.includes('undefined')
+  return [place(path, missing ? 'is required' : issue.message)]
+}
+
+/** Paths are `section, key` or `kind, name, key` for sections such as `[service.booking]`. */
+function place(path: readonly string[], reason: string): Fault {
+  if (path.length <= 1) return { section: path[0] ?? '', key: '', reason }
+  return { section: path.slice(0, -1).join('.'), key: path.at(-1) ?? '', reason }
+}
--- /dev/null
+++ b/packages/document/test/document.test.ts
@@ -0,0 +1,78 @@
+import { expect, test } from 'vitest'
+import { formatFaults, matchRoute, parseDocument } from '../src/index'
+
+const VALID = `
+[document]
+title = Booking calls
+key-retention = 30m
+
+[service.booking]
+measuring-budget = 0.5%
+
+[service.availability]
+
+[route.slots]
+service = availability
+path = /slots
+repeatable = yes
+deadline = 300ms
+
+[route.book]
+service = booking
+host = book.example
+path = /bookings/
+methods = POST
+key = required
+max-body = 64KiB
+`
+
+test('a valid document yields services and routes with defaults', () => {
+  expect(parseDocument(VALID)._unsafeUnwrap()).toMatchSnapshot()
+})
+
+test('every fault of a document is listed with section and key, so operators fix all of them at once', () => {
+  const text = `
+[document]
+titel = x
+[service.booking]
+measuring-budget = half
+[route.book]
+service = nowhere
+deadline = 5 parsecs
+methods = FETCH
+key = optional
+repeatable = yes
+repeatable = no
+stray
+`
+  expect(formatFaults(parseDocument(text)._unsafeUnwrapErr())).toMatchSnapshot()
+})
+
+test('references and overlaps between sections are checked after the values', () => {
+  const text = `${VALID}
+[route.other]
+service = nowhere
+host = BOOK.example
+path = /bookings/
+methods = POST, FETCH
+repeatable = yes
+key = optional
+`
+  expect(formatFaults(parseDocument(text)._unsafeUnwrapErr())).toMatchSnapshot()
+})
+
+test('a route matches whole path segments, its host and its methods', () => {
+  const document = parseDocument(VALID)._unsafeUnwrap()
+  const match = (host: string, method: string, path: string) => {
+    const result = matchRoute(document, host, method, path)
+    return result.kind === 'matched' ? result.route.name : result.kind
+  }
+  expect([
+    match('any', 'GET', '/slots'),
+    match('any', 'GET', '/slots/7'),
+    match('any', 'GET', '/slotsmachine'),
+    match('Book.example:8080', 'POST', '/bookings/1'),
+    match('other.example', 'POST', '/bookings/1'),
+    match('any', 'DELETE', '/slots'),
+  ]).toEqual(['slots', 'slots', 'none', 'book', 'none', 'method-not-allowed'])
+})
