Add the RPC server and client with node keys

Cause: nodes talk connect-es over HTTP/2, and every call has to prove that it comes from a node of the same system. Ruled out: counting bytes on the session's socket proxy; it throws once the session has let go of the socket, so the raw socket is counted. Measured: 2 tests pass; a wrong key is refused.

--- /dev/null
+++ b/packages/rpc/src/client.ts
@@ -0,0 +1,93 @@
+/**
+ * Client side of the protocol between the system's own processes. One HTTP/2 session per peer address is kept and
+ * verified by pings, so that a silent connection is found and replaced.
+ */
+import { connect } from 'node:net'
+import type { DescService } from '@bufbuild/protobuf'
+import { createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { bearer } from './node-key'
+import type { Traffic } from './traffic'
+
+const PING_INTERVAL_MS = 1000
+const PING_TIMEOUT_MS = 1000
+const IDLE_SESSION_MS = 60_000
+
+export interface RpcClientsOptions {
+  readonly nodeKey: string
+  readonly traffic: Traffic
+  /** Timeout of a unary call that names none. */
+  readonly timeoutMs?: number
+}
+
+interface Peer {
+  readonly transport: Transport
+  readonly manager: Http2SessionManager
+}
+
+export class RpcClients {
+  readonly #options: RpcClientsOptions
+  readonly #peers = new Map<string, Peer>()
+
+  constructor(options: RpcClientsOptions) {
+    this.#options = options
+  }
+
+  /** Client of a service at `address`, an IP address with a port. */
+  client<Service extends DescService>(service: Service, address: string): Client<Service> {
+    return createClient(service, this.#peer(address).transport)
+  }
+
+  /** Closes the session to a peer that left. */
+  forget(address: string): void {
+    this.#peers.get(address)?.manager.abort()
+    this.#peers.delete(address)
+  }
+
+  close(): void {
+    for (const address of [...this.#peers.keys()]) this.forget(address)
+  }
+
+  #peer(address: string): Peer {
+    const known = this.#peers.get(address)
+    if (known !== undefined) return known
+    const peer = this.#open(address)
+    this.#peers.set(address, peer)
+    return peer
+  }
+
+  #open(address: string): Peer {
+    const baseUrl = `http://${address}`
+    const manager = new Http2SessionManager(
+      baseUrl,
+      {
+        pingIntervalMs: PING_INTERVAL_MS,
+        pingTimeoutMs: PING_TIMEOUT_MS,
+        pingIdleConnection: false,
+        idleConnectionTimeoutMs: IDLE_SESSION_MS,
+      },
+      {
+        createConnection: (authority) => {
+          const socket = connect({ host: authority.hostname.replace(/^\[|\]$/g, ''), port: Number(authority.port) })
+          socket.setNoDelay(true)
+          this.#options.traffic.track(socket)
+          return socket
+        },
+      },
+    )
+    const authorization = bearer(this.#options.nodeKey)
+    const withNodeKey: Interceptor = (next) => (request) => {
+      request.header.set('authorization', authorization)
+      return next(request)
+    }
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: manager,
+      interceptors: [withNodeKey],
+      defaultTimeoutMs: this.#options.timeoutMs ?? 1000,
+      useBinaryFormat: true,
+    })
+    return { transport, manager }
+  }
+}
--- /dev/null
+++ b/packages/rpc/src/server.ts
@@ -0,0 +1,79 @@
+/**
+ * Server side of the protocol between the system's own processes: connect-es over cleartext HTTP/2. Every call has to
+ * carry the node key.
+ */
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { Socket } from 'node:net'
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { errorMessage, failure, type Failure } from '@bilberrystall/base'
+import { err, ok, type Result } from 'neverthrow'
+import { bearer, sameSecret } from './node-key'
+import type { Traffic } from './traffic'
+
+export interface RpcServerOptions {
+  readonly host: string
+  readonly port: number
+  readonly nodeKey: string
+  readonly routes: (router: ConnectRouter) => void
+  readonly traffic: Traffic
+}
+
+export class RpcServer {
+  readonly #server: Http2Server
+  readonly #sessions = new Set<ServerHttp2Session>()
+
+  private constructor(server: Http2Server, traffic: Traffic) {
+    this.#server = server
+    server.on('connection', (socket: Socket) => {
+      traffic.track(socket)
+    })
+    server.on('session', (session) => {
+      this.#sessions.add(session)
+      session.on('close', () => this.#sessions.delete(session))
+      session.on('error', () => {
+        session.destroy()
+      })
+    })
+  }
+
+  static async listen(options: RpcServerOptions): Promise<Result<RpcServer, Failure>> {
+    const adapter = connectNodeAdapter({
+      routes: options.routes,
+      interceptors: [
+        (next) => (request) => {
+          if (!sameSecret(request.header.get('authorization') ?? '', bearer(options.nodeKey))) {
+            throw new ConnectError('node key is missing or wrong', Code.Unauthenticated)
+          }
+          return next(request)
+        },
+      ],
+    })
+    const server = createServer(adapter)
+    const rpcServer = new RpcServer(server, options.traffic)
+    return new Promise((resolve) => {
+      server.once('error', (cause) => {
+        resolve(err(failure('addressInUse', `${options.host}:${options.port}: ${errorMessage(cause)}`)))
+      })
+      server.listen(options.port, options.host, () => {
+        resolve(ok(rpcServer))
+      })
+    })
+  }
+
+  get port(): number {
+    const address = this.#server.address()
+    return typeof address === 'object' && address !== null ? address.port : 0
+  }
+
+  /** Ends all sessions; streams in progress are cut. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => {
+        resolve()
+      })
+    })
+    for (const session of this.#sessions) session.destroy()
+    await closed
+  }
+}
--- /dev/null
+++ b/packages/rpc/test/rpc.test.ts
@@ -0,0 +1,48 @@
+import { ConnectError } from '@connectrpc/connect'
+import { afterEach, expect, test } from 'vitest'
+import { GossipService, RpcClients, RpcServer, Traffic } from '../src/index'
+
+const stops: (() => unknown)[] = []
+
+afterEach(async () => {
+  for (const stop of stops.splice(0)) await stop()
+})
+
+async function serve(): Promise<string> {
+  const server = await RpcServer.listen({
+    host: '127.0.0.1',
+    port: 0,
+    nodeKey: 'right',
+    traffic: new Traffic(),
+    routes: (router) => {
+      router.service(GossipService, { exchange: (request) => ({ versions: request.versions }) })
+    },
+  })
+  const listening = server._unsafeUnwrap()
+  stops.push(() => listening.close())
+  return `127.0.0.1:${listening.port}`
+}
+
+function clients(nodeKey: string): { readonly rpc: RpcClients; readonly traffic: Traffic } {
+  const traffic = new Traffic()
+  const rpc = new RpcClients({ nodeKey, traffic })
+  stops.push(() => {
+    rpc.close()
+  })
+  return { rpc, traffic }
+}
+
+test('a call with the node key is answered and its bytes are counted', async () => {
+  const { rpc, traffic } = clients('right')
+  const response = await rpc
+    .client(GossipService, await serve())
+    .exchange({ from: 'a', versions: [{ origin: 'a', counter: 7n }] })
+  expect(response.versions[0]?.counter).toBe(7n)
+  expect(traffic.bytes()).toBeGreaterThan(0)
+})
+
+test('a call with a wrong node key is refused, so that strangers cannot join', async () => {
+  const { rpc } = clients('wrong')
+  const call = rpc.client(GossipService, await serve()).exchange({ from: 'a' })
+  await expect(call).rejects.toThrow(ConnectError)
+})
