Add the directory of servers and nodes with leases by origin

Cause: servers announce themselves to any entry and every entry has to stop using a leaving one within 3 s. Ruled out: gossiping each renewal; 36 servers that renew twice a second and 11 nodes would come to about 12 KB/s of records per node. An origin now states that its whole set is current, so a record costs traffic only when it changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,4 +18,9 @@
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    // Indexing fixtures by constants is safe in tests; a missing element fails the test at once.
+    files: ['packages/*/test/**/*.ts'],
+    rules: { '@typescript-eslint/no-non-null-assertion': 'off' },
+  },
 )
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+/** Membership of servers and nodes: leases, gossip and the view that routing uses. */
+export * from './directory'
+export * from './lease'
+export type { Numbered, OriginDelta, OriginVersion } from './origin'
+export * from './record'
--- /dev/null
+++ b/packages/membership/src/record.ts
@@ -0,0 +1,72 @@
+/** Records that servers and nodes announce, and the order of announcements of one server. */
+import type { Digest, Environment, FailureDomain, NodeId, Revision, ServerId, ServiceName } from '@bilberrystall/base'
+
+export type ServerState = 'starting' | 'ready' | 'draining' | 'stopped'
+
+export interface Server {
+  readonly environment: Environment
+  readonly service: ServiceName
+  readonly server: ServerId
+  /** Start time of the server process in Unix milliseconds. */
+  readonly start: number
+  /** Order of announcements within one start. */
+  readonly sequence: number
+  readonly state: ServerState
+  /** IP address with port. */
+  readonly address: string
+  readonly failureDomain: FailureDomain
+  readonly slots: number
+  readonly connectionLimit: number
+}
+
+export interface DocumentVersion {
+  readonly environment: Environment
+  readonly revision: Revision
+  readonly digest: Digest
+}
+
+export type Role = 'entry' | 'control'
+export type NodeState = 'starting' | 'serving' | 'leaving'
+
+export interface Node {
+  readonly node: NodeId
+  readonly roles: readonly Role[]
+  /** RPC address, an IP address with port. */
+  readonly address: string
+  readonly failureDomain: FailureDomain
+  readonly region: string
+  /** Environment that the entry role serves; empty without that role. */
+  readonly environment: Environment
+  readonly state: NodeState
+  /** Disk id of a control replica; empty on nodes without a disk. */
+  readonly disk: string
+  /** Document revisions that this node has confirmed. */
+  readonly documents: readonly DocumentVersion[]
+  /** Keys of servers that this node ejected as outliers. */
+  readonly ejected: readonly string[]
+}
+
+/** Identifies a server across services and environments. */
+export function serverKey(server: Pick<Server, 'environment' | 'service' | 'server'>): string {
+  return `${server.environment}/${server.service}/${server.server}`
+}
+
+/** Positive when `left` is newer: a later start wins, then the later announcement of that start. */
+export function compareOrder(
+  left: Pick<Server, 'start' | 'sequence'>,
+  right: Pick<Server, 'start' | 'sequence'>,
+): number {
+  return left.start !== right.start ? left.start - right.start : left.sequence - right.sequence
+}
+
+/** Whether two announcements differ in nothing but their order. */
+export function sameContent(left: Server, right: Server): boolean {
+  return (
+    left.state === right.state &&
+    left.start === right.start &&
+    left.address === right.address &&
+    left.failureDomain === right.failureDomain &&
+    left.slots === right.slots &&
+    left.connectionLimit === right.connectionLimit
+  )
+}
--- /dev/null
+++ b/packages/membership/test/directory.test.ts
@@ -0,0 +1,166 @@
+import {
+  environmentName,
+  failureDomain,
+  nodeId,
+  seededRandom,
+  randomBelow,
+  serverId,
+  serviceName,
+} from '@bilberrystall/base'
+import * as fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { Directory, SERVER_RENEWAL_MS, type Server, type ServerState } from '../src/index'
+
+const LEAVING_LIMIT_MS = 3000
+const GOSSIP_INTERVAL_MS = 250
+
+function server(state: ServerState, sequence: number, start = 1): Server {
+  return {
+    environment: environmentName('production'),
+    service: serviceName('booking'),
+    server: serverId('s1'),
+    start,
+    sequence,
+    state,
+    address: '127.0.0.1:9000',
+    failureDomain: failureDomain('fd-a'),
+    slots: 3,
+    connectionLimit: 260,
+  }
+}
+
+function directories(count: number): Directory[] {
+  return Array.from(
+    { length: count },
+    (_, index) => new Directory({ self: nodeId(`e${index}`), incarnation: 1, now: 0 }),
+  )
+}
+
+/** The two legs of one gossip exchange. */
+function exchange(from: Directory, to: Directory, now: number): void {
+  const request = from.versions(now)
+  const deltas = to.deltasFor(request, now)
+  const versions = to.versions(now)
+  to.merge(request, [], now)
+  from.merge(versions, deltas, now)
+  if (to.lacks(from.versions(now))) to.merge(from.versions(now), from.deltasFor(versions, now), now)
+}
+
+const states = (all: readonly Directory[]) =>
+  all.map((directory) => [...directory.servers.values()].map((known) => known.state).join())
+
+test('an announcement to one entry reaches every entry by gossip', () => {
+  const all = directories(3)
+  all[0]?.announce(server('ready', 1), 0)
+  exchange(all[0]!, all[1]!, 10)
+  exchange(all[1]!, all[2]!, 20)
+  expect(states(all)).toEqual(['ready', 'ready', 'ready'])
+})
+
+test('a late ready does not replace draining, also when it reaches another entry first', () => {
+  const all = directories(2)
+  all[0]?.announce(server('draining', 5), 0)
+  exchange(all[0]!, all[1]!, 10)
+  const late = all[1]?.announce(server('ready', 4), 20)
+  expect(late?._unsafeUnwrapErr().code).toBe('announcementStale')
+  expect(states(all)).toEqual(['draining', 'draining'])
+})
+
+test('a restarted server replaces its draining record', () => {
+  const all = directories(2)
+  all[0]?.announce(server('draining', 5), 0)
+  exchange(all[0]!, all[1]!, 10)
+  all[1]?.announce(server('ready', 1, 2), 20)
+  exchange(all[1]!, all[0]!, 30)
+  expect(states(all)).toEqual(['ready', 'ready'])
+})
+
+test('a server that returns to ready at an entry with an old ready record is ready again everywhere', () => {
+  const all = directories(2)
+  all[0]?.announce(server('ready', 1), 0)
+  exchange(all[0]!, all[1]!, 10)
+  all[1]?.announce(server('draining', 2), 20)
+  exchange(all[1]!, all[0]!, 30)
+  all[0]?.announce(server('ready', 3), 40)
+  exchange(all[0]!, all[1]!, 50)
+  expect(states(all)).toEqual(['ready', 'ready'])
+})
+
+test('a statement about a set that is not known yet does not renew the older set', () => {
+  const all = directories(2)
+  all[0]?.announce(server('ready', 1), 0)
+  exchange(all[0]!, all[1]!, 10)
+  all[0]?.announce(server('draining', 2), 20)
+  all[1]?.merge(all[0]!.versions(2900), [], 2900)
+  expect(states(all)).toEqual(['draining', ''])
+})
+
+test('a peer that was cut off for longer than removals are kept receives the whole set', () => {
+  const all = directories(2)
+  all[0]?.announce(server('ready', 1), 0)
+  exchange(all[0]!, all[1]!, 10)
+  all[0]?.expire(2000)
+  all[0]?.expire(40_000)
+  exchange(all[0]!, all[1]!, 40_010)
+  expect(states(all)).toEqual(['', ''])
+})
+
+interface Schedule {
+  readonly seed: number
+  readonly nodes: number
+  readonly lossPercent: number
+  readonly cutOff: boolean
+  readonly toldEntryDies: boolean
+}
+
+/** Runs gossip with losses while the server renews, drains at 5 s with its last word to one entry, and falls silent. */
+function readyAfterLeaving(schedule: Schedule): string[] {
+  const random = seededRandom(schedule.seed)
+  const all = directories(schedule.nodes)
+  const dead = new Set<number>()
+  const late: string[] = []
+  let sequence = 0
+  let lastReadyAt = 0
+  for (let now = 0; now <= 10_000; now += 50) {
+    const told = randomBelow(random, schedule.nodes)
+    if (now < 5000 && now % SERVER_RENEWAL_MS === 0) {
+      all[told]?.announce(server('ready', (sequence += 1)), now)
+      lastReadyAt = now
+    }
+    if (now === 5000) {
+      all[told]?.announce(server('draining', (sequence += 1)), now)
+      if (schedule.toldEntryDies) dead.add(told)
+    }
+    for (const [index, directory] of all.entries()) {
+      const peer = randomBelow(random, schedule.nodes)
+      const cut = schedule.cutOff && now >= 4000 && (index === 0) !== (peer === 0)
+      const lost = randomBelow(random, 100) < schedule.lossPercent
+      if (peer === index || dead.has(index) || dead.has(peer) || cut || lost) continue
+      if ((now + index * 50) % GOSSIP_INTERVAL_MS === 0) exchange(directory, all[peer]!, now)
+    }
+    for (const [index, directory] of all.entries()) {
+      directory.expire(now)
+      const ready = [...directory.servers.values()].some((known) => known.state === 'ready')
+      if (ready && now - lastReadyAt > LEAVING_LIMIT_MS) late.push(`e${index} at ${now}`)
+    }
+  }
+  return late
+}
+
+test('no entry uses a leaving server after 3 s, whatever is lost, cut off or dies', () => {
+  fc.assert(
+    fc.property(
+      fc.record({
+        seed: fc.integer({ min: 0 }),
+        nodes: fc.integer({ min: 2, max: 7 }),
+        lossPercent: fc.constantFrom(0, 30, 70, 100),
+        cutOff: fc.boolean(),
+        toldEntryDies: fc.boolean(),
+      }),
+      (schedule) => {
+        expect(readyAfterLeaving(schedule)).toEqual([])
+      },
+    ),
+    { seed: 20261204, numRuns: 200 },
+  )
+})
