Add settings, log, metrics, gossip and the status listener of a node

Cause: the process needs its frame before the roles can be wired in. Ruled out: a separate listener for announcements; health, metrics and announcements share the status listener, so that operators open one port to the platform.

--- /dev/null
+++ b/packages/node/src/announcement.ts
@@ -0,0 +1,56 @@
+/** Checks the announcement that a server posts to an entry. */
+import {
+  environmentName,
+  failure,
+  failureDomain,
+  formatFault,
+  serverId,
+  serviceName,
+  type Failure,
+} from '@bilberrystall/base'
+import { field } from '@bilberrystall/document'
+import type { Server } from '@bilberrystall/membership'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+
+const MOST_SLOTS = 10_000
+const MOST_CONNECTIONS = 100_000
+
+const announcementSchema = z.strictObject({
+  environment: field.name,
+  service: field.name,
+  server: field.name,
+  start: z.int().nonnegative(),
+  sequence: z.int().nonnegative(),
+  state: z.enum(['starting', 'ready', 'draining', 'stopped']),
+  address: field.address,
+  failureDomain: field.name,
+  slots: z.int().min(1).max(MOST_SLOTS),
+  connectionLimit: z.int().min(1).max(MOST_CONNECTIONS),
+  /** Calls that the server counts as running and queued; may be stale or wrong. */
+  load: z.number().nonnegative().optional(),
+})
+
+export interface Announcement {
+  readonly server: Server
+  readonly load: number | undefined
+}
+
+export function parseAnnouncement(body: unknown): Result<Announcement, Failure> {
+  const parsed = announcementSchema.safeParse(body)
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) =>
+      formatFault({ section: 'announcement', key: issue.path.join('.'), reason: issue.message }),
+    )
+    return err(failure('announcementInvalid', faults.join('; ')))
+  }
+  const { load, ...raw } = parsed.data
+  const server: Server = {
+    ...raw,
+    environment: environmentName(raw.environment),
+    service: serviceName(raw.service),
+    server: serverId(raw.server),
+    failureDomain: failureDomain(raw.failureDomain),
+  }
+  return ok({ server, load })
+}
--- /dev/null
+++ b/packages/node/src/gossip-codec.ts
@@ -0,0 +1,123 @@
+/** Converts directory records to and from the messages of the gossip service. */
+import { digestOf, environmentName, failureDomain, nodeId, revision, serverId, serviceName } from '@bilberrystall/base'
+import type {
+  Node,
+  NodeState,
+  Numbered,
+  OriginDelta,
+  OriginVersion,
+  Role,
+  Server,
+  ServerState,
+} from '@bilberrystall/membership'
+import {
+  NodeRecordSchema,
+  OriginDeltaSchema,
+  OriginVersionSchema,
+  ServerRecordSchema,
+  type NodeRecord,
+  type OriginDelta as OriginDeltaMessage,
+  type OriginVersion as OriginVersionMessage,
+  type ServerRecord,
+} from '@bilberrystall/rpc'
+import { create } from '@bufbuild/protobuf'
+
+export function encodeVersion(version: OriginVersion): OriginVersionMessage {
+  return create(OriginVersionSchema, {
+    origin: version.origin,
+    incarnation: BigInt(version.incarnation),
+    counter: BigInt(version.counter),
+    ageMs: version.ageMs,
+  })
+}
+
+export function decodeVersion(message: OriginVersionMessage): OriginVersion {
+  return {
+    origin: nodeId(message.origin),
+    incarnation: Number(message.incarnation),
+    counter: Number(message.counter),
+    ageMs: message.ageMs,
+  }
+}
+
+export function encodeDelta(delta: OriginDelta): OriginDeltaMessage {
+  const message = create(OriginDeltaSchema, {
+    version: encodeVersion(delta.version),
+    servers: delta.servers.map(encodeServer),
+    removed: delta.removed.map((removal) => ({ key: removal.value, counter: BigInt(removal.counter) })),
+    full: delta.full,
+  })
+  if (delta.node !== undefined) message.node = encodeNode(delta.node)
+  return message
+}
+
+/** Undefined when the message names no version, which no correct node sends. */
+export function decodeDelta(message: OriginDeltaMessage): OriginDelta | undefined {
+  if (message.version === undefined) return undefined
+  return {
+    version: decodeVersion(message.version),
+    servers: message.servers.map(decodeServer),
+    node: message.node === undefined ? undefined : decodeNode(message.node),
+    removed: message.removed.map((removal) => ({ value: removal.key, counter: Number(removal.counter) })),
+    full: message.full,
+  }
+}
+
+function encodeServer({ value, counter }: Numbered<Server>): ServerRecord {
+  return create(ServerRecordSchema, {
+    ...value,
+    start: BigInt(value.start),
+    sequence: BigInt(value.sequence),
+    counter: BigInt(counter),
+  })
+}
+
+function decodeServer(message: ServerRecord): Numbered<Server> {
+  return {
+    value: {
+      environment: environmentName(message.environment),
+      service: serviceName(message.service),
+      server: serverId(message.server),
+      start: Number(message.start),
+      sequence: Number(message.sequence),
+      state: message.state as ServerState,
+      address: message.address,
+      failureDomain: failureDomain(message.failureDomain),
+      slots: message.slots,
+      connectionLimit: message.connectionLimit,
+    },
+    counter: Number(message.counter),
+  }
+}
+
+function encodeNode({ value, counter }: Numbered<Node>): NodeRecord {
+  return create(NodeRecordSchema, {
+    ...value,
+    roles: [...value.roles],
+    ejected: [...value.ejected],
+    documents: value.documents.map((document) => ({ ...document, revision: BigInt(document.revision) })),
+    counter: BigInt(counter),
+  })
+}
+
+function decodeNode(message: NodeRecord): Numbered<Node> {
+  return {
+    value: {
+      node: nodeId(message.node),
+      roles: message.roles as Role[],
+      address: message.address,
+      failureDomain: failureDomain(message.failureDomain),
+      region: message.region,
+      environment: environmentName(message.environment),
+      state: message.state as NodeState,
+      disk: message.disk,
+      documents: message.documents.map((document) => ({
+        environment: environmentName(document.environment),
+        revision: revision(Number(document.revision)),
+        digest: digestOf(document.digest),
+      })),
+      ejected: message.ejected,
+    },
+    counter: Number(message.counter),
+  }
+}
--- /dev/null
+++ b/packages/node/src/gossip.ts
@@ -0,0 +1,125 @@
+/**
+ * Gossip loop: exchanges the directory with one random peer at a time, at once with several when this node has learned
+ * of a leaving server. Seeds are asked as long as no other node is known.
+ */
+import { randomBelow, type Random } from '@bilberrystall/base'
+import type { Change, Directory, OriginDelta } from '@bilberrystall/membership'
+import { GossipService, type OriginDelta as OriginDeltaMessage, type RpcClients } from '@bilberrystall/rpc'
+import type { ConnectRouter } from '@connectrpc/connect'
+import { decodeDelta, decodeVersion, encodeDelta, encodeVersion } from './gossip-codec'
+
+const EXCHANGE_INTERVAL_MS = 250
+const EXCHANGE_TIMEOUT_MS = 500
+/** Peers that hear of a leaving server at once instead of at the next interval. */
+const URGENT_PEERS = 3
+/** Now and then a seed is asked although peers are known, so that two groups that lost each other meet again. */
+const SEED_EVERY = 20
+
+export interface GossipOptions {
+  readonly directory: Directory
+  readonly clients: RpcClients
+  readonly self: string
+  /** RPC address of this node. */
+  readonly address: string
+  readonly seeds: readonly string[]
+  readonly random: Random
+  readonly now: () => number
+  readonly onChanges: (changes: readonly Change[]) => void
+}
+
+export class Gossip {
+  readonly #options: GossipOptions
+  #timer: NodeJS.Timeout | undefined
+  #rounds = 0
+  #heardAt = Number.NEGATIVE_INFINITY
+
+  constructor(options: GossipOptions) {
+    this.#options = options
+  }
+
+  /** Monotonic time of the last exchange with any node. */
+  get heardAt(): number {
+    return this.#heardAt
+  }
+
+  routes(router: ConnectRouter): void {
+    router.service(GossipService, {
+      exchange: (request) => {
+        const { directory, now } = this.#options
+        const at = now()
+        const theirs = request.versions.map(decodeVersion)
+        const deltas = directory.deltasFor(theirs, at).map(encodeDelta)
+        const versions = directory.versions(at).map(encodeVersion)
+        this.#merged(directory.merge(theirs, decodeDeltas(request.deltas), at), at)
+        return { versions, deltas }
+      },
+    })
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => {
+      const peer = this.#choosePeer()
+      if (peer !== undefined) void this.#exchange(peer)
+    }, EXCHANGE_INTERVAL_MS)
+    const peer = this.#choosePeer()
+    if (peer !== undefined) void this.#exchange(peer)
+  }
+
+  stop(): void {
+    clearInterval(this.#timer)
+  }
+
+  /** Tells several peers at once, for changes that must not wait. */
+  async spread(): Promise<void> {
+    const peers = this.#peers()
+    const { random } = this.#options
+    const chosen = new Set<string>()
+    for (let tries = 0; tries < URGENT_PEERS * 2 && chosen.size < Math.min(URGENT_PEERS, peers.length); tries += 1) {
+      const peer = peers[randomBelow(random, peers.length)]
+      if (peer !== undefined) chosen.add(peer)
+    }
+    await Promise.all([...chosen].map((peer) => this.#exchange(peer)))
+  }
+
+  #peers(): string[] {
+    const { directory, address } = this.#options
+    return [...directory.nodes.values()].map((node) => node.address).filter((peer) => peer !== address)
+  }
+
+  #choosePeer(): string | undefined {
+    const { seeds, address, random } = this.#options
+    const peers = this.#peers()
+    this.#rounds += 1
+    const candidates =
+      peers.length === 0 || this.#rounds % SEED_EVERY === 0 ? seeds.filter((seed) => seed !== address) : peers
+    return candidates[randomBelow(random, candidates.length)]
+  }
+
+  async #exchange(peer: string): Promise<void> {
+    const { directory, clients, now, self } = this.#options
+    const client = clients.client(GossipService, peer)
+    const options = { timeoutMs: EXCHANGE_TIMEOUT_MS }
+    try {
+      const sent = directory.versions(now()).map(encodeVersion)
+      const response = await client.exchange({ from: self, versions: sent }, options)
+      const at = now()
+      const theirs = response.versions.map(decodeVersion)
+      const deltas = directory.deltasFor(theirs, at).map(encodeDelta)
+      this.#merged(directory.merge(theirs, decodeDeltas(response.deltas), at), at)
+      if (deltas.length === 0) return
+      const versions = directory.versions(now()).map(encodeVersion)
+      await client.exchange({ from: self, versions, deltas }, options)
+    } catch {
+      // A peer that does not answer is no state change here: its lease expires in the directory.
+    }
+  }
+
+  #merged(changes: readonly Change[], at: number): void {
+    this.#heardAt = at
+    if (changes.length > 0) this.#options.onChanges(changes)
+  }
+}
+
+function decodeDeltas(messages: readonly OriginDeltaMessage[]): OriginDelta[] {
+  return messages.map(decodeDelta).filter((delta) => delta !== undefined)
+}
--- /dev/null
+++ b/packages/node/src/log.ts
@@ -0,0 +1,49 @@
+/**
+ * Log of state changes. Every line carries a result code; counts of ordinary work belong to the metrics page. Lines are
+ * JSON unless standard error is a terminal.
+ */
+import { resultCode, type CodeName } from '@bilberrystall/base'
+import { createConsola, type ConsolaInstance, type LogObject } from 'consola'
+
+export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[]>>
+
+export interface Log {
+  info(code: CodeName, fields?: LogFields): void
+  warn(code: CodeName, fields?: LogFields): void
+  error(code: CodeName, fields?: LogFields): void
+}
+
+export interface LogOptions {
+  readonly node: string
+  readonly terminal?: boolean
+}
+
+export function createLog(options: LogOptions): Log {
+  const terminal = options.terminal ?? process.stderr.isTTY
+  const output = terminal ? createConsola({ stdout: process.stderr }) : jsonConsola()
+  const write = (level: 'info' | 'warn' | 'error', code: CodeName, fields: LogFields) => {
+    const entry = resultCode(code)
+    output[level]({ message: entry.name, code: entry.number, node: options.node, fields })
+  }
+  return {
+    info: (code, fields = {}) => {
+      write('info', code, fields)
+    },
+    warn: (code, fields = {}) => {
+      write('warn', code, fields)
+    },
+    error: (code, fields = {}) => {
+      write('error', code, fields)
+    },
+  }
+}
+
+function jsonConsola(): ConsolaInstance {
+  return createConsola({ reporters: [{ log: writeJson }] })
+}
+
+function writeJson(entry: LogObject): void {
+  const { code, node, fields, message } = entry as LogObject & Record<string, unknown>
+  const line = { time: entry.date.toISOString(), level: entry.type, code, event: message, node, ...(fields as object) }
+  process.stderr.write(`${JSON.stringify(line)}\n`)
+}
--- /dev/null
+++ b/packages/node/src/metrics.ts
@@ -0,0 +1,52 @@
+/** Counters and latencies of one process, rendered in the text exposition format. */
+import type { Histogram } from 'hdr-histogram-js'
+import { build } from 'hdr-histogram-js'
+import { collectDefaultMetrics, Counter, Gauge, Registry } from 'prom-client'
+
+const QUANTILES = [0.5, 0.9, 0.99, 0.999]
+const HIGHEST_LATENCY_US = 3_600_000_000
+
+export class Metrics {
+  readonly #registry = new Registry()
+
+  constructor() {
+    collectDefaultMetrics({ register: this.#registry, prefix: 'bilberrystall_' })
+  }
+
+  counter<Label extends string>(name: string, help: string, labelNames: readonly Label[] = []): Counter<Label> {
+    return new Counter({ name: `bilberrystall_${name}`, help, labelNames, registers: [this.#registry] })
+  }
+
+  /** A gauge that is read when the page is rendered. */
+  gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `bilberrystall_${name}`,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(read())
+      },
+    })
+  }
+
+  /** A latency in microseconds, recorded with three significant digits and shown as quantiles. */
+  latency(name: string, help: string): Histogram {
+    const histogram = build({ highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: 3 })
+    new Gauge({
+      name: `bilberrystall_${name}_microseconds`,
+      help,
+      labelNames: ['quantile'],
+      registers: [this.#registry],
+      collect() {
+        for (const quantile of QUANTILES) {
+          this.set({ quantile: String(quantile) }, histogram.getValueAtPercentile(quantile * 100))
+        }
+      },
+    })
+    return histogram
+  }
+
+  render(): Promise<string> {
+    return this.#registry.metrics()
+  }
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,182 @@
+/** Settings of one process: an INI file, checked as a whole, with the secrets that it names read from their files. */
+import { readFileSync } from 'node:fs'
+import { dirname, resolve } from 'node:path'
+import {
+  environmentName,
+  errorMessage,
+  failure,
+  failureDomain,
+  nodeId,
+  type Environment,
+  type Failure,
+  type FailureDomain,
+  type NodeId,
+} from '@bilberrystall/base'
+import { field, formatFaults, readIni } from '@bilberrystall/document'
+import type { Role } from '@bilberrystall/membership'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+
+const LEAST_SECRET_LENGTH = 16
+
+export interface EntrySettings {
+  readonly environment: Environment
+  /** Address for callers. */
+  readonly listen: string
+  readonly serverKey: string
+  /** How long the health page says leaving before connections are refused. */
+  readonly balancerGraceMs: number
+  /** How long calls in flight may take at a planned stop. */
+  readonly stopLimitMs: number
+}
+
+export interface ControlSettings {
+  /** Address for operators. */
+  readonly listen: string
+  readonly dataFolder: string
+  /** SHA-256 of each operator's key by the operator's name. */
+  readonly operatorKeys: ReadonlyMap<string, string>
+  /** Start a new cluster when the data folder is empty. */
+  readonly bootstrap: boolean
+  /** Replicas that self-repair keeps. */
+  readonly replicas: number
+}
+
+export interface Settings {
+  readonly node: NodeId
+  readonly roles: readonly Role[]
+  /** Address for other nodes of the system. */
+  readonly address: string
+  /** Address for announcements of servers, health and metrics. */
+  readonly statusListen: string
+  readonly failureDomain: FailureDomain
+  readonly region: string
+  /** RPC addresses of nodes to join. */
+  readonly seeds: readonly string[]
+  readonly nodeKey: string
+  readonly entry: EntrySettings | undefined
+  readonly control: ControlSettings | undefined
+}
+
+const settingsSchema = z.strictObject({
+  node: z.strictObject({
+    name: field.name,
+    roles: field.list.pipe(z.array(z.enum(['entry', 'control'], 'must be entry, control or both')).min(1)),
+    address: field.address,
+    'status-listen': field.address,
+    'failure-domain': field.name,
+    region: field.name.default('default'),
+    seeds: field.list.pipe(z.array(field.address)).default([]),
+    'node-key-file': z.string().min(1),
+  }),
+  entry: z
+    .strictObject({
+      environment: field.name,
+      listen: field.address,
+      'server-key-file': z.string().min(1),
+      'balancer-grace': field.duration(0, 60_000).default(3000),
+      'stop-limit': field.duration(100, 600_000).default(30_000),
+    })
+    .optional(),
+  control: z
+    .strictObject({
+      listen: field.address,
+      'data-folder': z.string().min(1),
+      'operator-keys-file': z.string().min(1),
+      bootstrap: field.flag.default(false),
+      replicas: field.integer(1, 5).default(3),
+    })
+    .optional(),
+})
+
+type RawSettings = z.output<typeof settingsSchema>
+
+/** Reads and checks a settings file; paths in it are relative to its folder. */
+export function readSettings(file: string): Result<Settings, Failure> {
+  return readText(file).andThen((text) => parseSettings(text, dirname(resolve(file))))
+}
+
+export function parseSettings(text: string, folder: string): Result<Settings, Failure> {
+  return readIni(text, settingsSchema)
+    .mapErr((faults) => failure('settingsInvalid', formatFaults(faults)))
+    .andThen((raw) => withSecrets(raw, folder))
+}
+
+function withSecrets(raw: RawSettings, folder: string): Result<Settings, Failure> {
+  const { node, entry, control } = raw
+  const missing = node.roles.filter((role) => raw[role] === undefined)
+  if (missing.length > 0) {
+    const faults = missing.map((role) => ({ section: role, key: '', reason: `is required by role ${role}` }))
+    return err(failure('settingsInvalid', formatFaults(faults)))
+  }
+  const nodeKey = readSecret(folder, node['node-key-file'])
+  if (nodeKey.isErr()) return err(nodeKey.error)
+  const entrySettings = node.roles.includes('entry') && entry !== undefined ? readEntry(entry, folder) : ok(undefined)
+  if (entrySettings.isErr()) return err(entrySettings.error)
+  const controlSettings =
+    node.roles.includes('control') && control !== undefined ? readControl(control, folder) : ok(undefined)
+  if (controlSettings.isErr()) return err(controlSettings.error)
+  return ok({
+    node: nodeId(node.name),
+    roles: node.roles,
+    address: node.address,
+    statusListen: node['status-listen'],
+    failureDomain: failureDomain(node['failure-domain']),
+    region: node.region,
+    seeds: node.seeds,
+    nodeKey: nodeKey.value,
+    entry: entrySettings.value,
+    control: controlSettings.value,
+  })
+}
+
+function readEntry(raw: NonNullable<RawSettings['entry']>, folder: string): Result<EntrySettings, Failure> {
+  return readSecret(folder, raw['server-key-file']).map((serverKey) => ({
+    environment: environmentName(raw.environment),
+    listen: raw.listen,
+    serverKey,
+    balancerGraceMs: raw['balancer-grace'],
+    stopLimitMs: raw['stop-limit'],
+  }))
+}
+
+function readControl(raw: NonNullable<RawSettings['control']>, folder: string): Result<ControlSettings, Failure> {
+  return readOperatorKeys(folder, raw['operator-keys-file']).map((operatorKeys) => ({
+    listen: raw.listen,
+    dataFolder: resolve(folder, raw['data-folder']),
+    operatorKeys,
+    bootstrap: raw.bootstrap,
+    replicas: raw.replicas,
+  }))
+}
+
+function readSecret(folder: string, file: string): Result<string, Failure> {
+  return readText(resolve(folder, file)).andThen((text) => {
+    const secret = text.trim()
+    if (secret.length >= LEAST_SECRET_LENGTH) return ok(secret)
+    return err(failure('settingsInvalid', `${file}: a key needs at least ${LEAST_SECRET_LENGTH} characters`))
+  })
+}
+
+/** Each line holds an operator's name and the SHA-256 of the operator's key in hexadecimal. */
+function readOperatorKeys(folder: string, file: string): Result<ReadonlyMap<string, string>, Failure> {
+  return readText(resolve(folder, file)).andThen((text) => {
+    const keys = new Map<string, string>()
+    for (const line of text.split(/\r?\n/).filter((candidate) => candidate.trim() !== '')) {
+      const match = /^([a-z0-9-]+)\s+([0-9a-f]{64})$/.exec(line.trim())
+      if (match?.[1] === undefined || match[2] === undefined) {
+        return err(failure('settingsInvalid', `${file}: each line must be an operator's name and a SHA-256 digest`))
+      }
+      keys.set(match[1], match[2])
+    }
+    return ok(keys)
+  })
+}
+
+function readText(file: string): Result<string, Failure> {
+  try {
+    return ok(readFileSync(file, 'utf8'))
+  } catch (cause) {
+    return err(failure('fileUnreadable', errorMessage(cause)))
+  }
+}
--- /dev/null
+++ b/packages/node/src/status-listener.ts
@@ -0,0 +1,66 @@
+/** Status listener of a node: announcements of servers, the health page for the platform's balancer, and metrics. */
+import { failure, problem, resultCode, type Failure } from '@bilberrystall/base'
+import { SERVER_RENEWAL_MS, SERVER_LEASE_MS } from '@bilberrystall/membership'
+import { bearer, sameSecret } from '@bilberrystall/rpc'
+import { Hono, type Context } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
+import type { Result } from 'neverthrow'
+import { parseAnnouncement, type Announcement } from './announcement'
+
+const ANNOUNCEMENT_LIMIT_BYTES = 4096
+
+export type Health =
+  | { readonly state: 'ready' }
+  | { readonly state: 'stale'; readonly reason: string }
+  | { readonly state: 'not-ready'; readonly reason: string }
+  | { readonly state: 'isolated'; readonly reason: string }
+  | { readonly state: 'leaving' }
+
+export interface StatusListenerOptions {
+  readonly health: () => Health
+  readonly metrics: () => Promise<string>
+  /** Undefined on nodes without the entry role, which take no announcements. */
+  readonly serverKey: string | undefined
+  readonly announce: (announcement: Announcement) => Result<unknown, Failure>
+}
+
+export function statusApp(options: StatusListenerOptions): Hono {
+  const app = new Hono()
+  app.get('/health', (context) => {
+    const health = options.health()
+    const serving = health.state === 'ready' || health.state === 'stale'
+    return context.json(health, serving ? 200 : 503)
+  })
+  app.get('/metrics', async (context) => context.text(await options.metrics()))
+  app.post('/v1/announcements', bodyLimit({ maxSize: ANNOUNCEMENT_LIMIT_BYTES, onError: tooLarge }), (context) =>
+    announce(context, options),
+  )
+  app.notFound((context) => problemResponse(context, failure('notFound')))
+  return app
+}
+
+async function announce(context: Context, options: StatusListenerOptions): Promise<Response> {
+  if (options.serverKey === undefined) return problemResponse(context, failure('notFound'))
+  if (!sameSecret(context.req.header('authorization') ?? '', bearer(options.serverKey))) {
+    return problemResponse(context, failure('serverUnauthorized'))
+  }
+  const body: unknown = await context.req.json().catch(() => undefined)
+  const result = parseAnnouncement(body).andThen((announcement) => options.announce(announcement))
+  return result.match(
+    () => context.json({ renewMs: SERVER_RENEWAL_MS, leaseMs: SERVER_LEASE_MS }),
+    (cause) => problemResponse(context, cause),
+  )
+}
+
+function tooLarge(context: Context): Response {
+  return problemResponse(context, failure('announcementInvalid', `larger than ${ANNOUNCEMENT_LIMIT_BYTES} bytes`))
+}
+
+/** RFC 9457 response of a failure. */
+export function problemResponse(context: Context, cause: Failure): Response {
+  const { status } = resultCode(cause.code)
+  return context.body(JSON.stringify(problem(cause)), {
+    status: status === 0 ? 500 : status,
+    headers: { 'content-type': 'application/problem+json' },
+  })
+}
