--- a/packages/node/src/status-listener.ts
+++ b/packages/node/src/status-listener.ts
@@ -35,31 +35,31 @@
   app.post('/v1/announcements', bodyLimit({ maxSize: ANNOUNCEMENT_LIMIT_BYTES, onError: tooLarge }), (context) =>
     announce(context, options),
   )
-  app.notFound((context) => problemResponse(context, failure('notFound')))
+  app.notFound(() => problemResponse(failure('notFound')))
   return app
 }
 
 async function announce(context: Context, options: StatusListenerOptions): Promise<Response> {
-  if (options.serverKey === undefined) return problemResponse(context, failure('notFound'))
+  if (options.serverKey === undefined) return problemResponse(failure('notFound'))
   if (!sameSecret(context.req.header('authorization') ?? '', bearer(options.serverKey))) {
-    return problemResponse(context, failure('serverUnauthorized'))
+    return problemResponse(failure('serverUnauthorized'))
   }
   const body: unknown = await context.req.json().catch(() => undefined)
   const result = parseAnnouncement(body).andThen((announcement) => options.announce(announcement))
   return result.match(
     () => context.json({ renewMs: SERVER_RENEWAL_MS, leaseMs: SERVER_LEASE_MS }),
-    (cause) => problemResponse(context, cause),
+    (cause) => problemResponse(cause),
   )
 }
 
-function tooLarge(context: Context): Response {
-  return problemResponse(context, failure('announcementInvalid', `larger than ${ANNOUNCEMENT_LIMIT_BYTES} bytes`))
+function tooLarge(): Response {
+  return problemResponse(failure('announcementInvalid', `larger than ${ANNOUNCEMENT_LIMIT_BYTES} bytes`))
 }
 
 /** RFC 9457 response of a failure. */
-export function problemResponse(context: Context, cause: Failure): Response {
+export function problemResponse(cause: Failure): Response {
   const { status } = resultCode(cause.code)
-  return context.body(JSON.stringify(problem(cause)), {
+  return new Response(JSON.stringify(problem(cause)), {
     status: status === 0 ? 500 : status,
     headers: { 'content-type': 'application/problem+json' },
   })
