--- /dev/null
+++ b/packages/bench/src/capacity/slope.ts
@@ -0,0 +1,82 @@
+/** Measures a cost at several sizes, repeats each run, and fits a straight line whose slope carries a figure to scale. */
+
+const REPEATS = 3
+
+export interface Measurement {
+  /** Name of the cost, for example `directory memory`. */
+  readonly name: string
+  /** What the size counts, for example `servers`. */
+  readonly per: string
+  readonly unit: string
+  readonly sizes: readonly number[]
+  readonly measure: (size: number) => number | Promise<number>
+}
+
+export interface Point {
+  readonly size: number
+  readonly median: number
+  readonly least: number
+  readonly most: number
+}
+
+export interface Slope {
+  readonly name: string
+  readonly per: string
+  readonly unit: string
+  readonly points: readonly Point[]
+  readonly slope: number
+  readonly intercept: number
+  /** Largest distance of a run from the median at its size, as a share of that median. */
+  readonly spread: number
+}
+
+export async function measureSlope(measurement: Measurement): Promise<Slope> {
+  const points: Point[] = []
+  for (const size of measurement.sizes) {
+    const runs: number[] = []
+    // The first run compiles the code and is not counted.
+    await measurement.measure(size)
+    for (let run = 0; run < REPEATS; run += 1) runs.push(await measurement.measure(size))
+    runs.sort((left, right) => left - right)
+    points.push({
+      size,
+      median: runs[Math.floor(runs.length / 2)] ?? 0,
+      least: runs[0] ?? 0,
+      most: runs.at(-1) ?? 0,
+    })
+  }
+  const { name, per, unit } = measurement
+  return { name, per, unit, points, ...fitLine(points), spread: spreadOf(points) }
+}
+
+/** Least squares over the medians. */
+export function fitLine(points: readonly Point[]): { readonly slope: number; readonly intercept: number } {
+  const meanX = mean(points.map((point) => point.size))
+  const meanY = mean(points.map((point) => point.median))
+  const covariance = sum(points.map((point) => (point.size - meanX) * (point.median - meanY)))
+  const variance = sum(points.map((point) => (point.size - meanX) ** 2))
+  const slope = variance === 0 ? 0 : covariance / variance
+  return { slope, intercept: meanY - slope * meanX }
+}
+
+/** Value of the fitted line at a size that was not measured. */
+export function extrapolate(slope: Slope, size: number): number {
+  return slope.intercept + slope.slope * size
+}
+
+function spreadOf(points: readonly Point[]): number {
+  return Math.max(
+    ...points.map((point) => {
+      if (point.median === 0) return 0
+      return Math.max(point.most - point.median, point.median - point.least) / Math.abs(point.median)
+    }),
+  )
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
+
+function mean(values: readonly number[]): number {
+  return sum(values) / values.length
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Node process: settings, wiring of roles, timers, listeners, metrics and shutdown. */
+export * from './settings'
