Add the replicated log and the self-repair rule

Messages are held until the ballot of their term is synced; append responses state only what is synced. Appends of a leader may overtake its own sync since its own copy counts only once synced. A leader whose disk does not sync for 2 s steps down, else a hung disk would keep the log from being applied and shortened.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -102,6 +102,11 @@
   responseMalformed: code(104, 'response-malformed', 0, 'A node sent a response that cannot be read.'),
   stopLimit: code(105, 'stop-limit', 0, 'Calls were still in flight at the limit of the shutdown.'),
 
+  replicaSetBusy: code(110, 'replica-set-busy', 409, 'Another change of the replica set is in progress.'),
+  replicaSetInvalid: code(111, 'replica-set-invalid', 409, 'The change does not fit the replica set.'),
+  replicaBehind: code(112, 'replica-behind', 409, 'The learner does not hold all committed entries yet.'),
+  logBacklog: code(113, 'log-backlog', 503, 'Too many entries wait to be committed.'),
+
   nodeStarted: code(150, 'node-started', 0, 'The node serves.'),
   nodeLeaving: code(151, 'node-leaving', 0, 'The node shuts down.'),
   nodeStopped: code(152, 'node-stopped', 0, 'The node stopped.'),
--- /dev/null
+++ b/packages/consensus/src/durability.ts
@@ -0,0 +1,122 @@
+/**
+ * Tracks which records are synced. Records of one step form one persist output. Messages that depend on an unsynced
+ * ballot are held here until the host reports it synced.
+ */
+import { logIndex, type LogIndex } from '@bilberrystall/base'
+import type { Message, Snapshot } from './message'
+import type { Output, PersistRecord } from './output'
+
+/** Held messages beyond this number are dropped, oldest first: messages may always be lost, memory is bounded. */
+const HELD_LIMIT = 256
+
+interface Pending {
+  readonly persist: number
+  readonly since: number
+  lastIndex: LogIndex | undefined
+  snapshot: Snapshot | undefined
+}
+
+interface Held {
+  readonly persist: number
+  readonly message: Message
+}
+
+export interface Synced {
+  readonly messages: readonly Message[]
+  /** Received snapshots that are now on disk. */
+  readonly snapshots: readonly Snapshot[]
+}
+
+export class Durability {
+  #records: PersistRecord[] = []
+  #next = 1
+  #synced = 0
+  #ballotPersist = 0
+  #pending: Pending[] = []
+  #held: Held[] = []
+  #lastIndex: LogIndex | undefined
+  #snapshot: Snapshot | undefined
+
+  /** Highest index of the log that is synced. */
+  durable: LogIndex
+
+  constructor(durable: LogIndex) {
+    this.durable = durable
+  }
+
+  get ballotSynced(): boolean {
+    return this.#ballotPersist <= this.#synced
+  }
+
+  /** Time of the oldest persist output that is not synced yet. */
+  get pendingSince(): number | undefined {
+    return this.#pending[0]?.since
+  }
+
+  record(record: PersistRecord): void {
+    switch (record.kind) {
+      case 'ballot':
+        this.#ballotPersist = this.#next
+        break
+      case 'append': {
+        const first = record.entries[0]
+        const last = record.entries.at(-1)
+        if (first === undefined || last === undefined) return
+        this.#discardFrom(first.index)
+        this.#lastIndex = last.index
+        break
+      }
+      case 'install':
+        this.#discardFrom(logIndex(0))
+        this.#snapshot = record.snapshot
+        this.#lastIndex = record.snapshot.index
+        break
+      case 'compact':
+        break
+    }
+    this.#records.push(record)
+  }
+
+  /** Holds a message until the newest ballot is synced. */
+  hold(message: Message): void {
+    this.#held.push({ persist: this.#ballotPersist, message })
+    if (this.#held.length > HELD_LIMIT) this.#held.shift()
+  }
+
+  /** Takes the records of this step as one output. */
+  flush(now: number): Output | undefined {
+    if (this.#records.length === 0) return undefined
+    const persist = this.#next
+    this.#next += 1
+    this.#pending.push({ persist, since: now, lastIndex: this.#lastIndex, snapshot: this.#snapshot })
+    const records = this.#records
+    this.#records = []
+    this.#lastIndex = undefined
+    this.#snapshot = undefined
+    return { kind: 'persist', persist, records }
+  }
+
+  synced(persist: number): Synced {
+    if (!(persist > this.#synced && persist < this.#next)) return { messages: [], snapshots: [] }
+    this.#synced = persist
+    const snapshots: Snapshot[] = []
+    for (let first = this.#pending[0]; first !== undefined && first.persist <= persist; first = this.#pending[0]) {
+      this.#pending.shift()
+      if (first.lastIndex !== undefined) this.durable = first.lastIndex
+      if (first.snapshot !== undefined) snapshots.push(first.snapshot)
+    }
+    const released = this.#held.filter((held) => held.persist <= persist)
+    this.#held = this.#held.filter((held) => held.persist > persist)
+    return { messages: released.map((held) => held.message), snapshots }
+  }
+
+  /** Entries from `index` on are being replaced, so earlier outputs no longer make them durable. */
+  #discardFrom(index: LogIndex): void {
+    const last = logIndex(Math.max(0, index - 1))
+    if (this.durable > last) this.durable = last
+    for (const pending of this.#pending) {
+      if (pending.lastIndex !== undefined && pending.lastIndex > last) pending.lastIndex = last
+    }
+    if (this.#lastIndex !== undefined && this.#lastIndex > last) this.#lastIndex = last
+  }
+}
--- a/packages/consensus/src/options.ts
+++ b/packages/consensus/src/options.ts
@@ -20,6 +20,8 @@
   readonly majorityTimeout: number
   /** Length of the leader lease from the sending of a confirmed heartbeat, in milliseconds; below `electionMin`. */
   readonly lease: number
+  /** A leader whose oldest write is not synced after this time steps down, in milliseconds. */
+  readonly syncTimeout: number
   /** A read that is not confirmed in this time fails, in milliseconds. */
   readonly readTimeout: number
   /** Most entries in one append message. */
@@ -30,7 +32,7 @@
   readonly inFlight: number
   /** Largest command, in bytes. */
   readonly commandBytes: number
-  /** Most bytes of entries appended and not yet committed. */
+  /** Most bytes of entries appended and not yet applied. */
   readonly uncommittedBytes: number
   /** Log length that triggers a snapshot, in entries. */
   readonly logEntries: number
@@ -55,6 +57,7 @@
   majorityTimeout: 1_000,
   // 100 ms below the shortest election timeout allow for clocks whose rates differ by up to a sixth.
   lease: 500,
+  syncTimeout: 2_000,
   readTimeout: 1_000,
   batchEntries: 256,
   batchBytes: 256 * 1024,
--- /dev/null
+++ b/packages/consensus/src/reads.ts
@@ -0,0 +1,145 @@
+/**
+ * Confirmed reads. A leader confirms a read when, after the read arrived, a majority still answered in its term and an
+ * entry of its term is committed. Replicas that do not lead ask the leader and wait until they have applied its index.
+ */
+import { logIndex, type LogIndex, type ReplicaId } from '@bilberrystall/base'
+import type { Core, Leadership, LocalRead, WaitingRead } from './core'
+import type { ReadInput } from './input'
+import { holdsLease, isRoundConfirmed, knowsCommit } from './majority'
+import type { ReadRequestMessage, ReadResponseMessage } from './message'
+import { sendHeartbeat } from './replication'
+
+export function startRead(core: Core, input: ReadInput): void {
+  if (core.waitingReads.length + core.localReads.size >= core.limits.reads) {
+    core.failRead(input.read, 'noQuorum')
+    return
+  }
+  const lead = core.lead
+  if (lead === undefined) {
+    askLeader(core, input.read)
+    return
+  }
+  if (input.mode === 'lease' && knowsCommit(core) && holdsLease(core, lead)) {
+    waitForApply(core, input.read, core.commit)
+    return
+  }
+  waitForRound(core, lead, input.read, undefined)
+}
+
+function askLeader(core: Core, read: number): void {
+  if (core.leader === undefined) {
+    core.failRead(read, 'notLeader')
+    return
+  }
+  const number = nextNumber(core)
+  core.localReads.set(number, { read, deadline: core.now + core.limits.readTimeout, index: undefined })
+  core.send({ kind: 'read-request', ...core.envelope(core.leader), read: number })
+}
+
+function waitForApply(core: Core, read: number, index: LogIndex): void {
+  core.localReads.set(nextNumber(core), { read, deadline: core.now + core.limits.readTimeout, index })
+}
+
+function nextNumber(core: Core): number {
+  core.nextLocalRead += 1
+  return core.nextLocalRead
+}
+
+/** Starts a round for the read, or lets it join the one that starts once the running round is confirmed. */
+function waitForRound(core: Core, lead: Leadership, read: number, origin: ReplicaId | undefined): void {
+  const isRunning = !isRoundConfirmed(core, lead, lead.round)
+  const round = lead.round + 1
+  core.waitingReads.push({ read, origin, round, deadline: core.now + core.limits.readTimeout })
+  if (!isRunning) startRound(core, lead)
+}
+
+function startRound(core: Core, lead: Leadership): void {
+  lead.round += 1
+  for (const progress of lead.progress.values()) {
+    if (core.sets.roleOf(progress.replica) === 'voter') sendHeartbeat(core, progress)
+  }
+}
+
+export function receiveReadRequest(core: Core, message: ReadRequestMessage): void {
+  const lead = core.lead
+  if (lead === undefined || message.term > core.term || core.waitingReads.length >= core.limits.reads) {
+    sendResponse(core, message.from, message.read, undefined)
+    return
+  }
+  const repeated = core.waitingReads.some((read) => read.origin === message.from && read.read === message.read)
+  if (!repeated) waitForRound(core, lead, message.read, message.from)
+}
+
+function sendResponse(core: Core, to: ReplicaId, read: number, index: LogIndex | undefined): void {
+  core.send({
+    kind: 'read-response',
+    ...core.envelope(to),
+    read,
+    confirmed: index !== undefined,
+    index: index ?? logIndex(0),
+  })
+}
+
+export function receiveReadResponse(core: Core, message: ReadResponseMessage): void {
+  const waiting = core.localReads.get(message.read)
+  if (waiting?.index !== undefined || waiting === undefined) return
+  if (message.confirmed) {
+    waiting.index = message.index
+    return
+  }
+  core.localReads.delete(message.read)
+  core.failRead(waiting.read, 'notLeader')
+}
+
+/** Confirms rounds, reports reads whose index is applied, and fails those that waited too long. */
+export function advanceReads(core: Core): void {
+  if (core.waitingReads.length > 0 && core.lead !== undefined) confirmReads(core, core.lead)
+  for (const [number, read] of core.localReads) {
+    if (finishLocalRead(core, read)) core.localReads.delete(number)
+  }
+}
+
+function confirmReads(core: Core, lead: Leadership): void {
+  if (knowsCommit(core)) {
+    const confirmed = core.waitingReads.filter((read) => isConfirmed(core, lead, read))
+    if (confirmed.length > 0) {
+      core.waitingReads = core.waitingReads.filter((read) => !confirmed.includes(read))
+      for (const read of confirmed) answer(core, read)
+    }
+  }
+  expireWaiting(core)
+  // A round with nothing left to confirm on it is complete; reads that joined meanwhile need the next one.
+  const needsRound = core.waitingReads.some((read) => read.round > lead.round)
+  if (needsRound && isRoundConfirmed(core, lead, lead.round)) {
+    startRound(core, lead)
+    if (core.isSoleVoter()) confirmReads(core, lead)
+  }
+}
+
+function isConfirmed(core: Core, lead: Leadership, read: WaitingRead): boolean {
+  return read.round <= lead.round && isRoundConfirmed(core, lead, read.round)
+}
+
+function answer(core: Core, read: WaitingRead): void {
+  if (read.origin === undefined) waitForApply(core, read.read, core.commit)
+  else sendResponse(core, read.origin, read.read, core.commit)
+}
+
+function expireWaiting(core: Core): void {
+  const expired = core.waitingReads.filter((read) => read.deadline <= core.now)
+  if (expired.length === 0) return
+  core.waitingReads = core.waitingReads.filter((read) => read.deadline > core.now)
+  for (const read of expired) {
+    if (read.origin === undefined) core.failRead(read.read, 'noQuorum')
+  }
+}
+
+function finishLocalRead(core: Core, read: LocalRead): boolean {
+  if (read.index !== undefined && core.applied >= read.index) {
+    core.emit({ kind: 'read-ready', read: read.read, index: read.index })
+    return true
+  }
+  if (read.deadline > core.now) return false
+  core.failRead(read.read, 'noQuorum')
+  return true
+}
--- /dev/null
+++ b/packages/consensus/src/replica.ts
@@ -0,0 +1,190 @@
+/**
+ * One replica of the log as a state machine. The host feeds inputs with the current time and carries out the outputs in
+ * order. There is no I/O, clock or random source here but what is passed in.
+ */
+import { failure, type Failure } from '@bilberrystall/base'
+import { err, ok, type Result } from 'neverthrow'
+import { Core } from './core'
+import {
+  countOwnVote,
+  receivePreVote,
+  receivePreVoteResponse,
+  receiveVote,
+  receiveVoteResponse,
+  tickElection,
+} from './election'
+import type { Input } from './input'
+import { bytesOf } from './log'
+import { advanceCommit, hasMajorityContact } from './majority'
+import type { Message } from './message'
+import type { ReplicaOptions, StoredState } from './options'
+import type { Output } from './output'
+import { changeReplicaSet, propose } from './proposals'
+import { advanceReads, receiveReadRequest, receiveReadResponse, startRead } from './reads'
+import { heartbeat, notifyCommit, receiveAppend, receiveAppendResponse, respondSynced } from './replication'
+import { receiveChunk, receiveSnapshotResponse, requestSnapshot, snapshotInstalled, snapshotTaken } from './snapshots'
+import { statusOf, type Status } from './status'
+import { advanceTransfer, receiveTransfer, sendTransfer, startTransfer } from './transfer'
+
+export class Replica {
+  readonly #core: Core
+
+  /** The stored state must be one that `checkStored` accepts. */
+  constructor(options: ReplicaOptions) {
+    this.#core = new Core(options)
+  }
+
+  /** Processes one input. `now` is in milliseconds of a monotonic clock. */
+  step(input: Input, now: number): Output[] {
+    const core = this.#core
+    core.now = Math.max(core.now, now)
+    checkLeadership(core)
+    handle(core, input)
+    advance(core)
+    return core.finish()
+  }
+
+  status(): Status {
+    return statusOf(this.#core)
+  }
+}
+
+/** Checks that stored entries have no gap, between each other or to the snapshot. Fails with `logDamaged`. */
+export function checkStored(stored: StoredState): Result<void, Failure> {
+  const entries = stored.entries ?? []
+  let expected = entries[0]?.index ?? 0
+  if (expected > (stored.snapshot?.index ?? 0) + 1) return err(failure('logDamaged', 'The log starts after a gap.'))
+  for (const entry of entries) {
+    if (entry.index !== expected) return err(failure('logDamaged', `The log has no entry ${expected}.`))
+    expected = entry.index + 1
+  }
+  if (entries.length > 0 && expected <= (stored.snapshot?.index ?? 0)) {
+    return err(failure('logDamaged', 'The log ends before the snapshot.'))
+  }
+  return ok(undefined)
+}
+
+/** A leader without a majority, or with a disk that does not sync, steps down before it looks at anything else. */
+function checkLeadership(core: Core): void {
+  if (core.lead === undefined) return
+  const pendingSince = core.disk.pendingSince
+  const isDiskStuck = pendingSince !== undefined && core.now - pendingSince > core.limits.syncTimeout
+  if (isDiskStuck || !hasMajorityContact(core, core.lead)) core.becomeFollower(core.term, undefined)
+}
+
+function handle(core: Core, input: Input): void {
+  switch (input.kind) {
+    case 'tick':
+      tick(core)
+      break
+    case 'message':
+      if (input.message.to === core.replica && input.message.from !== core.replica) receive(core, input.message)
+      break
+    case 'persisted':
+      persisted(core, input.persist)
+      break
+    case 'propose':
+      propose(core, input)
+      break
+    case 'change-replica-set':
+      changeReplicaSet(core, input)
+      break
+    case 'read':
+      startRead(core, input)
+      break
+    case 'transfer':
+      startTransfer(core, input.target)
+      break
+    case 'snapshot-taken':
+      snapshotTaken(core, input.snapshot)
+      break
+  }
+}
+
+function tick(core: Core): void {
+  const lead = core.lead
+  if (lead === undefined) {
+    tickElection(core)
+    return
+  }
+  if (core.now < lead.heartbeatDue) return
+  heartbeat(core, lead)
+  sendTransfer(core)
+}
+
+function receive(core: Core, message: Message): void {
+  switch (message.kind) {
+    case 'pre-vote':
+      receivePreVote(core, message)
+      break
+    case 'pre-vote-response':
+      receivePreVoteResponse(core, message)
+      break
+    case 'vote':
+      receiveVote(core, message)
+      break
+    case 'vote-response':
+      receiveVoteResponse(core, message)
+      break
+    case 'append':
+      receiveAppend(core, message)
+      break
+    case 'append-response':
+      receiveAppendResponse(core, message)
+      break
+    case 'snapshot-chunk':
+      receiveChunk(core, message)
+      break
+    case 'snapshot-response':
+      receiveSnapshotResponse(core, message)
+      break
+    case 'transfer':
+      receiveTransfer(core, message)
+      break
+    case 'read-request':
+      receiveReadRequest(core, message)
+      break
+    case 'read-response':
+      receiveReadResponse(core, message)
+      break
+  }
+}
+
+function persisted(core: Core, persist: number): void {
+  const before = core.disk.durable
+  const synced = core.disk.synced(persist)
+  for (const message of synced.messages) core.emit({ kind: 'send', message })
+  for (const snapshot of synced.snapshots) snapshotInstalled(core, snapshot)
+  countOwnVote(core)
+  if (core.disk.durable > before) respondSynced(core)
+}
+
+/** Draws the conclusions of the step: commit, apply, reads, transfer, snapshot. */
+function advance(core: Core): void {
+  if (core.lead !== undefined && advanceCommit(core, core.lead)) {
+    notifyCommit(core)
+    stepDownIfRemoved(core)
+  }
+  applyCommitted(core)
+  advanceReads(core)
+  advanceTransfer(core)
+  requestSnapshot(core)
+}
+
+/** A leader outside the replica set goes on until the set is committed and then leaves it to the others. */
+function stepDownIfRemoved(core: Core): void {
+  if (core.isVoter() || core.sets.currentIndex > core.commit) return
+  core.becomeFollower(core.term, undefined)
+}
+
+/** An entry is applied once it is committed and synced here, so the state machine never runs ahead of the own disk. */
+function applyCommitted(core: Core): void {
+  const through = Math.min(core.commit, core.disk.durable)
+  if (through <= core.applied) return
+  const entries = core.log.range(core.applied + 1, through)
+  const last = entries.at(-1)
+  if (last === undefined) return
+  core.applied = last.index
+  if (core.lead !== undefined) core.lead.backlog -= bytesOf(entries)
+  core.emit({ kind: 'apply', entries })
+}
--- /dev/null
+++ b/packages/consensus/src/self-repair.ts
@@ -0,0 +1,179 @@
+/**
+ * Self-repair of the replica set as a pure rule. Given what the leader sees, it returns the next single step. A lost
+ * replica is replaced in the order add learner, promote, remove, so that at no time fewer copies count than before, and
+ * a step is taken only when a live majority remains after it.
+ */
+import type { FailureDomain, NodeId, ReplicaId } from '@bilberrystall/base'
+import { None, Some, type Option } from 'ts-results'
+import type { ReplicaSetChange } from './input'
+import type { ReplicaRole } from './message'
+import { majorityOf } from './replica-sets'
+import type { Status } from './status'
+
+/** A live node with a disk, and the replica on that disk. */
+export interface RepairNode {
+  readonly node: NodeId
+  readonly replica: ReplicaId
+  readonly failureDomain: FailureDomain
+}
+
+export interface RepairOptions {
+  /** Status of the leader. */
+  readonly status: Status
+  /** Live nodes with a disk; members of the replica set among them tell their failure domain. */
+  readonly nodes: readonly RepairNode[]
+  /** Failure domains of nodes that are not live, as far as known. */
+  readonly failureDomains?: ReadonlyMap<NodeId, FailureDomain>
+  /** Time on the clock of `step`, in milliseconds. */
+  readonly now: number
+  /** Wanted number of voters. */
+  readonly target?: 3 | 5
+  /** A member without contact for this time counts as lost, in milliseconds. */
+  readonly lostAfter?: number
+  /** A member with contact within this time counts as live, in milliseconds. */
+  readonly liveWithin?: number
+}
+
+interface Member {
+  readonly replica: ReplicaId
+  readonly node: NodeId
+  readonly role: ReplicaRole
+  readonly failureDomain: FailureDomain | undefined
+  readonly isLeader: boolean
+  readonly isLive: boolean
+  readonly isLost: boolean
+  readonly caughtUp: boolean
+  readonly lastContact: number
+}
+
+interface View {
+  readonly members: readonly Member[]
+  readonly voters: readonly Member[]
+  readonly learners: readonly Member[]
+  readonly spares: readonly RepairNode[]
+  readonly target: number
+}
+
+const DEFAULT_LOST_AFTER = 60_000
+const DEFAULT_LIVE_WITHIN = 1_000
+
+/** The next step, none while a step is in progress, when this replica does not lead, or when nothing is to be done. */
+export function planRepair(options: RepairOptions): Option<ReplicaSetChange> {
+  const { status } = options
+  if (status.role !== 'leader' || !status.replicasCommitted) return None
+  const view = viewOf(options)
+  if (!keepsMajority(view.voters)) return None
+  const step = dropLearner(view) ?? promoteLearner(view) ?? removeVoter(view) ?? addLearner(view)
+  return step === undefined ? None : Some(step)
+}
+
+function viewOf(options: RepairOptions): View {
+  const members = options.status.replicas.map((info) => memberOf(options, info.replica, info.node, info.role))
+  // A node whose member is lost may return with a new disk; a node whose member is in place offers nothing more.
+  const occupied = new Set(members.filter((member) => !member.isLost).map((member) => member.node))
+  const known = new Set(members.map((member) => member.replica))
+  return {
+    members,
+    voters: members.filter((member) => member.role === 'voter'),
+    learners: members.filter((member) => member.role === 'learner'),
+    spares: options.nodes.filter((node) => !occupied.has(node.node) && !known.has(node.replica)),
+    target: options.target ?? 3,
+  }
+}
+
+function memberOf(options: RepairOptions, replica: ReplicaId, node: NodeId, role: ReplicaRole): Member {
+  const { status, now } = options
+  const isLeader = replica === status.replica
+  const follower = status.followers.find((candidate) => candidate.replica === replica)
+  const lastContact = isLeader ? now : (follower?.lastContact ?? now)
+  const silent = now - lastContact
+  const live = options.nodes.find((candidate) => candidate.node === node)
+  return {
+    replica,
+    node,
+    role,
+    failureDomain: live?.failureDomain ?? options.failureDomains?.get(node),
+    isLeader,
+    isLive: silent <= (options.liveWithin ?? DEFAULT_LIVE_WITHIN),
+    isLost: silent >= (options.lostAfter ?? DEFAULT_LOST_AFTER),
+    caughtUp: isLeader || follower?.caughtUp === true,
+    lastContact,
+  }
+}
+
+function keepsMajority(voters: readonly Member[]): boolean {
+  return voters.length > 0 && voters.filter((voter) => voter.isLive).length >= majorityOf(voters.length)
+}
+
+/** A learner has no vote, so a lost one can go at any time. */
+function dropLearner(view: View): ReplicaSetChange | undefined {
+  const lost = view.learners.find((learner) => learner.isLost)
+  return lost === undefined ? undefined : { kind: 'remove', replica: lost.replica }
+}
+
+function promoteLearner(view: View): ReplicaSetChange | undefined {
+  const ready = view.learners.find((learner) => learner.isLive && learner.caughtUp)
+  if (ready === undefined || !keepsMajority([...view.voters, ready])) return undefined
+  return { kind: 'promote', replica: ready.replica }
+}
+
+/** Removes a voter beyond the target: a lost one first, else one from the most crowded failure domain. */
+function removeVoter(view: View): ReplicaSetChange | undefined {
+  if (view.voters.length <= wantedVoters(view)) return undefined
+  const removable = view.voters.filter((voter) => !voter.isLeader && keepsMajority(without(view.voters, voter)))
+  const lost = removable.filter((voter) => voter.isLost)
+  // A silent voter may be about to return or about to be lost; removing a live one meanwhile would use up the margin.
+  if (lost.length === 0 && view.voters.some((voter) => !voter.isLive)) return undefined
+  const order = (lost.length > 0 ? lost : removable).toSorted(
+    (left, right) => crowd(view, right) - crowd(view, left) || compare(left.replica, right.replica),
+  )
+  const chosen = order[0]
+  return chosen === undefined ? undefined : { kind: 'remove', replica: chosen.replica }
+}
+
+function addLearner(view: View): ReplicaSetChange | undefined {
+  if (view.learners.length > 0) return undefined
+  const remaining = view.voters.filter((voter) => !voter.isLost)
+  const isShort = remaining.length < wantedVoters(view)
+  const domains = view.spares.map((spare) => crowdOf(remaining, spare.failureDomain))
+  const best = Math.min(...domains)
+  const chosen = view.spares
+    .filter((_, position) => domains[position] === best)
+    .toSorted((left, right) => compare(left.node, right.node))[0]
+  if (chosen === undefined || !(isShort || (best === 0 && isCrowded(remaining)))) return undefined
+  return { kind: 'add-learner', replica: chosen.replica, node: chosen.node }
+}
+
+/**
+ * Target, or the largest odd number that the present nodes allow: an even number of voters tolerates no more losses than
+ * the odd number below it. Never fewer than the voters that are not lost, because a smaller set stores fewer copies.
+ */
+function wantedVoters(view: View): number {
+  const present = view.voters.filter((voter) => !voter.isLost).length
+  const available = present + view.learners.filter((learner) => !learner.isLost).length + view.spares.length
+  const odd = available % 2 === 0 ? available - 1 : available
+  return Math.min(view.target, Math.max(odd, view.voters.length))
+}
+
+function without(voters: readonly Member[], removed: Member): readonly Member[] {
+  return voters.filter((voter) => voter !== removed)
+}
+
+/** Number of voters in the failure domain of the member; a member of an unknown domain shares with nobody. */
+function crowd(view: View, member: Member): number {
+  return member.failureDomain === undefined ? 1 : crowdOf(view.voters, member.failureDomain)
+}
+
+function crowdOf(voters: readonly Member[], failureDomain: FailureDomain): number {
+  return voters.filter((voter) => voter.failureDomain === failureDomain).length
+}
+
+function isCrowded(voters: readonly Member[]): boolean {
+  const domains = voters.flatMap((voter) => (voter.failureDomain === undefined ? [] : [voter.failureDomain]))
+  return new Set(domains).size < domains.length
+}
+
+function compare(left: string, right: string): number {
+  if (left === right) return 0
+  return left < right ? -1 : 1
+}
