Add the control state machine

The control log needs one deterministic owner of documents, change results, audit records, rosters and replica steps.

Commands are one version byte and JSON checked by zod. The state is updated in place: a copy of 10,000 kept results per command was ruled out because a restart 2,000 changes behind has a target of 2 s.

A roster epoch needs two commands.

--- /dev/null
+++ b/packages/control/src/audit.ts
@@ -0,0 +1,171 @@
+/**
+ * Audit records of every request, accepted or refused. Each record holds the SHA-256 of the one before it, so a changed,
+ * removed or reordered record breaks the chain. Records are kept as lines of JSON: a snapshot then copies text and
+ * encodes nothing, which keeps the loop free with 50,000 records.
+ */
+import type { CodeName, Digest } from '@bilberrystall/base'
+import { sha256 } from './digest'
+
+export const AUDIT_RECORDS_KEPT = 50_000
+/** Records read by one call of `query`, so that a search leaves the loop free between calls. */
+export const AUDIT_SCAN_LIMIT = 2_000
+/** Dropping the oldest records in batches costs one array copy per batch and not one per record. */
+const DROP_BATCH = 500
+const CHAIN_START = '0'.repeat(64) as Digest
+
+export type AuditOperation =
+  | 'submit'
+  | 'promote'
+  | 'refuse'
+  | 'drain-node'
+  | 'replace-node'
+  | 'replica-add-learner'
+  | 'replica-promote'
+  | 'replica-remove'
+
+/** What a request leaves behind. `at` is in milliseconds since the Unix epoch. */
+export interface AuditEvent {
+  readonly at: number
+  readonly operation: AuditOperation
+  readonly requester: string
+  readonly source: string
+  readonly changeId?: string
+  readonly environment?: string
+  /** Node or replica that the operation acts on. */
+  readonly target?: string
+  readonly digest?: string
+  /** Revision that stands in the environment after the request. */
+  readonly revision?: number
+  readonly result: CodeName
+  /** The change id was known and its kept result was sent again. */
+  readonly repeated?: boolean
+}
+
+export interface AuditRecord extends AuditEvent {
+  readonly sequence: number
+  readonly previous: Digest
+}
+
+export interface AuditFilter {
+  /** Inclusive, in milliseconds since the Unix epoch. */
+  readonly from?: number | undefined
+  /** Exclusive, in milliseconds since the Unix epoch. */
+  readonly until?: number | undefined
+  readonly requester?: string | undefined
+  readonly environment?: string | undefined
+  readonly result?: string | undefined
+}
+
+export interface AuditPage {
+  /** Newest first. */
+  readonly records: readonly AuditRecord[]
+  /** Pass as `before` to continue; absent when every kept record was read. */
+  readonly next?: number
+}
+
+export interface AuditContent {
+  readonly root: Digest
+  readonly head: Digest
+  /** Records dropped before the first kept one. */
+  readonly dropped: number
+  readonly lines: readonly string[]
+}
+
+export type AuditVerdict =
+  | { readonly intact: true; readonly records: number; readonly root: Digest; readonly head: Digest }
+  | { readonly intact: false; readonly sequence: number }
+
+export class AuditLog {
+  #lines: string[] = []
+  #start = 0
+  #dropped = 0
+  #root: Digest = CHAIN_START
+  #head: Digest = CHAIN_START
+
+  static restore(content: AuditContent): AuditLog {
+    const log = new AuditLog()
+    log.#lines = [...content.lines]
+    log.#dropped = content.dropped
+    log.#root = content.root
+    log.#head = content.head
+    return log
+  }
+
+  get size(): number {
+    return this.#lines.length - this.#start
+  }
+
+  get head(): Digest {
+    return this.#head
+  }
+
+  append(event: AuditEvent): AuditRecord {
+    const record: AuditRecord = { sequence: this.#dropped + this.size + 1, previous: this.#head, ...event }
+    const line = JSON.stringify(record)
+    this.#lines.push(line)
+    this.#head = sha256(line)
+    if (this.size > AUDIT_RECORDS_KEPT) this.#dropOldest()
+    return record
+  }
+
+  content(): AuditContent {
+    return { root: this.#root, head: this.#head, dropped: this.#dropped, lines: this.#lines.slice(this.#start) }
+  }
+
+  /** Reads at most `AUDIT_SCAN_LIMIT` records from the newest, or from before the sequence number `before`. */
+  query(filter: AuditFilter, limit: number, before = Number.POSITIVE_INFINITY): AuditPage {
+    const records: AuditRecord[] = []
+    let sequence = Math.min(before - 1, this.#dropped + this.size)
+    const stop = Math.max(this.#dropped, sequence - AUDIT_SCAN_LIMIT)
+    for (; sequence > stop && records.length < limit; sequence -= 1) {
+      const record = this.#read(sequence)
+      if (matches(record, filter)) records.push(record)
+    }
+    return sequence > this.#dropped ? { records, next: sequence + 1 } : { records }
+  }
+
+  #read(sequence: number): AuditRecord {
+    const line = this.#lines[this.#start + sequence - this.#dropped - 1] ?? ''
+    return JSON.parse(line) as AuditRecord
+  }
+
+  #dropOldest(): void {
+    this.#root = sha256(this.#lines[this.#start] ?? '')
+    this.#lines[this.#start] = ''
+    this.#start += 1
+    this.#dropped += 1
+    if (this.#start < DROP_BATCH) return
+    this.#lines = this.#lines.slice(this.#start)
+    this.#start = 0
+  }
+}
+
+function matches(record: AuditRecord, filter: AuditFilter): boolean {
+  if (filter.from !== undefined && record.at < filter.from) return false
+  if (filter.until !== undefined && record.at >= filter.until) return false
+  if (filter.requester !== undefined && record.requester !== filter.requester) return false
+  if (filter.environment !== undefined && record.environment !== filter.environment) return false
+  return filter.result === undefined || record.result === filter.result
+}
+
+/** Recomputes the chain from the root of the dropped records to the head. */
+export function verifyAudit(content: AuditContent): AuditVerdict {
+  let expected = content.root
+  let sequence = content.dropped
+  for (const line of content.lines) {
+    sequence += 1
+    const link = readLink(line)
+    if (link.previous !== expected || link.sequence !== sequence) return { intact: false, sequence }
+    expected = sha256(line)
+  }
+  if (expected !== content.head) return { intact: false, sequence }
+  return { intact: true, records: content.lines.length, root: content.root, head: content.head }
+}
+
+function readLink(line: string): { previous?: unknown; sequence?: unknown } {
+  try {
+    return JSON.parse(line) as { previous?: unknown; sequence?: unknown }
+  } catch {
+    return {}
+  }
+}
--- /dev/null
+++ b/packages/control/src/command.ts
@@ -0,0 +1,109 @@
+/**
+ * Commands of the control log and their bytes: one version byte followed by JSON. JSON is used because a command is
+ * read only through its schema and 550 changes a day do not need a denser form.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import {
+  RESULT_CODES,
+  errorMessage,
+  failure,
+  type CodeName,
+  type Digest,
+  type Environment,
+  type Failure,
+  type FailureDomain,
+  type NodeId,
+  type ReplicaId,
+  type Revision,
+} from '@bilberrystall/base'
+import { DOCUMENT_BYTES_LIMIT } from './state'
+
+const COMMAND_VERSION = 1
+/** A refusal lists this many faults, so that an invalid document cannot fill the log. */
+export const FAULTS_KEPT = 50
+const ROSTER_LIMIT = 1_000
+const ENVIRONMENT_PATTERN = /^[a-z][a-z0-9-]{0,39}$/
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/
+
+const time = z.number().int().nonnegative()
+const person = z.string().min(1).max(100)
+const reason = z.string().max(300)
+const nodeName = z.string().min(1).max(100)
+export const environmentSchema = z.custom<Environment>(
+  (value) => typeof value === 'string' && ENVIRONMENT_PATTERN.test(value),
+  'must be 1 to 40 lower-case letters, digits and hyphens, starting with a letter',
+)
+export const revisionSchema = z.custom<Revision>(
+  (value) => Number.isSafeInteger(value) && (value as number) >= 0,
+  'must be a revision number',
+)
+export const digestSchema = z.custom<Digest>(
+  (value) => typeof value === 'string' && DIGEST_PATTERN.test(value),
+  'must be a SHA-256 in lower-case hexadecimal',
+)
+export const changeIdSchema = z.string().regex(/^[A-Za-z0-9._:-]{1,100}$/, 'must be 1 to 100 letters, digits or ._:-')
+const codeSchema = z.custom<CodeName>((value) => typeof value === 'string' && value in RESULT_CODES)
+const nodeSchema = z.custom<NodeId>((value) => nodeName.safeParse(value).success)
+const domainSchema = z.custom<FailureDomain>((value) => nodeName.safeParse(value).success)
+const replicaSchema = z.custom<ReplicaId>((value) => nodeName.safeParse(value).success)
+const faultSchema = z.object({ section: reason, key: reason, reason })
+export const rosterEntrySchema = z.object({ node: nodeSchema, failureDomain: domainSchema })
+
+const origin = { at: time, requester: person, source: person }
+const change = { ...origin, changeId: changeIdSchema, environment: environmentSchema, baseRevision: revisionSchema }
+
+/** The proposer validates the document; an invalid one travels as its digest and faults. */
+const contentSchema = z.discriminatedUnion('validity', [
+  z.object({ validity: z.literal('valid'), text: z.string().max(DOCUMENT_BYTES_LIMIT) }),
+  z.object({
+    validity: z.literal('invalid'),
+    digest: digestSchema,
+    faults: z.array(faultSchema).max(FAULTS_KEPT),
+  }),
+])
+
+const commandSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('submit'), ...change, content: contentSchema }),
+  z.object({ kind: z.literal('promote'), ...change, sourceRevision: revisionSchema, digest: digestSchema }),
+  z.object({
+    kind: z.literal('refuse'),
+    ...origin,
+    code: codeSchema,
+    changeId: changeIdSchema.optional(),
+    environment: environmentSchema.optional(),
+    digest: digestSchema.optional(),
+  }),
+  z.object({ kind: z.literal('node'), ...origin, action: z.enum(['drain', 'replace']), node: nodeSchema }),
+  z.object({ kind: z.literal('roster-propose'), at: time, entries: z.array(rosterEntrySchema).max(ROSTER_LIMIT) }),
+  z.object({ kind: z.literal('roster-seal'), at: time, epoch: z.number().int().positive() }),
+  z.object({ kind: z.literal('roster-void'), at: time, epoch: z.number().int().positive() }),
+  z.object({
+    kind: z.literal('replica-step'),
+    at: time,
+    action: z.enum(['add-learner', 'promote', 'remove']),
+    replica: replicaSchema,
+    reason,
+  }),
+])
+
+export type Command = z.infer<typeof commandSchema>
+export type Submit = Extract<Command, { kind: 'submit' }>
+export type Promote = Extract<Command, { kind: 'promote' }>
+
+export function encodeCommand(command: Command): Uint8Array {
+  return Buffer.concat([Buffer.of(COMMAND_VERSION), Buffer.from(JSON.stringify(command), 'utf8')])
+}
+
+/** Errors: `format-unknown` for another version or a command that this version does not know. */
+export function decodeCommand(bytes: Uint8Array): Result<Command, Failure> {
+  if (bytes[0] !== COMMAND_VERSION) {
+    return err(failure('formatUnknown', `command has version ${bytes[0] ?? 'none'}, expected ${COMMAND_VERSION}`))
+  }
+  try {
+    const text = Buffer.from(bytes.buffer, bytes.byteOffset + 1, bytes.byteLength - 1).toString('utf8')
+    return ok(commandSchema.parse(JSON.parse(text)))
+  } catch (cause) {
+    return err(failure('formatUnknown', `command cannot be read: ${errorMessage(cause)}`))
+  }
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,9 @@
-export {}
+/** Deterministic state machine of the control role, applied to the replicated log. */
+export * from './apply'
+export * from './audit'
+export * from './change'
+export * from './command'
+export * from './digest'
+export * from './roster'
+export * from './snapshot'
+export * from './state'
--- /dev/null
+++ b/packages/control/src/state.ts
@@ -0,0 +1,120 @@
+/**
+ * State of the control role. Every replica holds the same value, because it changes only by applying committed commands
+ * in log order. Commands carry the clock of the proposing leader; nothing here reads a clock or a random source.
+ */
+import type {
+  CodeName,
+  Digest,
+  Environment,
+  Fault,
+  FailureDomain,
+  NodeId,
+  ReplicaId,
+  Revision,
+} from '@bilberrystall/base'
+import { AuditLog } from './audit'
+
+/** Accepted documents kept per environment, in bytes of UTF-8 each and in number. */
+export const DOCUMENT_BYTES_LIMIT = 256 * 1024
+export const REVISIONS_KEPT = 20
+/** Change results kept. A change older than these builds on an old revision and is refused when it is sent again. */
+export const RESULTS_KEPT = 10_000
+/** Bounds memory: each environment may hold `REVISIONS_KEPT` documents. */
+export const ENVIRONMENTS_LIMIT = 16
+export const REPLICA_STEPS_KEPT = 100
+/** The environment whose documents may be promoted. */
+export const TRIAL = 'trial' as Environment
+
+export interface AcceptedDocument {
+  readonly revision: Revision
+  readonly digest: Digest
+  readonly text: string
+  /** Milliseconds since the Unix epoch, by the clock of the leader that proposed the change. */
+  readonly at: number
+  readonly requester: string
+  readonly changeId: string
+}
+
+export interface Accepted {
+  readonly kind: 'accepted'
+  readonly revision: Revision
+  readonly digest: Digest
+}
+
+export interface Refused {
+  readonly kind: 'refused'
+  readonly code: CodeName
+  readonly message: string
+  /** The revision that stands in the environment; 0 when it has no document. */
+  readonly currentRevision: Revision
+  readonly faults?: readonly Fault[]
+}
+
+export type ChangeResult = Accepted | Refused
+
+export interface KeptResult {
+  /** SHA-256 over the content of the change; tells a repeat from a different change under the same id. */
+  readonly fingerprint: string
+  readonly result: ChangeResult
+}
+
+export interface RosterEntry {
+  readonly node: NodeId
+  readonly failureDomain: FailureDomain
+}
+
+/**
+ * One roster of entries that hold idempotency keys.
+ *
+ * - `pending`: proposed; whether it takes effect is not decided, so keys at or after `effectiveFrom` have no holders.
+ * - `sealed`: takes effect for keys at or after `effectiveFrom`.
+ * - `void`: never takes effect.
+ */
+export interface RosterEpoch {
+  readonly epoch: number
+  /** Milliseconds since the Unix epoch. */
+  readonly effectiveFrom: number
+  readonly entries: readonly RosterEntry[]
+  readonly standing: 'pending' | 'sealed' | 'void'
+}
+
+export type ReplicaAction = 'add-learner' | 'promote' | 'remove'
+
+export interface ReplicaStep {
+  readonly at: number
+  readonly action: ReplicaAction
+  readonly replica: ReplicaId
+  readonly reason: string
+}
+
+export interface ControlState {
+  /** Highest clock of any applied command, in milliseconds since the Unix epoch. */
+  clock: number
+  readonly environments: Map<Environment, AcceptedDocument[]>
+  readonly results: Map<string, KeptResult>
+  readonly audit: AuditLog
+  roster: RosterEpoch[]
+  nextEpoch: number
+  replicaSteps: ReplicaStep[]
+}
+
+export function emptyState(): ControlState {
+  return {
+    clock: 0,
+    environments: new Map(),
+    results: new Map(),
+    audit: new AuditLog(),
+    roster: [],
+    nextEpoch: 1,
+    replicaSteps: [],
+  }
+}
+
+/** The document in force in an environment. */
+export function documentInForce(state: ControlState, environment: Environment): AcceptedDocument | undefined {
+  return state.environments.get(environment)?.at(-1)
+}
+
+export function currentRevision(state: ControlState, environment: Environment): Revision {
+  return documentInForce(state, environment)?.revision ?? (0 as Revision)
+}
--- /dev/null
+++ b/packages/control/test/audit.test.ts
@@ -0,0 +1,74 @@
+import { expect, test } from 'vitest'
+import { AUDIT_RECORDS_KEPT, AUDIT_SCAN_LIMIT, AuditLog, emptyState, verifyAudit, type AuditEvent } from '../src/index'
+import { change, submit } from './fixture'
+
+const event = (at: number): AuditEvent => ({
+  at,
+  operation: 'submit',
+  requester: at % 2 === 0 ? 'asha' : 'jana',
+  source: '10.0.0.1',
+  environment: 'trial',
+  result: at % 3 === 0 ? 'revisionConflict' : 'ok',
+})
+
+function logOf(count: number): AuditLog {
+  const log = new AuditLog()
+  for (let at = 1; at <= count; at += 1) log.append(event(at))
+  return log
+}
+
+test('a changed, removed, reordered or appended record is found by verification', () => {
+  const content = logOf(6).content()
+  const { lines } = content
+  const forged = lines.map((line, index) => (index === 3 ? line.replace('asha', 'eve') : line))
+  const swapped = [lines[1] ?? '', lines[0] ?? '', ...lines.slice(2)]
+  expect(verifyAudit(content)).toMatchObject({ intact: true, records: 6 })
+  expect(verifyAudit({ ...content, lines: forged })).toEqual({ intact: false, sequence: 5 })
+  expect(verifyAudit({ ...content, lines: lines.slice(0, 5) })).toEqual({ intact: false, sequence: 5 })
+  expect(verifyAudit({ ...content, lines: lines.slice(1) })).toEqual({ intact: false, sequence: 1 })
+  expect(verifyAudit({ ...content, lines: swapped })).toEqual({ intact: false, sequence: 1 })
+  expect(verifyAudit({ ...content, lines: [...lines, 'not json'] })).toEqual({ intact: false, sequence: 7 })
+})
+
+test('dropping old records keeps the chain verifiable from the root of the dropped ones', () => {
+  const log = logOf(AUDIT_RECORDS_KEPT + 700)
+  const content = log.content()
+  expect(content.lines).toHaveLength(AUDIT_RECORDS_KEPT)
+  expect(content.dropped).toBe(700)
+  expect(verifyAudit(content).intact).toBe(true)
+  expect(log.query({}, 1).records[0]?.sequence).toBe(AUDIT_RECORDS_KEPT + 700)
+})
+
+test('filters by time, requester, environment and result select exactly the matching records', () => {
+  const log = logOf(30)
+  const { records } = log.query({ from: 10, until: 20, requester: 'asha', environment: 'trial', result: 'ok' }, 100)
+  expect(records.map(({ at }) => at)).toEqual([16, 14, 10])
+  expect(log.query({ environment: 'production' }, 100).records).toEqual([])
+})
+
+test('paging reads every record once although each call is bounded', () => {
+  const log = logOf(AUDIT_SCAN_LIMIT * 2 + 10)
+  const seen: number[] = []
+  let before: number | undefined = Number.POSITIVE_INFINITY
+  while (before !== undefined) {
+    const page = log.query({ requester: 'jana' }, 700, before)
+    seen.push(...page.records.map(({ sequence }) => sequence))
+    before = page.next
+  }
+  expect(seen).toHaveLength(AUDIT_SCAN_LIMIT + 5)
+  expect(new Set(seen).size).toBe(seen.length)
+})
+
+test('accepted, refused and repeated requests all leave a record with who, from where and the result', () => {
+  const state = emptyState()
+  change(state, submit('c1', 0))
+  change(state, submit('c2', 0))
+  change(state, submit('c1', 0))
+  const records = state.audit.query({}, 10).records.toReversed()
+  expect(records.map(({ changeId, result, repeated }) => ({ changeId, result, repeated }))).toEqual([
+    { changeId: 'c1', result: 'ok', repeated: undefined },
+    { changeId: 'c2', result: 'revisionConflict', repeated: undefined },
+    { changeId: 'c1', result: 'ok', repeated: true },
+  ])
+  expect(records[0]).toMatchObject({ requester: 'asha', source: '10.0.0.1', at: 1_000, revision: 1 })
+})
--- /dev/null
+++ b/packages/control/test/determinism.test.ts
@@ -0,0 +1,70 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { environmentName, revision, replicaId } from '@bilberrystall/base'
+import { applyCommand, decodeCommand, emptyState, encodeCommand, restore, snapshot, type Command } from '../src/index'
+import { digestOfText, promote, rosterEntry, submit } from './fixture'
+
+const SEED = 20_261
+const small = fc.integer({ min: 0, max: 4 })
+const command: fc.Arbitrary<Command> = fc.oneof(
+  fc.tuple(small, small, small).map(([id, base, text]) => submit(`c${id}`, base, `text ${text}`)),
+  fc
+    .tuple(small, small, small, small)
+    .map(([id, base, source, text]) => promote(`p${id}`, base, source, digestOfText(`text ${text}`))),
+  fc.tuple(small, fc.integer({ min: 0, max: 200_000 })).map(([id, at]): Command => {
+    return { kind: 'roster-propose', at, entries: [rosterEntry(`n${id}`)] }
+  }),
+  small.map((epoch): Command => ({ kind: 'roster-seal', at: 5, epoch: epoch + 1 })),
+  small.map((epoch): Command => ({ kind: 'roster-void', at: 5, epoch: epoch + 1 })),
+  small.map((id): Command => {
+    return { kind: 'replica-step', at: id, action: 'promote', replica: replicaId(`r${id}`), reason: 'lost for 60 s' }
+  }),
+  small.map((id): Command => {
+    return { kind: 'refuse', at: id, requester: 'eve', source: '10.0.0.2', code: 'requestInvalid' }
+  }),
+)
+
+test('replicas that apply the same log, one of them from a snapshot taken anywhere, end with the same bytes', () => {
+  fc.assert(
+    fc.property(fc.array(command, { maxLength: 40 }), fc.nat(40), (commands, cut) => {
+      const whole = emptyState()
+      let resumed = emptyState()
+      commands.forEach((next, index) => {
+        if (index === cut) resumed = restore(snapshot(resumed))._unsafeUnwrap()
+        const decoded = decodeCommand(encodeCommand(next))._unsafeUnwrap()
+        expect(applyCommand(resumed, decoded).result).toEqual(applyCommand(whole, next).result)
+      })
+      expect(Buffer.compare(snapshot(whole), snapshot(resumed))).toBe(0)
+    }),
+    { seed: SEED, numRuns: 200 },
+  )
+})
+
+test('revisions of an environment only ever increase by one', () => {
+  fc.assert(
+    fc.property(fc.array(command, { maxLength: 40 }), (commands) => {
+      const state = emptyState()
+      for (const next of commands) applyCommand(state, next)
+      for (const kept of state.environments.values()) {
+        expect(kept.map((document) => document.revision)).toEqual(kept.map((_, index) => index + 1))
+      }
+    }),
+    { seed: SEED, numRuns: 200 },
+  )
+})
+
+test('bytes of another version are refused and never guessed', () => {
+  const bytes = encodeCommand(submit('c1', 0))
+  const newer = Uint8Array.from(bytes)
+  newer[0] = 2
+  const snapshotOfNewer = Buffer.from('{"format":2}', 'utf8')
+  expect(decodeCommand(newer)._unsafeUnwrapErr().code).toBe('formatUnknown')
+  expect(decodeCommand(bytes.subarray(0, 20))._unsafeUnwrapErr().code).toBe('formatUnknown')
+  expect(restore(snapshotOfNewer)._unsafeUnwrapErr().code).toBe('formatUnknown')
+  expect(restore(Buffer.from('{"form', 'utf8'))._unsafeUnwrapErr().code).toBe('snapshotDamaged')
+})
+
+test('a command outside the limits is refused before it enters the log', () => {
+  const outside = submit('c1', 0, 'text', { environment: environmentName('../etc'), baseRevision: revision(-1) })
+  expect(decodeCommand(encodeCommand(outside)).isErr()).toBe(true)
+})
