--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+/** Write-ahead log and snapshots on disk. */
+export * from './file-system'
+export * from './lock'
+export * from './log'
+export type { LogRecord, StoredBallot, StoredEntry } from './record'
+export type { StoredSnapshot } from './snapshot-file'
--- /dev/null
+++ b/packages/storage/src/record.ts
@@ -0,0 +1,102 @@
+/** Records of the log and their bytes, protobuf messages of the rpc package. */
+import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf'
+import { err, ok, type Result } from 'neverthrow'
+import { errorMessage, failure, type Failure, type LogIndex, type ReplicaId, type Term } from '@bilberrystall/base'
+import {
+  LogFrameSchema,
+  type LogRecord as LogRecordMessage,
+  type LogRecordSchema,
+  type StoredBallot as StoredBallotMessage,
+} from '@bilberrystall/rpc'
+
+export interface StoredBallot {
+  readonly term: Term
+  readonly votedFor: ReplicaId | undefined
+}
+
+export interface StoredEntry {
+  readonly index: LogIndex
+  readonly term: Term
+  readonly data: Uint8Array
+}
+
+/** An entry replaces stored entries with the same or a higher index. */
+export type LogRecord =
+  { readonly kind: 'ballot'; readonly ballot: StoredBallot } | { readonly kind: 'entry'; readonly entry: StoredEntry }
+
+export interface SegmentStart {
+  readonly kind: 'start'
+  readonly ballot: StoredBallot
+  readonly lastIndex: LogIndex
+  readonly lastTerm: Term
+  /** All earlier entries are replaced by a snapshot up to `lastIndex`. */
+  readonly reset: boolean
+}
+
+export type FrameRecord = LogRecord | SegmentStart
+
+export function encodeRecords(records: readonly FrameRecord[]): Uint8Array {
+  return toBinary(LogFrameSchema, create(LogFrameSchema, { records: records.map(toMessage) }))
+}
+
+/** The checksum held, so a payload that cannot be read was written by another version. */
+export function decodeRecords(payload: Uint8Array): Result<readonly FrameRecord[], Failure> {
+  try {
+    const { records } = fromBinary(LogFrameSchema, payload)
+    return ok(records.map(({ record }) => fromMessage(record)))
+  } catch (cause) {
+    return err(failure('formatUnknown', `a record of the log cannot be read: ${errorMessage(cause)}`))
+  }
+}
+
+type RecordMessage = MessageInitShape<typeof LogRecordSchema>
+
+function toMessage(record: FrameRecord): RecordMessage {
+  switch (record.kind) {
+    case 'ballot':
+      return { record: { case: 'ballot', value: ballotMessage(record.ballot) } }
+    case 'entry': {
+      const { index, term, data } = record.entry
+      return { record: { case: 'entry', value: { index: BigInt(index), term: BigInt(term), data } } }
+    }
+    case 'start': {
+      const lastIndex = BigInt(record.lastIndex)
+      const lastTerm = BigInt(record.lastTerm)
+      const value = { ballot: ballotMessage(record.ballot), lastIndex, lastTerm, reset: record.reset }
+      return { record: { case: 'start', value } }
+    }
+  }
+}
+
+function ballotMessage(ballot: StoredBallot): { term: bigint; votedFor: string } {
+  return { term: BigInt(ballot.term), votedFor: ballot.votedFor ?? '' }
+}
+
+function fromMessage(record: LogRecordMessage['record']): FrameRecord {
+  switch (record.case) {
+    case 'ballot':
+      return { kind: 'ballot', ballot: toBallot(record.value) }
+    case 'entry': {
+      const { index, term, data } = record.value
+      return { kind: 'entry', entry: { index: Number(index) as LogIndex, term: Number(term) as Term, data } }
+    }
+    case 'start': {
+      const { ballot, lastIndex, lastTerm, reset } = record.value
+      if (ballot === undefined) throw new Error('segment start without ballot')
+      return {
+        kind: 'start',
+        ballot: toBallot(ballot),
+        lastIndex: Number(lastIndex) as LogIndex,
+        lastTerm: Number(lastTerm) as Term,
+        reset,
+      }
+    }
+    case undefined:
+      throw new Error('unknown kind')
+  }
+}
+
+function toBallot(message: StoredBallotMessage): StoredBallot {
+  const votedFor = message.votedFor === '' ? undefined : (message.votedFor as ReplicaId)
+  return { term: Number(message.term) as Term, votedFor }
+}
--- /dev/null
+++ b/packages/storage/src/recover.ts
@@ -0,0 +1,168 @@
+/**
+ * Reads a data folder back: disk id, newest snapshot, and the log segments. Cuts a torn tail and refuses anything else
+ * that cannot be read, because cutting it would lose accepted changes.
+ */
+import { randomUUID } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { failure, type Failure, type LogIndex } from '@bilberrystall/base'
+import { StorageError, isTemporary, replaceFile, writeFully, type FileSystem } from './file-system'
+import { decodeRecords } from './record'
+import { Replay } from './replay'
+import { LOG_FORMAT, encodeMarker, scanSegment, type Frame, type SegmentContent, type SegmentHeader } from './segment'
+import { decodeSnapshot, isSnapshotName, type StoredSnapshot } from './snapshot-file'
+
+const DISK_FILE = 'disk.json'
+const SEGMENT_PATTERN = /^log-(\d{16})$/
+
+const diskSchema = z.object({ format: z.number(), disk: z.string().min(1) })
+
+export function segmentName(number: number): string {
+  return `log-${String(number).padStart(16, '0')}`
+}
+
+export interface SegmentInfo {
+  readonly number: number
+  /** Highest index of any entry in the segment; 0 without entries. */
+  readonly highest: LogIndex
+}
+
+export interface RecoveredSegments {
+  readonly replay: Replay
+  readonly segments: readonly SegmentInfo[]
+  readonly header: SegmentHeader
+  /** Offset in the last segment at which writing continues. */
+  readonly end: number
+}
+
+export interface Inventory {
+  /** Undefined in an empty folder. */
+  readonly disk: string | undefined
+  readonly segments: readonly number[]
+  readonly snapshots: readonly string[]
+}
+
+/** Lists the folder and removes what an interrupted replacement left behind. */
+export async function takeInventory(fileSystem: FileSystem, folder: string): Promise<Inventory> {
+  await fileSystem.makeFolder(folder)
+  const names = await fileSystem.list(folder)
+  for (const name of names) if (isTemporary(name)) await fileSystem.remove(`${folder}/${name}`)
+  const segments = names.flatMap((name) => {
+    const number = SEGMENT_PATTERN.exec(name)?.[1]
+    return number === undefined ? [] : [Number(number)]
+  })
+  const disk = names.includes(DISK_FILE) ? await readDisk(fileSystem, folder) : undefined
+  const snapshots = names.filter(isSnapshotName).toSorted()
+  return { disk, segments: segments.toSorted((left, right) => left - right), snapshots }
+}
+
+async function readDisk(fileSystem: FileSystem, folder: string): Promise<string> {
+  const text = Buffer.from(await fileSystem.read(`${folder}/${DISK_FILE}`)).toString('utf8')
+  const parsed = diskSchema.safeParse(parseJson(text))
+  if (!parsed.success) throw new StorageError(failure('logDamaged', `${DISK_FILE} cannot be read`))
+  if (parsed.data.format !== LOG_FORMAT) {
+    throw new StorageError(failure('formatUnknown', `${DISK_FILE} has format ${parsed.data.format}`))
+  }
+  return parsed.data.disk
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    return undefined
+  }
+}
+
+/** Written last when a folder is set up, so its presence shows that the first segment is complete. */
+export async function createDisk(fileSystem: FileSystem, folder: string): Promise<string> {
+  const disk = randomUUID()
+  await replaceFile(fileSystem, folder, DISK_FILE, [Buffer.from(JSON.stringify({ format: LOG_FORMAT, disk }))])
+  return disk
+}
+
+/** Reads the newest snapshot and removes older ones. */
+export async function readSnapshot(
+  fileSystem: FileSystem,
+  folder: string,
+  names: readonly string[],
+): Promise<Result<StoredSnapshot | undefined, Failure>> {
+  const newest = names.at(-1)
+  if (newest === undefined) return ok(undefined)
+  const snapshot = decodeSnapshot(toBuffer(await fileSystem.read(`${folder}/${newest}`)), newest)
+  if (snapshot.isErr()) return err(snapshot.error)
+  for (const older of names.slice(0, -1)) await fileSystem.remove(`${folder}/${older}`)
+  return ok(snapshot.value)
+}
+
+export async function readSegments(
+  fileSystem: FileSystem,
+  folder: string,
+  numbers: readonly number[],
+): Promise<Result<RecoveredSegments, Failure>> {
+  const replay = new Replay()
+  const segments: SegmentInfo[] = []
+  let newest: SegmentContent | undefined
+  for (const number of numbers) {
+    const previous = segments.at(-1)
+    if (previous !== undefined && number !== previous.number + 1) {
+      return err(failure('logDamaged', `segment ${previous.number + 1} is missing`))
+    }
+    const bytes = toBuffer(await fileSystem.read(`${folder}/${segmentName(number)}`))
+    const content = scanSegment(bytes, number, number === numbers.at(-1))
+    if (content.isErr()) return err(content.error)
+    const highest = replayFrames(content.value.frames, replay, number)
+    if (highest.isErr()) return err(highest.error)
+    segments.push({ number, highest: highest.value })
+    newest = content.value
+  }
+  if (newest === undefined) return err(failure('logDamaged', 'the log has no segment'))
+  const end = await repairTail(fileSystem, `${folder}/${segmentName(newest.header.number)}`, newest)
+  return ok({ replay, segments, header: newest.header, end })
+}
+
+function replayFrames(frames: readonly Frame[], replay: Replay, number: number): Result<LogIndex, Failure> {
+  let highest = 0 as LogIndex
+  for (const [position, frame] of frames.entries()) {
+    const records = decodeRecords(frame.payload)
+    if (records.isErr()) return err(records.error)
+    if (position === 0 && records.value[0]?.kind !== 'start') {
+      return err(failure('logDamaged', `segment ${number} has no start`))
+    }
+    for (const record of records.value) {
+      const added = replay.add(record)
+      if (added.isErr()) return err(added.error)
+      if (record.kind === 'entry' && record.entry.index > highest) highest = record.entry.index
+    }
+  }
+  if (frames.length === 0) return err(failure('logDamaged', `segment ${number} has no start`))
+  return ok(highest)
+}
+
+/**
+ * Cuts the torn tail. The last frame may have been read from the page cache after a sync that failed, in which case the
+ * platform no longer writes it; it is therefore written and synced again before anything depends on it.
+ */
+async function repairTail(fileSystem: FileSystem, path: string, content: SegmentContent): Promise<number> {
+  const file = await fileSystem.open(path)
+  try {
+    await file.truncate(content.end)
+    const last = content.frames.at(-1)
+    if (last === undefined || last.synced) {
+      await file.datasync()
+      return content.end
+    }
+    const bytes = toBuffer(await fileSystem.read(path)).subarray(last.start, last.end)
+    await writeFully(file, bytes, last.start)
+    await file.datasync()
+    const marker = encodeMarker(content.header, last.end)
+    await writeFully(file, marker, last.end)
+    return last.end + marker.byteLength
+  } finally {
+    await file.close()
+  }
+}
+
+function toBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+}
--- /dev/null
+++ b/packages/storage/src/replay.ts
@@ -0,0 +1,82 @@
+/** Rebuilds ballot and entries from the records of the segments, in order, and checks that none is missing. */
+import { err, ok, type Result } from 'neverthrow'
+import { failure, type Failure, type LogIndex, type Term } from '@bilberrystall/base'
+import type { FrameRecord, SegmentStart, StoredBallot, StoredEntry } from './record'
+import type { StoredSnapshot } from './snapshot-file'
+
+export interface Position {
+  readonly index: LogIndex
+  readonly term: Term
+}
+
+export const LOG_START: Position = { index: 0 as LogIndex, term: 0 as Term }
+
+export class Replay {
+  ballot: StoredBallot = { term: 0 as Term, votedFor: undefined }
+  #entries: StoredEntry[] = []
+  #last: Position | undefined
+
+  get entries(): readonly StoredEntry[] {
+    return this.#entries
+  }
+
+  /** Position of the last entry, or of the last one before the kept segments. */
+  get last(): Position {
+    return this.#last ?? LOG_START
+  }
+
+  add(record: FrameRecord): Result<void, Failure> {
+    switch (record.kind) {
+      case 'ballot':
+        this.ballot = record.ballot
+        return ok()
+      case 'start':
+        return this.#start(record)
+      case 'entry':
+        return this.#entry(record.entry)
+    }
+  }
+
+  #start(start: SegmentStart): Result<void, Failure> {
+    const { lastIndex: index, lastTerm: term } = start
+    this.ballot = start.ballot
+    if (start.reset) this.#entries = []
+    const follows = this.#last === undefined || (this.#last.index === index && this.#last.term === term)
+    if (!follows && !start.reset) {
+      return err(failure('logDamaged', `entries are missing between ${this.last.index} and ${index}`))
+    }
+    this.#last = { index, term }
+    return ok()
+  }
+
+  #entry(entry: StoredEntry): Result<void, Failure> {
+    if (entry.index > this.last.index + 1) {
+      return err(failure('logDamaged', `entries are missing between ${this.last.index} and ${entry.index}`))
+    }
+    const first = this.#entries[0]?.index ?? entry.index
+    const kept = Math.max(0, entry.index - first)
+    if (kept < this.#entries.length) this.#entries.length = kept
+    this.#entries.push(entry)
+    this.#last = { index: entry.index, term: entry.term }
+    return ok()
+  }
+}
+
+/**
+ * Entries to use with the snapshot. Undefined when the snapshot replaces all of them: it was installed, and the process
+ * ended before the log was reset.
+ */
+export function entriesFor(
+  replay: Replay,
+  snapshot: StoredSnapshot | undefined,
+): Result<readonly StoredEntry[] | undefined, Failure> {
+  const covered = snapshot?.index ?? 0
+  const first = replay.entries[0]?.index ?? replay.last.index + 1
+  if (first > covered + 1) return err(failure('logDamaged', `entries ${covered + 1} to ${first - 1} are missing`))
+  if (snapshot === undefined || (snapshot.index === replay.last.index && replay.entries.length === 0)) {
+    return ok(replay.entries)
+  }
+  const atSnapshot = replay.entries[snapshot.index - first]
+  if (atSnapshot !== undefined) return ok(atSnapshot.term === snapshot.term ? replay.entries : undefined)
+  return ok(replay.entries.length > 0 && first === covered + 1 ? replay.entries : undefined)
+}
--- /dev/null
+++ b/packages/storage/src/segment.ts
@@ -0,0 +1,163 @@
+/**
+ * Format of a segment file: a header, then frames, each followed by a marker.
+ *
+ * A frame is written and synced as one unit, and the next one is written only after that sync, so at most the last frame
+ * can be torn. The marker is written once the sync has returned. Whatever precedes a valid marker or a valid later frame
+ * was therefore synced: when it cannot be read, the log is damaged and must not be cut there. Checksums cover a random
+ * salt of the segment and the offset, so that neither stale bytes nor the content of a document pass for a frame.
+ */
+import { crc32 } from 'node:zlib'
+import { err, ok, type Result } from 'neverthrow'
+import { failure, type Failure } from '@bilberrystall/base'
+
+export const LOG_FORMAT = 1
+const SEGMENT_MAGIC = Buffer.from('BBSTLLOG', 'latin1')
+const FRAME_MAGIC = Buffer.from([0xb5, 0x46, 0x52, 0x01])
+const MARKER_MAGIC = Buffer.from([0xb5, 0x53, 0x59, 0x01])
+const SALT_BYTES = 8
+const HEADER_BYTES = 32
+const FRAME_HEAD_BYTES = 12
+const MARKER_BYTES = 8
+
+export interface SegmentHeader {
+  readonly number: number
+  readonly salt: Uint8Array
+}
+
+export interface Frame {
+  readonly start: number
+  /** Offset after the frame. */
+  readonly end: number
+  readonly payload: Uint8Array
+  /** A marker or a later frame shows that the frame was synced. */
+  readonly synced: boolean
+}
+
+export interface SegmentContent {
+  readonly header: SegmentHeader
+  readonly frames: readonly Frame[]
+  /** Offset at which writing continues; bytes from here on are a torn tail. */
+  readonly end: number
+}
+
+/** Layout: magic 8, format 4, number 8, salt 8, checksum 4. */
+export function encodeHeader(header: SegmentHeader): Uint8Array {
+  const bytes = Buffer.alloc(HEADER_BYTES)
+  SEGMENT_MAGIC.copy(bytes, 0)
+  bytes.writeUInt32LE(LOG_FORMAT, 8)
+  bytes.writeBigUInt64LE(BigInt(header.number), 12)
+  bytes.set(header.salt.subarray(0, SALT_BYTES), 20)
+  bytes.writeUInt32LE(crc32(bytes.subarray(0, 28)), 28)
+  return bytes
+}
+
+/** Layout: magic 4, payload length 4, checksum 4, payload. */
+export function encodeFrame(header: SegmentHeader, offset: number, payload: Uint8Array): Uint8Array {
+  const bytes = Buffer.allocUnsafe(FRAME_HEAD_BYTES + payload.byteLength)
+  FRAME_MAGIC.copy(bytes, 0)
+  bytes.writeUInt32LE(payload.byteLength, 4)
+  bytes.writeUInt32LE(frameChecksum(header, offset, payload), 8)
+  bytes.set(payload, FRAME_HEAD_BYTES)
+  return bytes
+}
+
+/** Layout: magic 4, checksum 4. */
+export function encodeMarker(header: SegmentHeader, offset: number): Uint8Array {
+  const bytes = Buffer.alloc(MARKER_BYTES)
+  MARKER_MAGIC.copy(bytes, 0)
+  bytes.writeUInt32LE(markerChecksum(header, offset), 4)
+  return bytes
+}
+
+/**
+ * Reads a segment. Only the last segment may end with a torn tail.
+ *
+ * Errors: `log-damaged` for bytes that were synced and cannot be read, `format-unknown` for another format version.
+ */
+export function scanSegment(bytes: Buffer, number: number, last: boolean): Result<SegmentContent, Failure> {
+  const header = readHeader(bytes, number)
+  if (header.isErr()) return err(header.error)
+  const frames: Frame[] = []
+  let position = HEADER_BYTES
+  while (position < bytes.length) {
+    if (isMarker(bytes, header.value, position)) {
+      markSynced(frames)
+      position += MARKER_BYTES
+      continue
+    }
+    const frame = readFrame(bytes, header.value, position)
+    if (frame === undefined) break
+    markSynced(frames)
+    frames.push(frame)
+    position = frame.end
+  }
+  const torn = position < bytes.length
+  if (torn && (!last || hasSyncedAfter(bytes, header.value, position + 1))) {
+    return err(failure('logDamaged', `segment ${number} has a damaged record at byte ${position}`))
+  }
+  return ok({ header: header.value, frames, end: position })
+}
+
+function readHeader(bytes: Buffer, number: number): Result<SegmentHeader, Failure> {
+  if (bytes.length < HEADER_BYTES || !bytes.subarray(0, 8).equals(SEGMENT_MAGIC)) {
+    return err(failure('logDamaged', `segment ${number} has no valid header`))
+  }
+  if (bytes.readUInt32LE(28) !== crc32(bytes.subarray(0, 28))) {
+    return err(failure('logDamaged', `the header of segment ${number} does not match its checksum`))
+  }
+  const format = bytes.readUInt32LE(8)
+  if (format !== LOG_FORMAT) return err(failure('formatUnknown', `segment ${number} has format ${format}`))
+  const stored = Number(bytes.readBigUInt64LE(12))
+  if (stored !== number) return err(failure('logDamaged', `the file of segment ${number} holds segment ${stored}`))
+  return ok({ number, salt: Buffer.from(bytes.subarray(20, 28)) })
+}
+
+function readFrame(bytes: Buffer, header: SegmentHeader, start: number): Frame | undefined {
+  const payloadStart = start + FRAME_HEAD_BYTES
+  if (payloadStart > bytes.length || !startsWith(bytes, FRAME_MAGIC, start)) return undefined
+  const end = payloadStart + bytes.readUInt32LE(start + 4)
+  if (end > bytes.length) return undefined
+  const payload = bytes.subarray(payloadStart, end)
+  if (bytes.readUInt32LE(start + 8) !== frameChecksum(header, start, payload)) return undefined
+  return { start, end, payload, synced: false }
+}
+
+function isMarker(bytes: Buffer, header: SegmentHeader, start: number): boolean {
+  if (start + MARKER_BYTES > bytes.length || !startsWith(bytes, MARKER_MAGIC, start)) return false
+  return bytes.readUInt32LE(start + 4) === markerChecksum(header, start)
+}
+
+/** Looks for proof that bytes before some later offset were synced. */
+function hasSyncedAfter(bytes: Buffer, header: SegmentHeader, from: number): boolean {
+  for (let start = bytes.indexOf(MARKER_MAGIC, from); start >= 0; start = bytes.indexOf(MARKER_MAGIC, start + 1)) {
+    if (isMarker(bytes, header, start)) return true
+  }
+  for (let start = bytes.indexOf(FRAME_MAGIC, from); start >= 0; start = bytes.indexOf(FRAME_MAGIC, start + 1)) {
+    if (readFrame(bytes, header, start) !== undefined) return true
+  }
+  return false
+}
+
+function markSynced(frames: Frame[]): void {
+  const newest = frames.pop()
+  if (newest !== undefined) frames.push({ ...newest, synced: true })
+}
+
+function startsWith(bytes: Buffer, magic: Buffer, start: number): boolean {
+  return bytes.compare(magic, 0, magic.length, start, start + magic.length) === 0
+}
+
+function frameChecksum(header: SegmentHeader, offset: number, payload: Uint8Array): number {
+  const place = Buffer.alloc(SALT_BYTES + 16)
+  place.set(header.salt, 0)
+  place.writeBigUInt64LE(BigInt(offset), SALT_BYTES)
+  place.writeBigUInt64LE(BigInt(payload.byteLength), SALT_BYTES + 8)
+  return crc32(payload, crc32(place))
+}
+
+function markerChecksum(header: SegmentHeader, offset: number): number {
+  const place = Buffer.alloc(SALT_BYTES + 8)
+  place.set(header.salt, 0)
+  place.writeBigUInt64LE(BigInt(offset), SALT_BYTES)
+  return crc32(place)
+}
--- /dev/null
+++ b/packages/storage/src/snapshot-file.ts
@@ -0,0 +1,47 @@
+/** One snapshot per file: a checksummed head with its position, then the data. */
+import { crc32 } from 'node:zlib'
+import { err, ok, type Result } from 'neverthrow'
+import { failure, type Failure, type LogIndex, type Term } from '@bilberrystall/base'
+
+const SNAPSHOT_FORMAT = 1
+const MAGIC = Buffer.from('BBSTLSNP', 'latin1')
+const HEAD_BYTES = 40
+const NAME_PATTERN = /^snapshot-(\d{16})$/
+
+export interface StoredSnapshot {
+  readonly index: LogIndex
+  readonly term: Term
+  readonly data: Uint8Array
+}
+
+export function snapshotName(index: LogIndex): string {
+  return `snapshot-${String(index).padStart(16, '0')}`
+}
+
+export function isSnapshotName(name: string): boolean {
+  return NAME_PATTERN.test(name)
+}
+
+/** Layout: magic 8, format 4, index 8, term 8, data length 8, checksum 4, data. */
+export function encodeSnapshot(snapshot: StoredSnapshot): readonly Uint8Array[] {
+  const head = Buffer.alloc(HEAD_BYTES)
+  MAGIC.copy(head, 0)
+  head.writeUInt32LE(SNAPSHOT_FORMAT, 8)
+  head.writeBigUInt64LE(BigInt(snapshot.index), 12)
+  head.writeBigUInt64LE(BigInt(snapshot.term), 20)
+  head.writeBigUInt64LE(BigInt(snapshot.data.byteLength), 28)
+  head.writeUInt32LE(crc32(snapshot.data, crc32(head.subarray(0, 36))), 36)
+  return [head, snapshot.data]
+}
+
+/** Errors: `snapshot-damaged`, `format-unknown`. */
+export function decodeSnapshot(bytes: Buffer, name: string): Result<StoredSnapshot, Failure> {
+  if (bytes.length < HEAD_BYTES || !bytes.subarray(0, 8).equals(MAGIC)) return err(failure('snapshotDamaged', name))
+  const data = bytes.subarray(HEAD_BYTES)
+  const sound = crc32(data, crc32(bytes.subarray(0, 36))) === bytes.readUInt32LE(36)
+  if (!sound || Number(bytes.readBigUInt64LE(28)) !== data.length) return err(failure('snapshotDamaged', name))
+  const format = bytes.readUInt32LE(8)
+  if (format !== SNAPSHOT_FORMAT) return err(failure('formatUnknown', `${name} has format ${format}`))
+  const index = Number(bytes.readBigUInt64LE(12)) as LogIndex
+  return ok({ index, term: Number(bytes.readBigUInt64LE(20)) as Term, data })
+}
--- /dev/null
+++ b/packages/storage/test/fake-file-system.ts
@@ -0,0 +1,94 @@
+/** File system in memory that injects short writes, full disks and failing syncs, and can lose what was not synced. */
+import type { FileSystem, OpenFile } from '../src/index'
+
+export type Fault = 'full' | 'sync' | undefined
+
+export class FakeFileSystem implements FileSystem {
+  /** Content that a process reads. */
+  readonly files = new Map<string, Buffer>()
+  /** Content that survives a loss of power. */
+  readonly durable = new Map<string, Buffer>()
+  fault: Fault
+  /** Most bytes stored by one write. */
+  writeLimit = Number.POSITIVE_INFINITY
+  syncs = 0
+
+  makeFolder(): Promise<void> {
+    return Promise.resolve()
+  }
+
+  list(folder: string): Promise<string[]> {
+    return Promise.resolve([...this.files.keys()].map((path) => path.slice(folder.length + 1)))
+  }
+
+  read(path: string): Promise<Uint8Array> {
+    return Promise.resolve(Buffer.from(this.files.get(path) ?? Buffer.alloc(0)))
+  }
+
+  open(path: string): Promise<OpenFile> {
+    if (!this.files.has(path)) this.files.set(path, Buffer.alloc(0))
+    return Promise.resolve({
+      write: (data, position) => this.#write(path, data, position),
+      datasync: () => this.#sync(path),
+      truncate: (length) => {
+        this.files.set(path, Buffer.from(this.content(path).subarray(0, length)))
+        return Promise.resolve()
+      },
+      close: () => Promise.resolve(),
+    })
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    this.files.set(to, this.content(from))
+    this.files.delete(from)
+    const synced = this.durable.get(from)
+    if (synced !== undefined) this.durable.set(to, synced)
+    this.durable.delete(from)
+    return Promise.resolve()
+  }
+
+  remove(path: string): Promise<void> {
+    this.files.delete(path)
+    this.durable.delete(path)
+    return Promise.resolve()
+  }
+
+  syncFolder(): Promise<void> {
+    return Promise.resolve()
+  }
+
+  content(path: string): Buffer {
+    return this.files.get(path) ?? Buffer.alloc(0)
+  }
+
+  /** The same disk after a loss of power: only synced bytes are left. */
+  afterPowerLoss(): FakeFileSystem {
+    const next = new FakeFileSystem()
+    for (const [path, content] of this.durable) next.files.set(path, Buffer.from(content))
+    return next
+  }
+
+  copy(): FakeFileSystem {
+    const next = new FakeFileSystem()
+    for (const [path, content] of this.files) next.files.set(path, Buffer.from(content))
+    return next
+  }
+
+  #write(path: string, data: Uint8Array, position: number): Promise<number> {
+    if (this.fault === 'full') return Promise.reject(Object.assign(new Error('no space left'), { code: 'ENOSPC' }))
+    const count = Math.min(data.byteLength, this.writeLimit)
+    const old = this.content(path)
+    const next = Buffer.alloc(Math.max(old.length, position + count))
+    old.copy(next)
+    next.set(data.subarray(0, count), position)
+    this.files.set(path, next)
+    return Promise.resolve(count)
+  }
+
+  #sync(path: string): Promise<void> {
+    this.syncs += 1
+    if (this.fault === 'sync') return Promise.reject(Object.assign(new Error('input/output error'), { code: 'EIO' }))
+    this.durable.set(path, Buffer.from(this.content(path)))
+    return Promise.resolve()
+  }
+}
--- /dev/null
+++ b/packages/storage/test/log.test.ts
@@ -0,0 +1,231 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { logIndex, replicaId, term } from '@bilberrystall/base'
+import { lockFolder, openLog, type FileSystem, type LogRecord, type OpenedLog } from '../src/index'
+import { FakeFileSystem } from './fake-file-system'
+
+const FOLDER = '/data'
+const noLock = () => Promise.resolve(ok({ release: () => Promise.resolve() }))
+
+const entry = (index: number, inTerm = 1, size = 3): LogRecord => ({
+  kind: 'entry',
+  entry: { index: logIndex(index), term: term(inTerm), data: Buffer.alloc(size, index) },
+})
+const vote = (inTerm: number): LogRecord => ({
+  kind: 'ballot',
+  ballot: { term: term(inTerm), votedFor: replicaId('a') },
+})
+const snapshot = (index: number, inTerm = 1) => ({
+  index: logIndex(index),
+  term: term(inTerm),
+  data: Buffer.from(`state at ${index}`),
+})
+
+function open(fileSystem: FileSystem) {
+  return openLog({ folder: FOLDER, fileSystem, lock: noLock })
+}
+
+async function opened(fileSystem: FileSystem): Promise<OpenedLog> {
+  return (await open(fileSystem))._unsafeUnwrap()
+}
+
+const indexes = ({ stored }: OpenedLog): number[] => stored.entries.map(({ index }) => index)
+
+/** Five groups, each synced before the next is written. */
+async function smallLog(): Promise<FakeFileSystem> {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  for (const records of [[vote(1)], [entry(1), entry(2)], [entry(3)], [vote(2)], [entry(4, 2)]]) {
+    expect((await log.append(records)).isOk()).toBe(true)
+  }
+  await log.close()
+  return disk
+}
+
+test('everything confirmed is read back after a loss of power, with the same disk id', async () => {
+  const disk = await smallLog()
+  const before = await opened(disk)
+  const after = await opened(disk.afterPowerLoss())
+  expect(indexes(after)).toEqual([1, 2, 3, 4])
+  expect(after.stored.ballot).toEqual({ term: 2, votedFor: 'a' })
+  expect(after.stored.disk).toBe(before.stored.disk)
+  expect((await opened(new FakeFileSystem())).stored.disk).not.toBe(before.stored.disk)
+})
+
+test('a log cut at any byte gives back every whole group before the cut, or is refused', async () => {
+  const whole = await smallLog()
+  const path = `${FOLDER}/log-0000000000000001`
+  const bytes = whole.content(path)
+  let previous = 0
+  for (let length = 0; length <= bytes.length; length += 1) {
+    const cut = whole.copy()
+    cut.files.set(path, bytes.subarray(0, length))
+    const result = await open(cut)
+    if (result.isErr()) {
+      expect(result.error.code).toBe('logDamaged')
+      // Once the set-up of the segment is whole, a shorter log is a torn tail and never refused.
+      expect(previous).toBe(0)
+      continue
+    }
+    const count = result.value.stored.entries.length
+    expect(indexes(result.value)).toEqual([1, 2, 3, 4].slice(0, count))
+    expect(count).toBeGreaterThanOrEqual(previous)
+    previous = count
+  }
+  expect(previous).toBe(4)
+})
+
+test('a log with any byte damaged loses no synced entry without being refused', async () => {
+  const whole = await smallLog()
+  const path = `${FOLDER}/log-0000000000000001`
+  const bytes = whole.content(path)
+  let refused = 0
+  for (let position = 0; position < bytes.length; position += 1) {
+    for (const flip of [0x01, 0xff]) {
+      const damaged = whole.copy()
+      const content = Buffer.from(bytes)
+      content[position] = (content[position] ?? 0) ^ flip
+      damaged.files.set(path, content)
+      const result = await open(damaged)
+      if (result.isErr()) refused += 1
+      expect(result.map(indexes).unwrapOr([1, 2, 3, 4])).toEqual([1, 2, 3, 4])
+    }
+  }
+  // Only damage in the last marker, 8 bytes, can be repaired.
+  expect(refused).toBe(2 * (bytes.length - 8))
+})
+
+test('a torn group is cut as a whole and the log continues after it', async () => {
+  const disk = await smallLog()
+  const path = `${FOLDER}/log-0000000000000001`
+  const torn = disk.copy()
+  const { log } = await opened(torn)
+  await log.append([entry(5, 2, 100), entry(6, 2, 100)])
+  const bytes = torn.content(path)
+  // The tail of the group reached the disk, its middle did not, and the sync never returned.
+  bytes.fill(0, bytes.length - 150, bytes.length - 100)
+  torn.files.set(path, bytes.subarray(0, bytes.length - 8))
+  const repaired = await opened(torn)
+  expect(indexes(repaired)).toEqual([1, 2, 3, 4])
+  await repaired.log.append([entry(5, 3)])
+  expect(indexes(await opened(torn))).toEqual([1, 2, 3, 4, 5])
+})
+
+test.each([
+  ['full', 'diskFull'],
+  ['sync', 'syncFailed'],
+] as const)('after fault %s nothing more is confirmed and what was accepted is kept', async (fault, code) => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  await log.append([entry(1)])
+  disk.fault = fault
+  expect((await log.append([entry(2)]))._unsafeUnwrapErr().code).toBe(code)
+  disk.fault = undefined
+  expect((await log.append([entry(2)]))._unsafeUnwrapErr().code).toBe(code)
+  expect((await log.saveSnapshot(snapshot(1)))._unsafeUnwrapErr().code).toBe(code)
+  expect(indexes(await opened(disk.afterPowerLoss()))).toEqual([1])
+})
+
+test('a group whose sync failed is written and synced again before it is used', async () => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  await log.append([entry(1)])
+  disk.fault = 'sync'
+  await log.append([entry(2)])
+  disk.fault = undefined
+  expect(indexes(await opened(disk))).toEqual([1, 2])
+  expect(indexes(await opened(disk.afterPowerLoss()))).toEqual([1, 2])
+})
+
+test('short writes are continued', async () => {
+  const disk = new FakeFileSystem()
+  disk.writeLimit = 7
+  const { log } = await opened(disk)
+  await log.append([entry(1, 1, 100)])
+  expect(indexes(await opened(disk.afterPowerLoss()))).toEqual([1])
+})
+
+test('appends of one turn share one sync', async () => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  const before = disk.syncs
+  await Promise.all(Array.from({ length: 50 }, (_, index) => log.append([entry(index + 1)])))
+  expect(disk.syncs - before).toBe(1)
+})
+
+test('an entry of a later term replaces the entries from its index on', async () => {
+  const disk = await smallLog()
+  const { log } = await opened(disk)
+  await log.append([entry(3, 3)])
+  const { stored } = await opened(disk)
+  expect(stored.entries.map(({ index, term: inTerm }) => [index, inTerm])).toEqual([
+    [1, 1],
+    [2, 1],
+    [3, 3],
+  ])
+})
+
+test('compaction removes covered segments and keeps ballot, snapshot and the entries after it', async () => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  await log.append([vote(1)])
+  for (let index = 1; index <= 12; index += 1) await log.append([entry(index, 1, 1024 * 1024)])
+  await log.saveSnapshot(snapshot(10))
+  await log.compact(logIndex(10))
+  const after = await opened(disk.afterPowerLoss())
+  expect(after.stored.snapshot?.data.toString()).toBe('state at 10')
+  expect(after.stored.ballot).toEqual({ term: 1, votedFor: 'a' })
+  expect(indexes(after).at(-1)).toBe(12)
+  expect(indexes(after)[0]).toBeGreaterThan(1)
+  expect(indexes(after)[0]).toBeLessThanOrEqual(11)
+})
+
+test('an installed snapshot replaces the log, also when the process ends before the log is reset', async () => {
+  const disk = await smallLog()
+  const { log } = await opened(disk)
+  await log.saveSnapshot(snapshot(9, 3))
+  const interrupted = await opened(disk.copy())
+  expect(indexes(interrupted)).toEqual([])
+  await interrupted.log.append([entry(10, 3)])
+  await log.installSnapshot(snapshot(20, 3))
+  await log.append([entry(21, 3)])
+  const after = await opened(disk.afterPowerLoss())
+  expect(after.stored.snapshot?.index).toBe(20)
+  expect(indexes(after)).toEqual([21])
+})
+
+test('a missing segment, a damaged snapshot and an unknown format are refused with their codes', async () => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  for (let index = 1; index <= 12; index += 1) await log.append([entry(index, 1, 1024 * 1024)])
+  await log.saveSnapshot(snapshot(2))
+  const cases = [
+    ['log-0000000000000002', undefined, 'logDamaged'],
+    ['log-0000000000000001', undefined, 'logDamaged'],
+    ['disk.json', undefined, 'logDamaged'],
+    ['disk.json', '{"format":2,"disk":"x"}', 'formatUnknown'],
+    ['snapshot-0000000000000002', 'short', 'snapshotDamaged'],
+  ] as const
+  for (const [name, content, code] of cases) {
+    const damaged = disk.copy()
+    if (content === undefined) damaged.files.delete(`${FOLDER}/${name}`)
+    else damaged.files.set(`${FOLDER}/${name}`, Buffer.from(content))
+    expect((await open(damaged))._unsafeUnwrapErr().code).toBe(code)
+  }
+})
+
+test('a second process is kept out of the folder until the first ends, on a real disk', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'bilberrystall-log-'))
+  const first = (await openLog({ folder }))._unsafeUnwrap()
+  expect((await openLog({ folder }))._unsafeUnwrapErr().code).toBe('folderInUse')
+  await first.log.append([entry(1)])
+  await first.log.close()
+  const second = (await openLog({ folder }))._unsafeUnwrap()
+  expect(indexes(second)).toEqual([1])
+  await second.log.close()
+  await rm(folder, { recursive: true })
+  expect((await lockFolder(folder))._unsafeUnwrapErr().code).toBe('folderUnusable')
+})
