--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+/** Support for tests: stand-in server, fault-injecting proxy, load command, process harness, golden files. */
+export * from './announcer'
+export * from './behaviour'
+export * from './body'
+export * from './execution-record'
+export * from './fault-proxy'
+export * from './golden'
+export * from './load'
+export * from './processes'
+export * from './stand-in'
+export * from './uuid-v7'
--- /dev/null
+++ b/packages/testkit/test/fault-proxy.test.ts
@@ -0,0 +1,74 @@
+import { Agent } from 'undici'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { eventually, FaultProxy, runLoad, sendCall, StandIn } from '@bilberrystall/testkit'
+
+let server: StandIn
+let proxy: FaultProxy
+let agent: Agent
+
+beforeEach(async () => {
+  server = new StandIn({ service: 'calendar', server: 'c1' })
+  await server.start()
+  proxy = await new FaultProxy({ target: server.address }).start()
+  agent = new Agent({ connections: 1 })
+})
+
+afterEach(async () => {
+  await agent.destroy()
+  await proxy.stop()
+  await server.stop()
+})
+
+test('a frozen established connection is silent while a new one works, and heal delivers what was held', async () => {
+  const call = { method: 'GET', path: '/slots' } as const
+  await sendCall(proxy.address, call, agent)
+  proxy.freeze({ kind: 'established' })
+  const held = sendCall(proxy.address, { ...call, requestId: 'held' }, agent)
+  expect((await sendCall(proxy.address, call)).outcome).toBe('complete')
+  expect(server.record.byRequest).not.toHaveProperty('held')
+  proxy.heal()
+  expect((await held).outcome).toBe('complete')
+})
+
+test('one-way loss lets the request run and withholds the response', async () => {
+  proxy.set({ frozen: ['backward'] })
+  const lost = sendCall(proxy.address, { method: 'POST', path: '/visits', requestId: 'lost' }, agent)
+  await eventually('the request ran', () => server.record.byRequest.lost === 1)
+  proxy.cut()
+  expect(await lost).toMatchObject({ outcome: 'aborted' })
+})
+
+test('cut resets one connection or all, and refuse resets new ones', async () => {
+  const slow = { method: 'GET', path: '/?ms=10000' } as const
+  const calls = [sendCall(proxy.address, slow), sendCall(proxy.address, slow)]
+  await eventually('both run', () => server.record.inflight === 2)
+  const [first = 0] = proxy.connections
+  proxy.cut({ kind: 'connection', id: first })
+  await eventually('one is gone', () => server.record.inflight === 1)
+  proxy.apply({ kind: 'cut' })
+  const results = await Promise.all(calls)
+  expect(results.map((result) => result.outcome)).toEqual(['aborted', 'aborted'])
+  proxy.refuse(true)
+  expect((await sendCall(proxy.address, slow)).outcome).toBe('aborted')
+})
+
+test('the control path sets and lists faults', async () => {
+  const control = await proxy.startControl()
+  const body = JSON.stringify({ kind: 'set', faults: { delayMs: 5 } })
+  const response = await fetch(`http://${control}/`, { method: 'POST', body })
+  expect(await response.json()).toEqual({ connections: [], faults: { delayMs: 5, frozen: [] } })
+  expect((await sendCall(proxy.address, { method: 'GET', path: '/' })).outcome).toBe('complete')
+})
+
+test('load in open and closed loop counts every call as complete', async () => {
+  const calls = [
+    { method: 'GET', path: '/slots' },
+    { method: 'POST', path: '/visits', body: 'visit' },
+  ] as const
+  const paces = [{ kind: 'open', callsPerSecond: 200 } as const, { kind: 'closed', callers: 4 } as const]
+  for (const pace of paces) {
+    const summary = await runLoad({ entries: [proxy.address], pace, durationMs: 200, calls, keys: true })
+    expect(summary.sent).toBeGreaterThan(0)
+    expect(summary.outcomes.complete).toBe(summary.sent)
+  }
+})
