--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,51 @@
+/** The command line of the binary. */
+import { RESULT_CODES } from '@bilberrystall/base'
+import { Builtins, Cli, type BaseContext } from 'clipanion'
+import { Codes } from './codes-command'
+import {
+  DocumentCheck,
+  DocumentHistory,
+  DocumentPromote,
+  DocumentShow,
+  DocumentStatus,
+  DocumentSubmit,
+} from './document-commands'
+import { New } from './new-command'
+import { SettingsCheck } from './settings-commands'
+import { Audit, NodeDrain, NodeReplace, Nodes, Servers, Status } from './node-commands'
+
+const COMMANDS = [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  New,
+  SettingsCheck,
+  DocumentCheck,
+  DocumentSubmit,
+  DocumentPromote,
+  DocumentShow,
+  DocumentStatus,
+  DocumentHistory,
+  Audit,
+  Nodes,
+  Servers,
+  Status,
+  NodeDrain,
+  NodeReplace,
+  Codes,
+]
+
+export const VERSION = '0.1.0'
+
+/** Runs one command and returns its exit state. */
+export async function runCli(args: readonly string[], context?: Partial<BaseContext>): Promise<number> {
+  const cli = new Cli({ binaryLabel: 'Bilberrystall', binaryName: 'bilberrystall', binaryVersion: VERSION })
+  for (const command of COMMANDS) cli.register(command)
+  const full = { ...Cli.defaultContext, ...context }
+  try {
+    const command = cli.process([...args], full)
+    return await cli.run(command, full)
+  } catch (cause) {
+    full.stderr.write(cli.error(cause))
+    return RESULT_CODES.usage.number
+  }
+}
--- /dev/null
+++ b/packages/cli/src/command-base.ts
@@ -0,0 +1,72 @@
+/** What every command shares: `--json`, failures as exit states, and the options that reach a node. */
+import { readFile } from 'node:fs/promises'
+import { errorMessage, failure, parseDuration, resultCode, type Failure } from '@bilberrystall/base'
+import { Command, Option } from 'clipanion'
+import { err, ok, type Result } from 'neverthrow'
+import { OperatorClient, type Refusal } from './operator-client'
+import { failureJson, formatFailure, json } from './output'
+
+const DEFAULT_NODE = '127.0.0.1:8003'
+const DEFAULT_KEY_FILE = 'operator.key'
+
+export abstract class OutputCommand extends Command {
+  json = Option.Boolean('--json', false, { description: 'print JSON for scripts' })
+
+  /** Prints a value as JSON or as the given text. */
+  protected print(value: unknown, text: string): void {
+    this.context.stdout.write(this.json ? json(value) : text)
+  }
+
+  protected note(text: string): void {
+    if (!this.json) this.context.stderr.write(`${text}\n`)
+  }
+
+  /** Prints the failure and returns its number as exit state. */
+  protected fail(cause: Refusal | Failure): number {
+    if (this.json) this.context.stdout.write(json(failureJson(cause)))
+    else this.context.stderr.write(formatFailure(cause))
+    return resultCode(cause.code).number
+  }
+
+  protected finish<T>(result: Result<T, Refusal | Failure>, text: (value: T) => string): number {
+    if (result.isErr()) return this.fail(result.error)
+    this.print(result.value, text(result.value))
+    return 0
+  }
+}
+
+export abstract class NodeCommand extends OutputCommand {
+  nodes = Option.String('--node', process.env.BILBERRYSTALL_NODE ?? DEFAULT_NODE, {
+    description: 'operator listeners, separated by commas; the next one is asked when one does not answer',
+  })
+  keyFile = Option.String('--key-file', process.env.BILBERRYSTALL_KEY_FILE ?? DEFAULT_KEY_FILE, {
+    description: "file with the operator's key",
+  })
+
+  protected client(): Promise<Result<OperatorClient, Failure>> {
+    return OperatorClient.create({ nodes: this.nodes.split(',').map((node) => node.trim()), keyFile: this.keyFile })
+  }
+
+  /** Runs one request and prints its result. */
+  protected async ask<T>(
+    send: (client: OperatorClient) => Promise<Result<T, Refusal | Failure>>,
+    text: (value: T) => string,
+  ): Promise<number> {
+    const client = await this.client()
+    const result: Result<T, Refusal | Failure> = client.isOk() ? await send(client.value) : err(client.error)
+    return this.finish(result, text)
+  }
+}
+
+export async function readText(path: string): Promise<Result<string, Failure>> {
+  try {
+    return ok(await readFile(path, 'utf8'))
+  } catch (cause) {
+    return err(failure('fileUnreadable', errorMessage(cause)))
+  }
+}
+
+export function readDuration(text: string): Result<number, Failure> {
+  const ms = parseDuration(text)
+  return ms === undefined ? err(failure('usage', `${text} is not a duration such as 10s`)) : ok(ms)
+}
--- /dev/null
+++ b/packages/cli/src/document-commands.ts
@@ -0,0 +1,258 @@
+/** Commands on documents: check, submit, promote, show, status and history. */
+import { randomUUID } from 'node:crypto'
+import { failure, type Fault } from '@bilberrystall/base'
+import { documentDigest, parseDocument } from '@bilberrystall/document'
+import { Command, Option } from 'clipanion'
+import { err, ok, type Result } from 'neverthrow'
+import { NodeCommand, OutputCommand, readDuration, readText } from './command-base'
+import { environmentSchema, historySchema, type Accepted, type Change, type EnvironmentView } from './operator-api'
+import type { OperatorClient, Refusal } from './operator-client'
+import { shortDigest, table, time } from './output'
+
+const DOCUMENTS = 'Documents'
+const STATUS_POLL_MS = 100
+
+export class DocumentCheck extends OutputCommand {
+  static override paths = [['document', 'check']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'check a document without a node',
+    details: 'Lists every fault with section, key and reason. Exit status 50 when there is one.',
+    examples: [['Check the example document', '$0 document check document.ini']],
+  })
+
+  file = Option.String({ name: 'document.ini' })
+
+  override async execute(): Promise<number> {
+    const text = await readText(this.file)
+    if (text.isErr()) return this.fail(text.error)
+    const parsed = parseDocument(text.value)
+    if (parsed.isErr()) return this.fail(invalid(this.file, parsed.error))
+    const { services, routes, title } = parsed.value
+    const digest = documentDigest(text.value)
+    const value = { title, digest, services: services.size, routes: routes.length }
+    this.print(
+      value,
+      `${this.file} is valid: ${services.size} services, ${routes.length} routes, digest ${shortDigest(digest)}\n`,
+    )
+    return 0
+  }
+}
+
+abstract class ChangeCommand extends NodeCommand {
+  changeId = Option.String('--change-id', randomUUID(), {
+    description: 'id of an earlier attempt whose result is unknown; the change then has no second effect',
+  })
+  base = Option.String('--base', { description: 'revision that the change builds on; default is the one in force' })
+  limit = Option.String('--limit', '15s', { description: 'how long a change without a known result is sent again' })
+
+  protected async send(
+    environment: string,
+    make: (client: OperatorClient, base: number) => Promise<Result<Change, Refusal>>,
+  ): Promise<number> {
+    const limitMs = readDuration(this.limit)
+    if (limitMs.isErr()) return this.fail(limitMs.error)
+    const client = await this.client()
+    if (client.isErr()) return this.fail(client.error)
+    const base = await this.#baseRevision(client.value, environment)
+    if (base.isErr()) return this.fail(base.error)
+    const change = await make(client.value, base.value)
+    if (change.isErr()) return this.fail(change.error)
+    const result = await client.value.submit({
+      change: change.value,
+      limitMs: limitMs.value,
+      repeated: (reason) => {
+        this.note(`no known result (${reason}); sending change ${this.changeId} again`)
+      },
+    })
+    return this.finish(
+      result.map((value) => ({ ...value, environment, changeId: this.changeId })),
+      accepted,
+    )
+  }
+
+  async #baseRevision(client: OperatorClient, environment: string): Promise<Result<number, Refusal>> {
+    if (this.base !== undefined) {
+      return /^\d+$/.test(this.base) ? ok(Number(this.base)) : err(failure('usage', '--base is not a revision number'))
+    }
+    const current = await fetchEnvironment(client, environment)
+    if (current.isOk()) return ok(current.value.revision)
+    return current.error.code === 'documentMissing' ? ok(0) : err(current.error)
+  }
+}
+
+export class DocumentSubmit extends ChangeCommand {
+  static override paths = [['document', 'submit']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'put a document in force in an environment',
+    details: `
+      The change builds on the revision in force; when another operator was faster, it is refused with exit status 51.
+      When the response is lost, the same change is sent again. When its result stays unknown, the exit status is 53 and
+      the message names the change id to repeat.
+    `,
+    examples: [['Try a document', '$0 document submit document.ini --environment trial']],
+  })
+
+  file = Option.String({ name: 'document.ini' })
+  environment = Option.String('--environment', 'trial', { description: 'default is trial' })
+
+  override async execute(): Promise<number> {
+    const text = await readText(this.file)
+    if (text.isErr()) return this.fail(text.error)
+    const parsed = parseDocument(text.value)
+    if (parsed.isErr()) return this.fail(invalid(this.file, parsed.error))
+    const { environment, changeId } = this
+    return this.send(environment, (_client, baseRevision) =>
+      Promise.resolve(ok({ kind: 'submit', changeId, environment, baseRevision, document: text.value })),
+    )
+  }
+}
+
+export class DocumentPromote extends ChangeCommand {
+  static override paths = [['document', 'promote']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'put the document that is in force in trial in force in another environment',
+    details: `
+      The bytes are copied from trial and compared by digest. --source promotes an earlier revision of trial; --digest
+      refuses the promotion when trial holds another document than expected.
+    `,
+    examples: [['Promote to production', '$0 document promote --environment production']],
+  })
+
+  environment = Option.String('--environment', 'production', { description: 'default is production' })
+  source = Option.String('--source', { description: 'revision of trial; default is the one in force' })
+  digest = Option.String('--digest', { description: 'expected digest of the document' })
+
+  override async execute(): Promise<number> {
+    const { environment, changeId } = this
+    return this.send(environment, async (client, baseRevision) => {
+      const tested = await this.#tested(client)
+      return tested.map(({ revision, digest }) => ({
+        kind: 'promote',
+        changeId,
+        environment,
+        baseRevision,
+        sourceRevision: revision,
+        digest,
+      }))
+    })
+  }
+
+  async #tested(client: OperatorClient): Promise<Result<{ revision: number; digest: string }, Refusal>> {
+    if (this.source !== undefined && this.digest !== undefined) {
+      return ok({ revision: Number(this.source), digest: this.digest })
+    }
+    const history = await client.get('/v1/environments/trial/history', historySchema)
+    if (history.isErr()) return err(history.error)
+    const documents = history.value.documents
+    const newest = Math.max(...documents.map((entry) => entry.revision))
+    const wanted = this.source === undefined ? newest : Number(this.source)
+    const tested = documents.find((entry) => entry.revision === wanted)
+    if (tested === undefined) return err(failure('notInTrial', 'trial has no such revision'))
+    if (this.digest !== undefined && !tested.digest.startsWith(this.digest)) {
+      return err(failure('notInTrial', `trial revision ${wanted} has digest ${tested.digest}`))
+    }
+    return ok({ revision: tested.revision, digest: tested.digest })
+  }
+}
+
+abstract class EnvironmentCommand extends NodeCommand {
+  environment = Option.String('--environment', 'production', { description: 'default is production' })
+}
+
+export class DocumentShow extends EnvironmentCommand {
+  static override paths = [['document', 'show']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'print the document in force',
+    examples: [['Save the document of trial', '$0 document show --environment trial > document.ini']],
+  })
+
+  override execute(): Promise<number> {
+    return this.ask(
+      (client) => fetchEnvironment(client, this.environment),
+      ({ text }) => text,
+    )
+  }
+}
+
+export class DocumentStatus extends EnvironmentCommand {
+  static override paths = [['document', 'status']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'print which revision is in force and on which nodes',
+    details: 'With --wait the command ends when every live node has confirmed the revision.',
+    examples: [['Wait until a change is in force everywhere', '$0 document status --environment trial --wait 11s']],
+  })
+
+  wait = Option.String('--wait', { description: 'longest wait, for example 11s' })
+
+  override async execute(): Promise<number> {
+    const limitMs = readDuration(this.wait ?? '0s')
+    if (limitMs.isErr()) return this.fail(limitMs.error)
+    const end = performance.now() + limitMs.value
+    return this.ask(async (client) => {
+      for (;;) {
+        const view = await fetchEnvironment(client, this.environment)
+        const done = view.isErr() || view.value.inForceEverywhere === true
+        if (done || performance.now() >= end) return view
+        await new Promise((resolve) => setTimeout(resolve, STATUS_POLL_MS))
+      }
+    }, environmentText)
+  }
+}
+
+export class DocumentHistory extends EnvironmentCommand {
+  static override paths = [['document', 'history']]
+  static override usage = Command.Usage({
+    category: DOCUMENTS,
+    description: 'list the last documents of an environment',
+    examples: [['List the documents of production', '$0 document history']],
+  })
+
+  override execute(): Promise<number> {
+    const path = `/v1/environments/${encodeURIComponent(this.environment)}/history`
+    return this.ask(
+      (client) => client.get(path, historySchema),
+      ({ documents }) =>
+        table(
+          [
+            { title: 'REVISION', value: (entry) => entry.revision },
+            { title: 'TIME', value: (entry) => time(entry.at) },
+            { title: 'REQUESTER', value: (entry) => entry.requester },
+            { title: 'DIGEST', value: (entry) => shortDigest(entry.digest) },
+            { title: 'CHANGE', value: (entry) => entry.changeId },
+          ],
+          documents,
+        ),
+    )
+  }
+}
+
+function fetchEnvironment(client: OperatorClient, environment: string): Promise<Result<EnvironmentView, Refusal>> {
+  return client.get(`/v1/environments/${encodeURIComponent(environment)}`, environmentSchema)
+}
+
+function environmentText(view: EnvironmentView): string {
+  const state = view.inForceEverywhere === true ? 'in force on every live node' : 'not yet confirmed by every live node'
+  const head = `${view.environment}: revision ${view.revision}, digest ${shortDigest(view.digest)}, ${state}\n`
+  const nodes = view.nodes ?? []
+  if (nodes.length === 0) return head
+  const columns = [
+    { title: 'NODE', value: (entry: { node: string }) => entry.node },
+    { title: 'REVISION', value: (entry: { revision: number }) => entry.revision },
+  ]
+  return head + table(columns, nodes as { node: string; revision: number }[])
+}
+
+function accepted(value: Accepted & { environment: string; changeId: string }): string {
+  const { environment, revision, digest, changeId } = value
+  return `accepted: ${environment} revision ${revision}, digest ${shortDigest(digest)}, change ${changeId}\n`
+}
+
+function invalid(file: string, faults: readonly Fault[]): Refusal {
+  const cause = failure('documentInvalid', `${file} has ${faults.length} faults; nothing was changed.`)
+  return { ...cause, problem: { code: 50, faults: [...faults] } }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,2 +1,6 @@
 /** Entry point of the binary. */
-process.stdout.write('bilberrystall\n')
+import { runCli } from './cli'
+
+void runCli(process.argv.slice(2)).then((status) => {
+  process.exitCode = status
+})
--- /dev/null
+++ b/packages/cli/src/new-command.ts
@@ -0,0 +1,57 @@
+/** Writes the files that a first start needs into a folder. */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { errorMessage, failure } from '@bilberrystall/base'
+import { Command, Option } from 'clipanion'
+import { OutputCommand } from './command-base'
+import { EXAMPLE_DOCUMENT, exampleSettings, newKeys, operatorKeyLines } from './example'
+
+/** Keys are for their owner only. */
+const KEY_MODE = 0o600
+
+export class New extends OutputCommand {
+  static override paths = [['new']]
+  static override usage = Command.Usage({
+    category: 'Start',
+    description: 'write example settings, keys and a document into a folder',
+    details: 'One process then serves callers and keeps the documents. Existing files are never overwritten.',
+    examples: [['Prepare a first start', '$0 new example']],
+  })
+
+  folder = Option.String({ name: 'folder' })
+
+  override async execute(): Promise<number> {
+    const keys = newKeys()
+    const files: Record<string, string> = {
+      'settings.ini': exampleSettings(),
+      'document.ini': EXAMPLE_DOCUMENT,
+      'node.key': `${keys.node}\n`,
+      'server.key': `${keys.server}\n`,
+      'operator.key': `${keys.operator}\n`,
+      'operator.keys': operatorKeyLines({ operator: keys.operator }),
+    }
+    try {
+      await mkdir(this.folder, { recursive: true })
+      for (const [name, text] of Object.entries(files)) {
+        const mode = name.endsWith('.key') ? KEY_MODE : undefined
+        await writeFile(join(this.folder, name), text, { flag: 'wx', ...(mode === undefined ? {} : { mode }) })
+      }
+    } catch (cause) {
+      return this.fail(failure('folderUnusable', errorMessage(cause)))
+    }
+    this.print({ folder: this.folder, files: Object.keys(files) }, this.#advice(Object.keys(files)))
+    return 0
+  }
+
+  #advice(files: readonly string[]): string {
+    const lines = [
+      `Wrote ${files.join(', ')} to ${this.folder}.`,
+      'Next steps:',
+      `  cd ${this.folder}`,
+      '  bilberrystall run settings.ini',
+      '  bilberrystall document submit document.ini --environment trial',
+      '  bilberrystall document status --environment trial --wait 11s',
+    ]
+    return `${lines.join('\n')}\n`
+  }
+}
--- /dev/null
+++ b/packages/cli/src/node-commands.ts
@@ -0,0 +1,200 @@
+/** Commands on nodes, servers and the audit records. */
+import { createHash } from 'node:crypto'
+import { failure } from '@bilberrystall/base'
+import { Command, Option } from 'clipanion'
+import { err, ok, type Result } from 'neverthrow'
+import { NodeCommand } from './command-base'
+import { anySchema, auditSchema, nodesSchema, serversSchema, type AuditEntry } from './operator-api'
+import type { OperatorClient, Refusal } from './operator-client'
+import { shortDigest, table, time } from './output'
+
+const SYSTEM = 'System'
+const VERIFY_PAGE = 1000
+
+type Loose = Readonly<Record<string, unknown>>
+
+export class Status extends NodeCommand {
+  static override paths = [['status']]
+  static override usage = Command.Usage({ category: SYSTEM, description: 'print the state of one node and of control' })
+
+  override execute(): Promise<number> {
+    return this.ask(
+      (client) => client.get('/v1/status', anySchema),
+      (value) => members(value),
+    )
+  }
+}
+
+export class Nodes extends NodeCommand {
+  static override paths = [['nodes']]
+  static override usage = Command.Usage({ category: SYSTEM, description: 'list the live nodes' })
+
+  override execute(): Promise<number> {
+    return this.ask(
+      (client) => client.get('/v1/nodes', nodesSchema),
+      ({ nodes }) => listing('node', nodes),
+    )
+  }
+}
+
+export class Servers extends NodeCommand {
+  static override paths = [['servers']]
+  static override usage = Command.Usage({ category: SYSTEM, description: 'list the announced servers' })
+
+  override execute(): Promise<number> {
+    return this.ask(
+      (client) => client.get('/v1/servers', serversSchema),
+      ({ servers }) => listing('server', servers),
+    )
+  }
+}
+
+abstract class NodeAction extends NodeCommand {
+  name = Option.String({ name: 'node' })
+
+  protected act(action: 'drain' | 'replace', done: string): Promise<number> {
+    const path = `/v1/nodes/${encodeURIComponent(this.name)}/${action}`
+    return this.ask(
+      (client) => client.post(path, anySchema),
+      () => `node ${this.name} ${done}\n`,
+    )
+  }
+}
+
+export class NodeDrain extends NodeAction {
+  static override paths = [['node', 'drain']]
+  static override usage = Command.Usage({
+    category: SYSTEM,
+    description: 'shut a node down without interrupting calls in flight',
+    examples: [['Drain before maintenance', '$0 node drain entry-2']],
+  })
+
+  override execute(): Promise<number> {
+    return this.act('drain', 'drains')
+  }
+}
+
+export class NodeReplace extends NodeAction {
+  static override paths = [['node', 'replace']]
+  static override usage = Command.Usage({
+    category: SYSTEM,
+    description: 'replace the control replica of a node that does not come back',
+    examples: [['Replace a lost VM', '$0 node replace control-1']],
+  })
+
+  override execute(): Promise<number> {
+    return this.act('replace', 'is being replaced')
+  }
+}
+
+export class Audit extends NodeCommand {
+  static override paths = [['audit']]
+  static override usage = Command.Usage({
+    category: SYSTEM,
+    description: 'list audit records, newest first',
+    details: `
+      Every request leaves a record, accepted or refused. --verify reads all kept records and recomputes the chain of
+      digests on this side; exit status 90 when a record was changed or removed.
+    `,
+    examples: [
+      ['Refused changes of one person', '$0 audit --requester asha --result revision-conflict'],
+      ['Check that no record was changed', '$0 audit --verify'],
+    ],
+  })
+
+  from = Option.String('--from', { description: 'time, for example 2026-05-01T00:00:00Z' })
+  until = Option.String('--until', { description: 'time before which records are listed' })
+  requester = Option.String('--requester')
+  environment = Option.String('--environment')
+  result = Option.String('--result', { description: 'name of a result, for example ok' })
+  limit = Option.String('--limit', '50', { description: 'most records listed' })
+  verify = Option.Boolean('--verify', false, { description: 'recompute the chain of digests' })
+
+  override execute(): Promise<number> {
+    if (this.verify)
+      return this.ask(verifyChain, ({ records, head }) => `${records} records, chain intact, head ${head}\n`)
+    return this.ask(
+      (client) => client.get(`/v1/audit?${this.#query()}`, auditSchema),
+      ({ records }) => auditText(records),
+    )
+  }
+
+  #query(): string {
+    const query = new URLSearchParams({ limit: this.limit })
+    const times = { from: this.from, until: this.until }
+    for (const [name, value] of Object.entries(times))
+      if (value !== undefined) query.set(name, String(Date.parse(value)))
+    const filters = { requester: this.requester, environment: this.environment, result: this.result }
+    for (const [name, value] of Object.entries(filters)) if (value !== undefined) query.set(name, value)
+    return query.toString()
+  }
+}
+
+interface Chain {
+  readonly records: number
+  readonly head: string
+}
+
+/** Each record holds the SHA-256 of the one before it; records arrive newest first. */
+async function verifyChain(client: OperatorClient): Promise<Result<Chain, Refusal>> {
+  let newer: AuditEntry | undefined
+  let records = 0
+  let head = ''
+  let before: number | undefined
+  do {
+    const position = before === undefined ? '' : `&before=${before}`
+    const page = await client.get(`/v1/audit?limit=${VERIFY_PAGE}${position}`, auditSchema)
+    if (page.isErr()) return err(page.error)
+    for (const record of page.value.records) {
+      const digest = createHash('sha256').update(JSON.stringify(record)).digest('hex')
+      if (newer === undefined) head = digest
+      else if (newer.previous !== digest || newer.sequence !== record.sequence + 1) return err(broken(newer.sequence))
+      newer = record
+      records += 1
+    }
+    before = page.value.next
+  } while (before !== undefined)
+  return ok({ records, head })
+}
+
+function broken(sequence: number): Refusal {
+  return failure('logDamaged', `the audit chain is broken before record ${sequence}`)
+}
+
+function auditText(records: readonly AuditEntry[]): string {
+  return table(
+    [
+      { title: 'RECORD', value: (entry) => entry.sequence },
+      { title: 'TIME', value: (entry) => time(entry.at) },
+      { title: 'OPERATION', value: (entry) => entry.operation },
+      { title: 'ENVIRONMENT', value: (entry) => entry.environment ?? entry.target },
+      { title: 'REQUESTER', value: (entry) => entry.requester },
+      { title: 'SOURCE', value: (entry) => entry.source },
+      { title: 'RESULT', value: (entry) => (entry.repeated === true ? `${entry.result} (repeated)` : entry.result) },
+      { title: 'REVISION', value: (entry) => entry.revision },
+      { title: 'DIGEST', value: (entry) => (entry.digest === undefined ? undefined : shortDigest(entry.digest)) },
+      { title: 'CHANGE', value: (entry) => entry.changeId },
+    ],
+    records,
+  )
+}
+
+/** Table of all members, the named one first. */
+function listing(first: string, rows: readonly Loose[]): string {
+  const names = [...new Set([first, ...rows.flatMap((row) => Object.keys(row))])]
+  return table(
+    names.map((name) => ({ title: name.toUpperCase(), value: (row: Loose) => scalar(row[name]) })),
+    rows,
+  )
+}
+
+function members(value: Loose): string {
+  return Object.entries(value)
+    .map(([name, member]) => `${name}: ${scalar(member) ?? '-'}\n`)
+    .join('')
+}
+
+function scalar(value: unknown): string | undefined {
+  if (value === undefined || value === null) return undefined
+  return typeof value === 'string' ? value : JSON.stringify(value)
+}
--- /dev/null
+++ b/packages/cli/src/operator-api.ts
@@ -0,0 +1,73 @@
+/** Responses of the operator API that the commands read (design section 6). Unknown members are kept for `--json`. */
+import { z } from 'zod'
+
+export const accepted = z.looseObject({ revision: z.number(), digest: z.string() })
+export type Accepted = z.infer<typeof accepted>
+
+/** RFC 9457 problem document; a refused change adds the revision in force and the faults. */
+export const problemSchema = z.looseObject({
+  code: z.number(),
+  detail: z.string().optional(),
+  currentRevision: z.number().optional(),
+  faults: z.array(z.object({ section: z.string(), key: z.string(), reason: z.string() })).optional(),
+})
+export type ProblemBody = z.infer<typeof problemSchema>
+
+const keptDocument = z.looseObject({
+  revision: z.number(),
+  digest: z.string(),
+  at: z.number(),
+  requester: z.string(),
+  changeId: z.string(),
+})
+
+export const environmentSchema = keptDocument.extend({
+  environment: z.string(),
+  text: z.string(),
+  inForceEverywhere: z.boolean().optional(),
+  nodes: z.array(z.looseObject({ node: z.string(), revision: z.number() })).optional(),
+})
+export type EnvironmentView = z.infer<typeof environmentSchema>
+
+export const historySchema = z.looseObject({ documents: z.array(keptDocument) })
+
+export const auditRecord = z.looseObject({
+  sequence: z.number(),
+  previous: z.string(),
+  at: z.number(),
+  operation: z.string(),
+  requester: z.string(),
+  source: z.string(),
+  changeId: z.string().optional(),
+  environment: z.string().optional(),
+  target: z.string().optional(),
+  digest: z.string().optional(),
+  revision: z.number().optional(),
+  result: z.string(),
+  repeated: z.boolean().optional(),
+})
+export type AuditEntry = z.infer<typeof auditRecord>
+
+/** Records newest first; `next` is passed as `before` to continue. */
+export const auditSchema = z.looseObject({ records: z.array(auditRecord), next: z.number().optional() })
+
+export const nodesSchema = z.looseObject({ nodes: z.array(z.looseObject({ node: z.string() })) })
+export const serversSchema = z.looseObject({ servers: z.array(z.looseObject({ server: z.string() })) })
+export const anySchema = z.looseObject({})
+
+export type Change =
+  | {
+      readonly kind: 'submit'
+      readonly changeId: string
+      readonly environment: string
+      readonly baseRevision: number
+      readonly document: string
+    }
+  | {
+      readonly kind: 'promote'
+      readonly changeId: string
+      readonly environment: string
+      readonly baseRevision: number
+      readonly sourceRevision: number
+      readonly digest: string
+    }
--- /dev/null
+++ b/packages/cli/src/operator-client.ts
@@ -0,0 +1,160 @@
+/**
+ * Client of the operator API. A read asks the named nodes in turn until one answers. A change whose response is lost is
+ * sent again with the same change id until its result is known or the time is over; it then counts as unknown.
+ */
+import { readFile } from 'node:fs/promises'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { errorMessage, failure, RESULT_CODES, type CodeName, type Failure } from '@bilberrystall/base'
+import { err, ok, type Result } from 'neverthrow'
+import { request } from 'undici'
+import type { z } from 'zod'
+import { accepted, problemSchema, type Accepted, type Change, type ProblemBody } from './operator-api'
+
+const ATTEMPT_LIMIT_MS = 5000
+const REPEAT_PAUSE_MS = 200
+
+/** Results after which the change may still be accepted later or elsewhere. */
+const UNSETTLED: ReadonlySet<number> = new Set(
+  [RESULT_CODES.changeUnknown, RESULT_CODES.noQuorum, RESULT_CODES.notLeader, RESULT_CODES.internal].map(
+    (code) => code.number,
+  ),
+)
+
+const NAMES = new Map<number, CodeName>(
+  Object.entries(RESULT_CODES).map(([name, code]) => [code.number, name as CodeName]),
+)
+
+export interface OperatorClientOptions {
+  /** Operator listeners, `address:port`. */
+  readonly nodes: readonly string[]
+  readonly keyFile: string
+}
+
+export interface Refusal extends Failure {
+  readonly problem?: ProblemBody
+}
+
+export interface SubmitOptions {
+  readonly change: Change
+  readonly limitMs: number
+  /** Called before each repetition with the reason. */
+  readonly repeated?: (reason: string) => void
+}
+
+type Attempt =
+  | { readonly kind: 'answered'; readonly status: number; readonly body: unknown }
+  | { readonly kind: 'failed'; readonly sent: boolean; readonly reason: string }
+
+export class OperatorClient {
+  readonly #nodes: readonly string[]
+  readonly #key: string
+
+  private constructor(nodes: readonly string[], key: string) {
+    this.#nodes = nodes
+    this.#key = key
+  }
+
+  /** Errors: `file-unreadable` when the key cannot be read. */
+  static async create(options: OperatorClientOptions): Promise<Result<OperatorClient, Failure>> {
+    try {
+      const key = (await readFile(options.keyFile, 'utf8')).trim()
+      return ok(new OperatorClient(options.nodes, key))
+    } catch (cause) {
+      return err(failure('fileUnreadable', `operator key: ${errorMessage(cause)}`))
+    }
+  }
+
+  /** Errors: the node's own result code, `node-unreachable` or `response-malformed`. */
+  async get<Schema extends z.ZodType>(path: string, schema: Schema): Promise<Result<z.output<Schema>, Refusal>> {
+    return this.#first('GET', path, schema)
+  }
+
+  async post<Schema extends z.ZodType>(path: string, schema: Schema): Promise<Result<z.output<Schema>, Refusal>> {
+    return this.#first('POST', path, schema)
+  }
+
+  async submit(options: SubmitOptions): Promise<Result<Accepted, Refusal>> {
+    const end = performance.now() + options.limitMs
+    let sent = false
+    for (let position = 0; ; position += 1) {
+      const node = this.#nodes[position % this.#nodes.length] ?? ''
+      const attempt = await this.#attempt(node, 'POST', '/v1/changes', options.change)
+      const result = attempt.kind === 'answered' ? read(attempt, accepted) : unreachable(node, attempt.reason)
+      if (settled(attempt, result)) return result
+      sent ||= attempt.kind === 'answered' || attempt.sent
+      const reason = result.isErr() ? result.error.message : ''
+      if (performance.now() > end)
+        return err(sent ? unknown(options.change.changeId, reason) : failure('nodeUnreachable', reason))
+      options.repeated?.(reason)
+      await sleep(REPEAT_PAUSE_MS)
+    }
+  }
+
+  async #first<Schema extends z.ZodType>(
+    method: 'GET' | 'POST',
+    path: string,
+    schema: Schema,
+  ): Promise<Result<z.output<Schema>, Refusal>> {
+    let last: Result<z.output<Schema>, Refusal> = err(failure('nodeUnreachable', 'no node is named'))
+    for (const node of this.#nodes) {
+      const attempt = await this.#attempt(node, method, path)
+      last = attempt.kind === 'answered' ? read(attempt, schema) : unreachable(node, attempt.reason)
+      if (attempt.kind === 'answered' && attempt.status < 500) return last
+    }
+    return last
+  }
+
+  async #attempt(node: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Attempt> {
+    try {
+      const response = await request(`http://${node}${path}`, {
+        method,
+        headers: { authorization: `Bearer ${this.#key}`, 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(ATTEMPT_LIMIT_MS),
+      })
+      const text = await response.body.text()
+      return { kind: 'answered', status: response.statusCode, body: parse(text) }
+    } catch (cause) {
+      const code = cause instanceof Error && 'code' in cause ? cause.code : undefined
+      return { kind: 'failed', sent: code !== 'ECONNREFUSED', reason: errorMessage(cause) }
+    }
+  }
+}
+
+function settled(attempt: Attempt, result: Result<unknown, Refusal>): boolean {
+  if (attempt.kind === 'failed') return false
+  if (result.isOk()) return true
+  if (result.error.code === 'responseMalformed') return attempt.status < 500
+  return !UNSETTLED.has(RESULT_CODES[result.error.code].number)
+}
+
+function read<Schema extends z.ZodType>(
+  attempt: { readonly status: number; readonly body: unknown },
+  schema: Schema,
+): Result<z.output<Schema>, Refusal> {
+  if (attempt.status < 300) {
+    const parsed = schema.safeParse(attempt.body)
+    return parsed.success ? ok(parsed.data) : err(failure('responseMalformed', parsed.error.message))
+  }
+  const problem = problemSchema.safeParse(attempt.body)
+  const name = problem.success ? NAMES.get(problem.data.code) : undefined
+  if (!problem.success || name === undefined) return err(failure('responseMalformed', `status ${attempt.status}`))
+  return err({ ...failure(name, problem.data.detail), problem: problem.data })
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function unreachable(node: string, reason: string): Result<never, Refusal> {
+  return err(failure('nodeUnreachable', `${node}: ${reason}`))
+}
+
+function unknown(changeId: string, reason: string): Refusal {
+  const advice = `Repeat the command with --change-id ${changeId} to learn it.`
+  return failure('changeUnknown', `the result of change ${changeId} is unknown (${reason}). ${advice}`)
+}
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,49 @@
+/** Output of the commands: aligned tables and sentences for people, JSON for scripts, results as exit states. */
+import { formatFault, resultCode, type Failure } from '@bilberrystall/base'
+import type { Refusal } from './operator-client'
+
+export interface Column<Row> {
+  readonly title: string
+  readonly value: (row: Row) => string | number | undefined
+}
+
+export function table<Row>(columns: readonly Column<Row>[], rows: readonly Row[]): string {
+  const cells = [
+    columns.map((column) => column.title),
+    ...rows.map((row) => columns.map((column) => String(column.value(row) ?? '-'))),
+  ]
+  const widths = columns.map((_, index) => Math.max(...cells.map((row) => row[index]?.length ?? 0)))
+  const lines = cells.map((row) => row.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  '))
+  return `${lines.map((line) => line.trimEnd()).join('\n')}\n`
+}
+
+export function json(value: unknown): string {
+  return `${JSON.stringify(value, undefined, 2)}\n`
+}
+
+export function time(ms: number): string {
+  return new Date(ms).toISOString()
+}
+
+/** First part of a digest, enough to compare by eye. */
+export function shortDigest(digest: string): string {
+  return digest.slice(0, 12)
+}
+
+export function formatFailure(cause: Refusal | Failure): string {
+  const { number, name } = resultCode(cause.code)
+  const faults = problemOf(cause)?.faults ?? []
+  return [`error ${number} ${name}: ${cause.message}`, ...faults.map((fault) => `  ${formatFault(fault)}`), ''].join(
+    '\n',
+  )
+}
+
+export function failureJson(cause: Refusal | Failure): unknown {
+  const { number, name } = resultCode(cause.code)
+  const problem = problemOf(cause)
+  return { error: { code: number, name, message: cause.message, ...(problem === undefined ? {} : { problem }) } }
+}
+
+function problemOf(cause: Refusal | Failure): Refusal['problem'] {
+  return (cause as Refusal).problem
+}
--- /dev/null
+++ b/packages/cli/test/local-commands.test.ts
@@ -0,0 +1,57 @@
+import { readFile, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { RESULT_CODES } from '@bilberrystall/base'
+import { Harness, Session } from '@bilberrystall/testkit'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { cli } from './operator-stub'
+
+let harness: Harness
+
+beforeEach(async () => {
+  harness = await Harness.create()
+})
+
+afterEach(() => harness.end())
+
+test('a newcomer writes the example and checks it', async () => {
+  const session = new Session()
+  const folder = join(harness.folder, 'example')
+  const commands = [
+    ['new', folder],
+    ['settings', 'check', join(folder, 'settings.ini')],
+    ['document', 'check', join(folder, 'document.ini')],
+    ['new', folder],
+    ['document', 'check', join(folder, 'missing.ini')],
+  ]
+  for (const command of commands) session.command(command, await cli(...command))
+  const faulty = (await readFile(join(folder, 'document.ini'), 'utf8')).replaceAll('deadline = 5s', 'deadline = 5')
+  await writeFile(join(folder, 'document.ini'), faulty.replace('key-retention = 1h', 'key-retenton = 1h'))
+  const check = ['document', 'check', join(folder, 'document.ini')]
+  session.command(check, await cli(...check))
+  const settings = (await readFile(join(folder, 'settings.ini'), 'utf8')).replace('roles = entry', 'rôles = entry')
+  await writeFile(join(folder, 'settings.ini'), settings)
+  const settingsCheck = ['settings', 'check', join(folder, 'settings.ini')]
+  session.command(settingsCheck, await cli(...settingsCheck))
+  await expect(session.text({ replace: { [harness.folder]: '<folder>' } })).toMatchFileSnapshot(
+    'golden/local-commands.txt',
+  )
+})
+
+test('operator.keys holds no key', async () => {
+  await cli('new', harness.folder)
+  const key = (await readFile(join(harness.folder, 'operator.key'), 'utf8')).trim()
+  expect(await readFile(join(harness.folder, 'operator.keys'), 'utf8')).not.toContain(key)
+})
+
+test('a command line that is not valid has its own exit state', async () => {
+  expect((await cli('document', 'nothing')).status).toBe(RESULT_CODES.usage.number)
+  expect((await cli('document', 'submit')).status).toBe(RESULT_CODES.usage.number)
+})
+
+test('help and codes', async () => {
+  const help = await cli('--help')
+  expect(help).toMatchObject({ status: 0, stderr: '' })
+  expect(help.stdout).toContain('document submit')
+  expect((await cli('codes')).stdout).toContain('`change-unknown`')
+  expect(JSON.parse((await cli('codes', '--json')).stdout)).toHaveLength(Object.keys(RESULT_CODES).length)
+})
--- /dev/null
+++ b/packages/cli/test/operator-commands.test.ts
@@ -0,0 +1,128 @@
+import { createHash } from 'node:crypto'
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { RESULT_CODES, failure, problem, type CodeName } from '@bilberrystall/base'
+import { freePort, Harness } from '@bilberrystall/testkit'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { EXAMPLE_DOCUMENT } from '../src/example'
+import { answerJson, cli, operatorStub, type Answer, type CliResult, type Stub } from './operator-stub'
+
+let harness: Harness
+let file: string
+let keyFile: string
+
+beforeEach(async () => {
+  harness = await Harness.create()
+  file = join(harness.folder, 'document.ini')
+  keyFile = join(harness.folder, 'operator.key')
+  await writeFile(file, EXAMPLE_DOCUMENT)
+  await writeFile(keyFile, 'the operator key\n')
+})
+
+afterEach(() => harness.end())
+
+async function stub(answer: Answer): Promise<Stub> {
+  const started = await operatorStub(answer)
+  harness.onEnd(started.stop)
+  return started
+}
+
+function submit(node: string, ...rest: string[]): Promise<CliResult> {
+  return cli('document', 'submit', file, '--base', '4', '--node', node, '--key-file', keyFile, ...rest)
+}
+
+function refuse(code: CodeName): Answer {
+  return (_seen, response) => {
+    answerJson(response, RESULT_CODES[code].status, { ...problem(failure(code)), currentRevision: 7 })
+  }
+}
+
+test('a submit whose response is lost sends the same change again', async () => {
+  let lost = 0
+  const node = await stub((_seen, response) => {
+    lost += 1
+    if (lost <= 2) response.destroy()
+    else answerJson(response, 200, { kind: 'accepted', revision: 5, digest: 'a'.repeat(64) })
+  })
+  const result = await submit(node.address, '--json')
+  expect(result.status).toBe(0)
+  const { changeId, revision } = JSON.parse(result.stdout) as { changeId: string; revision: number }
+  expect(revision).toBe(5)
+  expect(node.seen.map(({ body }) => body.changeId)).toEqual([changeId, changeId, changeId])
+  expect(node.seen[0]).toMatchObject({
+    authorization: 'Bearer the operator key',
+    body: { kind: 'submit', baseRevision: 4 },
+  })
+})
+
+test('the change goes to the next node when one does not answer', async () => {
+  const node = await stub((_seen, response) => {
+    answerJson(response, 200, { kind: 'accepted', revision: 5, digest: 'a'.repeat(64) })
+  })
+  expect((await submit(`127.0.0.1:${await freePort()},${node.address}`)).status).toBe(0)
+})
+
+test('an unknown result is reported with the change id to repeat', async () => {
+  const node = await stub(refuse('changeUnknown'))
+  const result = await submit(node.address, '--change-id', 'change-1', '--limit', '0s')
+  expect(result.status).toBe(RESULT_CODES.changeUnknown.number)
+  expect(result.stderr).toContain('--change-id change-1')
+})
+
+test('a change that reached no node is not reported as unknown', async () => {
+  const result = await submit(`127.0.0.1:${await freePort()}`, '--limit', '0s')
+  expect(result.status).toBe(RESULT_CODES.nodeUnreachable.number)
+})
+
+test('a refusal is final and becomes the exit state', async () => {
+  const node = await stub(refuse('revisionConflict'))
+  expect((await submit(node.address)).status).toBe(RESULT_CODES.revisionConflict.number)
+  expect(node.seen).toHaveLength(1)
+})
+
+test('an invalid document is not sent', async () => {
+  await writeFile(file, EXAMPLE_DOCUMENT.replace('service = booking', 'service = bookings'))
+  const node = await stub(refuse('internal'))
+  const result = await submit(node.address)
+  expect(result.status).toBe(RESULT_CODES.documentInvalid.number)
+  expect(result.stderr).toContain('[route.book-visit] service: names no section [service.bookings]')
+  expect(node.seen).toHaveLength(0)
+})
+
+test('a promotion names the revision and digest that trial holds', async () => {
+  const tested = { revision: 3, digest: 'b'.repeat(64), at: 0, requester: 'asha', changeId: 'c' }
+  const node = await stub((seen, response) => {
+    if (seen.method === 'GET') answerJson(response, 200, { documents: [tested] })
+    else answerJson(response, 200, { revision: 1, digest: tested.digest })
+  })
+  const options = ['--node', node.address, '--key-file', keyFile]
+  expect((await cli('document', 'promote', '--base', '0', ...options)).status).toBe(0)
+  expect(node.seen.at(-1)?.body).toMatchObject({ kind: 'promote', sourceRevision: 3, digest: tested.digest })
+})
+
+test('audit --verify recomputes the chain over pages and finds a changed record', async () => {
+  const chain: Record<string, unknown>[] = []
+  let previous = '0'.repeat(64)
+  for (let sequence = 1; sequence <= 4; sequence += 1) {
+    const record = {
+      sequence,
+      previous,
+      at: sequence,
+      operation: 'submit',
+      requester: 'asha',
+      source: 'x',
+      result: 'ok',
+    }
+    previous = createHash('sha256').update(JSON.stringify(record)).digest('hex')
+    chain.unshift(record)
+  }
+  const node = await stub((seen, response) => {
+    if (seen.path.includes('before=3')) answerJson(response, 200, { records: chain.slice(2) })
+    else answerJson(response, 200, { records: chain.slice(0, 2), next: 3 })
+  })
+  const options = ['--node', node.address, '--key-file', keyFile]
+  const intact = await cli('audit', '--verify', ...options)
+  expect(intact).toMatchObject({ status: 0, stdout: `4 records, chain intact, head ${previous}\n` })
+  chain[2] = { ...chain[2], requester: 'other' }
+  expect((await cli('audit', '--verify', ...options)).status).toBe(RESULT_CODES.logDamaged.number)
+})
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './settings'
--- a/packages/testkit/src/announcer.ts
+++ b/packages/testkit/src/announcer.ts
@@ -20,7 +20,8 @@
   readonly failureDomain: string
   readonly slots: number
   readonly connectionLimit: number
-  readonly load?: { readonly inflight: number; readonly queue: number }
+  /** Calls running and queued. */
+  readonly load?: number
 }
 
 export type Identity = Omit<Announcement, 'start' | 'sequence' | 'state' | 'load'>
@@ -30,7 +31,7 @@
   /** Announce listeners of entries, `address:port`. */
   readonly entries: readonly string[]
   readonly serverKey: string
-  readonly load?: () => Announcement['load']
+  readonly load?: () => number | undefined
 }
 
 export class Announcer {
--- a/packages/testkit/src/stand-in.ts
+++ b/packages/testkit/src/stand-in.ts
@@ -98,7 +98,7 @@
       identity: this.#identity(),
       entries: this.#options.entries ?? [],
       serverKey: this.#options.serverKey ?? '',
-      load: () => ({ inflight: this.#slots.running, queue: this.#slots.queued }),
+      load: () => this.#announcedLoad(),
     })
     this.#announcer.start()
   }
@@ -124,6 +124,12 @@
     }
   }
 
+  #announcedLoad(): number | undefined {
+    const { loadReport } = this.#behaviour
+    if (loadReport === 'none') return undefined
+    return loadReport === 'idle' ? 0 : this.#slots.running + this.#slots.queued
+  }
+
   #identity(): Identity {
     const { environment = 'production', service, server, failureDomain = 'fd-1' } = this.#options
     const { slots = 3, connectionLimit = 300, announcedAddress = this.address } = this.#options
