Define the interface of the router and the measuring ledger

Cause: the HTTP entry builds on these types while the policy is developed.

Ruled out: retries inside the router. The entry holds the request body and knows whether it can be sent again, so it submits a repeated call under the same id with the servers already tried.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+/** Server selection, load estimates, outliers, queues, admission, retry budgets and the measuring budget ledger. */
+export * from './call'
+export * from './ledger'
+export * from './retry-budget'
+export * from './router'
+export * from './tokens'
