Add at-most-once claims on idempotency keys

Cause: a call that is resent through another entry must not run twice, and calls without a key must cost nothing.

Holders are chosen from the roster at the key time; a holder votes only on keys later than its start plus 31 s and, so that this rule is sound under a wrong clock of an entry, at most 31 s ahead of its own clock. Found while writing: a retention that a later document raises would make a forgotten key usable again, so the table keeps the highest forgotten key time per environment. Ruled out: a release only to holders that granted; a repeated claim that is still on its way would then occupy the key.

Conclusion: no schedule with two permitted attempts was found, and a key is usable again after a provable not-run.

--- /dev/null
+++ b/packages/claims/test/at-most-once.test.ts
@@ -0,0 +1,66 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { HolderTable, type HolderReply, type KeyUse } from '../src/index'
+import { plans, Schedule, soundParts, type Parts } from './schedule'
+
+const SEED = 20_261_204
+const RUNS = 3_000
+
+/** Ignores its start, as a holder would that lost its memory and votes on. */
+const votesAfterRestart: Parts = {
+  ...soundParts,
+  table: () => new HolderTable({ startedAt: 0 }),
+}
+
+const holdersOfCurrentRoster: Parts = { ...soundParts, rosterTime: (_, now) => now }
+
+class ForgetfulTable extends HolderTable {
+  readonly #current = new Map<string, KeyUse>()
+
+  override claim(use: KeyUse, runMs: number, now: number): HolderReply {
+    const held = this.#current.get(use.key)
+    const reply = super.claim(use, runMs, now)
+    if (reply.kind === 'released') {
+      this.#current.set(use.key, use)
+      return { kind: 'granted' }
+    }
+    return held === undefined || held.attempt === use.attempt ? reply : { kind: 'held', sameRequest: true }
+  }
+
+  override release(use: KeyUse, now: number): HolderReply {
+    if (this.#current.get(use.key)?.attempt === use.attempt) {
+      this.#current.delete(use.key)
+    }
+    return super.release(use, now)
+  }
+}
+
+const forgetsReleases: Parts = { ...soundParts, table: (startedAt) => new ForgetfulTable({ startedAt }) }
+
+function neverTwice(parts: Parts): fc.IProperty<unknown> {
+  return fc.property(plans, (plan) => !new Schedule(plan, parts).run().violated)
+}
+
+function usableAfterNotRun(parts: Parts): fc.IProperty<unknown> {
+  return fc.property(plans, (plan) => new Schedule({ ...plan, retentionMs: 3_600_000 }, parts).run().usableAgain())
+}
+
+test('two attempts with one key are never both permitted to send', () => {
+  fc.assert(neverTwice(soundParts), { seed: SEED, numRuns: RUNS })
+})
+
+test('a key is usable again after every attempt with it provably did not run', () => {
+  fc.assert(usableAfterNotRun(soundParts), { seed: SEED, numRuns: RUNS })
+})
+
+test.each([
+  ['a restarted holder that votes on old keys', votesAfterRestart],
+  ['holders taken from the current roster', holdersOfCurrentRoster],
+])('the schedules detect %s', (_, parts) => {
+  expect(fc.check(neverTwice(parts), { seed: SEED, numRuns: RUNS, endOnFailure: true }).failed).toBe(true)
+})
+
+test('the schedules detect a holder that forgets a release before a late claim', () => {
+  const details = fc.check(usableAfterNotRun(forgetsReleases), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  expect(details.failed).toBe(true)
+})
