Add the health rule and the wiring of the entry role

Cause: the platform's balancer reads one page to decide which entries get callers. Ruled out: answering 503 whenever control is silent; all entries would leave the balancer together.

--- /dev/null
+++ b/packages/node/src/entry-role.ts
@@ -0,0 +1,174 @@
+/** Entry role of a node: keeps the HTTP entry and its router in line with the directory and the document in force. */
+import { serverId, type CodeName, type ServiceName } from '@bilberrystall/base'
+import type { Document, Service } from '@bilberrystall/document'
+import { Entry, type ClaimGate } from '@bilberrystall/entry'
+import type { Change, Server } from '@bilberrystall/membership'
+import { Router, type Effect } from '@bilberrystall/routing'
+import type { ConnectRouter } from '@connectrpc/connect'
+import type { Histogram } from 'hdr-histogram-js'
+import type { Counter } from 'prom-client'
+import type { Announcement } from './announcement'
+import type { Frame, NodeRole } from './frame'
+import { splitAddress } from './listener'
+import type { EntrySettings } from './settings'
+
+const MICROSECONDS_PER_MS = 1000
+const EJECTED_SHOWN = 100
+
+export interface EntryRoleOptions {
+  readonly frame: Frame
+  readonly settings: EntrySettings
+  readonly document: () => Document | undefined
+  readonly claims: ClaimGate
+}
+
+export class EntryRole implements NodeRole {
+  readonly entry: Entry
+  readonly router: Router
+  readonly #options: EntryRoleOptions
+  readonly #calls: Counter<'result'>
+  readonly #latency: Histogram
+  readonly #ejected = new Set<string>()
+  /** When each start of a server was first seen, so that a restarted one begins cold. */
+  readonly #firstSeen = new Map<string, { readonly start: number; readonly at: number }>()
+  #configured: Document | undefined
+
+  constructor(options: EntryRoleOptions) {
+    this.#options = options
+    const { frame, settings } = options
+    const { host, port } = splitAddress(settings.listen)
+    this.#calls = frame.metrics.counter('calls_total', 'Calls by result', ['result'])
+    this.#latency = frame.metrics.latency('call', 'Latency of calls at the entry')
+    this.router = new Router({ random: frame.random })
+    this.entry = new Entry({
+      host,
+      port,
+      node: frame.self,
+      nodeKey: frame.settings.nodeKey,
+      router: this.router,
+      document: options.document,
+      liveEntries: () => this.liveEntries(),
+      claims: options.claims,
+      events: {
+        ended: (result, latencyMs) => {
+          this.#ended(result, latencyMs)
+        },
+        changed: (effect) => {
+          this.#outlierChanged(effect)
+        },
+        silentRetired: (server, count) => {
+          frame.log.warn('silentRetired', { server, count })
+        },
+      },
+    })
+    frame.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.entry.callsInFlight)
+    frame.metrics.gauge('servers', 'Servers in view of the environment', () => this.#firstSeen.size)
+  }
+
+  routes(_router: ConnectRouter): void {
+    // The entry answers claims through the claim holder, which registers its own service.
+  }
+
+  /** Live entries that serve the same environment, this one included. */
+  liveEntries(): number {
+    const { frame, settings } = this.#options
+    let count = 0
+    for (const node of frame.directory.nodes.values()) {
+      if (node.roles.includes('entry') && node.environment === settings.environment) count += 1
+    }
+    return Math.max(1, count)
+  }
+
+  changed(changes: readonly Change[]): void {
+    for (const change of changes) {
+      switch (change.kind) {
+        case 'server-changed':
+          this.#serverChanged(change.key, change.server)
+          break
+        case 'server-left':
+          this.#serverLeft(change.key, change.server)
+          break
+        case 'node-changed':
+          this.#observePeer(change.node.node, change.node.ejected)
+          break
+        case 'node-lost':
+          break
+      }
+    }
+  }
+
+  /** Load that a server reported with its announcement to this entry. */
+  announced(key: string, announcement: Announcement): void {
+    const { load, server } = announcement
+    if (load === undefined) return
+    const inflight = Math.min(load, server.slots)
+    const report = { inflight, slots: server.slots, queue: Math.max(0, load - server.slots) }
+    this.router.observe({ server: serverId(key), age: 0, load: report }, this.#options.frame.now())
+  }
+
+  /** Applies the limits of a document that came into force. */
+  configure(document: Document): void {
+    if (document === this.#configured) return
+    this.#configured = document
+    for (const service of document.services.values()) this.#configureService(service.name, service)
+  }
+
+  #configureService(name: ServiceName, service: Service): void {
+    this.router.configure(name, { retries: { share: service.retryBudget } })
+  }
+
+  #serverChanged(key: string, server: Server): void {
+    const { frame, settings } = this.#options
+    if (server.environment !== settings.environment) return
+    if (server.state === 'stopped') {
+      this.#serverLeft(key, server)
+      return
+    }
+    const known = this.#firstSeen.get(key)
+    const at = known?.start === server.start ? known.at : frame.now()
+    this.#firstSeen.set(key, { start: server.start, at })
+    this.entry.updateServer({
+      id: serverId(key),
+      service: server.service,
+      domain: server.failureDomain,
+      slots: server.slots,
+      state: server.state,
+      firstSeen: at,
+      address: splitAddress(server.address),
+      connectionLimit: server.connectionLimit,
+    })
+    const code: CodeName = server.state === 'draining' ? 'serverLeft' : 'serverJoined'
+    frame.log.info(code, { server: key, state: server.state })
+  }
+
+  #serverLeft(key: string, server: Server): void {
+    if (!this.#firstSeen.delete(key)) return
+    this.entry.removeServer(serverId(key))
+    this.#options.frame.log.info('serverLeft', { server: key, state: server.state })
+  }
+
+  #observePeer(node: string, ejected: readonly string[]): void {
+    const { frame } = this.#options
+    if (node === frame.self) return
+    for (const key of ejected) {
+      if (this.#firstSeen.has(key)) this.router.observe({ server: serverId(key), age: 0, ejected: true }, frame.now())
+    }
+  }
+
+  #ended(result: string, latencyMs: number): void {
+    this.#calls.inc({ result })
+    this.#latency.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)))
+  }
+
+  #outlierChanged(effect: Extract<Effect, { kind: 'ejected' | 'restored' }>): void {
+    const { frame } = this.#options
+    if (effect.kind === 'ejected') {
+      this.#ejected.add(effect.server)
+      frame.log.warn('serverEjected', { server: effect.server, reason: effect.reason })
+    } else {
+      this.#ejected.delete(effect.server)
+      frame.log.info('serverRestored', { server: effect.server })
+    }
+    frame.announce({ ejected: [...this.#ejected].slice(0, EJECTED_SHOWN) })
+  }
+}
--- /dev/null
+++ b/packages/node/test/health.test.ts
@@ -0,0 +1,15 @@
+import { expect, test } from 'vitest'
+import { healthOf } from '../src/health'
+
+const serving = { leaving: false, documentInForce: true, confirmedAgeMs: 0, heardAgeMs: 0 }
+
+test('only an entry that is leaving, has no document or hears nobody is taken out of the balancer', () => {
+  expect([
+    healthOf(serving).state,
+    healthOf({ ...serving, heardAgeMs: Infinity }).state,
+    healthOf({ ...serving, confirmedAgeMs: 10_001 }).state,
+    healthOf({ ...serving, confirmedAgeMs: 10_001, heardAgeMs: 10_001 }).state,
+    healthOf({ ...serving, documentInForce: false }).state,
+    healthOf({ ...serving, leaving: true }).state,
+  ]).toEqual(['ready', 'ready', 'stale', 'isolated', 'not-ready', 'leaving'])
+})
