Test the replicated log with seeded schedules

Cause: guarantees of the log must hold under loss, duplicates, delays, reorder, crashes that lose unsynced data, lost disks, partitions, freezes and clocks whose rates differ by 5%.

The checker demands one leader per term, a majority of synced copies at each commit, unchanged committed entries, identical applied sequences, each command at the place where it was accepted, reads that are not stale, messages that state only synced facts, and progress within 10 s after heal.

--- /dev/null
+++ b/packages/consensus/test/support/schedule.ts
@@ -0,0 +1,204 @@
+/** Seeded schedules: random faults for a while, then a healed network in which the cluster must make progress. */
+import { failureDomain, randomBelow, type FailureDomain } from '@bilberrystall/base'
+import { planRepair, type RepairNode } from '../../src/index'
+import { majorityOf, votersOf } from '../../src/replica-sets'
+import { Violation } from './checker'
+import { Cluster, QUIET, type Host, type MakeStepper } from './cluster'
+
+export interface ScheduleOptions {
+  readonly seed: number
+  readonly voters?: 3 | 5
+  readonly spares?: number
+  readonly make?: MakeStepper
+  /** A fault of the host: an empty disk is started under the old replica id. */
+  readonly keepsIdentity?: boolean
+  /** Length of the part with faults in milliseconds. */
+  readonly faultMs?: number
+}
+
+export interface ScheduleResult {
+  readonly violation: string | undefined
+  readonly steps: number
+  readonly committed: number
+  readonly reads: number
+}
+
+/** Log limits small enough that every schedule takes, sends and installs snapshots. */
+const SMALL_LOG = { logEntries: 16, keptEntries: 4, chunkBytes: 16, batchEntries: 4, inFlight: 3 }
+/** Time in which a healed cluster must elect a leader and apply a new command everywhere, in milliseconds. */
+const RECOVERY_MS = 10_000
+const LOST_AFTER_MS = 700
+
+export function runSchedule(options: ScheduleOptions): ScheduleResult {
+  const voters = options.voters ?? 3
+  const make = options.make === undefined ? {} : { make: options.make }
+  const cluster = new Cluster({ seed: options.seed, voters, spares: options.spares ?? 1, limits: SMALL_LOG, ...make })
+  let violation: string | undefined
+  try {
+    new Schedule(cluster, options, voters).run()
+  } catch (cause) {
+    if (!(cause instanceof Violation)) throw cause
+    violation = cause.message
+  }
+  const { steps, checker } = cluster
+  return { violation, steps, committed: checker.committedCount, reads: checker.reads }
+}
+
+class Schedule {
+  readonly #cluster: Cluster
+  readonly #options: ScheduleOptions
+  readonly #target: 3 | 5
+
+  constructor(cluster: Cluster, options: ScheduleOptions, target: 3 | 5) {
+    this.#cluster = cluster
+    this.#options = options
+    this.#target = target
+  }
+
+  run(): void {
+    const cluster = this.#cluster
+    const faultMs = this.#options.faultMs ?? 4_000
+    cluster.runUntil(1_500)
+    cluster.network = {
+      loss: this.#pick([0, 0.02, 0.2]),
+      duplicates: this.#pick([0, 0.05]),
+      slow: this.#pick([0, 0.05, 0.3]),
+      slowMs: this.#pick([100, 1_500]),
+    }
+    const end = cluster.now + faultMs
+    while (cluster.now < end) {
+      this.#act()
+      cluster.runUntil(cluster.now + 10 + randomBelow(cluster.random, 80))
+    }
+    this.#heal()
+    this.#expectProgress()
+  }
+
+  #act(): void {
+    const cluster = this.#cluster
+    const host = this.#pick(cluster.hosts)
+    const dice = cluster.random()
+    if (dice < 0.4) cluster.propose(cluster.leader() ?? host)
+    else if (dice < 0.6) cluster.read(this.#reader(host), this.#pick(['quorum', 'lease']))
+    else if (dice < 0.75) this.#repair()
+    else if (dice < 0.8) this.#crash(host)
+    else if (dice < 0.85) this.#partition()
+    else if (dice < 0.89) cluster.blocked.clear()
+    else if (dice < 0.94)
+      cluster.freeze(this.#pick([host, cluster.leader() ?? host]), randomBelow(cluster.random, 2_000))
+    else if (dice < 0.97) cluster.step(cluster.leader() ?? host, { kind: 'transfer' })
+    else this.#loseDisk(host)
+  }
+
+  /** Replicas that believe they lead are read most, since a stale answer would come from them. */
+  #reader(host: Host): Host {
+    const leaders = this.#cluster.hosts.filter((candidate) => candidate.role === 'leader')
+    return leaders.length > 0 && this.#cluster.random() < 0.7 ? this.#pick(leaders) : host
+  }
+
+  #repair(): void {
+    const cluster = this.#cluster
+    const leader = cluster.leader()
+    const status = leader?.stepper?.status()
+    if (leader === undefined || status === undefined) return
+    const plan = planRepair({
+      status,
+      nodes: this.#liveNodes(),
+      now: cluster.clock(leader),
+      target: this.#target,
+      lostAfter: LOST_AFTER_MS,
+      liveWithin: 300,
+    })
+    if (plan.some) cluster.change(leader, plan.val)
+  }
+
+  #liveNodes(): readonly RepairNode[] {
+    const running = this.#cluster.hosts.filter((host) => host.stepper !== undefined)
+    return running.map((host) => ({ node: host.node, replica: host.replica, failureDomain: domainOf(host) }))
+  }
+
+  #crash(host: Host): void {
+    if (host.stepper === undefined) return
+    this.#cluster.crash(host)
+    this.#restartLater(host)
+  }
+
+  #restartLater(host: Host): void {
+    this.#cluster.at(randomBelow(this.#cluster.random, 1_500), () => {
+      if (host.stepper === undefined) this.#cluster.start(host)
+    })
+  }
+
+  #partition(): void {
+    const { hosts, random, blocked } = this.#cluster
+    const side = new Set(hosts.filter(() => random() < 0.5))
+    const leader = this.#cluster.leader()
+    if (leader !== undefined && random() < 0.5) {
+      side.clear()
+      side.add(leader)
+    }
+    const isOneWay = random() < 0.2
+    for (const from of hosts) {
+      for (const to of hosts) {
+        if (side.has(from) && !side.has(to)) blocked.add(`${from.node} ${to.node}`)
+        if (!isOneWay && side.has(to) && !side.has(from)) blocked.add(`${from.node} ${to.node}`)
+      }
+    }
+  }
+
+  /** Disks are lost only while every set in use keeps a majority of voters with their disks. */
+  #loseDisk(host: Host): void {
+    const cluster = this.#cluster
+    const lost = new Set([...cluster.lostReplicas, host.replica])
+    const isSafe = cluster.hosts.every((other) => {
+      const voters = votersOf(other.stepper?.status().replicas ?? [])
+      const intact = voters.filter((voter) => !lost.has(voter.replica))
+      return other.stepper !== undefined && intact.length >= majorityOf(voters.length)
+    })
+    if (!isSafe) return
+    cluster.loseDisk(host, this.#options.keepsIdentity !== true)
+    this.#restartLater(host)
+  }
+
+  #heal(): void {
+    const cluster = this.#cluster
+    cluster.network = { ...QUIET }
+    cluster.blocked.clear()
+    for (const host of cluster.hosts) {
+      if (host.stepper === undefined) cluster.start(host)
+      else if (host.frozenUntil > cluster.now) cluster.thaw(host)
+    }
+  }
+
+  #expectProgress(): void {
+    const cluster = this.#cluster
+    const deadline = cluster.now + RECOVERY_MS
+    const before = cluster.checker.maxCommit
+    let done = false
+    while (!done && cluster.now < deadline) {
+      const leader = cluster.leader()
+      if (leader !== undefined) {
+        cluster.propose(leader)
+        cluster.read(this.#pick(cluster.hosts), 'quorum')
+      }
+      done = cluster.runUntil(cluster.now + 100, () => this.#hasRecovered(before))
+    }
+    if (!done) throw new Violation('no progress after the network healed')
+  }
+
+  /** A leader committed something new and every running member applied it. */
+  #hasRecovered(before: number): boolean {
+    const leader = this.#cluster.leader()?.stepper?.status()
+    if (leader === undefined || leader.commit <= before) return false
+    const members = new Set(leader.replicas.map((info) => info.replica))
+    return this.#cluster.hosts.every((host) => !members.has(host.replica) || host.applied > before)
+  }
+
+  #pick<T>(choices: readonly T[]): T {
+    return choices[randomBelow(this.#cluster.random, choices.length)] as T
+  }
+}
+
+function domainOf(host: Host): FailureDomain {
+  return failureDomain(`domain-${host.node}`)
+}
