Show that planted faults are caught by the schedules

Cause: a clean run proves nothing until the checker was seen to fail.

Fault of the schedules found on the way: disks were never lost while a spare node was idle, because the rule that spares a majority of disks saw the empty set of the idle node as lost.

--- a/packages/consensus/test/support/checker.ts
+++ b/packages/consensus/test/support/checker.ts
@@ -48,6 +48,7 @@
   maxCommit = 0
   #commitTerm = 0
   reads = 0
+  checksMessages = true
 
   get committedCount(): number {
     return this.#committed.length
@@ -113,6 +114,7 @@
 
   /** A message must not state what the sender's disk could still forget. */
   sent(message: Message, disk: Disk): void {
+    if (!this.checksMessages) return
     const ballot = disk.ballot
     const isAhead = message.kind === 'pre-vote' || message.kind === 'pre-vote-response'
     if (!isAhead && message.term > 0 && (ballot?.term ?? 0) < message.term) {
--- a/packages/consensus/test/support/schedule.ts
+++ b/packages/consensus/test/support/schedule.ts
@@ -5,6 +5,22 @@
 import { Violation } from './checker'
 import { Cluster, QUIET, type Host, type MakeStepper } from './cluster'
 
+/** Shares of the actions of a schedule before it weighs them anew. */
+const WEIGHTS = {
+  propose: 40,
+  read: 20,
+  repair: 15,
+  crash: 4,
+  crashAll: 1,
+  partition: 5,
+  reconnect: 4,
+  freeze: 5,
+  transfer: 3,
+  loseDisk: 3,
+}
+
+export type Action = keyof typeof WEIGHTS
+
 export interface ScheduleOptions {
   readonly seed: number
   readonly voters?: 3 | 5
@@ -14,6 +30,12 @@
   readonly keepsIdentity?: boolean
   /** Length of the part with faults in milliseconds. */
   readonly faultMs?: number
+  /** Leaves out the check of each message against the disk of its sender, to show that the outcome is caught as well. */
+  readonly outcomeOnly?: boolean
+  /** Actions that are frequent in every schedule. */
+  readonly emphasis?: readonly Action[]
+  /** Longest sync of the fake disk in milliseconds. */
+  readonly syncMs?: number
 }
 
 export interface ScheduleResult {
@@ -24,15 +46,17 @@
 }
 
 /** Log limits small enough that every schedule takes, sends and installs snapshots. */
-const SMALL_LOG = { logEntries: 16, keptEntries: 4, chunkBytes: 16, batchEntries: 4, inFlight: 3 }
+const SMALL_LOG = { logEntries: 10, keptEntries: 4, chunkBytes: 16, batchEntries: 4, inFlight: 3 }
 /** Time in which a healed cluster must elect a leader and apply a new command everywhere, in milliseconds. */
 const RECOVERY_MS = 10_000
 const LOST_AFTER_MS = 700
 
 export function runSchedule(options: ScheduleOptions): ScheduleResult {
   const voters = options.voters ?? 3
+  const { seed, spares = 1, syncMs = 5 } = options
   const make = options.make === undefined ? {} : { make: options.make }
-  const cluster = new Cluster({ seed: options.seed, voters, spares: options.spares ?? 1, limits: SMALL_LOG, ...make })
+  const cluster = new Cluster({ seed, voters, spares, syncMs, limits: SMALL_LOG, ...make })
+  cluster.checker.checksMessages = options.outcomeOnly !== true
   let violation: string | undefined
   try {
     new Schedule(cluster, options, voters).run()
@@ -48,11 +72,13 @@
   readonly #cluster: Cluster
   readonly #options: ScheduleOptions
   readonly #target: 3 | 5
+  readonly #weights: ReadonlyMap<Action, number>
 
   constructor(cluster: Cluster, options: ScheduleOptions, target: 3 | 5) {
     this.#cluster = cluster
     this.#options = options
     this.#target = target
+    this.#weights = this.#weigh()
   }
 
   run(): void {
@@ -74,20 +100,63 @@
     this.#expectProgress()
   }
 
+  /** Each schedule weighs the actions anew, so that rare combinations become frequent in some schedules. */
+  #weigh(): ReadonlyMap<Action, number> {
+    const weights = new Map<Action, number>()
+    for (const [action, weight] of Object.entries(WEIGHTS) as [Action, number][]) {
+      const isEmphasized = this.#options.emphasis?.includes(action) === true
+      const factor = action === 'propose' ? 1 : this.#pick(isEmphasized ? [4, 8] : [0, 1, 4])
+      weights.set(action, weight * factor)
+    }
+    return weights
+  }
+
   #act(): void {
+    const weights = [...this.#weights]
+    let dice = this.#cluster.random() * weights.reduce((sum, [, weight]) => sum + weight, 0)
+    for (const [action, weight] of weights) {
+      dice -= weight
+      if (dice >= 0) continue
+      this.#do(action, this.#pick(this.#cluster.hosts))
+      return
+    }
+  }
+
+  #do(action: Action, host: Host): void {
     const cluster = this.#cluster
-    const host = this.#pick(cluster.hosts)
-    const dice = cluster.random()
-    if (dice < 0.4) cluster.propose(cluster.leader() ?? host)
-    else if (dice < 0.6) cluster.read(this.#reader(host), this.#pick(['quorum', 'lease']))
-    else if (dice < 0.75) this.#repair()
-    else if (dice < 0.8) this.#crash(host)
-    else if (dice < 0.85) this.#partition()
-    else if (dice < 0.89) cluster.blocked.clear()
-    else if (dice < 0.94)
-      cluster.freeze(this.#pick([host, cluster.leader() ?? host]), randomBelow(cluster.random, 2_000))
-    else if (dice < 0.97) cluster.step(cluster.leader() ?? host, { kind: 'transfer' })
-    else this.#loseDisk(host)
+    const leader = cluster.leader() ?? host
+    switch (action) {
+      case 'propose':
+        for (let burst = this.#pick([1, 1, 6]); burst > 0; burst -= 1) cluster.propose(leader)
+        break
+      case 'read':
+        cluster.read(this.#reader(host), this.#pick(['quorum', 'lease']))
+        break
+      case 'repair':
+        this.#repair()
+        break
+      case 'crash':
+        this.#crash(host)
+        break
+      case 'crashAll':
+        for (const each of cluster.hosts) this.#crash(each)
+        break
+      case 'partition':
+        this.#partition()
+        break
+      case 'reconnect':
+        cluster.blocked.clear()
+        break
+      case 'freeze':
+        cluster.freeze(this.#pick([host, leader]), randomBelow(cluster.random, 2_000))
+        break
+      case 'transfer':
+        cluster.step(leader, { kind: 'transfer' })
+        break
+      case 'loseDisk':
+        this.#loseDisk(host)
+        break
+    }
   }
 
   /** Replicas that believe they lead are read most, since a stale answer would come from them. */
@@ -130,14 +199,18 @@
   }
 
   #partition(): void {
-    const { hosts, random, blocked } = this.#cluster
+    const { hosts, random } = this.#cluster
     const side = new Set(hosts.filter(() => random() < 0.5))
     const leader = this.#cluster.leader()
     if (leader !== undefined && random() < 0.5) {
       side.clear()
       side.add(leader)
     }
-    const isOneWay = random() < 0.2
+    this.#isolate(side, random() < 0.2)
+  }
+
+  #isolate(side: ReadonlySet<Host>, isOneWay: boolean): void {
+    const { hosts, blocked } = this.#cluster
     for (const from of hosts) {
       for (const to of hosts) {
         if (side.has(from) && !side.has(to)) blocked.add(`${from.node} ${to.node}`)
@@ -153,11 +226,15 @@
     const isSafe = cluster.hosts.every((other) => {
       const voters = votersOf(other.stepper?.status().replicas ?? [])
       const intact = voters.filter((voter) => !lost.has(voter.replica))
-      return other.stepper !== undefined && intact.length >= majorityOf(voters.length)
+      return other.stepper !== undefined && (voters.length === 0 || intact.length >= majorityOf(voters.length))
     })
     if (!isSafe) return
     cluster.loseDisk(host, this.#options.keepsIdentity !== true)
     this.#restartLater(host)
+    if (cluster.random() < 0.5) return
+    // A second fault right after the first: the leader is cut off from the others, which may have been cut off before.
+    cluster.blocked.clear()
+    this.#isolate(new Set(cluster.hosts.filter((other) => other === cluster.leader())), false)
   }
 
   #heal(): void {
