--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -42,6 +42,7 @@
   serverShed: call(21, 'server-shed', 503, 'not-run', 'The server refused the request without running it.'),
   connectFailed: call(22, 'connect-failed', 503, 'not-run', 'No connection to a server could be opened.'),
   notReady: call(23, 'not-ready', 503, 'not-run', 'The entry has no confirmed document yet.'),
+  bodyIncomplete: call(24, 'body-incomplete', 400, 'not-run', 'The request body ended early or too slowly; not sent.'),
 
   connectionLost: call(30, 'connection-lost', 502, 'unknown', 'The connection broke after the request was sent.'),
   deadlineUnknown: call(31, 'deadline-unknown', 504, 'unknown', 'The deadline passed after the request was sent.'),
@@ -49,6 +50,7 @@
   connectionSilent: call(33, 'connection-silent', 504, 'unknown', 'The connection made no progress.'),
   callerCancelled: call(34, 'caller-cancelled', 499, 'unknown', 'The caller closed its connection.'),
   bodyCutShort: call(35, 'body-cut-short', 400, 'unknown', 'The request body ended early or arrived too slowly.'),
+  bodyOverflow: call(36, 'body-overflow', 413, 'unknown', 'The request body passed its limit after a part was sent.'),
 
   keyRequired: call(40, 'key-required', 428, 'not-run', 'The route requires an idempotency key.'),
   keyMalformed: call(41, 'key-malformed', 400, 'not-run', 'The idempotency key is not a UUIDv7.'),
--- /dev/null
+++ b/packages/entry/src/call.ts
@@ -0,0 +1,275 @@
+/**
+ * One call from its accepted head to its result: gathers the body, claims the key, waits for a server, runs exchanges
+ * and retries, and passes the response on. The result is told to the caller once, and truthfully: after any attempt
+ * whose end is unknown no later failure can turn the call into one that did not run.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { failure, resultCode, type CodeName, type ServerId } from '@bilberrystall/base'
+import type { Document, Route } from '@bilberrystall/document'
+import type { CallId } from '@bilberrystall/routing'
+import { Attempt, type AttemptEnd } from './attempt'
+import type { CallEnvironment } from './call-environment'
+import { KeyedCall } from './keyed-call'
+import {
+  CONTEXT_HEADER,
+  DEADLINE_HEADER,
+  QUEUE_LIMIT_HEADER,
+  requestFields,
+  type Head,
+  type ResponseHead,
+} from './head'
+import type { CallContext } from './context'
+import { Reply } from './reply'
+import { RequestBody } from './request-body'
+
+export interface CallOptions {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly head: Head
+  readonly document: Document
+  readonly route: Route
+  /** Context of this call, with its own step added. */
+  readonly context: CallContext
+}
+
+export class Call {
+  readonly id: CallId
+  readonly #options: CallOptions
+  readonly #environment: CallEnvironment
+  readonly #body: RequestBody
+  readonly #reply: Reply
+  readonly #keyed: KeyedCall
+  readonly #tried: ServerId[] = []
+  /** Monotonic ms. */
+  readonly #deadline: number
+  readonly #timer: NodeJS.Timeout
+  #attemptsLeft: number
+  #attempt: Attempt | undefined
+  #queued = false
+  #done = false
+  /** Code of the first attempt whose end is unknown. */
+  #unknown: CodeName | undefined
+
+  constructor(options: CallOptions, environment: CallEnvironment) {
+    this.#options = options
+    this.#environment = environment
+    this.id = environment.driver.newId()
+    const { request, response, head, route, context } = options
+    const { limits, clock } = environment
+    const remaining = context.deadline - clock.unix()
+    this.#deadline = clock.monotonic() + remaining
+    this.#attemptsLeft = Math.max(1, context.attempts)
+    this.#body = new RequestBody({
+      request,
+      length: head.bodyLength,
+      maxBytes: route.maxBodyBytes,
+      gatherBytes: limits.gatherBytes,
+      now: clock.monotonic,
+    })
+    this.#reply = new Reply(response, () => environment.draining() || !this.#body.received)
+    this.#keyed = new KeyedCall({ head, route, document: options.document, environment })
+    this.#timer = setTimeout(
+      () => {
+        this.#expire()
+      },
+      Math.max(0, remaining),
+    )
+    response.once('close', () => {
+      this.#callerGone()
+      environment.closed(this)
+    })
+  }
+
+  begin(): void {
+    this.#body.gather((gathered) => {
+      if (this.#done) return
+      if (gathered.kind === 'failed') this.#fail(gathered.code)
+      else this.#claim()
+    })
+  }
+
+  /** Called at short intervals: finds stalled request bodies and silent connections. */
+  sweep(now: number): void {
+    if (this.#done) return
+    const { limits } = this.#environment
+    const stalled = this.#body.waitingSince !== undefined && now - this.#body.waitingSince > limits.bodyStallMs
+    if (stalled) {
+      this.#fail(this.#attempt?.sent === true ? 'bodyCutShort' : 'bodyIncomplete')
+      return
+    }
+    this.#attempt?.sweep(now)
+  }
+
+  #claim(): void {
+    this.#keyed.claim(this.#body, this.#remaining(), {
+      run: () => {
+        if (this.#done) this.#keyed.settle('not-run')
+        else this.#submit()
+      },
+      refused: (code, fields, members) => {
+        this.#fail(code, fields, members)
+      },
+      replay: (ending) => {
+        if (this.#done) return
+        this.#finish('complete')
+        this.#reply.kept(ending.status, ending.contentType, ending.body ?? new Uint8Array())
+      },
+    })
+  }
+
+  #submit(): void {
+    const { route, context } = this.#options
+    this.#queued = true
+    this.#environment.driver.submit(
+      {
+        id: this.id,
+        service: route.service,
+        urgency: context.urgency,
+        deadline: this.#deadline,
+        repeatable: route.repeatable,
+        tried: [...this.#tried],
+      },
+      {
+        dispatched: (server, queueLimit) => {
+          this.#dispatched(server, queueLimit)
+        },
+        shed: (code) => {
+          this.#queued = false
+          this.#fail(code)
+        },
+      },
+    )
+  }
+
+  #dispatched(server: ServerId, queueLimit: number | undefined): void {
+    const { route, head, request } = this.#options
+    this.#queued = false
+    this.#attemptsLeft -= 1
+    this.#tried.push(server)
+    const silenceMs = Math.min(this.#environment.limits.silenceMs, route.deadlineMs / 4)
+    this.#attempt = new Attempt({
+      call: this.id,
+      server,
+      repeatable: route.repeatable,
+      silenceMs,
+      environment: this.#environment,
+      body: this.#body,
+      request: () => ({
+        method: head.method,
+        target: head.target,
+        fields: requestFields(request, this.#addedFields(queueLimit)),
+      }),
+      events: {
+        head: (responseHead) => this.#onHead(responseHead),
+        data: (part, drained) => {
+          this.#keyed.observe(part)
+          return this.#reply.data(part, drained)
+        },
+        ended: (responseHead) => {
+          this.#complete(responseHead)
+        },
+        failed: (end) => {
+          this.#onFailure(end)
+        },
+        silent: () => this.#canSwitch(),
+      },
+    })
+    this.#attempt.start()
+  }
+
+  #addedFields(queueLimit: number | undefined): string[] {
+    const { context } = this.#options
+    const signed = this.#environment.codec.sign({ ...context, attempts: this.#attemptsLeft })
+    const fields = [DEADLINE_HEADER, String(Math.max(1, Math.floor(this.#remaining()))), CONTEXT_HEADER, signed]
+    if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
+    const { bodyLength } = this.#options.head
+    // The library states the length of a gathered body itself.
+    if (this.#body.whole === undefined && bodyLength !== undefined) fields.push('content-length', String(bodyLength))
+    return fields
+  }
+
+  /** Returns whether the response is passed on; otherwise it is discarded and the attempt ends as shed. */
+  #onHead(head: ResponseHead): boolean {
+    if (head.notRun && head.status === 503) return false
+    this.#keyed.responded(head)
+    this.#reply.head(head)
+    return true
+  }
+
+  #complete(head: ResponseHead): void {
+    this.#finish('complete')
+    this.#keyed.settle(head.notRun ? 'not-run' : 'complete')
+    this.#reply.end()
+  }
+
+  #onFailure(end: AttemptEnd): void {
+    this.#attempt = undefined
+    const { code } = end
+    if (this.#done) return
+    const outcome = resultCode(code).outcome
+    if (outcome === 'unknown') this.#unknown ??= code
+    const repeatable = outcome === 'not-run' || this.#options.route.repeatable
+    if (end.retry && repeatable && (end.allowed || this.#mayRetry())) {
+      this.#submit()
+      return
+    }
+    this.#fail(code)
+  }
+
+  /** A repeatable call on a silent connection moves to another server while it still can. */
+  #canSwitch(): boolean {
+    return this.#options.route.repeatable && !this.#reply.begun && this.#mayRetry()
+  }
+
+  #mayRetry(): boolean {
+    if (this.#attemptsLeft <= 0 || this.#body.whole === undefined || this.#remaining() <= 0) return false
+    return this.#environment.driver.mayRetry(this.#options.route.service)
+  }
+
+  #expire(): void {
+    if (this.#done) return
+    const attempt = this.#attempt
+    const silent = attempt?.silent === true
+    this.#fail(attempt?.sent === true ? (silent ? 'connectionSilent' : 'deadlineUnknown') : 'deadlineNotRun')
+  }
+
+  #callerGone(): void {
+    if (this.#done) return
+    this.#fail('callerCancelled')
+  }
+
+  /** Ends the call with a failure; a response that has begun is aborted, which the caller sees as cut short. */
+  #fail(cause: CodeName, fields?: Readonly<Record<string, string>>, members?: object): void {
+    if (this.#done) return
+    if (this.#attempt?.sent === true)
+      this.#unknown ??= resultCode(cause).outcome === 'unknown' ? cause : 'connectionLost'
+    this.#attempt?.cancel(cause)
+    this.#attempt = undefined
+    if (this.#queued) this.#environment.driver.cancelled(this.id)
+    const code = this.#truthful(cause)
+    this.#finish(code)
+    this.#keyed.settle(this.#unknown === undefined ? 'not-run' : 'unknown')
+    if (code === 'callerCancelled' || this.#reply.begun) this.#reply.abort()
+    else this.#reply.problem(failure(code), { ...retryAfter(code), ...fields }, members)
+  }
+
+  #truthful(cause: CodeName): CodeName {
+    const claimsNotRun = resultCode(cause).outcome === 'not-run'
+    return claimsNotRun && this.#unknown !== undefined ? this.#unknown : cause
+  }
+
+  #finish(result: CodeName | 'complete'): void {
+    this.#done = true
+    clearTimeout(this.#timer)
+    this.#environment.ended(this, result)
+  }
+
+  #remaining(): number {
+    return this.#deadline - this.#environment.clock.monotonic()
+  }
+}
+
+/** A call that was refused for lack of capacity may be sent again after a second. */
+function retryAfter(code: CodeName): Readonly<Record<string, string>> {
+  return resultCode(code).status === 503 || code === 'keyInProgress' ? { 'retry-after': '1' } : {}
+}
--- /dev/null
+++ b/packages/entry/src/claim-gate.ts
@@ -0,0 +1,170 @@
+/** Claims keys for calls: drives a `Claimant` over a transport with timers of the process. */
+import { randomUUID } from 'node:crypto'
+import { attemptId, type Environment, type IdempotencyKey, type NodeId } from '@bilberrystall/base'
+import {
+  Claimant,
+  chooseHolders,
+  rosterAt,
+  type AddressedRequest,
+  type Decision,
+  type Ending,
+  type HolderReply,
+  type HolderRequest,
+  type RosterEpoch,
+} from '@bilberrystall/claims'
+import type { Clock } from './limits'
+
+/** An epoch of the roster takes effect 90 s after its proposal, so an older roster could lack one in force. */
+const ROSTER_VALID_MS = 50_000
+/** Holders answer within ms; a stop does not wait longer for those that do not. */
+const SETTLE_MS = 1_000
+
+export interface ClaimTransport {
+  /** Resolves to `unreachable` when no reply arrived. */
+  readonly deliver: (holder: NodeId, request: HolderRequest) => Promise<HolderReply>
+}
+
+/** The roster as of the last confirmed read from control. */
+export interface Roster {
+  readonly history: readonly RosterEpoch[]
+  /** Monotonic ms at which the read was sent. */
+  readonly confirmedAt: number
+}
+
+export interface ClaimGateOptions {
+  readonly environment: Environment
+  readonly transport: ClaimTransport
+  readonly roster: () => Roster
+  readonly clock: Clock
+}
+
+export interface ClaimAsk {
+  readonly key: IdempotencyKey
+  readonly keyTime: number
+  readonly fingerprint: string
+  readonly retentionMs: number
+  readonly runMs: number
+}
+
+/** A granted claim; exactly one of the two is called when the request has ended. */
+export interface Claim {
+  readonly complete: (ending: Ending) => void
+  readonly release: () => void
+}
+
+export class ClaimGate {
+  readonly #options: ClaimGateOptions
+  readonly #open = new Set<ClaimDriver>()
+  #settled: (() => void) | undefined
+
+  constructor(options: ClaimGateOptions) {
+    this.#options = options
+  }
+
+  /** Reports the decision once. After `run` the caller of this method owns the claim. */
+  ask(ask: ClaimAsk, decided: (decision: Decision, claim: Claim) => void): void {
+    const { roster, clock, environment, transport } = this.#options
+    const { history, confirmedAt } = roster()
+    const current = clock.monotonic() - confirmedAt <= ROSTER_VALID_MS
+    const entries = current ? (rosterAt(history, ask.keyTime)?.entries ?? []) : []
+    const use = {
+      key: ask.key,
+      attempt: attemptId(randomUUID()),
+      fingerprint: ask.fingerprint,
+      scope: environment,
+      retentionMs: ask.retentionMs,
+    }
+    const claimant = new Claimant({ use, holders: chooseHolders(ask.key, entries), runMs: ask.runMs })
+    const driver = new ClaimDriver({
+      claimant,
+      transport,
+      clock,
+      decided,
+      closed: () => {
+        this.#open.delete(driver)
+        if (this.#open.size === 0) this.#settled?.()
+      },
+    })
+    this.#open.add(driver)
+    driver.start()
+  }
+
+  /** Resolves when every end is recorded, or after a time that unreachable holders cannot extend. */
+  async settled(limitMs = SETTLE_MS): Promise<void> {
+    if (this.#open.size > 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, limitMs)
+        this.#settled = () => {
+          clearTimeout(timer)
+          resolve()
+        }
+      })
+    }
+    for (const driver of this.#open) driver.stop()
+  }
+}
+
+interface ClaimDriverOptions {
+  readonly claimant: Claimant
+  readonly transport: ClaimTransport
+  readonly clock: Clock
+  readonly decided: (decision: Decision, claim: Claim) => void
+  readonly closed: () => void
+}
+
+class ClaimDriver {
+  readonly #options: ClaimDriverOptions
+  #reported = false
+  #stopped = false
+  #timer: NodeJS.Timeout | undefined
+
+  constructor(options: ClaimDriverOptions) {
+    this.#options = options
+  }
+
+  stop(): void {
+    this.#stopped = true
+    clearTimeout(this.#timer)
+  }
+
+  start(): void {
+    this.#apply(this.#options.claimant.start(this.#now()))
+  }
+
+  #apply(requests: readonly AddressedRequest[]): void {
+    for (const { holder, request } of requests) void this.#deliver(holder, request)
+    this.#arm()
+    const { claimant, decided, closed } = this.#options
+    if (claimant.closed) closed()
+    const { decision } = claimant
+    if (decision === undefined || this.#reported) return
+    this.#reported = true
+    decided(decision, {
+      complete: (ending) => {
+        this.#apply(this.#options.claimant.complete(ending, this.#now()))
+      },
+      release: () => {
+        this.#apply(this.#options.claimant.release(this.#now()))
+      },
+    })
+  }
+
+  async #deliver(holder: NodeId, request: HolderRequest): Promise<void> {
+    const reply = await this.#options.transport.deliver(holder, request)
+    this.#apply(this.#options.claimant.receive(holder, request.kind, reply, this.#now()))
+  }
+
+  #arm(): void {
+    clearTimeout(this.#timer)
+    const { wakeAt } = this.#options.claimant
+    if (this.#stopped || !Number.isFinite(wakeAt)) return
+    const delay = Math.max(1, Math.ceil(wakeAt - this.#now()))
+    this.#timer = setTimeout(() => {
+      this.#apply(this.#options.claimant.tick(this.#now()))
+    }, delay)
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonic()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,316 @@
+/**
+ * The HTTP entry: accepts calls, matches them against the document in force and runs them. Calls use the request and
+ * response objects of Node.js directly; the entry's own endpoints under `/.bilberrystall/` are routed by hono.
+ */
+import { randomBytes } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { getRequestListener } from '@hono/node-server'
+import { errorMessage, failure, type CodeName, type Failure, type NodeId, type ServerId } from '@bilberrystall/base'
+import { createKey } from '@bilberrystall/claims'
+import { matchRoute, type Document, type Route } from '@bilberrystall/document'
+import type { Effect, Router, Server } from '@bilberrystall/routing'
+import { Hono } from 'hono'
+import { err, ok, type Result } from 'neverthrow'
+import { Call } from './call'
+import type { CallEnvironment } from './call-environment'
+import type { ClaimGate } from './claim-gate'
+import type { Address } from './connection'
+import { ContextCodec, extendSteps, type CallContext } from './context'
+import { readHead, type Head } from './head'
+import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
+import { answerParseError } from './parse-error'
+import { ServerPool } from './pool'
+import { Reply } from './reply'
+import { RouterDriver } from './router-driver'
+import { probe } from './probe'
+
+const OWN_PREFIX = '/.bilberrystall/'
+/** Longer than the usual 60 s of platform balancers, so that they close idle connections first. */
+const CALLER_IDLE_MS = 75_000
+
+/** A server as announced, with what the entry needs to reach it. */
+export interface EntryServer extends Server {
+  readonly address: Address
+  /** Most connections the server accepts from all entries together. */
+  readonly connectionLimit: number
+}
+
+export interface EntryEvents {
+  /** A call ended. */
+  readonly ended?: (result: CodeName | 'complete', latencyMs: number) => void
+  /** A server was ejected or restored. */
+  readonly changed?: (effect: Extract<Effect, { kind: 'ejected' | 'restored' }>) => void
+  /** Connections to a server were retired because they were silent. */
+  readonly silentRetired?: (server: ServerId, count: number) => void
+}
+
+export interface EntryOptions {
+  readonly host: string
+  readonly port: number
+  readonly node: NodeId
+  readonly nodeKey: string
+  readonly router: Router
+  /** The document in force; undefined until one is confirmed. */
+  readonly document: () => Document | undefined
+  /** Number of live entries, this one included. */
+  readonly liveEntries: () => number
+  readonly claims?: ClaimGate
+  readonly events?: EntryEvents
+  readonly limits?: Partial<Limits>
+  readonly clock?: Clock
+}
+
+export class Entry {
+  readonly #options: EntryOptions
+  readonly #limits: Limits
+  readonly #clock: Clock
+  readonly #http: HttpServer
+  readonly #driver: RouterDriver
+  readonly #codec: ContextCodec
+  readonly #environment: CallEnvironment
+  readonly #pools = new Map<ServerId, ServerPool>()
+  readonly #servers = new Map<ServerId, EntryServer>()
+  readonly #calls = new Map<Call, number>()
+  /** Connections of callers with a response in progress. */
+  readonly #busy = new WeakSet<Socket>()
+  readonly #own: (request: IncomingMessage, response: ServerResponse) => unknown
+  #sweep: NodeJS.Timeout | undefined
+  #draining = false
+  #idle: (() => void) | undefined
+
+  constructor(options: EntryOptions) {
+    this.#options = options
+    this.#limits = { ...DEFAULT_LIMITS, ...options.limits }
+    this.#clock = options.clock ?? SYSTEM_CLOCK
+    this.#codec = new ContextCodec(options.nodeKey)
+    this.#driver = new RouterDriver({
+      router: options.router,
+      now: this.#clock.monotonic,
+      probe: (server, limitMs) => {
+        this.#probe(server, limitMs)
+      },
+      changed: (effect) => options.events?.changed?.(effect),
+    })
+    this.#environment = this.#createEnvironment()
+    this.#own = getRequestListener(this.#ownApp().fetch)
+    this.#http = this.#createServer()
+  }
+
+  /** Port of the listener, for settings with port 0. */
+  get port(): number {
+    return (this.#http.address() as AddressInfo | null)?.port ?? 0
+  }
+
+  get callsInFlight(): number {
+    return this.#calls.size
+  }
+
+  /** Fails with `address-in-use`. */
+  start(): Promise<Result<void, Failure>> {
+    const { host, port } = this.#options
+    this.#sweep = setInterval(() => {
+      this.#sweepAll()
+    }, this.#limits.sweepMs)
+    return new Promise((resolve) => {
+      this.#http.once('error', (cause) => {
+        clearInterval(this.#sweep)
+        resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
+      })
+      this.#http.listen(port, host, () => {
+        resolve(ok(undefined))
+      })
+    })
+  }
+
+  /** Adds a server or replaces what is known about it. */
+  updateServer(server: EntryServer): void {
+    const known = this.#servers.get(server.id)
+    const moved = known?.address.host !== server.address.host || known.address.port !== server.address.port
+    if (moved) this.#closePool(server.id)
+    this.#servers.set(server.id, server)
+    this.#driver.apply(this.#options.router.updateServer(server, this.#clock.monotonic()))
+  }
+
+  /** The server receives no further call; exchanges in flight end on their own. */
+  removeServer(server: ServerId): void {
+    this.#driver.apply(this.#options.router.removeServer(server, this.#clock.monotonic()))
+    this.#closePool(server)
+    this.#servers.delete(server)
+  }
+
+  /** Responses from now on ask callers to close their connections. Call it when the health page reports leaving. */
+  leave(): void {
+    this.#draining = true
+  }
+
+  /** Accepts no new connection and resolves to true when no call is in flight, or to false after `limitMs`. */
+  async drain(limitMs: number): Promise<boolean> {
+    this.leave()
+    this.#http.close()
+    this.#http.closeIdleConnections()
+    if (this.#calls.size === 0) return true
+    let timer: NodeJS.Timeout | undefined
+    const idle = new Promise<boolean>((resolve) => {
+      this.#idle = () => {
+        resolve(true)
+      }
+    })
+    const late = new Promise<boolean>((resolve) => {
+      timer = setTimeout(() => {
+        resolve(false)
+      }, limitMs)
+    })
+    const finished = await Promise.race([idle, late])
+    clearTimeout(timer)
+    return finished
+  }
+
+  /** Ends everything at once; calls still in flight are cut. Call `drain` first. */
+  async stop(): Promise<void> {
+    this.leave()
+    clearInterval(this.#sweep)
+    this.#http.close()
+    this.#http.closeAllConnections()
+    for (const server of [...this.#pools.keys()]) this.#closePool(server)
+    await this.#options.claims?.settled()
+    this.#driver.stop()
+  }
+
+  #createServer(): HttpServer {
+    const server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        headersTimeout: this.#limits.headMs,
+        requestTimeout: 0,
+        keepAliveTimeout: CALLER_IDLE_MS,
+        connectionsCheckingInterval: Math.min(1_000, this.#limits.headMs),
+        // Checked by `readHead`, which answers with a problem.
+        requireHostHeader: false,
+        noDelay: true,
+      },
+      (request, response) => {
+        this.#accept(request, response)
+      },
+    )
+    server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
+      // A problem after the start of a response would be taken for a part of it.
+      if (this.#busy.has(socket)) socket.destroy()
+      else answerParseError(cause, socket)
+    })
+    return server
+  }
+
+  #createEnvironment(): CallEnvironment {
+    return {
+      clock: this.#clock,
+      limits: this.#limits,
+      codec: this.#codec,
+      driver: this.#driver,
+      claims: this.#options.claims,
+      pool: (server) => this.#pool(server),
+      draining: () => this.#draining,
+      ended: (call, result) => {
+        const startedAt = this.#calls.get(call) ?? this.#clock.monotonic()
+        this.#options.events?.ended?.(result, this.#clock.monotonic() - startedAt)
+      },
+      closed: (call) => {
+        this.#calls.delete(call)
+        if (this.#calls.size === 0) this.#idle?.()
+      },
+    }
+  }
+
+  #ownApp(): Hono {
+    const app = new Hono()
+    app.post(`${OWN_PREFIX}keys`, (context) =>
+      context.json({ key: createKey(this.#clock.unix(), randomBytes(10)) }, 201, { 'cache-control': 'no-store' }),
+    )
+    app.notFound((context) => context.json({ title: 'not found' }, 404))
+    return app
+  }
+
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request
+    this.#busy.add(socket)
+    response.once('close', () => this.#busy.delete(socket))
+    if (request.url?.startsWith(OWN_PREFIX) === true) {
+      this.#own(request, response)
+      return
+    }
+    const prepared = readHead(request).andThen((head) => this.#prepare(head))
+    if (prepared.isErr()) {
+      const received = request.headers['content-length'] === undefined && !('transfer-encoding' in request.headers)
+      new Reply(response, () => this.#draining || !received).problem(prepared.error)
+      this.#options.events?.ended?.(prepared.error.code, 0)
+      return
+    }
+    const call = new Call({ request, response, ...prepared.value }, this.#environment)
+    this.#calls.set(call, this.#clock.monotonic())
+    call.begin()
+  }
+
+  #prepare(head: Head): Result<{ head: Head; document: Document; route: Route; context: CallContext }, Failure> {
+    const document = this.#options.document()
+    if (document === undefined) return err(failure('notReady'))
+    const match = matchRoute(document, head.host, head.method, head.path)
+    if (match.kind === 'none') return err(failure('noRoute'))
+    if (match.kind === 'method-not-allowed') return err(failure('methodNotAllowed'))
+    const { route } = match
+    return this.#context(head, route).map((context) => ({ head, document, route, context }))
+  }
+
+  #context(head: Head, route: Route): Result<CallContext, Failure> {
+    const now = this.#clock.unix()
+    const outer = head.context === undefined ? undefined : this.#codec.verify(head.context, now)
+    const deadline = Math.min(now + route.deadlineMs, outer?.deadline ?? Infinity)
+    if (deadline <= now) return err(failure('deadlineNotRun'))
+    const step = { service: route.service, method: head.method, path: head.path }
+    const deferrable = route.urgency === 'deferrable' || outer?.urgency === 'deferrable'
+    return extendSteps(outer?.steps ?? [], step).map((steps) => ({
+      deadline,
+      attempts: Math.min(route.attempts, Math.max(1, outer?.attempts ?? Infinity)),
+      urgency: deferrable ? 'deferrable' : 'urgent',
+      steps,
+    }))
+  }
+
+  #pool(id: ServerId): ServerPool | undefined {
+    const known = this.#pools.get(id)
+    const server = this.#servers.get(id)
+    if (known !== undefined || server === undefined) return known
+    const pool = new ServerPool({
+      address: server.address,
+      limits: this.#limits,
+      clock: this.#clock,
+      share: () => this.#share(id),
+      onRetired: (count) => this.#options.events?.silentRetired?.(id, count),
+    })
+    this.#pools.set(id, pool)
+    return pool
+  }
+
+  #share(id: ServerId): number {
+    const limit = this.#servers.get(id)?.connectionLimit ?? 1
+    return Math.max(1, Math.floor(limit / Math.max(1, this.#options.liveEntries())))
+  }
+
+  #closePool(id: ServerId): void {
+    this.#pools.get(id)?.close()
+    this.#pools.delete(id)
+  }
+
+  #probe(id: ServerId, limitMs: number): void {
+    const pool = this.#pool(id)
+    if (pool === undefined) return
+    probe(pool, limitMs, this.#clock.monotonic, (outcome, latency, load) => {
+      this.#driver.probed(id, outcome, latency, load)
+    })
+  }
+
+  #sweepAll(): void {
+    const now = this.#clock.monotonic()
+    for (const call of this.#calls.keys()) call.sweep(now)
+    for (const pool of this.#pools.values()) pool.sweep()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/pool.ts
@@ -0,0 +1,186 @@
+/**
+ * Connections to one server. The number of connections stays within this entry's share of the server's limit; a request
+ * for a connection beyond it waits for one to be returned.
+ */
+import { failure, type Failure } from '@bilberrystall/base'
+import { err, ok, type Result } from 'neverthrow'
+import { Connection, type Address } from './connection'
+import type { Clock, Limits } from './limits'
+
+export interface PoolOptions {
+  readonly address: Address
+  readonly limits: Limits
+  readonly clock: Clock
+  /** This entry's share of the server's connection limit. */
+  readonly share: () => number
+  readonly onRetired: (count: number) => void
+}
+
+export type Acquired = (result: Result<Connection, Failure>) => void
+
+interface Waiter {
+  readonly recent: boolean
+  readonly acquired: Acquired
+}
+
+export class ServerPool {
+  readonly #options: PoolOptions
+  readonly #connections = new Set<Connection>()
+  readonly #idle: Connection[] = []
+  readonly #waiters: Waiter[] = []
+  #opening = 0
+  #closed = false
+  #test: Promise<boolean> | undefined
+  /** Time in ms of the first suspicion that is not decided yet. */
+  #suspectedAt: number | undefined
+  #silentSince = -Infinity
+
+  constructor(options: PoolOptions) {
+    this.#options = options
+  }
+
+  get size(): number {
+    return this.#connections.size + this.#opening
+  }
+
+  /** `recent`: only a connection that was in use within the reuse limit, or a new one. */
+  acquire(recent: boolean, acquired: Acquired): void {
+    const idle = this.#takeIdle(recent)
+    if (idle !== undefined) {
+      acquired(ok(idle))
+      return
+    }
+    if (this.size >= this.#options.share()) this.#idle.shift()?.destroy()
+    if (this.size < this.#options.share()) {
+      void this.#open(acquired)
+      return
+    }
+    this.#waiters.push({ recent, acquired })
+  }
+
+  /** Gives up a request that still waits. */
+  forget(acquired: Acquired): void {
+    const index = this.#waiters.findIndex((waiter) => waiter.acquired === acquired)
+    if (index >= 0) this.#waiters.splice(index, 1)
+  }
+
+  /** Returns a connection after a complete exchange. */
+  release(connection: Connection): void {
+    connection.usedAt = this.#now()
+    // One turn of the event loop lets an unexpected byte or a close arrive before the next request is assigned.
+    setImmediate(() => {
+      if (this.#closed || connection.retired || !connection.open) {
+        connection.destroy()
+        return
+      }
+      this.#idle.push(connection)
+      this.#serveWaiters()
+    })
+  }
+
+  /** Closes connections that were idle for too long. */
+  sweep(): void {
+    const limit = this.#now() - this.#options.limits.idleCloseMs
+    while (this.#idle[0] !== undefined && this.#idle[0].usedAt < limit) this.#idle.shift()?.destroy()
+  }
+
+  /**
+   * Suspects the connections that received nothing since `silentSince`: a new connection is opened, and idle suspects
+   * are closed when it opens. Resolves to whether it opened. An accepted connection does not prove that the server
+   * works, since the kernel accepts for a process that hangs; a response on it does, see `progressed`.
+   */
+  suspect(silentSince: number): Promise<boolean> {
+    this.#silentSince = Math.max(this.#silentSince, silentSince)
+    this.#suspectedAt ??= this.#now()
+    this.#test ??= this.#openTest(silentSince).finally(() => {
+      this.#test = undefined
+    })
+    return this.#test
+  }
+
+  /** A connection received something. On a new one this proves that the suspected ones are silent. */
+  progressed(connection: Connection): void {
+    if (this.#suspectedAt === undefined || connection.openedAt < this.#suspectedAt) return
+    const count = this.#retire((other) => !other.retired && other.receivedAt <= this.#silentSince)
+    this.#suspectedAt = undefined
+    if (count > 0) this.#options.onRetired(count)
+  }
+
+  /** Closes idle connections; exchanges in flight keep theirs until they end. */
+  close(): void {
+    this.#closed = true
+    for (const connection of this.#idle.splice(0)) connection.destroy()
+    for (const waiter of this.#waiters.splice(0)) waiter.acquired(err(failure('connectFailed', 'the server left')))
+  }
+
+  async #openTest(silentSince: number): Promise<boolean> {
+    // May pass the share by one for the time of the test.
+    const opened = await this.#connect()
+    if (opened.isErr()) return false
+    for (const connection of this.#idle.filter(({ receivedAt }) => receivedAt <= silentSince)) this.#drop(connection)
+    this.release(opened.value)
+    return true
+  }
+
+  #retire(concerns: (connection: Connection) => boolean): number {
+    const retired = [...this.#connections].filter(concerns)
+    for (const connection of retired) {
+      connection.retired = true
+      this.#drop(connection)
+    }
+    return retired.length
+  }
+
+  /** Closes the connection if it is idle. */
+  #drop(connection: Connection): void {
+    const index = this.#idle.indexOf(connection)
+    if (index >= 0) this.#idle.splice(index, 1)[0]?.destroy()
+  }
+
+  #takeIdle(recent: boolean): Connection | undefined {
+    const oldest = recent ? this.#now() - this.#options.limits.idleReuseMs : -Infinity
+    for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.#idle[index]
+      if (connection === undefined || connection.usedAt < oldest) return undefined
+      this.#idle.length = index
+      if (connection.open) return connection
+      connection.destroy()
+    }
+    return undefined
+  }
+
+  async #open(acquired: Acquired): Promise<void> {
+    acquired(await this.#connect())
+  }
+
+  async #connect(): Promise<Result<Connection, Failure>> {
+    const { address, limits, clock } = this.#options
+    this.#opening += 1
+    const result = await Connection.open(address, limits.connectMs, clock.monotonic)
+    this.#opening -= 1
+    if (result.isErr()) {
+      this.#serveWaiters()
+      return result
+    }
+    const connection = result.value
+    this.#connections.add(connection)
+    connection.onClose(() => {
+      this.#connections.delete(connection)
+      this.#drop(connection)
+      this.#serveWaiters()
+    })
+    return result
+  }
+
+  #serveWaiters(): void {
+    const canServe = () => this.#idle.length > 0 || this.size < this.#options.share()
+    while (this.#waiters.length > 0 && canServe()) {
+      const waiter = this.#waiters.shift()
+      if (waiter !== undefined) this.acquire(waiter.recent, waiter.acquired)
+    }
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonic()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/request-body.ts
@@ -0,0 +1,118 @@
+/**
+ * Body of a caller's request. The first part is gathered before anything is sent: a body that fits is known to be whole
+ * and can be sent again, and a slow sender occupies no server. A longer body is streamed behind the gathered part.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { CodeName } from '@bilberrystall/base'
+
+export interface RequestBodyOptions {
+  readonly request: IncomingMessage
+  /** Undefined for a chunked body. */
+  readonly length: number | undefined
+  readonly maxBytes: number
+  readonly gatherBytes: number
+  readonly now: () => number
+}
+
+export type Gathered = { readonly kind: 'ready' } | { readonly kind: 'failed'; readonly code: CodeName }
+
+export class RequestBody {
+  readonly #options: RequestBodyOptions
+  readonly #parts: Buffer[] = []
+  #bytes = 0
+  #ended = false
+  #streaming = false
+  /** Time in ms since which the entry waits for the caller; undefined while it does not. */
+  waitingSince: number | undefined
+  /** Time in ms at which the server last accepted a part of a streamed body. */
+  takenAt = -Infinity
+  /** Set when the stream was ended with a fault of the caller. */
+  fault: CodeName | undefined
+
+  constructor(options: RequestBodyOptions) {
+    this.#options = options
+    this.#ended = options.length === 0
+  }
+
+  /** The whole body, when it was gathered before sending. */
+  get whole(): Buffer | undefined {
+    if (!this.#ended || this.#streaming) return undefined
+    if (this.#parts.length !== 1) this.#parts.splice(0, Infinity, Buffer.concat(this.#parts))
+    return this.#parts[0]
+  }
+
+  /** Whether the caller sent everything. */
+  get received(): boolean {
+    return this.#ended || this.#options.request.complete
+  }
+
+  gather(done: (gathered: Gathered) => void): void {
+    const { request, length, maxBytes, gatherBytes, now } = this.#options
+    if (length !== undefined && length > maxBytes) {
+      done({ kind: 'failed', code: 'bodyTooLarge' })
+      return
+    }
+    if (this.#ended) {
+      done({ kind: 'ready' })
+      return
+    }
+    this.waitingSince = now()
+    const finish = (gathered: Gathered) => {
+      request.pause()
+      request.off('data', onData).off('end', onEnd).off('error', onError)
+      this.waitingSince = undefined
+      done(gathered)
+    }
+    const onData = (part: Buffer) => {
+      this.#parts.push(part)
+      this.#bytes += part.length
+      if (this.#bytes > maxBytes) finish({ kind: 'failed', code: 'bodyTooLarge' })
+      else if (this.#bytes > gatherBytes) finish({ kind: 'ready' })
+    }
+    const onEnd = () => {
+      this.#ended = true
+      finish({ kind: 'ready' })
+    }
+    const onError = () => {
+      finish({ kind: 'failed', code: 'bodyIncomplete' })
+    }
+    request.on('data', onData).on('end', onEnd).on('error', onError)
+  }
+
+  /** Streams the body once: the gathered part, then the rest as fast as the server takes it. */
+  async *stream(): AsyncGenerator<Buffer> {
+    this.#streaming = true
+    yield* this.#parts.splice(0)
+    if (this.#ended) return
+    const rest = this.#options.request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>
+    for (;;) {
+      const next = await this.#next(rest)
+      if (next === undefined) return
+      yield next
+    }
+  }
+
+  async #next(rest: AsyncIterator<Buffer>): Promise<Buffer | undefined> {
+    const now = this.#options.now()
+    this.takenAt = now
+    this.waitingSince = now
+    let result: IteratorResult<Buffer>
+    try {
+      result = await rest.next()
+    } catch (cause) {
+      this.fault ??= 'bodyCutShort'
+      throw cause
+    }
+    this.waitingSince = undefined
+    if (result.done === true) {
+      this.#ended = true
+      return undefined
+    }
+    this.#bytes += result.value.length
+    if (this.#bytes > this.#options.maxBytes) {
+      this.fault = 'bodyOverflow'
+      throw new Error('the request body passed its limit')
+    }
+    return result.value
+  }
+}
--- /dev/null
+++ b/packages/entry/src/router-driver.ts
@@ -0,0 +1,120 @@
+/** Carries out the effects of the router and wakes it when it is due. */
+import type { CodeName, ServerId, ServiceName } from '@bilberrystall/base'
+import {
+  callId,
+  type Call,
+  type CallId,
+  type Effect,
+  type ExchangeOutcome,
+  type Load,
+  type Router,
+} from '@bilberrystall/routing'
+
+/** A call that waits in the router or is at a server. */
+export interface RoutedCall {
+  readonly dispatched: (server: ServerId, queueLimit: number | undefined) => void
+  readonly shed: (code: CodeName) => void
+}
+
+export interface RouterDriverOptions {
+  readonly router: Router
+  readonly now: () => number
+  readonly probe: (server: ServerId, limitMs: number) => void
+  /** A server was ejected or restored. */
+  readonly changed: (effect: Extract<Effect, { kind: 'ejected' | 'restored' }>) => void
+}
+
+/** A timer fires at most this late, so shorter waits would only cost wake-ups. */
+const SHORTEST_WAIT_MS = 1
+
+export class RouterDriver {
+  readonly #options: RouterDriverOptions
+  readonly #calls = new Map<CallId, RoutedCall>()
+  #timer: NodeJS.Timeout | undefined
+  #wakeAt = Infinity
+  #lastId = 0
+
+  constructor(options: RouterDriverOptions) {
+    this.#options = options
+  }
+
+  newId(): CallId {
+    this.#lastId += 1
+    return callId(this.#lastId)
+  }
+
+  submit(call: Call, routed: RoutedCall): void {
+    this.#calls.set(call.id, routed)
+    this.apply(this.#options.router.submit(call, this.#now()))
+  }
+
+  started(call: CallId): void {
+    this.#options.router.started(call, this.#now())
+  }
+
+  finished(call: CallId, outcome: ExchangeOutcome, latency: number, load: Load | undefined): void {
+    this.#calls.delete(call)
+    this.apply(this.#options.router.finished(call, outcome, latency, load, this.#now()))
+  }
+
+  cancelled(call: CallId): void {
+    this.#calls.delete(call)
+    this.apply(this.#options.router.cancelled(call, this.#now()))
+  }
+
+  probed(server: ServerId, outcome: ExchangeOutcome, latency: number, load: Load | undefined): void {
+    this.apply(this.#options.router.probed(server, outcome, latency, load, this.#now()))
+  }
+
+  mayRetry(service: ServiceName): boolean {
+    return this.#options.router.mayRetry(service, this.#now())
+  }
+
+  apply(effects: readonly Effect[]): void {
+    for (const effect of effects) this.#carryOut(effect)
+    this.#arm()
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer)
+    this.#timer = undefined
+    this.#wakeAt = Infinity
+  }
+
+  #carryOut(effect: Effect): void {
+    switch (effect.kind) {
+      case 'dispatch':
+        this.#calls.get(effect.call)?.dispatched(effect.server, effect.queueLimit)
+        return
+      case 'shed': {
+        const call = this.#calls.get(effect.call)
+        this.#calls.delete(effect.call)
+        call?.shed(effect.code)
+        return
+      }
+      case 'probe':
+        this.#options.probe(effect.server, effect.limit)
+        return
+      case 'ejected':
+      case 'restored':
+        this.#options.changed(effect)
+    }
+  }
+
+  #arm(): void {
+    const wakeAt = this.#options.router.nextWake()
+    if (wakeAt === this.#wakeAt) return
+    clearTimeout(this.#timer)
+    this.#wakeAt = wakeAt
+    if (!Number.isFinite(wakeAt)) return
+    const delay = Math.max(SHORTEST_WAIT_MS, Math.ceil(wakeAt - this.#now()))
+    this.#timer = setTimeout(() => {
+      this.#wakeAt = Infinity
+      this.apply(this.#options.router.tick(this.#now()))
+    }, delay)
+  }
+
+  #now(): number {
+    return this.#options.now()
+  }
+}
--- /dev/null
+++ b/packages/entry/test/connection.test.ts
@@ -0,0 +1,125 @@
+import { RESULT_CODES, serverId } from '@bilberrystall/base'
+import { expect, test } from 'vitest'
+import { answer, call, standIn, startEntry, until } from './harness'
+
+test('20,000 calls over reused connections each receive the response to their own request', async () => {
+  const server = await standIn((received) => {
+    const number = Number(received.body.slice(0, 8))
+    if (number % 97 === 0) received.socket.resetAndDestroy()
+    else if (number % 89 === 0) received.socket.end('HTTP/1.1 200 OK\r\ncontent-length: 64\r\n\r\npart')
+    else if (number % 31 === 0) setTimeout(answer, 1, received, received.body)
+    else answer(received, received.body)
+  })
+  const { origin } = await startEntry([server])
+  let next = 0
+  let wrong = 0
+  let complete = 0
+  const worker = async () => {
+    while (next < 20_000) {
+      const body = String(next++).padStart(8, '0').repeat(4)
+      const result = await call(`${origin}/write`, { method: 'POST', body }).catch(() => undefined)
+      if (result?.status === 200) complete += 1
+      if (result?.status === 200 && result.text !== body) wrong += 1
+    }
+  }
+  await Promise.all(Array.from({ length: 32 }, worker))
+  expect(wrong).toBe(0)
+  const cut = Array.from({ length: 20_000 }, (_, index) => index % 97 === 0 || index % 89 === 0).filter(Boolean).length
+  expect(complete).toBe(20_000 - cut)
+  expect(new Set(server.received.map(({ body }) => body)).size).toBe(server.received.length)
+  expect(server.sockets.length).toBeLessThan(20_000 / 10)
+})
+
+test('every call told not run is missing from the record of the servers', async () => {
+  const ran = new Set<string>()
+  const script: Parameters<typeof standIn>[0] = (received) => {
+    const number = Number(received.body)
+    if (number % 4 === 0) {
+      answer(received, 'busy', ['bilberrystall-not-run: 1'], '503 Service Unavailable')
+      return
+    }
+    ran.add(received.body)
+    if (number % 5 === 0) received.socket.resetAndDestroy()
+    else answer(received, 'done')
+  }
+  const servers = [await standIn(script), await standIn(script)]
+  const { origin, entry } = await startEntry([...servers, { port: 1, received: [], sockets: [] }])
+  const told: (string | undefined)[] = []
+  for (let number = 0; number < 300; number += 1) {
+    const pending = call(`${origin}/write`, { method: 'POST', body: String(number) })
+    if (number === 100) servers[0]?.sockets.forEach((socket) => socket.destroy())
+    if (number === 150) entry.removeServer(serverId('server-0'))
+    if (number === 250) entry.removeServer(serverId('server-1'))
+    told.push((await pending).outcome)
+  }
+  const notRun = told.flatMap((outcome, number) => (outcome === 'not-run' ? [String(number)] : []))
+  expect(notRun.length).toBeGreaterThanOrEqual(50)
+  expect(notRun.filter((body) => ran.has(body))).toEqual([])
+})
+
+test('a silent connection is found and retired while a new one works', async () => {
+  let silent = false
+  const server = await standIn((received) => {
+    if (silent && received.socket === server.sockets[0]) return
+    answer(received, 'done')
+  })
+  const retired: number[] = []
+  const { origin } = await startEntry([server], {
+    limits: { silenceMs: 50, sweepMs: 10 },
+    events: { silentRetired: (_, count) => retired.push(count) },
+  })
+  await call(`${origin}/brief`)
+  silent = true
+  const stuck = call(`${origin}/brief`)
+  await until(() => server.sockets.length === 2)
+  expect(await call(`${origin}/brief`)).toMatchObject({ status: 200 })
+  expect(retired).toEqual([1])
+  expect(await stuck).toMatchObject({ code: RESULT_CODES.connectionSilent.number, outcome: 'unknown' })
+  await until(() => server.sockets[0]?.destroyed === true)
+})
+
+test('a repeatable call leaves a silent connection for another server', async () => {
+  const silent = await standIn(() => undefined)
+  const working = await standIn((received) => {
+    answer(received, 'done')
+  })
+  const { origin } = await startEntry([silent, working], { limits: { silenceMs: 50, sweepMs: 10 } })
+  expect(await call(`${origin}/read`)).toMatchObject({ status: 200, text: 'done' })
+  await until(() => silent.sockets.some((socket) => socket.destroyed))
+})
+
+test('an idle connection is not used for a call that must not repeat', async () => {
+  const server = await standIn((received) => {
+    answer(received, 'done')
+  })
+  const { origin } = await startEntry([server], { limits: { idleReuseMs: 0 } })
+  await call(`${origin}/read`)
+  await call(`${origin}/read`)
+  expect(server.sockets).toHaveLength(1)
+  await call(`${origin}/write`, { method: 'POST', body: 'a' })
+  expect(server.sockets).toHaveLength(2)
+})
+
+test('the connections of an entry stay within its share of the limit of the server', async () => {
+  const server = await standIn((received) => setTimeout(answer, 5, received, 'done'))
+  const { origin } = await startEntry([server], { liveEntries: () => 16 })
+  await Promise.all(Array.from({ length: 40 }, () => call(`${origin}/read`)))
+  expect(server.sockets.length).toBeLessThanOrEqual(4)
+})
+
+test('a drain lets calls in flight finish and refuses new connections', async () => {
+  const pending: (() => void)[] = []
+  const server = await standIn((received) => {
+    pending.push(() => {
+      answer(received, 'done')
+    })
+  })
+  const { origin, entry } = await startEntry([server])
+  const results = Promise.all(Array.from({ length: 8 }, () => call(`${origin}/write`, { method: 'POST', body: 'a' })))
+  await until(() => pending.length === 8)
+  const drained = entry.drain(30_000)
+  await expect(call(`${origin}/read`)).rejects.toThrow()
+  for (const finish of pending) finish()
+  expect((await results).map(({ status, text }) => `${status} ${text}`)).toEqual(Array(8).fill('200 done'))
+  expect(await drained).toBe(true)
+})
--- /dev/null
+++ b/packages/entry/test/harness.ts
@@ -0,0 +1,189 @@
+/** An entry with stand-in servers that follow a script on raw sockets, all in one process. */
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { failureDomain, nodeId, seededRandom, serverId, serviceName, type CodeName } from '@bilberrystall/base'
+import { parseDocument } from '@bilberrystall/document'
+import { Router } from '@bilberrystall/routing'
+import { request, type Dispatcher } from 'undici'
+import { onTestFinished } from 'vitest'
+import { Entry, type EntryOptions } from '../src/index'
+
+export interface Received {
+  readonly head: string
+  readonly body: string
+  readonly socket: Socket
+  /** Number of the request on its connection, from 0. */
+  readonly turn: number
+}
+
+/** Answers one complete request. */
+export type Script = (received: Received) => void
+
+export interface StandIn {
+  readonly port: number
+  /** Every complete request, as the server's own record of what ran. */
+  readonly received: Received[]
+  /** Sockets accepted so far. */
+  readonly sockets: Socket[]
+}
+
+export function answer(received: Received, body: string, head: readonly string[] = [], status = '200 OK'): void {
+  const lines = [`HTTP/1.1 ${status}`, `content-length: ${Buffer.byteLength(body)}`, ...head]
+  received.socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`)
+}
+
+/** Parses requests with a known or chunked length; enough for what undici sends. */
+export async function standIn(script: Script): Promise<StandIn> {
+  const received: Received[] = []
+  const sockets: Socket[] = []
+  const server = createServer((socket) => {
+    sockets.push(socket)
+    let text = ''
+    let turn = 0
+    socket.on('error', () => undefined)
+    socket.on('data', (part) => {
+      text += part.toString('latin1')
+      for (;;) {
+        const end = endOfRequest(text)
+        if (end === undefined) return
+        const split = text.indexOf('\r\n\r\n')
+        const item = { head: text.slice(0, split), body: text.slice(split + 4, end), socket, turn }
+        text = text.slice(end)
+        turn += 1
+        received.push(item)
+        script(item)
+      }
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  onTestFinished(() => {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  })
+  return { port: (server.address() as AddressInfo).port, received, sockets }
+}
+
+function endOfRequest(text: string): number | undefined {
+  const split = text.indexOf('\r\n\r\n')
+  if (split < 0) return undefined
+  const head = text.slice(0, split)
+  if (/transfer-encoding: chunked/i.test(head)) {
+    const end = text.indexOf('0\r\n\r\n', split)
+    return end < 0 ? undefined : end + 5
+  }
+  const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0)
+  return text.length >= split + 4 + length ? split + 4 + length : undefined
+}
+
+export const DOCUMENT = `
+[document]
+title = test
+[service.booking]
+[route.read]
+service = booking
+path = /read
+repeatable = yes
+deadline = 5s
+[route.write]
+service = booking
+path = /write
+methods = POST, PUT
+deadline = 5s
+max-body = 256KiB
+key = optional
+[route.brief]
+service = booking
+path = /brief
+methods = GET, POST
+deadline = 200ms
+`
+
+export interface Setup {
+  readonly entry: Entry
+  readonly origin: string
+  /** Results of calls in the order of their ends. */
+  readonly results: (CodeName | 'complete')[]
+}
+
+export async function startEntry(servers: readonly StandIn[], options: Partial<EntryOptions> = {}): Promise<Setup> {
+  const document = parseDocument(DOCUMENT)._unsafeUnwrap()
+  const results: (CodeName | 'complete')[] = []
+  const entry = new Entry({
+    host: '127.0.0.1',
+    port: 0,
+    node: nodeId('entry-1'),
+    nodeKey: 'node key',
+    router: new Router({ random: seededRandom(1) }),
+    document: () => document,
+    liveEntries: () => 1,
+    ...options,
+    events: {
+      ...options.events,
+      ended: (result) => {
+        results.push(result)
+      },
+    },
+  })
+  servers.forEach((server, index) => {
+    addServer(entry, server, index)
+  })
+  ;(await entry.start())._unsafeUnwrap()
+  onTestFinished(() => entry.stop())
+  return { entry, origin: `http://127.0.0.1:${entry.port}`, results }
+}
+
+export function addServer(entry: Entry, server: StandIn, index: number): void {
+  entry.updateServer({
+    id: serverId(`server-${index}`),
+    service: serviceName('booking'),
+    domain: failureDomain('domain-1'),
+    slots: 64,
+    state: 'ready',
+    firstSeen: 0,
+    address: { host: '127.0.0.1', port: server.port },
+    connectionLimit: 64,
+  })
+}
+
+export interface Answer {
+  readonly status: number
+  readonly text: string
+  readonly headers: Dispatcher.ResponseData['headers']
+  readonly code: number | undefined
+  readonly outcome: string | undefined
+}
+
+type RequestOptions = NonNullable<Parameters<typeof request>[1]>
+
+export async function call(url: string, options: Partial<RequestOptions> = {}): Promise<Answer> {
+  const response = await request(url, options as RequestOptions)
+  const text = await response.body.text()
+  const isProblem = response.headers['content-type'] === 'application/problem+json'
+  const members = isProblem ? (JSON.parse(text) as { code: number; outcome?: string }) : undefined
+  return {
+    status: response.statusCode,
+    text,
+    headers: response.headers,
+    code: members?.code,
+    outcome: members?.outcome,
+  }
+}
+
+/** Resolves when the condition holds; the test's own time limit ends the wait. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5))
+}
+
+/** Sends bytes as they are and resolves to everything received until the entry closes the connection. */
+export function raw(origin: string, text: string, end = false): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(Number(new URL(origin).port), '127.0.0.1')
+    let received = ''
+    socket.on('data', (part) => (received += part.toString('latin1')))
+    socket.on('error', () => undefined)
+    socket.once('close', () => {
+      resolve(received)
+    })
+    socket.write(text)
+    if (end) socket.end()
+  })
+}
--- /dev/null
+++ b/packages/entry/test/outcome.test.ts
@@ -0,0 +1,133 @@
+import { expect, test } from 'vitest'
+import { RESULT_CODES } from '@bilberrystall/base'
+import { answer, call, standIn, startEntry, until } from './harness'
+
+const { connectionLost, connectFailed, deadlineUnknown, serverShed } = RESULT_CODES
+
+test('a complete response is passed on without fields of the connection or the system', async () => {
+  const server = await standIn((received) => {
+    answer(received, 'hello', ['x-site: 7', 'keep-alive: timeout=9', 'bilberrystall-load: inflight=1;slots=3;queue=0'])
+  })
+  const { origin } = await startEntry([server])
+  const result = await call(`${origin}/read/1?q=2`, { headers: { 'bilberrystall-not-run': '1', 'x-a': 'b' } })
+  expect(result).toMatchObject({ status: 200, text: 'hello', headers: { 'x-site': '7' } })
+  expect(result.headers).not.toHaveProperty('bilberrystall-load')
+  expect(result.headers['keep-alive']).not.toBe('timeout=9')
+  const head = server.received[0]?.head ?? ''
+  expect(head).toMatch(/^GET \/read\/1\?q=2 HTTP\/1.1/)
+  expect(head).toMatch(/bilberrystall-deadline-ms: \d+/)
+  expect(head).toMatch(/bilberrystall-context: \S+/)
+  expect(head).toContain('x-a: b')
+  expect(head).not.toMatch(/not-run/)
+})
+
+test('a reset before the first byte of the response is unknown and the request is sent once', async () => {
+  const server = await standIn(({ socket }) => socket.resetAndDestroy())
+  const { origin } = await startEntry([server])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'order' })
+  expect(result).toMatchObject({ status: 502, code: connectionLost.number, outcome: 'unknown' })
+  expect(server.received).toHaveLength(1)
+})
+
+test('a reset of a reused connection never makes the library send the request again', async () => {
+  const server = await standIn((received) => {
+    if (received.turn === 0) answer(received, 'first')
+    else received.socket.resetAndDestroy()
+  })
+  const { origin } = await startEntry([server])
+  for (let round = 0; round < 50; round += 1) {
+    await call(`${origin}/write`, { method: 'POST', body: `first ${round}` })
+    await call(`${origin}/write`, { method: 'POST', body: `second ${round}` })
+  }
+  const bodies = server.received.map(({ body }) => body)
+  expect(new Set(bodies).size).toBe(bodies.length)
+  expect(bodies).toHaveLength(100)
+})
+
+test.each([
+  ['with a stated length', 'content-length: 1000'],
+  ['in chunks', 'transfer-encoding: chunked'],
+])('a response %s that ends early aborts the transfer to the caller', async (_, field) => {
+  const server = await standIn(({ socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${field}\r\n\r\n5\r\nhello\r\n`)
+    setTimeout(() => socket.end(), 20)
+  })
+  const { origin, results } = await startEntry([server])
+  await expect(call(`${origin}/read`)).rejects.toThrow()
+  expect(results).toEqual(['responseTruncated'])
+})
+
+test('a reset response without a marked end is not taken for complete', async () => {
+  const server = await standIn(({ socket }) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhello')
+    setTimeout(() => socket.resetAndDestroy(), 20)
+  })
+  const { origin } = await startEntry([server])
+  await expect(call(`${origin}/read`)).rejects.toThrow()
+})
+
+test('a refused connection is not run, and the call is tried at the next server', async () => {
+  const gone = await standIn(() => undefined)
+  const server = await standIn((received) => {
+    answer(received, 'done')
+  })
+  const { origin } = await startEntry([{ ...gone, port: 1 }, server])
+  expect(await call(`${origin}/write`, { method: 'POST', body: 'order' })).toMatchObject({ status: 200, text: 'done' })
+})
+
+test('a call that finds only refused connections is not run', async () => {
+  const gone = await standIn(() => undefined)
+  const { origin } = await startEntry([{ ...gone, port: 1 }])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'order' })
+  expect(result).toMatchObject({ status: 503, outcome: 'not-run' })
+  expect([connectFailed.number, RESULT_CODES.noServer.number]).toContain(result.code)
+})
+
+test('a shed call moves to another server, and a 5xx of the server is passed on without a retry', async () => {
+  const shedding = await standIn((received) => {
+    answer(received, 'busy', ['bilberrystall-not-run: 1'], '503 Service Unavailable')
+  })
+  const failing = await standIn((received) => {
+    answer(received, 'own fault', [], '500 Internal Server Error')
+  })
+  const { origin } = await startEntry([shedding, failing])
+  expect(await call(`${origin}/write`, { method: 'POST', body: 'a' })).toMatchObject({ status: 500, text: 'own fault' })
+  expect([shedding.received.length, failing.received.length]).toEqual([1, 1])
+})
+
+test('a call shed by every server is told not run', async () => {
+  const shedding = await standIn((received) => {
+    answer(received, 'busy', ['bilberrystall-not-run: 1'], '503 Service Unavailable')
+  })
+  const { origin } = await startEntry([shedding])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'a' })
+  expect(result).toMatchObject({ status: 503, outcome: 'not-run' })
+  expect([serverShed.number, RESULT_CODES.noServer.number]).toContain(result.code)
+})
+
+test('a repeatable call is retried after an unknown end, and stays unknown when no retry succeeds', async () => {
+  const resetting = await standIn(({ socket }) => socket.resetAndDestroy())
+  const { origin } = await startEntry([resetting])
+  expect(await call(`${origin}/read`)).toMatchObject({ code: connectionLost.number, outcome: 'unknown' })
+})
+
+test('a late response is discarded: the call ends at its deadline and the connection is closed', async () => {
+  let closed = 0
+  const server = await standIn((received) => {
+    received.socket.once('close', () => (closed += 1))
+  })
+  const { origin } = await startEntry([server])
+  expect(await call(`${origin}/brief`)).toMatchObject({ status: 504, code: deadlineUnknown.number, outcome: 'unknown' })
+  await until(() => closed === 1)
+})
+
+test('a response that arrives in the same read as an unrequested one does not leak it into the next call', async () => {
+  const server = await standIn((received) => {
+    answer(received, received.body)
+    answer(received, 'stray')
+  })
+  const { origin } = await startEntry([server])
+  for (const body of ['a', 'b', 'c']) {
+    expect(await call(`${origin}/write`, { method: 'POST', body })).toMatchObject({ text: body })
+  }
+})
