Add the cluster harness with a fault proxy in front of each node

A node may be reached under another address than its listener (setting rpc-listen), which mapped networks need and which lets a proxy stand in front of it. The proxy names the process behind a connection through /proc, so that one node is isolated in both directions while the others stay connected.

--- a/packages/cli/src/example.ts
+++ b/packages/cli/src/example.ts
@@ -9,6 +9,8 @@
   readonly environment?: string
   readonly callers?: string
   readonly address?: string
+  /** Listener for the other nodes when they reach it under another address. */
+  readonly rpcListen?: string
   readonly status?: string
   readonly operators?: string
   readonly seeds?: readonly string[]
@@ -33,7 +35,7 @@
 roles = ${roles}
 ; for the other nodes
 address = ${options.address ?? '127.0.0.1:8001'}
-; announcements of servers, health page and metrics
+${options.rpcListen === undefined ? '' : `rpc-listen = ${options.rpcListen}\n`}; announcements of servers, health page and metrics
 status-listen = ${options.status ?? '127.0.0.1:8002'}
 failure-domain = ${failureDomain}
 ; addresses of nodes to join
--- a/packages/testkit/src/announcer.ts
+++ b/packages/testkit/src/announcer.ts
@@ -1,10 +1,11 @@
 /**
  * Announces one server to the entries: one entry that answers is enough, the next one is tried after a failure. The
- * lease of 2.5 s is renewed every 0.8 s (design section 5).
+ * response names the renewal interval (design section 5).
  */
 import { Agent, request } from 'undici'
 
-const RENEWAL_MS = 800
+/** Until an entry names its interval. */
+const FIRST_RENEWAL_MS = 500
 const ANSWER_LIMIT_MS = 500
 
 export type ServerState = 'starting' | 'ready' | 'draining' | 'stopped'
@@ -42,6 +43,8 @@
   #sequence = 0
   #preferred = 0
   #timer: NodeJS.Timeout | undefined
+  #renewalMs = FIRST_RENEWAL_MS
+  #renewing = false
   state: ServerState = 'ready'
 
   constructor(options: AnnouncerOptions) {
@@ -55,8 +58,8 @@
   }
 
   start(): void {
-    this.#timer = setInterval(() => void this.announce(), RENEWAL_MS)
-    void this.announce()
+    this.#renewing = true
+    void this.#renew()
   }
 
   /** Sends the present state; returns the entry that accepted it or undefined when none did. */
@@ -75,13 +78,23 @@
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.#timer)
+    this.fallSilent()
     await this.#agent.destroy()
   }
 
   /** Stops renewing without a word, like a server whose network is gone. */
   fallSilent(): void {
-    clearInterval(this.#timer)
+    this.#renewing = false
+    clearTimeout(this.#timer)
+  }
+
+  async #renew(): Promise<void> {
+    const begun = performance.now()
+    await this.announce()
+    clearTimeout(this.#timer)
+    if (!this.#renewing) return
+    const wait = Math.max(0, begun + this.#renewalMs - performance.now())
+    this.#timer = setTimeout(() => void this.#renew(), wait)
   }
 
   #announcement(): Announcement {
@@ -104,8 +117,10 @@
         body: JSON.stringify(announcement),
         signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
       })
-      await response.body.dump()
-      return response.statusCode < 300
+      const body = (await response.body.json()) as { renewMs?: number }
+      if (response.statusCode >= 300) return false
+      this.#renewalMs = body.renewMs ?? this.#renewalMs
+      return true
     } catch {
       return false
     }
--- /dev/null
+++ b/packages/testkit/src/cluster.ts
@@ -0,0 +1,242 @@
+/**
+ * A cluster of real processes for session tests: nodes with settings, keys and data folders below the harness folder,
+ * a fault proxy in front of each node, stand-in servers, and the operator's command line.
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli'
+import { request } from 'undici'
+import type { RecordView } from './execution-record'
+import type { Session } from './golden'
+import { Network } from './network'
+import { eventually, freePort, type Harness, type RunningProcess } from './processes'
+import { bilberrystallCommand, standInCommand } from './programs'
+import type { StandInChange, StandInOptions } from './stand-in'
+
+export interface NodeOptions {
+  readonly name: string
+  readonly roles: 'entry' | 'control' | 'entry, control'
+  readonly environment?: string
+  readonly failureDomain?: string
+  /** Starts a new cluster when its data folder is empty. */
+  readonly bootstrap?: boolean
+  readonly balancerGrace?: string
+}
+
+export interface CommandResult {
+  readonly status: number | NodeJS.Signals
+  readonly stdout: string
+  readonly stderr: string
+}
+
+/** Addresses of one node. `address` is the proxy's, which the other nodes use. */
+export interface Addresses {
+  readonly callers: string
+  readonly operators: string
+  readonly status: string
+  readonly address: string
+  readonly rpcListen: string
+}
+
+export class ClusterNode {
+  readonly options: NodeOptions
+  readonly addresses: Addresses
+  readonly #start: (node: ClusterNode) => Promise<RunningProcess>
+  process: RunningProcess | undefined
+
+  constructor(options: NodeOptions, addresses: Addresses, start: (node: ClusterNode) => Promise<RunningProcess>) {
+    this.options = options
+    this.addresses = addresses
+    this.#start = start
+  }
+
+  get name(): string {
+    return this.options.name
+  }
+
+  get running(): RunningProcess {
+    if (this.process === undefined) throw new Error(`${this.name} was not started`)
+    return this.process
+  }
+
+  /** Starts or restarts the process with the same settings and data folder. */
+  async start(): Promise<RunningProcess> {
+    this.process = await this.#start(this)
+    return this.process
+  }
+
+  async kill(): Promise<void> {
+    this.running.signal('SIGKILL')
+    await this.running.exit()
+  }
+
+  async health(): Promise<{ status: number; state: string }> {
+    try {
+      const response = await request(`http://${this.addresses.status}/health`, { signal: AbortSignal.timeout(1000) })
+      const { state } = (await response.body.json()) as { state: string }
+      return { status: response.statusCode, state }
+    } catch {
+      return { status: 0, state: 'unreachable' }
+    }
+  }
+
+  async healthy(limitMs?: number): Promise<void> {
+    await this.running.whileRunning('healthy', async () => (await this.health()).status === 200, limitMs)
+  }
+}
+
+/** A stand-in server in its own process. */
+export class StandInProcess {
+  readonly address: string
+  readonly #control: string
+  readonly process: RunningProcess
+
+  constructor(process: RunningProcess, address: string, control: string) {
+    this.process = process
+    this.address = address
+    this.#control = control
+  }
+
+  async record(): Promise<RecordView> {
+    const response = await request(`http://${this.#control}/`)
+    return (await response.body.json()) as RecordView
+  }
+
+  /** Returns the announce listener that accepted a new state. */
+  async change(change: StandInChange): Promise<string | null> {
+    const response = await request(`http://${this.#control}/`, { method: 'POST', body: JSON.stringify(change) })
+    return ((await response.body.json()) as { acceptedBy: string | null }).acceptedBy
+  }
+}
+
+export class Cluster {
+  readonly harness: Harness
+  readonly network = new Network()
+  readonly nodes: ClusterNode[] = []
+  readonly #keys: ExampleKeys
+  readonly #command: readonly string[]
+
+  private constructor(harness: Harness, keys: ExampleKeys, command: readonly string[]) {
+    this.harness = harness
+    this.#keys = keys
+    this.#command = command
+    harness.onEnd(() => this.network.stop())
+  }
+
+  static async create(harness: Harness): Promise<Cluster> {
+    const keys = newKeys()
+    const second = newKeys().operator
+    const files = {
+      'node.key': keys.node,
+      'server.key': keys.server,
+      'operator.key': keys.operator,
+      'second.key': second,
+      'operator.keys': operatorKeyLines({ asha: keys.operator, marek: second }),
+    }
+    for (const [name, text] of Object.entries(files)) await writeFile(join(harness.folder, name), text)
+    return new Cluster(harness, keys, await bilberrystallCommand())
+  }
+
+  /** Adds nodes that know each other as seeds, without starting them. */
+  async add(...added: NodeOptions[]): Promise<ClusterNode[]> {
+    const made: ClusterNode[] = []
+    for (const options of added) made.push(await this.#make(options))
+    this.nodes.push(...made)
+    return made
+  }
+
+  node(name: string): ClusterNode {
+    const node = this.nodes.find((candidate) => candidate.name === name)
+    if (node === undefined) throw new Error(`no node ${name}`)
+    return node
+  }
+
+  get entries(): ClusterNode[] {
+    return this.nodes.filter((node) => node.options.roles.includes('entry'))
+  }
+
+  get controls(): ClusterNode[] {
+    return this.nodes.filter((node) => node.options.roles.includes('control'))
+  }
+
+  async startAll(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.start()))
+  }
+
+  async standIn(options: StandInOptions): Promise<StandInProcess> {
+    const entries = options.entries ?? this.entries.map((node) => node.addresses.status)
+    const full: StandInOptions = { serverKey: this.#keys.server, ...options, entries }
+    const command = [...(await standInCommand()), JSON.stringify(full)]
+    const process = this.harness.start({ name: options.server, command })
+    const [, address = '', control = ''] = await process.line(/"address":"([^"]+)","control":"([^"]+)"/)
+    return new StandInProcess(process, address, control)
+  }
+
+  /** Runs an operator's command against the control nodes; `session` records it. */
+  async operator(
+    args: readonly string[],
+    options: { session?: Session; nodes?: readonly ClusterNode[]; key?: string } = {},
+  ): Promise<CommandResult> {
+    const nodes = (options.nodes ?? this.controls).map((node) => node.addresses.operators).join(',')
+    const env = { BILBERRYSTALL_NODE: nodes, BILBERRYSTALL_KEY_FILE: options.key ?? 'operator.key', NO_COLOR: '1' }
+    const process = { name: args.join(' '), command: [...this.#command, ...args], cwd: this.harness.folder, env }
+    const result = await this.harness.run(process)
+    options.session?.command(args, result)
+    return result
+  }
+
+  /** Runs a command that must succeed and returns its JSON. */
+  async operatorJson(...args: string[]): Promise<unknown> {
+    const result = await this.operator([...args, '--json'])
+    if (result.status !== 0) throw new Error(`${args.join(' ')}: ${result.stdout}${result.stderr}`)
+    return JSON.parse(result.stdout)
+  }
+
+  /** Submits a document and waits until it is in force everywhere. */
+  async putInForce(environment: string, document: string): Promise<void> {
+    const file = join(this.harness.folder, `${environment}.ini`)
+    await writeFile(file, document)
+    await this.operatorJson('document', 'submit', file, '--environment', environment)
+    await this.operatorJson('document', 'status', '--environment', environment, '--wait', '11s')
+  }
+
+  /** Waits until every named entry knows this number of servers. */
+  async serversKnown(count: number): Promise<void> {
+    await eventually(`${count} servers known`, async () => {
+      const { servers } = (await this.operatorJson('servers')) as { servers: unknown[] }
+      return servers.length === count
+    })
+  }
+
+  async #make(options: NodeOptions): Promise<ClusterNode> {
+    const port = async (): Promise<string> => `127.0.0.1:${await freePort()}`
+    const rpcListen = await port()
+    const proxyPort = await freePort()
+    const address = `127.0.0.1:${proxyPort}`
+    const addresses = { callers: await port(), operators: await port(), status: await port(), address, rpcListen }
+    await this.network.join(options.name, rpcListen, proxyPort)
+    return new ClusterNode(options, addresses, (node) => this.#start(node))
+  }
+
+  async #start(node: ClusterNode): Promise<RunningProcess> {
+    const { folder } = this.harness
+    const file = join(folder, `${node.name}.ini`)
+    const seeds = this.nodes.filter((other) => other !== node).map((other) => other.addresses.address)
+    const bootstrap = node.options.bootstrap ?? false
+    await mkdir(folder, { recursive: true })
+    await writeFile(
+      file,
+      exampleSettings({
+        balancerGrace: '200ms',
+        ...node.options,
+        ...node.addresses,
+        node: node.name,
+        seeds,
+        bootstrap,
+      }),
+    )
+    const process = this.harness.start({ name: node.name, command: [...this.#command, 'run', file], cwd: folder })
+    this.network.running(node.name, process.pid)
+    return process
+  }
+}
--- a/packages/testkit/src/stand-in-main.ts
+++ b/packages/testkit/src/stand-in-main.ts
@@ -2,8 +2,9 @@
 import { StandIn, type StandInOptions } from './stand-in'
 
 const standIn = new StandIn(JSON.parse(process.argv[2] ?? '{}') as StandInOptions)
-await standIn.start()
-process.stdout.write(`${JSON.stringify({ address: standIn.address, control: standIn.controlAddress })}\n`)
+void standIn.start().then(() => {
+  process.stdout.write(`${JSON.stringify({ address: standIn.address, control: standIn.controlAddress })}\n`)
+})
 process.on('SIGTERM', () => {
   void standIn.stop().then(() => process.exit(0))
 })
