--- /dev/null
+++ b/packages/testkit/src/workloads.ts
@@ -0,0 +1,89 @@
+/** The workloads of both users (design section 1.1): one document with a host for each, and their calls. */
+import type { Call } from './load'
+
+export const NETCHECK_HOST = 'netcheck.example'
+export const FITTERS_HOST = 'fitters.example'
+export const SERVICES = [
+  'site-history',
+  'defect-intake',
+  'dispatch-archive',
+  'calendar',
+  'booking',
+  'payments',
+] as const
+export type WorkloadService = (typeof SERVICES)[number]
+
+interface RouteText {
+  readonly name: string
+  readonly service: WorkloadService
+  readonly host: string
+  readonly path: string
+  readonly methods: 'GET' | 'POST'
+  readonly rest?: readonly string[]
+}
+
+const KEYED = ['repeatable = no', 'key = required']
+
+const ROUTES: readonly RouteText[] = [
+  { name: 'history', service: 'site-history', host: NETCHECK_HOST, path: '/sites', methods: 'GET' },
+  { name: 'report', service: 'defect-intake', host: NETCHECK_HOST, path: '/defects', methods: 'POST', rest: KEYED },
+  { name: 'crew', service: 'dispatch-archive', host: NETCHECK_HOST, path: '/crews', methods: 'POST', rest: KEYED },
+  {
+    name: 'photos',
+    service: 'dispatch-archive',
+    host: NETCHECK_HOST,
+    path: '/photos',
+    methods: 'GET',
+    rest: ['urgency = deferrable', 'deadline = 60s'],
+  },
+  { name: 'slots', service: 'calendar', host: FITTERS_HOST, path: '/slots', methods: 'GET' },
+  { name: 'visit', service: 'booking', host: FITTERS_HOST, path: '/visits', methods: 'POST', rest: KEYED },
+  { name: 'deposit', service: 'payments', host: FITTERS_HOST, path: '/deposits', methods: 'POST', rest: KEYED },
+  {
+    name: 'sheets',
+    service: 'payments',
+    host: FITTERS_HOST,
+    path: '/route-sheets',
+    methods: 'GET',
+    rest: ['urgency = deferrable'],
+  },
+  // Not repeatable and without a key: the entry must never send it twice.
+  {
+    name: 'note',
+    service: 'booking',
+    host: FITTERS_HOST,
+    path: '/notes',
+    methods: 'POST',
+    rest: ['repeatable = no', 'deadline = 4s'],
+  },
+]
+
+export function workloadDocument(title = 'Workloads of both users'): string {
+  const services = SERVICES.map((service) => `[service.${service}]\nmeasuring-budget = 0.5%\n`)
+  return [`[document]\ntitle = ${title}\nkey-retention = 10m\n`, ...services, ...ROUTES.map(routeText)].join('\n')
+}
+
+function routeText(route: RouteText): string {
+  const { name, service, host, path, methods, rest } = route
+  const repeatable = methods === 'GET' ? ['repeatable = yes'] : []
+  const lines = [`service = ${service}`, `host = ${host}`, `path = ${path}`, `methods = ${methods}`]
+  return [`[route.${name}]`, ...lines, ...repeatable, ...(rest ?? []), ''].join('\n')
+}
+
+export const READS: readonly Call[] = [
+  { method: 'GET', host: NETCHECK_HOST, path: '/sites/17/history' },
+  { method: 'GET', host: FITTERS_HOST, path: '/slots?week=31' },
+  { method: 'GET', host: FITTERS_HOST, path: '/route-sheets/tomorrow' },
+]
+
+export const KEYED_WRITES: readonly Call[] = [
+  { method: 'POST', host: NETCHECK_HOST, path: '/defects', body: 'torn net above km 12' },
+  { method: 'POST', host: NETCHECK_HOST, path: '/crews', body: 'crew 4 to km 12' },
+  { method: 'POST', host: FITTERS_HOST, path: '/visits', body: 'visit on Tuesday' },
+  { method: 'POST', host: FITTERS_HOST, path: '/deposits', body: '400 CZK' },
+]
+
+/** A pull of an archived survey photo. */
+export function photoPull(bytes: number): Call {
+  return { method: 'GET', host: NETCHECK_HOST, path: `/photos/survey-7?bytes=${bytes}`, photoBytes: bytes }
+}
--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,176 @@
+/**
+ * Demonstration on an embedded default: a control replica, two entries and stand-in servers as separate processes. A
+ * document goes through trial and is promoted; calls of both workloads are answered through two entries. Prints what
+ * happened, stops every process and exits with 0, or with 1 when anything was not as promised.
+ */
+import {
+  Cluster,
+  Harness,
+  KEYED_WRITES,
+  READS,
+  SERVICES,
+  photoPull,
+  runLoad,
+  sendCall,
+  uuidV7,
+  workloadDocument,
+  type Call,
+  type CallResult,
+  type StandInProcess,
+} from '@bilberrystall/testkit'
+import { existsSync } from 'node:fs'
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+
+const BINARY = 'dist/bilberrystall'
+const SERVERS_PER_SERVICE = 2
+const PHOTO_BYTES = 24 * 1024 * 1024
+const LOAD_MS = 2000
+const CALLS_PER_SECOND = 200
+/** Holders abstain for keys made up to 31 s after their start; a key may be up to 30 s ahead. */
+const KEY_AHEAD_MS = 29_000
+
+let failures = 0
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`)
+}
+
+function check(what: string, holds: boolean): void {
+  if (!holds) failures += 1
+  say(`  ${holds ? 'ok  ' : 'FAIL'} ${what}`)
+}
+
+async function startNodes(harness: Harness): Promise<Cluster> {
+  const cluster = await Cluster.create(harness)
+  await cluster.add(
+    { name: 'control-1', roles: 'control', bootstrap: true, failureDomain: 'fd-1' },
+    { name: 'entry-1', roles: 'entry', environment: 'production', failureDomain: 'fd-1' },
+    { name: 'entry-2', roles: 'entry', environment: 'production', failureDomain: 'fd-2' },
+    { name: 'entry-trial', roles: 'entry', environment: 'trial', failureDomain: 'fd-1' },
+  )
+  await cluster.startAll()
+  for (const node of cluster.nodes) {
+    say(
+      `  ${node.name}: process ${node.running.pid}, ${node.options.roles} (${node.options.environment ?? 'all environments'})`,
+    )
+  }
+  return cluster
+}
+
+function startServers(cluster: Cluster): Promise<StandInProcess[]> {
+  const servers = SERVICES.flatMap((service) =>
+    Array.from({ length: SERVERS_PER_SERVICE }, (_, index) =>
+      cluster.standIn({
+        service,
+        server: `${service}-${index + 1}`,
+        failureDomain: `fd-${index + 1}`,
+        behaviour: { serviceTime: { kind: 'lognormal', medianMs: 3, sigma: 0.5 } },
+      }),
+    ),
+  )
+  return Promise.all(servers)
+}
+
+async function operator(cluster: Cluster, ...args: string[]): Promise<void> {
+  const result = await cluster.operator(args)
+  say(`  $ bilberrystall ${args.join(' ')}`)
+  for (const line of `${result.stdout}${result.stderr}`.trimEnd().split('\n')) say(`    ${line}`)
+  check('exit status 0', result.status === 0)
+}
+
+async function promote(cluster: Cluster): Promise<void> {
+  const file = 'document.ini'
+  await writeFile(join(cluster.harness.folder, file), workloadDocument())
+  await operator(cluster, 'document', 'check', file)
+  await operator(cluster, 'document', 'submit', file, '--environment', 'trial')
+  await operator(cluster, 'document', 'status', '--environment', 'trial', '--wait', '11s')
+  await operator(cluster, 'document', 'promote', '--environment', 'production')
+  await operator(cluster, 'document', 'status', '--environment', 'production', '--wait', '11s')
+}
+
+function describe(call: Call, entry: string, result: CallResult): void {
+  const what = `${call.method} ${call.host ?? ''}${call.path} through ${entry}`
+  check(
+    `${what}: ${result.outcome} ${result.status}${result.server === '' ? '' : ` from ${result.server}`}`,
+    result.outcome === 'complete',
+  )
+}
+
+async function calls(cluster: Cluster, servers: readonly StandInProcess[]): Promise<void> {
+  const entries = ['entry-1', 'entry-2'].map((name) => cluster.node(name))
+  for (const entry of entries) {
+    for (const call of READS) describe(call, entry.name, await sendCall(entry.addresses.callers, call))
+    for (const write of KEYED_WRITES) {
+      const call = { ...write, idempotencyKey: uuidV7(Date.now() + KEY_AHEAD_MS) }
+      describe(call, entry.name, await sendCall(entry.addresses.callers, call))
+    }
+    const photo = photoPull(PHOTO_BYTES)
+    describe(photo, entry.name, await sendCall(entry.addresses.callers, photo))
+  }
+  await resend(
+    entries.map((entry) => entry.addresses.callers),
+    servers,
+  )
+  await load(entries.map((entry) => entry.addresses.callers))
+}
+
+/** The same booking is sent through both entries: it must run once. */
+async function resend(entries: readonly string[], servers: readonly StandInProcess[]): Promise<void> {
+  const idempotencyKey = uuidV7(Date.now() + KEY_AHEAD_MS)
+  const call: Call = { ...(KEYED_WRITES[2] ?? { method: 'POST', path: '/' }), idempotencyKey }
+  const results: CallResult[] = []
+  for (const entry of entries) results.push(await sendCall(entry, call))
+  const records = await Promise.all(servers.map((server) => server.record()))
+  const runs = records.reduce((sum, record) => sum + (record.byKey[idempotencyKey] ?? 0), 0)
+  check(
+    `one booking sent through both entries: ${results.map((result) => result.status).join(', ')}; executed ${runs} time(s)`,
+    runs === 1,
+  )
+}
+
+async function load(entries: readonly string[]): Promise<void> {
+  const pace = { kind: 'open', callsPerSecond: CALLS_PER_SECOND } as const
+  const summary = await runLoad({ entries, pace, durationMs: LOAD_MS, calls: READS, seed: 1 })
+  const { sent, outcomes, latencyMs } = summary
+  check(
+    `load of ${sent} reads: ${outcomes.complete} complete, p99 ${latencyMs.p99.toFixed(1)} ms`,
+    outcomes.complete === sent,
+  )
+}
+
+async function stop(cluster: Cluster): Promise<void> {
+  for (const node of [...cluster.entries, ...cluster.controls]) {
+    node.running.signal('SIGTERM')
+    check(`${node.name} stopped with exit status 0`, (await node.running.exit()) === 0)
+  }
+}
+
+async function demo(harness: Harness): Promise<void> {
+  say('Start one control replica, two entries for production and one for trial:')
+  const cluster = await startNodes(harness)
+  say(`Start ${SERVICES.length * SERVERS_PER_SERVICE} stand-in servers that announce themselves:`)
+  const entries = ['entry-1', 'entry-2'].map((name) => cluster.node(name))
+  const servers = await startServers(cluster)
+  say('Try the document in trial, then promote the same bytes to production:')
+  await promote(cluster)
+  for (const entry of entries) await entry.healthy()
+  await cluster.serversKnown(servers.length)
+  say('Calls of both workloads:')
+  await calls(cluster, servers)
+  say('Planned stop:')
+  await stop(cluster)
+}
+
+if (existsSync(BINARY)) process.env.BILBERRYSTALL_BINARY ??= BINARY
+const harness = await Harness.create()
+try {
+  await demo(harness)
+} catch (cause) {
+  failures += 1
+  say(String(cause))
+} finally {
+  await harness.end()
+}
+say(failures === 0 ? 'Done: everything was as promised.' : `Done: ${failures} checks failed.`)
+process.exitCode = failures === 0 ? 0 : 1
