--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -38,6 +38,11 @@
   readonly rpcListen: string
 }
 
+/** What the command line reaches: a control node or a proxy in front of one. */
+export interface Operated {
+  readonly addresses: Pick<Addresses, 'operators'>
+}
+
 export class ClusterNode {
   readonly options: NodeOptions
   readonly addresses: Addresses
@@ -175,7 +180,7 @@
   /** Runs an operator's command against the control nodes; `session` records it. */
   async operator(
     args: readonly string[],
-    options: { session?: Session; nodes?: readonly ClusterNode[]; key?: string } = {},
+    options: { session?: Session; nodes?: readonly Operated[]; key?: string } = {},
   ): Promise<CommandResult> {
     const nodes = (options.nodes ?? this.controls).map((node) => node.addresses.operators).join(',')
     const env = { BILBERRYSTALL_NODE: nodes, BILBERRYSTALL_KEY_FILE: options.key ?? 'operator.key', NO_COLOR: '1' }
@@ -192,6 +197,14 @@
     return JSON.parse(result.stdout)
   }
 
+  /** The replica that leads, as the control nodes state it. */
+  async leader(): Promise<ClusterNode> {
+    return eventually('a leader', async () => {
+      const { leader } = (await this.operatorJson('status')) as { leader?: string }
+      return this.controls.find((node) => node.name === leader)
+    })
+  }
+
   /** Submits a document and waits until it is in force everywhere. */
   async putInForce(environment: string, document: string): Promise<void> {
     const file = join(this.harness.folder, `${environment}.ini`)
