Report a change as unknown only when it may have taken effect

Answers that state that the change had no effect (no quorum, not leader) were counted as possible effects, so an operator was told to resend a change that was refused for certain. Audit filters take the documented names of result codes.

--- a/packages/cli/src/node-commands.ts
+++ b/packages/cli/src/node-commands.ts
@@ -1,6 +1,6 @@
 /** Commands on nodes, servers and the audit records. */
 import { createHash } from 'node:crypto'
-import { failure } from '@bilberrystall/base'
+import { failure, RESULT_CODES } from '@bilberrystall/base'
 import { Command, Option } from 'clipanion'
 import { err, ok, type Result } from 'neverthrow'
 import { NodeCommand } from './command-base'
@@ -106,7 +106,7 @@
   until = Option.String('--until', { description: 'time before which records are listed' })
   requester = Option.String('--requester')
   environment = Option.String('--environment')
-  result = Option.String('--result', { description: 'name of a result, for example ok' })
+  result = Option.String('--result', { description: 'name of a result code, for example revision-conflict' })
   limit = Option.String('--limit', '50', { description: 'most records listed' })
   verify = Option.Boolean('--verify', false, { description: 'recompute the chain of digests' })
 
@@ -124,7 +124,8 @@
     const times = { from: this.from, until: this.until }
     for (const [name, value] of Object.entries(times))
       if (value !== undefined) query.set(name, String(Date.parse(value)))
-    const filters = { requester: this.requester, environment: this.environment, result: this.result }
+    const result = this.result === undefined ? undefined : resultKey(this.result)
+    const filters = { requester: this.requester, environment: this.environment, result }
     for (const [name, value] of Object.entries(filters)) if (value !== undefined) query.set(name, value)
     return query.toString()
   }
@@ -170,7 +171,7 @@
       { title: 'ENVIRONMENT', value: (entry) => entry.environment ?? entry.target },
       { title: 'REQUESTER', value: (entry) => entry.requester },
       { title: 'SOURCE', value: (entry) => entry.source },
-      { title: 'RESULT', value: (entry) => (entry.repeated === true ? `${entry.result} (repeated)` : entry.result) },
+      { title: 'RESULT', value: (entry) => resultName(entry.result) + (entry.repeated === true ? ' (repeated)' : '') },
       { title: 'REVISION', value: (entry) => entry.revision },
       { title: 'DIGEST', value: (entry) => (entry.digest === undefined ? undefined : shortDigest(entry.digest)) },
       { title: 'CHANGE', value: (entry) => entry.changeId },
@@ -179,6 +180,15 @@
   )
 }
 
+/** Audit records hold the key of the result code; the documentation and this table show its name. */
+function resultName(key: string): string {
+  return Object.entries(RESULT_CODES).find(([candidate]) => candidate === key)?.[1].name ?? key
+}
+
+function resultKey(name: string): string {
+  return Object.entries(RESULT_CODES).find(([, code]) => code.name === name)?.[0] ?? name
+}
+
 /** Table of all members, the named one first. */
 function listing(first: string, rows: readonly Loose[]): string {
   const names = [...new Set([first, ...rows.flatMap((row) => Object.keys(row))])]
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -13,13 +13,16 @@
 const ATTEMPT_LIMIT_MS = 5000
 const REPEAT_PAUSE_MS = 200
 
-/** Results after which the change may still be accepted later or elsewhere. */
+/** Results after which the same change is sent again. */
 const UNSETTLED: ReadonlySet<number> = new Set(
   [RESULT_CODES.changeUnknown, RESULT_CODES.noQuorum, RESULT_CODES.notLeader, RESULT_CODES.internal].map(
     (code) => code.number,
   ),
 )
 
+/** Of these, the ones after which the change certainly had no effect. */
+const WITHOUT_EFFECT: ReadonlySet<CodeName> = new Set(['noQuorum', 'notLeader'])
+
 const NAMES = new Map<number, CodeName>(
   Object.entries(RESULT_CODES).map(([name, code]) => [code.number, name as CodeName]),
 )
@@ -75,17 +78,16 @@
 
   async submit(options: SubmitOptions): Promise<Result<Accepted, Refusal>> {
     const end = performance.now() + options.limitMs
-    let sent = false
+    let maybeApplied = false
     for (let position = 0; ; position += 1) {
       const node = this.#nodes[position % this.#nodes.length] ?? ''
       const attempt = await this.#attempt(node, 'POST', '/v1/changes', options.change)
       const result = attempt.kind === 'answered' ? read(attempt, accepted) : unreachable(node, attempt.reason)
-      if (settled(attempt, result)) return result
-      sent ||= attempt.kind === 'answered' || attempt.sent
-      const reason = result.isErr() ? result.error.message : ''
-      if (performance.now() > end)
-        return err(sent ? unknown(options.change.changeId, reason) : failure('nodeUnreachable', reason))
-      options.repeated?.(reason)
+      if (result.isOk() || isSettled(attempt, result.error)) return result
+      maybeApplied ||= mayHaveApplied(attempt, result.error)
+      const { message } = result.error
+      if (performance.now() > end) return maybeApplied ? err(unknown(options.change.changeId, message)) : result
+      options.repeated?.(message)
       await sleep(REPEAT_PAUSE_MS)
     }
   }
@@ -121,11 +123,14 @@
   }
 }
 
-function settled(attempt: Attempt, result: Result<unknown, Refusal>): boolean {
+function isSettled(attempt: Attempt, refusal: Refusal): boolean {
   if (attempt.kind === 'failed') return false
-  if (result.isOk()) return true
-  if (result.error.code === 'responseMalformed') return attempt.status < 500
-  return !UNSETTLED.has(RESULT_CODES[result.error.code].number)
+  if (refusal.code === 'responseMalformed') return attempt.status >= 400 && attempt.status < 500
+  return !UNSETTLED.has(RESULT_CODES[refusal.code].number)
+}
+
+function mayHaveApplied(attempt: Attempt, refusal: Refusal): boolean {
+  return attempt.kind === 'failed' ? attempt.sent : !WITHOUT_EFFECT.has(refusal.code)
 }
 
 function read<Schema extends z.ZodType>(
--- a/packages/cli/test/operator-commands.test.ts
+++ b/packages/cli/test/operator-commands.test.ts
@@ -74,6 +74,11 @@
   expect(result.status).toBe(RESULT_CODES.nodeUnreachable.number)
 })
 
+test('a change that every answer calls without effect is not reported as unknown', async () => {
+  const node = await stub(refuse('noQuorum'))
+  expect((await submit(node.address, '--limit', '0s')).status).toBe(RESULT_CODES.noQuorum.number)
+})
+
 test('a refusal is final and becomes the exit state', async () => {
   const node = await stub(refuse('revisionConflict'))
   expect((await submit(node.address)).status).toBe(RESULT_CODES.revisionConflict.number)
