--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -18,12 +18,18 @@
 }
 
 export type Scope =
-  { readonly kind: 'all' } | { readonly kind: 'established' } | { readonly kind: 'connection'; readonly id: number }
+  | { readonly kind: 'all' }
+  | { readonly kind: 'established' }
+  | { readonly kind: 'connection'; readonly id: number }
+  /** Present and new connections from one process. */
+  | { readonly kind: 'peer'; readonly peer: string }
 
 export interface FaultProxyOptions {
   readonly target: string
   readonly host?: string
   readonly port?: number
+  /** Names the process behind a connection by its local port. */
+  readonly identify?: (port: number) => string | undefined
 }
 
 /** Body of `POST` on the control path. */
@@ -41,6 +47,7 @@
   readonly #links = new Map<number, Link>()
   readonly #server: Server
   #control: ReturnType<typeof createHttpServer> | undefined
+  readonly #peerFaults = new Map<string, Faults>()
   #faults = NO_FAULTS
   #refusing = false
   #nextId = 1
@@ -75,6 +82,9 @@
 
   set(faults: Partial<Faults>, scope: Scope = ALL): void {
     if (scope.kind === 'all') this.#faults = { ...this.#faults, ...faults }
+    if (scope.kind === 'peer') {
+      this.#peerFaults.set(scope.peer, { ...NO_FAULTS, ...this.#peerFaults.get(scope.peer), ...faults })
+    }
     for (const link of this.#select(scope)) link.set(faults)
   }
 
@@ -95,6 +105,7 @@
 
   heal(): void {
     this.#faults = NO_FAULTS
+    this.#peerFaults.clear()
     this.#refusing = false
     for (const link of this.#links.values()) link.set(NO_FAULTS)
   }
@@ -139,15 +150,24 @@
     this.#nextId += 1
     const { hostname, port } = new URL(`tcp://${this.#target}`)
     const upstream = connect({ host: hostname, port: Number(port), allowHalfOpen: true })
-    const link = new Link(socket, upstream, this.#faults)
+    const peer = this.#options.identify?.(socket.remotePort ?? 0)
+    const faults = (peer === undefined ? undefined : this.#peerFaults.get(peer)) ?? this.#faults
+    const link = new Link({ near: socket, far: upstream, faults, peer })
     this.#links.set(id, link)
     socket.on('close', () => this.#links.delete(id))
   }
 
   #select(scope: Scope): Link[] {
-    if (scope.kind !== 'connection') return [...this.#links.values()]
-    const link = this.#links.get(scope.id)
-    return link === undefined ? [] : [link]
+    const links = [...this.#links]
+    switch (scope.kind) {
+      case 'all':
+      case 'established':
+        return links.map(([, link]) => link)
+      case 'connection':
+        return links.filter(([id]) => id === scope.id).map(([, link]) => link)
+      case 'peer':
+        return links.map(([, link]) => link).filter((link) => link.peer === scope.peer)
+    }
   }
 
   async #serveControl(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -156,14 +176,23 @@
   }
 }
 
+interface LinkOptions {
+  readonly near: Socket
+  readonly far: Socket
+  readonly faults: Faults
+  readonly peer: string | undefined
+}
+
 /** The two sockets of one proxied connection. */
 class Link {
+  readonly peer: string | undefined
   readonly #near: Socket
   readonly #far: Socket
   readonly #forward: Pipe
   readonly #backward: Pipe
 
-  constructor(near: Socket, far: Socket, faults: Faults) {
+  constructor({ near, far, faults, peer }: LinkOptions) {
+    this.peer = peer
     this.#near = near
     this.#far = far
     near.setNoDelay(true)
--- a/packages/testkit/test/processes.test.ts
+++ b/packages/testkit/test/processes.test.ts
@@ -1,6 +1,5 @@
-import { join } from 'node:path'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { eventually, Harness, normalise, REPOSITORY, sendCall, tsx } from '@bilberrystall/testkit'
+import { eventually, Harness, normalise, sendCall, standInCommand } from '@bilberrystall/testkit'
 
 let harness: Harness
 
@@ -12,8 +11,8 @@
 
 test('a stand-in server runs as its own process, freezes and continues, and stops on SIGTERM', async () => {
   const options = JSON.stringify({ service: 'intake', server: 'i1' })
-  const source = join(REPOSITORY, 'packages/testkit/src/stand-in-main.ts')
-  const server = harness.start({ name: 'stand-in', command: [...tsx(source), options] })
+  const command = [...(await standInCommand()), options]
+  const server = harness.start({ name: 'stand-in', command })
   const [, address = ''] = await server.line(/"address":"([^"]+)"/)
   expect((await sendCall(address, { method: 'GET', path: '/' })).outcome).toBe('complete')
   server.signal('SIGSTOP')
