Rewrite the last frame and its markers when a log is opened

A failed sync makes the platform forget dirty bytes that it still serves from memory. Cause found with a fake file system that models this: a marker written before the failed sync was lost with it, and after a later loss of power the log was refused as damaged although nothing accepted was missing. Everything since the last but one frame is now written again.

--- a/packages/storage/src/recover.ts
+++ b/packages/storage/src/recover.ts
@@ -140,24 +140,23 @@
 }
 
 /**
- * Cuts the torn tail. The last frame may have been read from the page cache after a sync that failed, in which case the
- * platform no longer writes it; it is therefore written and synced again before anything depends on it.
+ * Cuts the torn tail. What was written since the last but one sync may have been read from the page cache after a sync
+ * that failed, in which case the platform no longer writes it; the last frame and the markers around it are therefore
+ * written and synced again before anything depends on them.
  */
 async function repairTail(fileSystem: FileSystem, path: string, content: SegmentContent): Promise<number> {
+  const { header, frames, end } = content
+  const last = frames.at(-1)
   const file = await fileSystem.open(path)
   try {
-    await file.truncate(content.end)
-    const last = content.frames.at(-1)
-    if (last === undefined || last.synced) {
-      await file.datasync()
-      return content.end
-    }
-    const bytes = toBuffer(await fileSystem.read(path)).subarray(last.start, last.end)
-    await writeFully(file, bytes, last.start)
+    await file.truncate(end)
+    const start = frames.at(-2)?.end ?? last?.start ?? end
+    await writeFully(file, toBuffer(await fileSystem.read(path)).subarray(start, end), start)
     await file.datasync()
-    const marker = encodeMarker(content.header, last.end)
-    await writeFully(file, marker, last.end)
-    return last.end + marker.byteLength
+    if (last === undefined || last.synced) return end
+    const marker = encodeMarker(header, end)
+    await writeFully(file, marker, end)
+    return end + marker.byteLength
   } finally {
     await file.close()
   }
--- a/packages/storage/test/fake-file-system.ts
+++ b/packages/storage/test/fake-file-system.ts
@@ -8,6 +8,8 @@
   readonly files = new Map<string, Buffer>()
   /** Content that survives a loss of power. */
   readonly durable = new Map<string, Buffer>()
+  /** Ranges written and not yet synced. A failed sync forgets them, as platforms do, and a later sync skips them. */
+  readonly #dirty = new Map<string, (readonly [number, number])[]>()
   fault: Fault
   /** Most bytes stored by one write. */
   writeLimit = Number.POSITIVE_INFINITY
@@ -32,6 +34,8 @@
       datasync: () => this.#sync(path),
       truncate: (length) => {
         this.files.set(path, Buffer.from(this.content(path).subarray(0, length)))
+        const synced = this.durable.get(path)
+        if (synced !== undefined) this.durable.set(path, synced.subarray(0, length))
         return Promise.resolve()
       },
       close: () => Promise.resolve(),
@@ -64,13 +68,17 @@
   /** The same disk after a loss of power: only synced bytes are left. */
   afterPowerLoss(): FakeFileSystem {
     const next = new FakeFileSystem()
-    for (const [path, content] of this.durable) next.files.set(path, Buffer.from(content))
+    for (const [path, content] of this.durable) {
+      next.files.set(path, Buffer.from(content))
+      next.durable.set(path, Buffer.from(content))
+    }
     return next
   }
 
   copy(): FakeFileSystem {
     const next = new FakeFileSystem()
     for (const [path, content] of this.files) next.files.set(path, Buffer.from(content))
+    for (const [path, content] of this.durable) next.durable.set(path, Buffer.from(content))
     return next
   }
 
@@ -82,13 +90,20 @@
     old.copy(next)
     next.set(data.subarray(0, count), position)
     this.files.set(path, next)
+    this.#dirty.set(path, [...(this.#dirty.get(path) ?? []), [position, position + count]])
     return Promise.resolve(count)
   }
 
   #sync(path: string): Promise<void> {
     this.syncs += 1
+    const ranges = this.#dirty.get(path) ?? []
+    this.#dirty.delete(path)
     if (this.fault === 'sync') return Promise.reject(Object.assign(new Error('input/output error'), { code: 'EIO' }))
-    this.durable.set(path, Buffer.from(this.content(path)))
+    const content = this.content(path)
+    const synced = Buffer.alloc(content.length)
+    this.durable.get(path)?.copy(synced)
+    for (const [start, end] of ranges) synced.set(content.subarray(start, end), Math.min(start, content.length))
+    this.durable.set(path, synced)
     return Promise.resolve()
   }
 }
--- a/packages/storage/test/log.test.ts
+++ b/packages/storage/test/log.test.ts
@@ -140,6 +140,20 @@
   expect(indexes(await opened(disk.afterPowerLoss()))).toEqual([1, 2])
 })
 
+test('a marker lost with a failed sync is written again, so that the log is not taken for damaged', async () => {
+  const disk = new FakeFileSystem()
+  const { log } = await opened(disk)
+  await log.append([entry(1)])
+  disk.fault = 'sync'
+  await log.append([entry(2)])
+  disk.fault = undefined
+  const path = `${FOLDER}/log-0000000000000001`
+  disk.files.set(path, disk.content(path).subarray(0, -1))
+  const repaired = await opened(disk)
+  await repaired.log.append([entry(2)])
+  expect(indexes(await opened(disk.afterPowerLoss()))).toEqual([1, 2])
+})
+
 test('short writes are continued', async () => {
   const disk = new FakeFileSystem()
   disk.writeLimit = 7
