--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -1,9 +1,18 @@
 /** Applies committed commands to the state, in log order. The same commands give the same state on every replica. */
+import { resultCode, type ReplicaId } from '@bilberrystall/base'
 import type { AuditEvent } from './audit'
 import { applyChange, type ChangeApplied } from './change'
 import type { Command } from './command'
 import { decideRoster, proposeRoster } from './roster'
-import { REPLICA_STEPS_KEPT, currentRevision, type ControlState, type RosterEpoch } from './state'
+import {
+  NODE_REQUESTS_KEPT,
+  REPLICA_STEPS_KEPT,
+  currentRevision,
+  type ControlState,
+  type ReplicaAction,
+  type ReplicaMember,
+  type RosterEpoch,
+} from './state'
 
 export type Applied =
   | ChangeApplied
@@ -29,7 +38,8 @@
     case 'node':
       return recordNodeRequest(state, command)
     case 'replica-step':
-      return recordReplicaStep(state, command)
+      state.replicaIntent = command
+      return { kind: 'recorded' }
     case 'roster-propose':
       return { kind: 'roster', epoch: proposeRoster(state, command.entries), changed: true }
     case 'roster-seal':
@@ -50,7 +60,7 @@
       ? {}
       : { environment: command.environment, revision: currentRevision(state, command.environment) }),
     ...(command.digest === undefined ? {} : { digest: command.digest }),
-    result: command.code,
+    result: resultCode(command.code).name,
   }
   state.audit.append(event)
   return { kind: 'recorded' }
@@ -60,20 +70,50 @@
   const { requester, source, node } = command
   const operation = command.action === 'drain' ? 'drain-node' : 'replace-node'
   state.audit.append({ at: state.clock, operation, requester, source, target: node, result: 'ok' })
+  if (command.action === 'drain') {
+    const others = state.drains.filter((drain) => drain.node !== node)
+    state.drains = [...others, { node, at: state.clock }].slice(-NODE_REQUESTS_KEPT)
+  } else if (state.replicas.some((replica) => replica.node === node) && !state.replacing.includes(node)) {
+    state.replacing = [...state.replacing, node]
+  }
   return { kind: 'recorded' }
 }
 
-function recordReplicaStep(state: ControlState, command: Extract<Command, { kind: 'replica-step' }>): Applied {
-  const { action, replica, reason } = command
-  const at = state.clock
-  state.replicaSteps = [...state.replicaSteps, { at, action, replica, reason }].slice(-REPLICA_STEPS_KEPT)
-  state.audit.append({
-    at,
-    operation: `replica-${action}`,
-    requester: 'self-repair',
-    source: reason,
-    target: replica,
-    result: 'ok',
+/**
+ * Applies a committed replica set. The record of the step is derived from the set itself, so it exists exactly when the
+ * step took effect; the command before it gives time and reason.
+ */
+export function applyReplicaSet(state: ControlState, replicas: readonly ReplicaMember[]): void {
+  for (const { action, replica } of stepsBetween(state.replicas, replicas)) {
+    const intent = state.replicaIntent
+    const reason = intent?.action === action && intent.replica === replica ? intent.reason : 'no reason recorded'
+    const at = state.clock
+    state.replicaSteps = [...state.replicaSteps, { at, action, replica, reason }].slice(-REPLICA_STEPS_KEPT)
+    state.audit.append({
+      at,
+      operation: `replica-${action}`,
+      requester: 'control',
+      source: reason,
+      target: replica,
+      result: 'ok',
+    })
+  }
+  state.replicas = replicas
+  state.replicaIntent = undefined
+  state.replacing = state.replacing.filter((node) => replicas.some((replica) => replica.node === node))
+}
+
+function stepsBetween(
+  before: readonly ReplicaMember[],
+  after: readonly ReplicaMember[],
+): { readonly action: ReplicaAction; readonly replica: ReplicaId }[] {
+  const steps = after.flatMap((member) => {
+    const known = before.find((candidate) => candidate.replica === member.replica)
+    if (known?.role === member.role) return []
+    return [
+      { action: member.role === 'voter' ? ('promote' as const) : ('add-learner' as const), replica: member.replica },
+    ]
   })
-  return { kind: 'recorded' }
+  const gone = before.filter((member) => !after.some((candidate) => candidate.replica === member.replica))
+  return [...steps, ...gone.map(({ replica }) => ({ action: 'remove' as const, replica }))]
 }
--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -3,7 +3,7 @@
  * removed or reordered record breaks the chain. Records are kept as lines of JSON: a snapshot then copies text and
  * encodes nothing, which keeps the loop free with 50,000 records.
  */
-import type { CodeName, Digest } from '@bilberrystall/base'
+import type { Digest } from '@bilberrystall/base'
 import { sha256 } from './digest'
 
 export const AUDIT_RECORDS_KEPT = 50_000
@@ -14,14 +14,7 @@
 const CHAIN_START = '0'.repeat(64) as Digest
 
 export type AuditOperation =
-  | 'submit'
-  | 'promote'
-  | 'refuse'
-  | 'drain-node'
-  | 'replace-node'
-  | 'replica-add-learner'
-  | 'replica-promote'
-  | 'replica-remove'
+  'submit' | 'promote' | 'refuse' | 'drain-node' | 'replace-node' | `replica-${'add-learner' | 'promote' | 'remove'}`
 
 /** What a request leaves behind. `at` is in milliseconds since the Unix epoch. */
 export interface AuditEvent {
@@ -36,7 +29,8 @@
   readonly digest?: string
   /** Revision that stands in the environment after the request. */
   readonly revision?: number
-  readonly result: CodeName
+  /** Published name of the result code, `ok` for an accepted request. */
+  readonly result: string
   /** The change id was known and its kept result was sent again. */
   readonly repeated?: boolean
 }
--- a/packages/control/src/change.ts
+++ b/packages/control/src/change.ts
@@ -2,7 +2,7 @@
  * Changes of documents. Order of the checks: change id, room, base revision, content. The result of every change id is
  * kept, so a repeat gets the first response and has no second effect.
  */
-import { failure, type CodeName, type Digest, type Fault } from '@bilberrystall/base'
+import { failure, resultCode, type CodeName, type Digest, type Fault } from '@bilberrystall/base'
 import type { AuditEvent } from './audit'
 import type { Promote, Submit } from './command'
 import { sha256 } from './digest'
@@ -131,7 +131,7 @@
     environment: change.environment,
     digest,
     revision: currentRevision(state, change.environment),
-    result: applied.result.kind === 'accepted' ? 'ok' : applied.result.code,
+    result: applied.result.kind === 'accepted' ? 'ok' : resultCode(applied.result.code).name,
   }
   return applied.repeated ? { ...event, repeated: true } : event
 }
--- a/packages/control/src/snapshot.ts
+++ b/packages/control/src/snapshot.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
-import { errorMessage, failure, type CodeName, type Failure, type ReplicaId } from '@bilberrystall/base'
+import { errorMessage, failure, type CodeName, type Failure, type NodeId, type ReplicaId } from '@bilberrystall/base'
 import { AuditLog } from './audit'
 import { digestSchema, environmentSchema, revisionSchema, rosterEntrySchema } from './command'
 import type { ControlState } from './state'
@@ -30,6 +30,13 @@
     faults: z.array(faultSchema).exactOptional(),
   }),
 ])
+const replicaName = z.custom<ReplicaId>((value) => typeof value === 'string')
+const nodeName = z.custom<NodeId>((value) => typeof value === 'string')
+const stepSchema = z.object({
+  action: z.enum(['add-learner', 'promote', 'remove']),
+  replica: replicaName,
+  reason: z.string(),
+})
 const headSchema = z.object({
   format: z.literal(SNAPSHOT_FORMAT),
   clock: z.number(),
@@ -44,14 +51,11 @@
     }),
   ),
   nextEpoch: z.number(),
-  replicaSteps: z.array(
-    z.object({
-      at: z.number(),
-      action: z.enum(['add-learner', 'promote', 'remove']),
-      replica: z.custom<ReplicaId>((value) => typeof value === 'string'),
-      reason: z.string(),
-    }),
-  ),
+  replicaSteps: z.array(stepSchema.extend({ at: z.number() })),
+  replicaIntent: stepSchema.exactOptional(),
+  replicas: z.array(z.object({ replica: replicaName, node: nodeName, role: z.enum(['voter', 'learner']) })),
+  drains: z.array(z.object({ node: nodeName, at: z.number() })),
+  replacing: z.array(nodeName),
   audit: z.object({ root: digestSchema, head: digestSchema, dropped: z.number(), count: z.number() }),
 })
 
@@ -65,6 +69,10 @@
     roster: state.roster as z.infer<typeof headSchema>['roster'],
     nextEpoch: state.nextEpoch,
     replicaSteps: state.replicaSteps,
+    ...(state.replicaIntent === undefined ? {} : { replicaIntent: stepSchema.parse(state.replicaIntent) }),
+    replicas: [...state.replicas],
+    drains: state.drains,
+    replacing: state.replacing,
     audit: { root, head, dropped, count: lines.length },
   }
   return Buffer.from([JSON.stringify(first), ...lines].join('\n'), 'utf8')
@@ -89,6 +97,10 @@
       roster: head.roster,
       nextEpoch: head.nextEpoch,
       replicaSteps: head.replicaSteps,
+      replicaIntent: head.replicaIntent,
+      replicas: head.replicas,
+      drains: head.drains,
+      replacing: head.replacing,
     })
   } catch (cause) {
     return err(failure('snapshotDamaged', `snapshot cannot be read: ${errorMessage(cause)}`))
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -22,6 +22,7 @@
 /** Bounds memory: each environment may hold `REVISIONS_KEPT` documents. */
 export const ENVIRONMENTS_LIMIT = 16
 export const REPLICA_STEPS_KEPT = 100
+export const NODE_REQUESTS_KEPT = 200
 /** The environment whose documents may be promoted. */
 export const TRIAL = 'trial' as Environment
 
@@ -87,6 +88,19 @@
   readonly reason: string
 }
 
+/** One member of the replica set, as the consensus package has it. */
+export interface ReplicaMember {
+  readonly replica: ReplicaId
+  readonly node: NodeId
+  readonly role: 'voter' | 'learner'
+}
+
+/** An operator asked the node to drain; a process of it that started later is not meant. */
+export interface NodeDrain {
+  readonly node: NodeId
+  readonly at: number
+}
+
 export interface ControlState {
   /** Highest clock of any applied command, in milliseconds since the Unix epoch. */
   clock: number
@@ -96,6 +110,12 @@
   roster: RosterEpoch[]
   nextEpoch: number
   replicaSteps: ReplicaStep[]
+  /** The step of the replica set that the leader is about to take. */
+  replicaIntent: Omit<ReplicaStep, 'at'> | undefined
+  replicas: readonly ReplicaMember[]
+  drains: NodeDrain[]
+  /** Nodes whose replica an operator wants replaced, until it is. */
+  replacing: NodeId[]
 }
 
 export function emptyState(): ControlState {
@@ -107,6 +127,10 @@
     roster: [],
     nextEpoch: 1,
     replicaSteps: [],
+    replicaIntent: undefined,
+    replicas: [],
+    drains: [],
+    replacing: [],
   }
 }
 
--- a/packages/control/test/audit.test.ts
+++ b/packages/control/test/audit.test.ts
@@ -8,7 +8,7 @@
   requester: at % 2 === 0 ? 'asha' : 'jana',
   source: '10.0.0.1',
   environment: 'trial',
-  result: at % 3 === 0 ? 'revisionConflict' : 'ok',
+  result: at % 3 === 0 ? 'revision-conflict' : 'ok',
 })
 
 function logOf(count: number): AuditLog {
@@ -67,7 +67,7 @@
   const records = state.audit.query({}, 10).records.toReversed()
   expect(records.map(({ changeId, result, repeated }) => ({ changeId, result, repeated }))).toEqual([
     { changeId: 'c1', result: 'ok', repeated: undefined },
-    { changeId: 'c2', result: 'revisionConflict', repeated: undefined },
+    { changeId: 'c2', result: 'revision-conflict', repeated: undefined },
     { changeId: 'c1', result: 'ok', repeated: true },
   ])
   expect(records[0]).toMatchObject({ requester: 'asha', source: '10.0.0.1', at: 1_000, revision: 1 })
