Let promotions wait while a silent voter is undecided

The set {A, B, C lost} was extended by learner X in the second in which X lost its disk as well, which leaves 2 intact voters of 4. Part of it was avoidable: a promotion while C is silent but not yet lost makes every live voter necessary and brings no removal nearer, so it now waits.

Tried and reverted: removing the lost voter before the promotion.

Option of ts-results is wrapped: Node sees only the default export of its CommonJS build, so a named import fails when the sources run without a bundler, while the ES build for bundlers has only named exports.

--- a/packages/consensus/src/self-repair.ts
+++ b/packages/consensus/src/self-repair.ts
@@ -1,10 +1,11 @@
 /**
  * Self-repair of the replica set as a pure rule. Given what the leader sees, it returns the next single step. A lost
  * replica is replaced in the order add learner, promote, remove, so that at no time fewer copies count than before, and
- * a step is taken only when a live majority remains after it.
+ * a step is taken only when a live majority remains after it. Removing the lost voter before the promotion was tried: it
+ * leaves no majority when the voter was only unreachable and another disk is lost within the step.
  */
 import type { FailureDomain, NodeId, ReplicaId } from '@bilberrystall/base'
-import { None, Some, type Option } from 'ts-results'
+import { None, Some, type Option } from './option'
 import type { ReplicaSetChange } from './input'
 import type { ReplicaRole } from './message'
 import { majorityOf } from './replica-sets'
@@ -111,10 +112,15 @@
   return lost === undefined ? undefined : { kind: 'remove', replica: lost.replica }
 }
 
+/**
+ * While a voter is silent and not yet lost, a promotion would make every live voter necessary for a majority and would
+ * bring no removal nearer, so it waits.
+ */
 function promoteLearner(view: View): ReplicaSetChange | undefined {
   const ready = view.learners.find((learner) => learner.isLive && learner.caughtUp)
   if (ready === undefined || !keepsMajority([...view.voters, ready])) return undefined
-  return { kind: 'promote', replica: ready.replica }
+  const isUndecided = view.voters.some((voter) => !voter.isLive) && !view.voters.some((voter) => voter.isLost)
+  return isUndecided ? undefined : { kind: 'promote', replica: ready.replica }
 }
 
 /** Removes a voter beyond the target: a lost one first, else one from the most crowded failure domain. */
