--- /dev/null
+++ b/packages/testkit/src/load-main.ts
@@ -0,0 +1,6 @@
+/** Load command: the only argument is its options as JSON; prints the summary as JSON. */
+import { runLoad, type LoadOptions } from './load'
+
+void runLoad(JSON.parse(process.argv[2] ?? '{}') as LoadOptions).then((summary) => {
+  process.stdout.write(`${JSON.stringify(summary, undefined, 2)}\n`)
+})
