Wire the roles into one node and add the run command

Cause: the parts exist; a caller's request has to pass from end to end as separate processes. Ruled out: a second status listener per role; one listener serves health, metrics and announcements.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -11,6 +11,7 @@
   DocumentSubmit,
 } from './document-commands'
 import { New } from './new-command'
+import { Run } from './run-command'
 import { SettingsCheck } from './settings-commands'
 import { Audit, NodeDrain, NodeReplace, Nodes, Servers, Status } from './node-commands'
 
@@ -18,6 +19,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   New,
+  Run,
   SettingsCheck,
   DocumentCheck,
   DocumentSubmit,
--- a/packages/node/src/control-lease.ts
+++ b/packages/node/src/control-lease.ts
@@ -76,6 +76,11 @@
     return this.#confirmedAt
   }
 
+  /** Roster as of the last confirmed read. */
+  get roster(): readonly RosterEpoch[] {
+    return this.#roster
+  }
+
   /** Holders of keys of the given time, undefined when keyed calls are to be refused. */
   holdersAt(keyTime: number): RosterEpoch | undefined {
     if (this.#options.now() - this.#confirmedAt > KEYED_CALLS_LIMIT_MS) return undefined
--- /dev/null
+++ b/packages/node/src/entry-feed.ts
@@ -0,0 +1,144 @@
+/**
+ * What an entry takes from control: the document in force, the roster of holders, and measuring tokens. It keeps on with
+ * what it has when control falls silent; ages tell the health page and the claims how far that can be trusted.
+ */
+import { serviceName, type Environment, type NodeId } from '@bilberrystall/base'
+import type { RosterEpoch } from '@bilberrystall/claims'
+import { parseDocument, type Document } from '@bilberrystall/document'
+import type { Roster } from '@bilberrystall/entry'
+import type { Change } from '@bilberrystall/membership'
+import type { MeasuringTokens } from '@bilberrystall/routing'
+import type { DocumentKeeper, HeldDocument } from './control-documents'
+import { LeaseClient, type Lease, type MeasuringWish } from './control-lease'
+import { DocumentWatcher } from './control-watch'
+import type { Frame } from './frame'
+
+/** Slot time that one probe may take; the router reserves the same. */
+const PROBE_UNIT_MS = 12
+/** Probes of one service that an entry asks for in each window. */
+const PROBES_WANTED = 50
+
+export interface EntryFeedOptions {
+  readonly frame: Frame
+  readonly environment: Environment
+  readonly keeper: DocumentKeeper
+  readonly tokens: MeasuringTokens
+  readonly onDocument: (document: Document) => void
+  readonly onDrain: () => void
+}
+
+export class EntryFeed {
+  readonly #options: EntryFeedOptions
+  readonly #watcher: DocumentWatcher
+  readonly #leases: LeaseClient
+  #document: Document | undefined
+
+  constructor(options: EntryFeedOptions) {
+    this.#options = options
+    const { frame, environment, keeper } = options
+    const { clients, directory, now } = frame
+    const addressOf = (node: NodeId) => directory.nodes.get(node)?.address
+    const controlNodes = () => this.#nodes((node) => node.roles.includes('control'))
+    this.#watcher = new DocumentWatcher({
+      environment,
+      keeper,
+      clients,
+      addressOf,
+      controlNodes,
+      otherEntries: () => this.#nodes((node) => node.environment === environment && node.node !== frame.self),
+      now,
+    })
+    this.#leases = new LeaseClient({
+      node: frame.self,
+      environment,
+      start: frame.startedAt,
+      clients,
+      addressOf,
+      controlNodes,
+      wishes: () => this.#wishes(),
+      onLease: (lease) => {
+        this.#leased(lease)
+      },
+      now,
+    })
+    keeper.subscribe((held) => {
+      this.#inForce(held)
+    })
+  }
+
+  document(): Document | undefined {
+    return this.#document
+  }
+
+  /** Epochs that are not decided yet count as rosters without entries, which refuses their keys. */
+  roster(): Roster {
+    const history = this.#leases.roster.map(({ epoch, effectiveFrom, standing, entries }): RosterEpoch => ({
+      epoch,
+      effectiveFrom,
+      entries: standing === 'sealed' ? entries.map((entry) => ({ node: entry.node, domain: entry.failureDomain })) : [],
+    }))
+    return { history, confirmedAt: this.#leases.confirmedAt }
+  }
+
+  /** Monotonic time at which control last confirmed the document or answered a lease. */
+  confirmedAt(): number {
+    return Math.max(this.#leases.confirmedAt, this.#options.keeper.confirmedAt(this.#options.environment))
+  }
+
+  start(): void {
+    this.#watcher.start()
+    this.#leases.start()
+  }
+
+  stop(): void {
+    this.#watcher.stop()
+    this.#leases.stop()
+  }
+
+  /** Fetches a revision that another node states and this one lacks. */
+  changed(changes: readonly Change[]): void {
+    const { keeper, environment, frame } = this.#options
+    for (const change of changes) {
+      if (change.kind !== 'node-changed' || change.node.node === frame.self) continue
+      const version = change.node.documents.find((document) => document.environment === environment)
+      if (version !== undefined && keeper.saw(version)) void this.#watcher.fetch(change.node.node)
+    }
+  }
+
+  #nodes(accepts: (node: { node: NodeId; roles: readonly string[]; environment: Environment }) => boolean): NodeId[] {
+    return [...this.#options.frame.directory.nodes.values()].filter(accepts).map((node) => node.node)
+  }
+
+  #wishes(): MeasuringWish[] {
+    const services = [...(this.#document?.services.keys() ?? [])]
+    return services.map((service) => ({ service, wantedMs: PROBES_WANTED * PROBE_UNIT_MS, unitMs: PROBE_UNIT_MS }))
+  }
+
+  #leased(lease: Lease): void {
+    const { keeper, environment, tokens, onDrain } = this.#options
+    for (const { service, tokensMs, validForMs } of lease.grants) {
+      tokens.add({ service: serviceName(service), tokens: tokensMs, validFor: validForMs }, lease.sentAt)
+    }
+    const lacks =
+      lease.digest !== undefined && keeper.saw({ environment, revision: lease.revision, digest: lease.digest })
+    if (lacks) void this.#watcher.fetchFromControl()
+    else if (lease.revision > 0) keeper.confirm(environment, lease.revision, lease.sentAt)
+    if (lease.drain) onDrain()
+  }
+
+  #inForce(held: HeldDocument): void {
+    const { environment, frame, onDocument } = this.#options
+    if (held.environment !== environment) return
+    // Control checks documents before it accepts them; one that does not parse here comes from a newer version.
+    parseDocument(held.text).match(
+      (document) => {
+        this.#document = document
+        onDocument(document)
+        frame.log.info('documentInForce', { environment, revision: held.revision, digest: held.digest })
+      },
+      () => {
+        frame.log.error('documentInvalid', { environment, revision: held.revision })
+      },
+    )
+  }
+}
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,14 +1,17 @@
 /** Entry role of a node: keeps the HTTP entry and its router in line with the directory and the document in force. */
-import { serverId, type CodeName, type ServiceName } from '@bilberrystall/base'
-import type { Document, Service } from '@bilberrystall/document'
-import { Entry, type ClaimGate } from '@bilberrystall/entry'
+import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
+import type { Document } from '@bilberrystall/document'
+import { Entry } from '@bilberrystall/entry'
 import type { Change, Server } from '@bilberrystall/membership'
 import { Router, type Effect } from '@bilberrystall/routing'
-import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Result } from 'neverthrow'
 import type { Counter } from 'prom-client'
 import type { Announcement } from './announcement'
-import type { Frame, NodeRole } from './frame'
+import type { DocumentKeeper } from './control-documents'
+import { EntryFeed } from './entry-feed'
+import type { Frame } from './frame'
 import { splitAddress } from './listener'
 import type { EntrySettings } from './settings'
 
@@ -18,20 +21,21 @@
 export interface EntryRoleOptions {
   readonly frame: Frame
   readonly settings: EntrySettings
-  readonly document: () => Document | undefined
-  readonly claims: ClaimGate
+  readonly keeper: DocumentKeeper
+  /** An operator asked this node to drain. */
+  readonly onDrain: () => void
 }
 
-export class EntryRole implements NodeRole {
-  readonly entry: Entry
-  readonly router: Router
+export class EntryRole {
+  readonly #entry: Entry
+  readonly #router: Router
+  readonly #feed: EntryFeed
   readonly #options: EntryRoleOptions
   readonly #calls: Counter<'result'>
   readonly #latency: Histogram
   readonly #ejected = new Set<string>()
   /** When each start of a server was first seen, so that a restarted one begins cold. */
   readonly #firstSeen = new Map<string, { readonly start: number; readonly at: number }>()
-  #configured: Document | undefined
 
   constructor(options: EntryRoleOptions) {
     this.#options = options
@@ -39,16 +43,25 @@
     const { host, port } = splitAddress(settings.listen)
     this.#calls = frame.metrics.counter('calls_total', 'Calls by result', ['result'])
     this.#latency = frame.metrics.latency('call', 'Latency of calls at the entry')
-    this.router = new Router({ random: frame.random })
-    this.entry = new Entry({
+    this.#router = new Router({ random: frame.random })
+    this.#feed = new EntryFeed({
+      frame,
+      environment: settings.environment,
+      keeper: options.keeper,
+      tokens: this.#router.tokens,
+      onDocument: (document) => {
+        this.#configure(document)
+      },
+      onDrain: options.onDrain,
+    })
+    this.#entry = new Entry({
       host,
       port,
       node: frame.self,
       nodeKey: frame.settings.nodeKey,
-      router: this.router,
-      document: options.document,
-      liveEntries: () => this.liveEntries(),
-      claims: options.claims,
+      router: this.#router,
+      document: () => this.#feed.document(),
+      liveEntries: () => this.#liveEntries(),
       events: {
         ended: (result, latencyMs) => {
           this.#ended(result, latencyMs)
@@ -61,16 +74,44 @@
         },
       },
     })
-    frame.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.entry.callsInFlight)
+    frame.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.#entry.callsInFlight)
     frame.metrics.gauge('servers', 'Servers in view of the environment', () => this.#firstSeen.size)
   }
 
-  routes(_router: ConnectRouter): void {
-    // The entry answers claims through the claim holder, which registers its own service.
+  /** Whether a confirmed document is in force. */
+  get hasDocument(): boolean {
+    return this.#feed.document() !== undefined
+  }
+
+  /** Monotonic time at which control last confirmed what this entry uses. */
+  get confirmedAt(): number {
+    return this.#feed.confirmedAt()
+  }
+
+  /** Errors: `address-in-use`. */
+  listen(): Promise<Result<void, Failure>> {
+    return this.#entry.start()
+  }
+
+  start(): void {
+    this.#feed.start()
+  }
+
+  /** Planned stop: after the balancer's grace no connection is accepted; false when calls outlived the limit. */
+  async drain(): Promise<boolean> {
+    const { balancerGraceMs, stopLimitMs } = this.#options.settings
+    this.#entry.leave()
+    await sleep(balancerGraceMs)
+    return this.#entry.drain(stopLimitMs)
+  }
+
+  async stop(): Promise<void> {
+    this.#feed.stop()
+    await this.#entry.stop()
   }
 
   /** Live entries that serve the same environment, this one included. */
-  liveEntries(): number {
+  #liveEntries(): number {
     const { frame, settings } = this.#options
     let count = 0
     for (const node of frame.directory.nodes.values()) {
@@ -80,6 +121,7 @@
   }
 
   changed(changes: readonly Change[]): void {
+    this.#feed.changed(changes)
     for (const change of changes) {
       switch (change.kind) {
         case 'server-changed':
@@ -103,18 +145,13 @@
     if (load === undefined) return
     const inflight = Math.min(load, server.slots)
     const report = { inflight, slots: server.slots, queue: Math.max(0, load - server.slots) }
-    this.router.observe({ server: serverId(key), age: 0, load: report }, this.#options.frame.now())
+    this.#router.observe({ server: serverId(key), age: 0, load: report }, this.#options.frame.now())
   }
 
-  /** Applies the limits of a document that came into force. */
-  configure(document: Document): void {
-    if (document === this.#configured) return
-    this.#configured = document
-    for (const service of document.services.values()) this.#configureService(service.name, service)
-  }
-
-  #configureService(name: ServiceName, service: Service): void {
-    this.router.configure(name, { retries: { share: service.retryBudget } })
+  #configure(document: Document): void {
+    for (const service of document.services.values()) {
+      this.#router.configure(service.name, { retries: { share: service.retryBudget } })
+    }
   }
 
   #serverChanged(key: string, server: Server): void {
@@ -127,7 +164,7 @@
     const known = this.#firstSeen.get(key)
     const at = known?.start === server.start ? known.at : frame.now()
     this.#firstSeen.set(key, { start: server.start, at })
-    this.entry.updateServer({
+    this.#entry.updateServer({
       id: serverId(key),
       service: server.service,
       domain: server.failureDomain,
@@ -143,7 +180,7 @@
 
   #serverLeft(key: string, server: Server): void {
     if (!this.#firstSeen.delete(key)) return
-    this.entry.removeServer(serverId(key))
+    this.#entry.removeServer(serverId(key))
     this.#options.frame.log.info('serverLeft', { server: key, state: server.state })
   }
 
@@ -151,7 +188,7 @@
     const { frame } = this.#options
     if (node === frame.self) return
     for (const key of ejected) {
-      if (this.#firstSeen.has(key)) this.router.observe({ server: serverId(key), age: 0, ejected: true }, frame.now())
+      if (this.#firstSeen.has(key)) this.#router.observe({ server: serverId(key), age: 0, ejected: true }, frame.now())
     }
   }
 
--- a/packages/node/src/frame.ts
+++ b/packages/node/src/frame.ts
@@ -1,11 +1,9 @@
 /**
- * What every role of a process shares: directory, gossip, RPC, log, metrics and clocks. Roles are wired to it and hear
- * of changes in the directory.
+ * What every role of a process shares: directory, gossip, RPC, log, metrics and clocks. Roles are wired to it.
  */
 import type { NodeId, Random } from '@bilberrystall/base'
-import type { Change, Directory, Node } from '@bilberrystall/membership'
+import type { Directory, Node } from '@bilberrystall/membership'
 import type { RpcClients } from '@bilberrystall/rpc'
-import type { ConnectRouter } from '@connectrpc/connect'
 import type { Gossip } from './gossip'
 import type { Log } from './log'
 import type { Metrics } from './metrics'
@@ -29,10 +27,3 @@
   /** Publishes a changed part of this node's record in the directory. */
   readonly announce: (part: Partial<Node>) => void
 }
-
-/** One role of the process. */
-export interface NodeRole {
-  /** Registers the role's RPC services. */
-  readonly routes: (router: ConnectRouter) => void
-  readonly changed: (changes: readonly Change[]) => void
-}
--- a/packages/node/src/log.ts
+++ b/packages/node/src/log.ts
@@ -43,7 +43,14 @@
 }
 
 function writeJson(entry: LogObject): void {
-  const { code, node, fields, message } = entry as LogObject & Record<string, unknown>
-  const line = { time: entry.date.toISOString(), level: entry.type, code, event: message, node, ...(fields as object) }
+  const { code, node, fields } = entry as LogObject & Record<string, unknown>
+  const line = {
+    time: entry.date.toISOString(),
+    level: entry.type,
+    code,
+    event: entry.args[0] as string,
+    node,
+    ...(fields as object),
+  }
   process.stderr.write(`${JSON.stringify(line)}\n`)
 }
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,310 @@
+/**
+ * One process of the system: opens the shared parts, starts its roles, and stops them in an order that cuts off no call.
+ * Roles on the same node share the directory, the RPC server and the status listener.
+ */
+import { randomInt } from 'node:crypto'
+import {
+  environmentName,
+  failure,
+  resultCode,
+  seededRandom,
+  type CodeName,
+  type Failure,
+  type NodeId,
+} from '@bilberrystall/base'
+import { Directory, serverKey, type Change, type Node } from '@bilberrystall/membership'
+import { RpcClients, RpcServer, Traffic } from '@bilberrystall/rpc'
+import { err, ok, type Result } from 'neverthrow'
+import type { Announcement } from './announcement'
+import { Control } from './control'
+import { deliveryRoutes } from './control-delivery'
+import { DocumentKeeper } from './control-documents'
+import { EntryRole } from './entry-role'
+import type { Frame } from './frame'
+import { Gossip } from './gossip'
+import { healthOf } from './health'
+import { listen, splitAddress, type Listener } from './listener'
+import { createLog, type Log } from './log'
+import { Metrics } from './metrics'
+import type { Settings } from './settings'
+import { statusApp, type Health } from './status-listener'
+
+const EXPIRY_INTERVAL_MS = 100
+const SEED_RANGE = 2 ** 32
+
+export interface NodeOptions {
+  readonly log?: Log
+  /** The node cannot go on, or an operator asked it to leave; the process is to stop it. */
+  readonly onEnd?: (code: CodeName) => void
+}
+
+export class RunningNode {
+  readonly #settings: Settings
+  readonly #frame: Frame
+  readonly #keeper = new DocumentKeeper()
+  readonly #metrics = new Metrics()
+  readonly #traffic = new Traffic()
+  /** Nodes that were logged as joined. */
+  readonly #joined = new Set<NodeId>()
+  readonly #onEnd: (code: CodeName) => void
+  readonly #listeners: Listener[] = []
+  #record: Node
+  #rpc: RpcServer | undefined
+  #control: Control | undefined
+  #entry: EntryRole | undefined
+  #expiry: NodeJS.Timeout | undefined
+  #stopping: Promise<CodeName> | undefined
+
+  private constructor(settings: Settings, options: NodeOptions) {
+    this.#settings = settings
+    this.#onEnd = options.onEnd ?? (() => undefined)
+    this.#record = ownRecord(settings)
+    this.#frame = this.#createFrame(options.log ?? createLog({ node: settings.node }))
+  }
+
+  /** Errors: those of opening the data folder, and `address-in-use`. */
+  static async start(settings: Settings, options: NodeOptions = {}): Promise<Result<RunningNode, Failure>> {
+    const node = new RunningNode(settings, options)
+    const started = await node.#start()
+    if (started.isOk()) return ok(node)
+    await node.#close()
+    return err(started.error)
+  }
+
+  /**
+   * Graceful shutdown: the health page says leaving for the balancer's grace, calls in flight finish, leadership moves,
+   * then listeners close. Repeated calls share one shutdown.
+   */
+  stop(): Promise<CodeName> {
+    this.#stopping ??= this.#shutDown()
+    return this.#stopping
+  }
+
+  async #start(): Promise<Result<void, Failure>> {
+    const opened = await this.#openRoles()
+    if (opened.isErr()) return opened
+    const served = await this.#listenForNodes()
+    if (served.isErr()) return served
+    const listening = await this.#listenForOthers()
+    if (listening.isErr()) return listening
+    this.#announce({ state: 'serving' })
+    this.#frame.gossip.start()
+    this.#control?.start()
+    this.#entry?.start()
+    this.#expiry = setInterval(() => {
+      this.expire()
+    }, EXPIRY_INTERVAL_MS)
+    this.#frame.log.info('nodeStarted', { roles: this.#settings.roles })
+    return ok()
+  }
+
+  /** Lets leases expire; timers that ran late after a freeze must not leave a server in use. */
+  expire(): void {
+    this.#changed(this.#frame.directory.expire(this.#frame.now()))
+  }
+
+  async #openRoles(): Promise<Result<void, Failure>> {
+    const { control, entry } = this.#settings
+    this.#keeper.subscribe(() => {
+      this.#announce({ documents: this.#keeper.versions() })
+    })
+    if (entry !== undefined) {
+      this.#entry = new EntryRole({
+        frame: this.#frame,
+        settings: entry,
+        keeper: this.#keeper,
+        onDrain: () => {
+          this.#onEnd('nodeLeaving')
+        },
+      })
+    }
+    if (control === undefined) return ok()
+    const opened = await Control.open({
+      node: this.#settings.node,
+      settings: control,
+      clients: this.#frame.clients,
+      cluster: this.#frame.directory,
+      keeper: this.#keeper,
+      log: this.#frame.log,
+      random: this.#frame.random,
+      start: this.#frame.startedAt,
+      onFatal: (cause) => {
+        this.#frame.log.error(cause.code, { message: cause.message })
+        this.#onEnd(cause.code)
+      },
+      onDrain: () => {
+        this.#onEnd('nodeLeaving')
+      },
+    })
+    if (opened.isErr()) return err(opened.error)
+    this.#control = opened.value
+    this.#announce({ disk: opened.value.disk })
+    return ok()
+  }
+
+  async #listenForNodes(): Promise<Result<void, Failure>> {
+    const { host, port } = splitAddress(this.#settings.rpcListen)
+    const rpc = await RpcServer.listen({
+      host,
+      port,
+      nodeKey: this.#settings.nodeKey,
+      traffic: this.#traffic,
+      routes: (router) => {
+        this.#frame.gossip.routes(router)
+        if (this.#control !== undefined) this.#control.routes(router)
+        else deliveryRoutes(router, { keeper: this.#keeper, now: this.#frame.now, control: undefined })
+      },
+    })
+    return rpc.map((server) => {
+      this.#rpc = server
+    })
+  }
+
+  async #listenForOthers(): Promise<Result<void, Failure>> {
+    const status = statusApp({
+      health: () => this.#health(),
+      metrics: () => this.#metrics.render(),
+      serverKey: this.#settings.entry?.serverKey,
+      announce: (announcement) => this.#serverAnnounced(announcement),
+    })
+    const listening = await listen(status, this.#settings.statusListen)
+    if (listening.isErr()) return err(listening.error)
+    this.#listeners.push(listening.value)
+    if (this.#control !== undefined && this.#settings.control !== undefined) {
+      const operators = await listen(this.#control.operatorApp(), this.#settings.control.listen)
+      if (operators.isErr()) return err(operators.error)
+      this.#listeners.push(operators.value)
+    }
+    return this.#entry === undefined ? ok() : this.#entry.listen()
+  }
+
+  #serverAnnounced(announcement: Announcement): Result<void, Failure> {
+    const { environment } = announcement.server
+    if (environment !== this.#settings.entry?.environment) {
+      return err(failure('announcementInvalid', `this entry does not serve environment ${environment}`))
+    }
+    const { directory, now } = this.#frame
+    return directory.announce(announcement.server, now()).map((changes) => {
+      this.#changed(changes)
+      this.#entry?.announced(serverKey(announcement.server), announcement)
+      const leaving = changes.some((change) => change.kind === 'server-changed' && change.server.state === 'draining')
+      if (leaving) void this.#frame.gossip.spread()
+    })
+  }
+
+  #health(): Health {
+    const now = this.#frame.now()
+    const confirmedAt = this.#entry?.confirmedAt ?? this.#control?.confirmedAt ?? Number.NEGATIVE_INFINITY
+    return healthOf({
+      leaving: this.#stopping !== undefined,
+      documentInForce: this.#entry === undefined || this.#entry.hasDocument,
+      confirmedAgeMs: now - confirmedAt,
+      heardAgeMs: now - this.#frame.gossip.heardAt,
+    })
+  }
+
+  async #shutDown(): Promise<CodeName> {
+    const { log } = this.#frame
+    log.info('nodeLeaving')
+    this.#announce({ state: 'leaving' })
+    void this.#frame.gossip.spread()
+    await this.#control?.leave()
+    const finished = (await this.#entry?.drain()) ?? true
+    await this.#close()
+    const code: CodeName = finished ? 'ok' : 'stopLimit'
+    log.info('nodeStopped', { result: resultCode(code).name })
+    return code
+  }
+
+  async #close(): Promise<void> {
+    clearInterval(this.#expiry)
+    this.#frame.gossip.stop()
+    await this.#entry?.stop()
+    await this.#control?.stop()
+    await this.#rpc?.close()
+    this.#frame.clients.close()
+    for (const listener of this.#listeners) await listener.close()
+  }
+
+  #changed(changes: readonly Change[]): void {
+    if (changes.length === 0) return
+    this.#entry?.changed(changes)
+    for (const change of changes) this.#nodeChanged(change)
+  }
+
+  #nodeChanged(change: Change): void {
+    const { log, clients, self } = this.#frame
+    if (change.kind === 'node-lost' && this.#joined.delete(change.node.node)) {
+      clients.forget(change.node.address)
+      log.warn('nodeLost', { node: change.node.node })
+    }
+    if (change.kind !== 'node-changed' || change.node.node === self) return
+    if (this.#joined.has(change.node.node)) return
+    this.#joined.add(change.node.node)
+    log.info('nodeJoined', { node: change.node.node, roles: change.node.roles })
+  }
+
+  #announce(part: Partial<Node>): void {
+    this.#record = { ...this.#record, ...part }
+    this.#changed(this.#frame.directory.announceSelf(this.#record, this.#frame.now()))
+  }
+
+  #createFrame(log: Log): Frame {
+    const { node, address, seeds, nodeKey } = this.#settings
+    const startedAt = Date.now()
+    const now = () => performance.now()
+    const random = seededRandom(randomInt(SEED_RANGE))
+    const directory = new Directory({ self: node, incarnation: startedAt, now: now() })
+    const clients = new RpcClients({ nodeKey, traffic: this.#traffic })
+    const gossip = new Gossip({
+      directory,
+      clients,
+      self: node,
+      address,
+      seeds,
+      random,
+      now,
+      onChanges: (changes) => {
+        this.#changed(changes)
+      },
+    })
+    this.#metrics.gauge('control_bytes', 'Bytes exchanged with other nodes', () => this.#traffic.bytes())
+    this.#metrics.gauge('nodes', 'Live nodes in view', () => directory.nodes.size)
+    return {
+      settings: this.#settings,
+      self: node,
+      startedAt,
+      directory,
+      gossip,
+      clients,
+      log,
+      metrics: this.#metrics,
+      random,
+      now,
+      unix: () => Date.now(),
+      announce: (part) => {
+        this.#announce(part)
+      },
+    }
+  }
+}
+
+/** Starts a node from checked settings. Errors: those of opening the data folder, and `address-in-use`. */
+export function startNode(settings: Settings, options: NodeOptions = {}): Promise<Result<RunningNode, Failure>> {
+  return RunningNode.start(settings, options)
+}
+
+function ownRecord(settings: Settings): Node {
+  return {
+    node: settings.node,
+    roles: settings.roles,
+    address: settings.address,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+    environment: settings.entry?.environment ?? environmentName(''),
+    state: 'starting',
+    disk: '',
+    documents: [],
+    ejected: [],
+  }
+}
