Retry a refused step of the replica set

Cause: the audit record of a promotion is an entry that the learner has not received when the promotion follows it, so the step was refused in every round and self-repair stood still (seen with a round per second: learner after 12 s; with 50 ms rounds it passed by luck). A refused step is now tried again for a second. 5 tests with a fake leader.

--- a/packages/node/src/control-duties.ts
+++ b/packages/node/src/control-duties.ts
@@ -2,6 +2,7 @@
  * What the leader does every second besides the log: the roster of entries follows the live entries, pending rosters are
  * decided, and lost replicas are replaced one step at a time.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { FailureDomain, NodeId } from '@bilberrystall/base'
 import { planRepair, type RepairNode, type ReplicaSetChange, type Status } from '@bilberrystall/consensus'
 import { rosterDecision, type RosterEntry } from '@bilberrystall/control'
@@ -14,6 +15,9 @@
 const JOIN_AFTER_MS = 2_000
 /** An entry leaves the roster after this time: a restart must not change the holders, and a majority does without it. */
 const LEAVE_AFTER_MS = 60_000
+/** A refused step is tried again for a second. */
+const STEP_ATTEMPTS = 20
+const STEP_RETRY_MS = 50
 /** A member counts as lost without contact for this time. */
 export const LOST_AFTER_MS = 60_000
 
@@ -147,8 +151,19 @@
     const { kind: action, replica } = change
     const recorded = await host.propose({ kind: 'replica-step', at: wallClock(), action, replica, reason })
     if (recorded.kind !== 'applied') return
-    const done: Proposed = await host.changeReplicaSet(change)
-    if (done.kind === 'applied') onStep(change)
+    if (await this.#takeStep(change)) onStep(change)
+  }
+
+  /** The record of the step is itself an entry that a learner has to receive before it may be promoted. */
+  async #takeStep(change: ReplicaSetChange): Promise<boolean> {
+    const { host } = this.#options
+    for (let attempt = 0; attempt < STEP_ATTEMPTS; attempt += 1) {
+      const done: Proposed = await host.changeReplicaSet(change)
+      if (done.kind !== 'failed') return done.kind === 'applied'
+      if (host.status().role !== 'leader') return false
+      await sleep(STEP_RETRY_MS)
+    }
+    return false
   }
 }
 
--- /dev/null
+++ b/packages/node/test/control-duties.test.ts
@@ -0,0 +1,156 @@
+import { expect, test } from 'vitest'
+import { environmentName, failure, failureDomain, logIndex, nodeId, replicaId, term } from '@bilberrystall/base'
+import type { ReplicaSetChange, Status } from '@bilberrystall/consensus'
+import { applyCommand, emptyState, type Command, type RosterEpoch } from '@bilberrystall/control'
+import type { Node } from '@bilberrystall/membership'
+import type { Proposed } from '../src/control-replica'
+import { LeaderDuties } from '../src/control-duties'
+
+function nodeOfName(name: string, roles: Node['roles'] = ['entry']): Node {
+  return {
+    node: nodeId(name),
+    roles,
+    address: '',
+    failureDomain: failureDomain('north'),
+    region: 'default',
+    environment: environmentName('trial'),
+    state: 'serving',
+    disk: roles.includes('control') ? '1' : '',
+    documents: [],
+    ejected: [],
+  }
+}
+
+const member = (name: string, role: 'voter' | 'learner') => ({
+  replica: replicaId(`${name}/1`),
+  node: nodeId(name),
+  role,
+})
+
+/** Leader whose log applies every command at once, with clocks that the test sets. */
+class FakeLeader {
+  time = 1_000_000
+  readonly state = emptyState()
+  readonly nodes = new Map<Node['node'], Node>()
+  readonly commands: Command[] = []
+  readonly steps: ReplicaSetChange[] = []
+  refusals = 0
+  replicas = [member('a', 'voter')]
+  readonly duties = new LeaderDuties({
+    host: {
+      status: () => this.#status(),
+      state: this.state,
+      propose: (command) => this.#propose(command),
+      changeReplicaSet: (change) => this.#change(change),
+      transferLeadership: () => Promise.resolve(),
+    },
+    directory: { nodes: this.nodes },
+    replicas: 3,
+    now: () => this.time,
+    wallClock: () => this.time,
+    onStep: () => undefined,
+  })
+
+  see(...names: string[]): void {
+    this.nodes.clear()
+    for (const name of names) this.nodes.set(nodeId(name), nodeOfName(name))
+  }
+
+  async pass(duration: number): Promise<void> {
+    const end = this.time + duration
+    for (; this.time < end; this.time += 1_000) await this.duties.run()
+  }
+
+  rosters(): string[] {
+    return this.state.roster.map(({ standing, entries }: RosterEpoch) => {
+      return `${standing} ${entries.map(({ node }) => node).join('')}`
+    })
+  }
+
+  #propose(command: Command): Promise<Proposed> {
+    this.commands.push(command)
+    return Promise.resolve({ kind: 'applied', applied: applyCommand(this.state, command).result })
+  }
+
+  #change(change: ReplicaSetChange): Promise<Proposed> {
+    if (this.refusals > 0) {
+      this.refusals -= 1
+      return Promise.resolve({ kind: 'failed', failure: failure('noQuorum'), leader: undefined })
+    }
+    this.steps.push(change)
+    return Promise.resolve({ kind: 'applied', applied: { kind: 'recorded' } })
+  }
+
+  #status(): Status {
+    const learners = this.replicas.filter(({ role }) => role === 'learner')
+    return {
+      replica: replicaId('a/1'),
+      node: nodeId('a'),
+      role: 'leader',
+      term: term(1),
+      leader: replicaId('a/1'),
+      commit: logIndex(1),
+      applied: logIndex(1),
+      lastIndex: logIndex(1),
+      snapshotIndex: undefined,
+      logEntries: 1,
+      logBytes: 1,
+      replicas: this.replicas,
+      replicasCommitted: true,
+      lease: true,
+      followers: learners.map((learner) => {
+        return { ...learner, state: 'replicate', match: logIndex(1), lastContact: this.time, caughtUp: true }
+      }),
+    }
+  }
+}
+
+test('entries that start together make one roster that holds at once', async () => {
+  const leader = new FakeLeader()
+  leader.see('a', 'b')
+  await leader.pass(4_000)
+  expect(leader.rosters()).toEqual(['sealed ab'])
+})
+
+test('a restart of an entry does not change the roster, a lost entry leaves it after 60 s', async () => {
+  const leader = new FakeLeader()
+  leader.see('a', 'b')
+  await leader.pass(4_000)
+  leader.see('a')
+  await leader.pass(50_000)
+  leader.see('a', 'b')
+  await leader.pass(50_000)
+  expect(leader.rosters()).toEqual(['sealed ab'])
+  leader.see('a')
+  await leader.pass(70_000)
+  expect(leader.rosters()).toEqual(['sealed ab', 'sealed a'])
+})
+
+test('a new leader that has not met the entries yet keeps them in the roster', async () => {
+  const leader = new FakeLeader()
+  const entries = ['a', 'b'].map((name) => ({ node: nodeId(name), failureDomain: failureDomain('north') }))
+  applyCommand(leader.state, { kind: 'roster-propose', at: 0, entries })
+  leader.see('a')
+  await leader.pass(50_000)
+  expect(leader.rosters()).toEqual(['sealed ab'])
+})
+
+test('a pending roster of an earlier leader that became known too late is voided', async () => {
+  const leader = new FakeLeader()
+  const entries = [{ node: nodeId('a'), failureDomain: failureDomain('north') }]
+  applyCommand(leader.state, { kind: 'roster-propose', at: 0, entries })
+  applyCommand(leader.state, { kind: 'roster-propose', at: leader.time - 6_000, entries: [] })
+  leader.see('a')
+  await leader.pass(1_000)
+  expect(leader.rosters()).toEqual(['sealed a', 'void '])
+})
+
+test('a learner refused for the record of its own promotion is promoted in the same round', async () => {
+  const leader = new FakeLeader()
+  leader.replicas = [member('a', 'voter'), member('b', 'learner')]
+  for (const name of ['a', 'b', 'c']) leader.nodes.set(nodeId(name), nodeOfName(name, ['control']))
+  leader.refusals = 1
+  await leader.pass(1_000)
+  expect(leader.steps).toEqual([{ kind: 'promote', replica: 'b/1' }])
+  expect(leader.commands.map(({ kind }) => kind)).toEqual(['replica-step'])
+})
