Test single rules, the repair rule and senseless messages directly

Cause: schedules reach some rules too rarely to rely on: acknowledgements of an earlier leader, writes replaced while under way, sets reverted by truncation, learners in majorities, limits of log and backlog, the silent first election timeout of a restarted voter, a disk that does not sync.

--- /dev/null
+++ b/packages/consensus/test/fuzz.test.ts
@@ -0,0 +1,124 @@
+/** Guards `step` against messages that have the right types and senseless values: it must never throw. */
+import { nodeId, replicaId, seededRandom } from '@bilberrystall/base'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { Input } from '../src/index'
+import { Driver, info, noOp, SELF, storedOf } from './support/driver'
+
+const replica = fc.constantFrom(SELF, replicaId('b'), replicaId('c'), replicaId('d'))
+const whole = fc.oneof(fc.integer({ min: 0, max: 6 }), fc.integer(), fc.constantFrom(2 ** 53, -1))
+const bytes = fc.uint8Array({ maxLength: 8 })
+const member = fc.record({
+  replica,
+  node: fc.constantFrom(nodeId('n'), nodeId('m')),
+  role: fc.constantFrom('voter', 'learner'),
+})
+const members = fc.array(member, { maxLength: 4 })
+const position = { index: whole, term: whole }
+const entry = fc.oneof(
+  fc.record({ kind: fc.constant('no-op'), ...position }),
+  fc.record({ kind: fc.constant('command'), ...position, command: bytes }),
+  fc.record({ kind: fc.constant('replica-set'), ...position, replicas: members }),
+)
+const envelope = { from: replica, to: fc.constant(SELF), term: whole }
+const probe = { round: whole, sentAt: whole }
+const flag = fc.boolean()
+const last = { lastIndex: whole, lastTerm: whole }
+
+/** Entries that continue a small log, so that a part of the appends is accepted. */
+const run = fc.tuple(fc.integer({ min: 0, max: 4 }), fc.array(fc.integer({ min: 0, max: 3 }), { maxLength: 4 }))
+const fittingAppend = fc.tuple(run, replica, whole).map(([[previousIndex, terms], from, commit]) => ({
+  kind: 'append' as const,
+  from,
+  to: SELF,
+  term: 3,
+  previousIndex,
+  previousTerm: 1,
+  commit,
+  round: 0,
+  sentAt: 0,
+  entries: terms.map((entryTerm, offset) => noOp(previousIndex + 1 + offset, entryTerm)),
+}))
+
+const chunk = fc.record({
+  kind: fc.constant('snapshot-chunk'),
+  ...envelope,
+  ...probe,
+  position: fc.record({ ...position, replicas: members }),
+  size: whole,
+  offset: whole,
+  data: bytes,
+})
+
+const message = fc.oneof(
+  fc.record({ kind: fc.constant('pre-vote'), ...envelope, ...last }),
+  fc.record({ kind: fc.constant('pre-vote-response'), ...envelope, granted: flag }),
+  fc.record({ kind: fc.constant('vote'), ...envelope, ...last, transfer: flag }),
+  fc.record({ kind: fc.constant('vote-response'), ...envelope, granted: flag }),
+  fc.record({
+    kind: fc.constant('append'),
+    ...envelope,
+    ...probe,
+    previousIndex: whole,
+    previousTerm: whole,
+    entries: fc.array(entry, { maxLength: 4 }),
+    commit: whole,
+  }),
+  fittingAppend,
+  fc.record({
+    kind: fc.constant('append-response'),
+    ...envelope,
+    ...probe,
+    accepted: flag,
+    match: whole,
+    hint: whole,
+  }),
+  chunk,
+  fc.record({
+    kind: fc.constant('snapshot-response'),
+    ...envelope,
+    ...probe,
+    index: whole,
+    offset: whole,
+    installed: flag,
+  }),
+  fc.record({ kind: fc.constant('transfer'), ...envelope }),
+  fc.record({ kind: fc.constant('read-request'), ...envelope, read: whole }),
+  fc.record({ kind: fc.constant('read-response'), ...envelope, read: whole, confirmed: flag, index: whole }),
+)
+
+const input = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ kind: fc.constant('message'), message }) },
+  { weight: 2, arbitrary: fc.constant({ kind: 'tick' }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('propose'), proposal: whole, command: bytes }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('persisted'), persist: whole }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('read'), read: whole }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('transfer'), target: replica }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('snapshot-taken'),
+      snapshot: fc.record({ ...position, replicas: members, data: bytes }),
+    }),
+  },
+)
+
+describe('step', () => {
+  it('never throws and never moves the commit index back, whatever it receives', () => {
+    const steps = fc.array(fc.tuple(input, fc.integer({ min: 0, max: 700 }), flag), { maxLength: 40 })
+    const property = fc.property(steps, fc.integer({ min: 1, max: 99 }), flag, (inputs, seed, leads) => {
+      const driver = new Driver({ stored: storedOf([info('a'), info('b'), info('c')]), seed })
+      if (leads) driver.lead()
+      let commit = 0
+      for (const [made, passed, syncs] of inputs) {
+        driver.now += passed
+        if (syncs) driver.run(made as Input)
+        else driver.step(made as Input)
+        const status = driver.replica.status()
+        expect(status.commit).toBeGreaterThanOrEqual(commit)
+        commit = status.commit
+      }
+    })
+    fc.assert(property, { numRuns: 2_000, seed: Math.floor(seededRandom(5)() * 2 ** 31) })
+  })
+})
--- /dev/null
+++ b/packages/consensus/test/membership.test.ts
@@ -0,0 +1,181 @@
+/** Guards changes of the replica set, confirmed reads and snapshots at a single replica. */
+import { logIndex, nodeId, replicaId, term } from '@bilberrystall/base'
+import { describe, expect, it } from 'vitest'
+import type { Output, ReplicaSetChange } from '../src/index'
+import { B, C, Driver, info, messagesOf, SELF, storedOf } from './support/driver'
+
+const THREE = [info('a'), info('b'), info('c')]
+const D = replicaId('d')
+const ADD: ReplicaSetChange = { kind: 'add-learner', replica: D, node: nodeId('node-d') }
+const command = new Uint8Array(8)
+
+function outcome(driver: Driver, change: ReplicaSetChange): string {
+  const outputs = driver.run({ kind: 'change-replica-set', proposal: 1, change })
+  const rejected = outputs.find((output) => output.kind === 'rejected')
+  return rejected === undefined ? 'accepted' : rejected.failure.code
+}
+
+function leaderOf(replicas = THREE): Driver {
+  const driver = new Driver({ stored: storedOf(replicas) })
+  driver.lead()
+  return driver
+}
+
+function reads(outputs: readonly Output[]): readonly Output[] {
+  return outputs.filter((output) => output.kind === 'read-ready')
+}
+
+describe('changes of the replica set', () => {
+  it('wait for an entry of the own term and for the previous change to be committed', () => {
+    const driver = leaderOf()
+    expect(outcome(driver, ADD)).toBe('replicaSetBusy')
+    driver.acknowledge(B, 2)
+    expect(outcome(driver, ADD)).toBe('accepted')
+    expect(outcome(driver, { kind: 'remove', replica: C })).toBe('replicaSetBusy')
+    driver.acknowledge(B, 3)
+    expect(outcome(driver, { kind: 'remove', replica: C })).toBe('accepted')
+  })
+
+  it('promote a learner only once it holds every committed entry', () => {
+    const driver = leaderOf([...THREE, info('d', 'learner')])
+    driver.acknowledge(B, 2)
+    expect(outcome(driver, { kind: 'promote', replica: D })).toBe('replicaBehind')
+    driver.acknowledge(D, 1)
+    expect(outcome(driver, { kind: 'promote', replica: D })).toBe('replicaBehind')
+    driver.acknowledge(D, 2)
+    expect(outcome(driver, { kind: 'promote', replica: D })).toBe('accepted')
+  })
+
+  it('that do not fit the set are refused', () => {
+    const driver = new Driver({ bootstrap: true })
+    driver.tick(0)
+    expect(outcome(driver, { kind: 'remove', replica: SELF })).toBe('replicaSetInvalid')
+    expect(outcome(driver, { kind: 'promote', replica: D })).toBe('replicaSetInvalid')
+    expect(outcome(driver, { kind: 'add-learner', replica: SELF, node: nodeId('x') })).toBe('replicaSetInvalid')
+  })
+
+  it('a leader that removes itself leads until the removal is committed', () => {
+    const driver = leaderOf()
+    driver.acknowledge(B, 2)
+    expect(outcome(driver, { kind: 'remove', replica: SELF })).toBe('accepted')
+    driver.acknowledge(B, 3)
+    expect(driver.replica.status().role).toBe('leader')
+    driver.acknowledge(C, 3)
+    expect(driver.replica.status()).toMatchObject({ role: 'idle', commit: 3 })
+  })
+
+  it('a learner commits nothing, confirms no read and carries no lease', () => {
+    const driver = leaderOf([...THREE, info('d', 'learner')])
+    driver.acknowledge(D, 2)
+    expect(driver.replica.status()).toMatchObject({ commit: 0, lease: false })
+    driver.acknowledge(B, 2)
+    driver.now += 600
+    driver.run({ kind: 'read', read: 1 })
+    expect(reads(driver.acknowledge(D, 2, 1))).toEqual([])
+    expect(driver.replica.status().lease).toBe(false)
+    expect(reads(driver.acknowledge(C, 2, 1))).toMatchObject([{ read: 1, index: 2 }])
+  })
+})
+
+describe('confirmed reads', () => {
+  it('need a round that started after the read and an entry of the own term', () => {
+    const driver = leaderOf()
+    const asked = driver.run({ kind: 'read', read: 1 })
+    expect(messagesOf(asked, 'append').map((message) => message.round)).toEqual([1, 1])
+    expect(reads(driver.acknowledge(B, 1, 1))).toEqual([])
+    expect(reads(driver.acknowledge(B, 2, 0))).toMatchObject([{ read: 1 }])
+    driver.run({ kind: 'read', read: 2 })
+    expect(reads(driver.acknowledge(B, 2, 1))).toEqual([])
+    expect(reads(driver.acknowledge(B, 2, 2))).toMatchObject([{ read: 2 }])
+  })
+
+  it('are answered from the lease at once, but not after a transfer was requested', () => {
+    const driver = leaderOf()
+    driver.acknowledge(B, 2)
+    expect(reads(driver.run({ kind: 'read', read: 1, mode: 'lease' }))).toHaveLength(1)
+    driver.run({ kind: 'transfer', target: B })
+    driver.acknowledge(B, 2)
+    expect(reads(driver.run({ kind: 'read', read: 2, mode: 'lease' }))).toEqual([])
+  })
+
+  it('at a follower wait until the confirmed index is applied', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.run(driver.append({ term: term(1) }))
+    const [request] = messagesOf(driver.run({ kind: 'read', read: 5 }), 'read-request')
+    const confirmed = { from: B, term: term(1), read: request?.read ?? 0, confirmed: true, index: logIndex(1) }
+    expect(reads(driver.receive('read-response', confirmed))).toEqual([])
+    const commit = { previousIndex: logIndex(1), previousTerm: term(1), commit: logIndex(1) }
+    expect(reads(driver.run(driver.append({ term: term(1), ...commit })))).toMatchObject([{ read: 5, index: 1 }])
+  })
+
+  it('of an earlier process are not answered to a later one', () => {
+    const numbers = [1, 2].map((seed) => {
+      const driver = new Driver({ stored: storedOf(THREE), seed })
+      driver.run(driver.append({ term: term(1) }))
+      return messagesOf(driver.run({ kind: 'read', read: 5 }), 'read-request')[0]?.read
+    })
+    expect(numbers[0]).not.toBe(numbers[1])
+  })
+
+  it('without a majority fail within 1 s', () => {
+    const driver = leaderOf()
+    driver.acknowledge(B, 2)
+    driver.run({ kind: 'read', read: 1 })
+    expect(driver.tick(1_000).find((output) => output.kind === 'read-failed')).toMatchObject({ read: 1 })
+  })
+})
+
+describe('snapshots', () => {
+  it('keep the log within 1,000 entries and 4 MiB plus the entry that reaches the limit', () => {
+    const driver = new Driver({ bootstrap: true })
+    driver.tick(0)
+    for (let proposal = 1; proposal <= 3_000; proposal += 1) {
+      const size = proposal > 2_900 ? 256 * 1024 : 8
+      for (const output of driver.run({ kind: 'propose', proposal, command: new Uint8Array(size) })) {
+        if (output.kind !== 'take-snapshot') continue
+        driver.run({ kind: 'snapshot-taken', snapshot: { ...output.position, data: command } })
+      }
+      const { logEntries, logBytes } = driver.replica.status()
+      expect(logEntries).toBeLessThanOrEqual(1_000)
+      expect(logBytes).toBeLessThanOrEqual(4 * 1024 * 1024 + 256 * 1024 + 32)
+    }
+  })
+
+  it('carry the set at their position, not a later one that is not committed', () => {
+    const driver = new Driver({ stored: storedOf(THREE), limits: { logEntries: 4, keptEntries: 1 } })
+    driver.lead()
+    driver.acknowledge(B, 2)
+    expect(outcome(driver, ADD)).toBe('accepted')
+    const asked = [...driver.run({ kind: 'propose', proposal: 2, command }), ...driver.acknowledge(B, 2)]
+    const request = asked.find((output) => output.kind === 'take-snapshot')
+    expect(request).toMatchObject({ position: { index: 2, replicas: THREE } })
+  })
+
+  it('arrive in chunks, are acknowledged once synced, and replace state and set', () => {
+    const driver = new Driver()
+    const position = { index: logIndex(7), term: term(1), replicas: THREE }
+    const chunk = { from: B, term: term(1), position, size: 4, round: 0, sentAt: 0 }
+    const part = (offset: number): Uint8Array => new Uint8Array([offset, offset + 1])
+    const first = driver.receive('snapshot-chunk', { ...chunk, offset: 0, data: part(0) })
+    expect(messagesOf(first, 'snapshot-response')).toMatchObject([{ offset: 2, installed: false }])
+    driver.receive('snapshot-chunk', { ...chunk, offset: 0, data: part(0) })
+    const last = driver.step(driver.input('snapshot-chunk', { ...chunk, offset: 2, data: part(2) }))
+    expect(messagesOf(last, 'snapshot-response')).toMatchObject([{ installed: false }])
+    expect(last.some((output) => output.kind === 'restore')).toBe(false)
+    const synced = driver.sync()
+    const restored = synced.find((output) => output.kind === 'restore')
+    expect(restored).toMatchObject({ snapshot: { data: new Uint8Array([0, 1, 2, 3]) } })
+    expect(messagesOf(synced, 'snapshot-response')).toMatchObject([{ installed: true }])
+    expect(driver.replica.status()).toMatchObject({ commit: 7, applied: 7, replicas: THREE, role: 'follower' })
+  })
+
+  it('larger than the limit or out of bounds are ignored', () => {
+    const driver = new Driver()
+    const position = { index: logIndex(7), term: term(1), replicas: THREE }
+    const chunk = { from: B, term: term(1), position, offset: 0, data: command, round: 0, sentAt: 0 }
+    for (const size of [2 ** 40, 4, Number.NaN]) {
+      const outputs = driver.receive('snapshot-chunk', { ...chunk, size })
+      expect(messagesOf(outputs, 'snapshot-response')).toEqual([])
+    }
+  })
+})
--- /dev/null
+++ b/packages/consensus/test/replica.test.ts
@@ -0,0 +1,194 @@
+/** Guards single rules of the log that schedules reach too rarely to rely on. */
+import { logIndex, term } from '@bilberrystall/base'
+import { describe, expect, it } from 'vitest'
+import { checkStored, type Output } from '../src/index'
+import { B, C, Driver, info, messagesOf, noOp, SELF, setEntry, storedOf } from './support/driver'
+
+const THREE = [info('a'), info('b'), info('c')]
+const command = new Uint8Array(8)
+
+function kinds(outputs: readonly Output[]): readonly string[] {
+  return outputs.map((output) => output.kind)
+}
+
+describe('start', () => {
+  it('a bootstrapped replica leads alone once its ballot is synced', () => {
+    const driver = new Driver({ bootstrap: true })
+    expect(kinds(driver.step({ kind: 'tick' }))).toEqual(['persist', 'role'])
+    expect(driver.replica.status().role).toBe('candidate')
+    driver.sync()
+    expect(driver.replica.status()).toMatchObject({ role: 'leader', term: 2, commit: 2, applied: 2 })
+    const outputs = driver.run({ kind: 'propose', proposal: 1, command })
+    expect(kinds(outputs)).toEqual(['persist', 'accepted', 'apply'])
+  })
+
+  it('bootstrap is ignored where state is stored', () => {
+    const driver = new Driver({ bootstrap: true, stored: storedOf(THREE) })
+    expect(driver.replica.status().replicas).toEqual(THREE)
+  })
+
+  it('an empty replica outside every set neither campaigns nor writes', () => {
+    const driver = new Driver()
+    for (let tick = 0; tick < 100; tick += 1) expect(driver.tick(100)).toEqual([])
+    expect(driver.replica.status().role).toBe('idle')
+  })
+
+  it('stored entries with a gap are refused', () => {
+    expect(checkStored({ entries: [noOp(1, 1), noOp(3, 1)] }).isErr()).toBe(true)
+    expect(checkStored({ entries: [noOp(2, 1)] }).isErr()).toBe(true)
+    expect(checkStored({ entries: [noOp(1, 1), noOp(2, 1)] }).isOk()).toBe(true)
+  })
+})
+
+describe('elections', () => {
+  const request = { from: C, term: term(2), lastIndex: logIndex(9), lastTerm: term(1) }
+
+  it('a vote leaves only after it is synced', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.now += 700
+    const before = driver.step(driver.input('vote', { ...request, transfer: false }))
+    expect(kinds(before)).toEqual(['persist', 'role'])
+    expect(messagesOf(driver.sync(), 'vote-response')).toMatchObject([{ to: C, granted: true }])
+  })
+
+  it('a voter that hears its leader refuses pre-votes and ignores votes', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.now += 5_000
+    driver.run(driver.append({ term: term(1) }))
+    driver.now += 500
+    expect(messagesOf(driver.receive('pre-vote', request), 'pre-vote-response')).toMatchObject([{ granted: false }])
+    expect(driver.receive('vote', { ...request, transfer: false })).toEqual([])
+    expect(driver.replica.status().term).toBe(1)
+  })
+
+  it('a restarted voter keeps silent for one election timeout, since it may have renewed a lease before', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.now += 500
+    expect(messagesOf(driver.receive('pre-vote', request), 'pre-vote-response')).toMatchObject([{ granted: false }])
+  })
+
+  it('a candidate with a shorter log gets no vote', () => {
+    const driver = new Driver({ stored: storedOf(THREE, noOp(2, 1)) })
+    driver.now += 700
+    const outputs = driver.receive('vote', { ...request, lastIndex: logIndex(1), transfer: false })
+    expect(messagesOf(outputs, 'vote-response')).toMatchObject([{ granted: false }])
+  })
+
+  it('a leader that was frozen steps down before it answers anything', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.lead()
+    driver.acknowledge(B, 2)
+    driver.now += 1_000
+    const outputs = driver.run({ kind: 'read', read: 1, mode: 'lease' })
+    expect(outputs.find((output) => output.kind === 'read-failed')).toMatchObject({ failure: { code: 'notLeader' } })
+    expect(driver.replica.status().role).toBe('follower')
+  })
+
+  it('a leader whose disk does not sync for 2 s steps down although followers answer', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.lead()
+    driver.acknowledge(B, 2)
+    driver.step({ kind: 'propose', proposal: 1, command })
+    for (let passed = 0; passed <= 2_100; passed += 100) {
+      driver.now += 100
+      driver.step({ kind: 'tick' })
+      const { role, term: current } = driver.replica.status()
+      if (role !== 'leader') break
+      const body = { from: B, term: current, accepted: true, match: logIndex(3), hint: logIndex(3), round: 0 }
+      driver.step(driver.input('append-response', { ...body, sentAt: driver.now }))
+    }
+    expect(driver.replica.status().role).not.toBe('leader')
+  })
+})
+
+describe('replication', () => {
+  it('acknowledges nothing of an earlier leader to a new one', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    const old = { previousIndex: logIndex(1), previousTerm: term(1), entries: [noOp(2, 1), noOp(3, 1)] }
+    expect(messagesOf(driver.run(driver.append({ term: term(1), ...old })), 'append-response')).toMatchObject([
+      { match: 3 },
+    ])
+    const heartbeat = { from: C, previousIndex: logIndex(1), previousTerm: term(1) }
+    const answer = messagesOf(driver.run(driver.append({ term: term(2), ...heartbeat })), 'append-response')
+    expect(answer.at(-1)).toMatchObject({ accepted: true, match: 1 })
+  })
+
+  it('entries replaced while their write is under way do not count as synced', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    const position = { previousIndex: logIndex(1), previousTerm: term(1) }
+    driver.step(driver.append({ term: term(1), ...position, entries: [noOp(2, 1), noOp(3, 1), noOp(4, 1)] }))
+    const [first] = driver.unsynced
+    driver.step(driver.append({ term: term(2), from: C, ...position, entries: [noOp(2, 2), noOp(3, 2)] }))
+    const outputs = driver.step({ kind: 'persisted', persist: first ?? 0 })
+    for (const answer of messagesOf(outputs, 'append-response')) expect(answer.match).toBe(1)
+    expect(messagesOf(driver.sync(), 'append-response').at(-1)).toMatchObject({ match: 3 })
+  })
+
+  it('a set whose entry is truncated is no longer in force', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    const position = { previousIndex: logIndex(1), previousTerm: term(1) }
+    const set = setEntry(2, 1, [...THREE, info('d', 'learner')])
+    driver.run(driver.append({ term: term(1), ...position, entries: [set] }))
+    expect(driver.replica.status().replicas).toHaveLength(4)
+    driver.run(driver.append({ term: term(2), from: C, ...position, entries: [noOp(2, 2)] }))
+    expect(driver.replica.status().replicas).toEqual(THREE)
+  })
+
+  it('a message to another replica id is ignored', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    const input = driver.append({ term: term(5) })
+    if (input.kind !== 'message') return
+    expect(driver.run({ kind: 'message', message: { ...input.message, to: C } })).toEqual([])
+  })
+
+  it('a follower that never answers receives a bounded number of batches', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.lead()
+    driver.acknowledge(B, 2)
+    let batches = 0
+    for (let proposal = 1; proposal <= 100; proposal += 1) {
+      const outputs = driver.run({ kind: 'propose', proposal, command })
+      batches += messagesOf(outputs, 'append').filter((message) => message.entries.length > 0).length
+    }
+    // 8 in flight to b, one probe to c.
+    expect(batches).toBeLessThanOrEqual(9)
+  })
+
+  it('proposals that would wait without bound are refused', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.lead()
+    const large = new Uint8Array(512 * 1024)
+    const refused = [1, 2, 3, 4].flatMap((proposal) =>
+      driver
+        .run({ kind: 'propose', proposal, command: large })
+        .flatMap((output) => (output.kind === 'rejected' ? [[output.proposal, output.failure.code]] : [])),
+    )
+    // Three of 512 KiB fit the limit of 2 MiB beside their overhead.
+    expect(refused).toEqual([[4, 'logBacklog']])
+  })
+})
+
+describe('leadership transfer', () => {
+  it('asks the target once it holds the whole log, refuses proposals meanwhile and gives up in time', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.lead()
+    expect(messagesOf(driver.run({ kind: 'transfer', target: B }), 'transfer')).toEqual([])
+    expect(messagesOf(driver.acknowledge(B, 2), 'transfer')).toMatchObject([{ to: B }])
+    const [rejected] = driver.run({ kind: 'propose', proposal: 1, command })
+    expect(rejected).toMatchObject({ kind: 'rejected', leader: B })
+    for (let passed = 0; passed < 1_200; passed += 100) {
+      driver.acknowledge(B, 2)
+      driver.now += 100
+    }
+    expect(kinds(driver.run({ kind: 'tick' }))).toContain('transfer-failed')
+    expect(driver.replica.status().role).toBe('leader')
+  })
+
+  it('the target campaigns at once and asks voters to ignore the old leader', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.run(driver.append({ term: term(1) }))
+    const outputs = driver.receive('transfer', { from: B, term: term(1) })
+    expect(messagesOf(outputs, 'vote')).toMatchObject([{ transfer: true }, { transfer: true }])
+    expect(messagesOf(outputs, 'vote').map((vote) => vote.to)).not.toContain(SELF)
+  })
+})
--- /dev/null
+++ b/packages/consensus/test/self-repair.test.ts
@@ -0,0 +1,129 @@
+/** Guards the repair rule: one step at a time, never without a live majority, distinct failure domains preferred. */
+import { failureDomain, logIndex, nodeId, replicaId, term, type ReplicaId } from '@bilberrystall/base'
+import { describe, expect, it } from 'vitest'
+import { planRepair, type RepairNode, type ReplicaRole, type Status } from '../src/index'
+
+const NOW = 1_000_000
+
+interface MemberSpec {
+  readonly name: string
+  readonly role?: ReplicaRole
+  /** Time since the last contact in milliseconds. */
+  readonly silent?: number
+  readonly caughtUp?: boolean
+}
+
+/** Status of leader a; every other member is given by its specification. */
+function statusOf(members: readonly MemberSpec[]): Status {
+  const replicas = members.map(({ name, role = 'voter' }) => ({ replica: idOf(name), node: nodeId(name), role }))
+  const followers = members
+    .filter((member) => member.name !== 'a')
+    .map(({ name, role = 'voter', silent = 0, caughtUp = true }) => {
+      const base = { replica: idOf(name), node: nodeId(name), role, state: 'replicate' as const }
+      return { ...base, match: logIndex(9), lastContact: NOW - silent, caughtUp }
+    })
+  return {
+    replica: idOf('a'),
+    node: nodeId('a'),
+    role: 'leader',
+    term: term(3),
+    leader: idOf('a'),
+    commit: logIndex(9),
+    applied: logIndex(9),
+    lastIndex: logIndex(9),
+    snapshotIndex: undefined,
+    logEntries: 9,
+    logBytes: 900,
+    replicas,
+    replicasCommitted: true,
+    lease: true,
+    followers,
+  }
+}
+
+function idOf(name: string): ReplicaId {
+  return replicaId(`${name}/1`)
+}
+
+function spare(node: string, domain: string, disk = '1'): RepairNode {
+  return { node: nodeId(node), replica: replicaId(`${node}/${disk}`), failureDomain: failureDomain(domain) }
+}
+
+function plan(members: readonly MemberSpec[], nodes: readonly RepairNode[], target: 3 | 5 = 3): string {
+  const step = planRepair({ status: statusOf(members), nodes, now: NOW, target })
+  return step.some ? `${step.val.kind} ${step.val.replica}` : 'none'
+}
+
+const ABC = [{ name: 'a' }, { name: 'b' }, { name: 'c' }]
+const HOME = [spare('a', 'x'), spare('b', 'y'), spare('c', 'z')]
+
+describe('the repair rule', () => {
+  it('replaces a replica lost for 60 s in the order add, promote, remove', () => {
+    const nodes = [spare('a', 'x'), spare('b', 'y'), spare('d', 'z')]
+    const lost = { name: 'c', silent: 60_000 }
+    expect(plan([{ name: 'a' }, { name: 'b' }, { name: 'c', silent: 59_999 }], nodes)).toBe('none')
+    expect(plan([{ name: 'a' }, { name: 'b' }, lost], nodes)).toBe('add-learner d/1')
+    const learner = { name: 'd', role: 'learner' as const }
+    expect(plan([{ name: 'a' }, { name: 'b' }, lost, { ...learner, caughtUp: false }], nodes)).toBe('none')
+    expect(plan([{ name: 'a' }, { name: 'b' }, lost, learner], nodes)).toBe('promote d/1')
+    expect(plan([{ name: 'a' }, { name: 'b' }, lost, { name: 'd' }], nodes)).toBe('remove c/1')
+    expect(plan([{ name: 'a' }, { name: 'b' }, { name: 'd' }], nodes)).toBe('none')
+  })
+
+  it('takes a node that returned with a new disk as a new replica', () => {
+    const nodes = [spare('a', 'x'), spare('b', 'y'), spare('c', 'z', '2')]
+    expect(plan([{ name: 'a' }, { name: 'b' }, { name: 'c', silent: 60_000 }], nodes)).toBe('add-learner c/2')
+  })
+
+  it('does nothing without a live majority, at a follower, or while a change is in progress', () => {
+    const nodes = [...HOME, spare('d', 'w')]
+    const silent = [{ name: 'a' }, { name: 'b', silent: 70_000 }, { name: 'c', silent: 70_000 }]
+    expect(plan(silent, nodes)).toBe('none')
+    const status = statusOf([{ name: 'a' }])
+    expect(planRepair({ status: { ...status, role: 'follower' }, nodes, now: NOW }).none).toBe(true)
+    expect(planRepair({ status: { ...status, replicasCommitted: false }, nodes, now: NOW }).none).toBe(true)
+  })
+
+  it('never removes a voter when no live majority would remain', () => {
+    const four = [...ABC.slice(0, 2), { name: 'c', silent: 2_000 }, { name: 'd', silent: 60_000 }]
+    expect(plan(four, HOME)).toBe('none')
+    expect(plan([{ name: 'a' }, { name: 'b' }, { name: 'c', silent: 60_000 }], [spare('a', 'x')])).toBe('none')
+  })
+
+  it('does not promote while a silent voter may still return', () => {
+    const members = [
+      { name: 'a' },
+      { name: 'b' },
+      { name: 'c', silent: 5_000 },
+      { name: 'd', role: 'learner' as const },
+    ]
+    expect(plan(members, [...HOME, spare('d', 'w')])).toBe('none')
+  })
+
+  it('drops a learner that is lost before anything else', () => {
+    const members = [...ABC, { name: 'd', role: 'learner' as const, silent: 60_000 }]
+    expect(plan(members, HOME)).toBe('remove d/1')
+  })
+
+  it('grows to the target while an odd number is in reach, in unused failure domains first', () => {
+    expect(plan([{ name: 'a' }], [spare('a', 'x'), spare('b', 'x'), spare('c', 'y'), spare('d', 'z')])).toBe(
+      'add-learner c/1',
+    )
+    expect(plan([{ name: 'a' }], [spare('a', 'x'), spare('b', 'y')])).toBe('none')
+    expect(plan(ABC, [...HOME, spare('d', 'w')], 5)).toBe('none')
+    expect(plan(ABC, [...HOME, spare('d', 'x'), spare('e', 'v')], 5)).toBe('add-learner e/1')
+  })
+
+  it('moves a voter out of a shared failure domain and then stops', () => {
+    const nodes = [spare('a', 'x'), spare('b', 'x'), spare('c', 'y'), spare('d', 'z')]
+    expect(plan(ABC, nodes)).toBe('add-learner d/1')
+    expect(plan([...ABC, { name: 'd' }], nodes)).toBe('remove b/1')
+    expect(plan([{ name: 'a' }, { name: 'c' }, { name: 'd' }], nodes)).toBe('none')
+  })
+
+  it('shrinks to a smaller target one voter at a time and keeps the leader', () => {
+    const five = [...ABC, { name: 'd' }, { name: 'e' }]
+    const nodes = [spare('a', 'x'), spare('b', 'x'), spare('c', 'y'), spare('d', 'z'), spare('e', 'w')]
+    expect(plan(five, nodes)).toBe('remove b/1')
+  })
+})
