--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -272,5 +272,7 @@
     log.reset(first.index, first.term)
     log.append(entries.slice(1))
   }
+  // A crash during an install may leave the log that the snapshot replaced; what contradicts the snapshot is void.
+  if (snapshot !== undefined && log.termAt(snapshot.index) !== snapshot.term) log.reset(snapshot.index, snapshot.term)
   return log
 }
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -33,6 +33,14 @@
     expect(driver.replica.status().role).toBe('idle')
   })
 
+  it('a stored log that contradicts the installed snapshot is void', () => {
+    const snapshot = { index: logIndex(2), term: term(3), replicas: THREE, data: command }
+    const stored = { ...storedOf(THREE, noOp(2, 1), setEntry(3, 1, [info('a')])), snapshot }
+    expect(new Driver({ stored }).replica.status()).toMatchObject({ lastIndex: 2, commit: 2, replicas: THREE })
+    const fitting = { ...storedOf(THREE, noOp(2, 3), noOp(3, 3)), snapshot }
+    expect(new Driver({ stored: fitting }).replica.status()).toMatchObject({ lastIndex: 3, commit: 2 })
+  })
+
   it('stored entries with a gap are refused', () => {
     expect(checkStored({ entries: [noOp(1, 1), noOp(3, 1)] }).isErr()).toBe(true)
     expect(checkStored({ entries: [noOp(2, 1)] }).isErr()).toBe(true)
@@ -117,9 +125,10 @@
     const driver = new Driver({ stored: storedOf(THREE) })
     const position = { previousIndex: logIndex(1), previousTerm: term(1) }
     driver.step(driver.append({ term: term(1), ...position, entries: [noOp(2, 1), noOp(3, 1), noOp(4, 1)] }))
-    const [first] = driver.unsynced
+    driver.step(driver.append({ term: term(2), from: C, ...position }))
+    const ballot = driver.unsynced.at(-1) ?? 0
     driver.step(driver.append({ term: term(2), from: C, ...position, entries: [noOp(2, 2), noOp(3, 2)] }))
-    const outputs = driver.step({ kind: 'persisted', persist: first ?? 0 })
+    const outputs = driver.step({ kind: 'persisted', persist: ballot })
     for (const answer of messagesOf(outputs, 'append-response')) expect(answer.match).toBe(1)
     expect(messagesOf(driver.sync(), 'append-response').at(-1)).toMatchObject({ match: 3 })
   })
