--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,3 +1,4 @@
 /** Command line for operators and the entry point of the binary. */
 export * from './cli'
+export * from './example'
 export * from './operator-client'
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -47,6 +47,8 @@
   readonly roles: readonly Role[]
   /** Address for other nodes of the system. */
   readonly address: string
+  /** Listener of that address; differs from it when the address is mapped on the way. */
+  readonly rpcListen: string
   /** Address for announcements of servers, health and metrics. */
   readonly statusListen: string
   readonly failureDomain: FailureDomain
@@ -63,6 +65,7 @@
     name: field.name,
     roles: field.list.pipe(z.array(z.enum(['entry', 'control'], 'must be entry, control or both')).min(1)),
     address: field.address,
+    'rpc-listen': field.address.optional(),
     'status-listen': field.address,
     'failure-domain': field.name,
     region: field.name.default('default'),
@@ -120,6 +123,7 @@
     node: nodeId(node.name),
     roles: node.roles,
     address: node.address,
+    rpcListen: node['rpc-listen'] ?? node.address,
     statusListen: node['status-listen'],
     failureDomain: failureDomain(node['failure-domain']),
     region: node.region,
--- a/packages/testkit/src/processes.ts
+++ b/packages/testkit/src/processes.ts
@@ -68,17 +68,6 @@
   }
 }
 
-/** Command line of a TypeScript source. */
-export function tsx(source: string): string[] {
-  return [process.execPath, '--import', 'tsx', source]
-}
-
-/** The built binary when `BILBERRYSTALL_BINARY` names it, else the source. */
-export function bilberrystall(): string[] {
-  const binary = process.env.BILBERRYSTALL_BINARY
-  return binary === undefined ? tsx(join(REPOSITORY, 'packages/cli/src/main.ts')) : [binary]
-}
-
 export class RunningProcess {
   readonly name: string
   readonly #child: ChildProcess
@@ -104,6 +93,10 @@
     return this.stdout + this.stderr
   }
 
+  get pid(): number {
+    return this.#child.pid ?? 0
+  }
+
   get running(): boolean {
     return this.#child.exitCode === null && this.#child.signalCode === null
   }
--- a/packages/testkit/test/fault-proxy.test.ts
+++ b/packages/testkit/test/fault-proxy.test.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'undici'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { eventually, FaultProxy, runLoad, sendCall, StandIn } from '@bilberrystall/testkit'
+import { eventually, FaultProxy, freePort, Harness, Network, runLoad, sendCall, StandIn } from '@bilberrystall/testkit'
 
 let server: StandIn
 let proxy: FaultProxy
@@ -72,3 +72,24 @@
     expect(summary.outcomes.complete).toBe(summary.sent)
   }
 })
+
+test('a network isolates one process in both directions and leaves the others connected', async () => {
+  const network = new Network()
+  const harness = await Harness.create()
+  try {
+    const entry = await network.join('first', server.address, await freePort())
+    await network.join('second', server.address, await freePort())
+    network.running('second', process.pid)
+    network.isolate('second')
+    const held = sendCall(entry.address, { method: 'GET', path: '/', requestId: 'held' }, agent)
+    const fetched = `fetch('http://${entry.address}/').then((response) => console.log('status', response.status))`
+    const third = harness.start({ name: 'third', command: [process.execPath, '-e', fetched] })
+    await third.line(/status 200/)
+    expect(server.record.byRequest).not.toHaveProperty('held')
+    network.heal()
+    expect((await held).outcome).toBe('complete')
+  } finally {
+    await network.stop().catch(() => undefined)
+    await harness.end()
+  }
+})
--- a/packages/testkit/test/stand-in.test.ts
+++ b/packages/testkit/test/stand-in.test.ts
@@ -22,7 +22,7 @@
     request.on('data', (chunk: Buffer) => (text += chunk.toString()))
     request.on('end', () => {
       seen.push(JSON.parse(text) as Announcement)
-      response.writeHead(204).end()
+      response.end(JSON.stringify({ renewMs: 500 }))
     })
   })
   await once(entry.listen(0, '127.0.0.1'), 'listening')
