Keep an error listener on every session to a peer

Cause: found by the tests of claims over real RPC. When a peer stops, connect-node destroys the session on GOAWAY and emits its error later; forgetting the peer in between removes the library's listeners, and the error then ends the process as uncaught. Every node would be exposed whenever another node stops.

Conclusion: the session manager keeps a listener of its own on each session that it hands out.

--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -2,6 +2,7 @@
  * Client side of the protocol between the system's own processes. One HTTP/2 session per peer address is kept and
  * verified by pings, so that a silent connection is found and replaced.
  */
+import type { ClientHttp2Stream, Http2Session } from 'node:http2'
 import { connect } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import { createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
@@ -20,6 +21,24 @@
   readonly timeoutMs?: number
 }
 
+/**
+ * The library removes its error listeners from a session that it has just destroyed; an error emitted after that, for
+ * example when the peer stops, would end the process.
+ */
+class GuardedSessionManager extends Http2SessionManager {
+  readonly #guarded = new WeakSet<Http2Session>()
+
+  override async request(...args: Parameters<Http2SessionManager['request']>): Promise<ClientHttp2Stream> {
+    const stream = await super.request(...args)
+    const { session } = stream
+    if (session !== undefined && !this.#guarded.has(session)) {
+      this.#guarded.add(session)
+      session.on('error', () => undefined)
+    }
+    return stream
+  }
+}
+
 interface Peer {
   readonly transport: Transport
   readonly manager: Http2SessionManager
@@ -58,7 +77,7 @@
 
   #open(address: string): Peer {
     const baseUrl = `http://${address}`
-    const manager = new Http2SessionManager(
+    const manager = new GuardedSessionManager(
       baseUrl,
       {
         pingIntervalMs: PING_INTERVAL_MS,
--- a/packages/rpc/test/rpc.test.ts
+++ b/packages/rpc/test/rpc.test.ts
@@ -46,3 +46,26 @@
   const call = rpc.client(GossipService, await serve()).exchange({ from: 'a' })
   await expect(call).rejects.toThrow(ConnectError)
 })
+
+test('a peer that is forgotten while it stops does not end the process with an uncaught error', async () => {
+  const { rpc } = clients('right')
+  for (let turns = 0; turns < 20; turns += 1) {
+    const server = await RpcServer.listen({
+      host: '127.0.0.1',
+      port: 0,
+      nodeKey: 'right',
+      traffic: new Traffic(),
+      routes: (router) => {
+        router.service(GossipService, { exchange: () => ({}) })
+      },
+    })
+    const listening = server._unsafeUnwrap()
+    const address = `127.0.0.1:${listening.port}`
+    await rpc.client(GossipService, address).exchange({ from: 'a' })
+    const closed = listening.close()
+    // At one of these turns the session is destroyed and has not yet emitted its error.
+    for (let turn = 0; turn < turns; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    rpc.forget(address)
+    await closed
+  }
+})
