Carry claims over connect-es

Cause: holders are other entries, so a claim needs a transport and a service.

Found: the host in the fingerprint made the same call sent through another entry a mismatch (422), since callers without a balancer name the entry; the fingerprint now uses service, method, target and body.

--- /dev/null
+++ b/packages/entry/src/claim-rpc.ts
@@ -0,0 +1,82 @@
+/** Claims over connect-es: the transport of the claiming entry and the service of the holder. */
+import type { NodeId } from '@bilberrystall/base'
+import type { HolderReply, HolderRequest, HolderTable } from '@bilberrystall/claims'
+import { ClaimsService, type KeyUse as WireUse, type RpcClients } from '@bilberrystall/rpc'
+import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
+import {
+  claimReplyFromWire,
+  claimReplyToWire,
+  endingFromWire,
+  endingToWire,
+  recordReplyFromWire,
+  recordReplyToWire,
+  useFromWire,
+} from './claim-codec'
+import type { ClaimTransport } from './claim-gate'
+
+/** A claimant asks again after 100 ms, so a later reply has no value. */
+const CALL_TIMEOUT_MS = 400
+
+export interface RpcClaimTransportOptions {
+  readonly clients: RpcClients
+  /** RPC address of a live node, an IP address with a port. */
+  readonly address: (holder: NodeId) => string | undefined
+  /** This node, which answers without a network. */
+  readonly self: NodeId
+  readonly table: HolderTable
+  /** Unix ms. */
+  readonly now: () => number
+}
+
+export class RpcClaimTransport implements ClaimTransport {
+  readonly #options: RpcClaimTransportOptions
+
+  constructor(options: RpcClaimTransportOptions) {
+    this.#options = options
+  }
+
+  async deliver(holder: NodeId, request: HolderRequest): Promise<HolderReply> {
+    const { self, table, now, address } = this.#options
+    if (holder === self) return table.handle(request, now())
+    const place = address(holder)
+    if (place === undefined) return { kind: 'unreachable' }
+    try {
+      return await this.#call(place, request)
+    } catch {
+      // Whatever went wrong, the request may have arrived.
+      return { kind: 'unreachable' }
+    }
+  }
+
+  async #call(address: string, request: HolderRequest): Promise<HolderReply> {
+    const client = this.#options.clients.client(ClaimsService, address)
+    const options = { timeoutMs: CALL_TIMEOUT_MS }
+    const { use } = request
+    switch (request.kind) {
+      case 'claim':
+        return claimReplyFromWire(await client.claim({ use, runMs: Math.ceil(request.runMs) }, options))
+      case 'complete': {
+        const response = await client.complete({ use, ending: endingToWire(request.ending) }, options)
+        return recordReplyFromWire(response.result)
+      }
+      case 'release':
+        return recordReplyFromWire((await client.release({ use }, options)).result)
+    }
+  }
+}
+
+/** Registers the service of a holder. `now` is Unix ms. */
+export function claimRoutes(router: ConnectRouter, table: HolderTable, now: () => number): void {
+  router.service(ClaimsService, {
+    claim: ({ use, runMs }) => claimReplyToWire(table.claim(required(use), runMs, now())),
+    complete: ({ use, ending }) => ({
+      result: recordReplyToWire(table.complete(required(use), endingFromWire(ending), now())),
+    }),
+    release: ({ use }) => ({ result: recordReplyToWire(table.release(required(use), now())) }),
+  })
+}
+
+function required(use: WireUse | undefined) {
+  if (use === undefined) throw new ConnectError('the key is missing', Code.InvalidArgument)
+  return useFromWire(use)
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** HTTP entry: the call path between callers and servers. */
 export * from './claim-gate'
+export * from './claim-rpc'
 export type { Address } from './connection'
 export * from './context'
 export * from './entry'
--- a/packages/entry/src/keyed-call.ts
+++ b/packages/entry/src/keyed-call.ts
@@ -52,7 +52,7 @@
       return
     }
     const { key, time } = accepted.value
-    const fingerprint = fingerprintOf(head, body)
+    const fingerprint = fingerprintOf(head, route, body)
     const ask = { key, keyTime: time, fingerprint, retentionMs: document.keyRetentionMs, runMs }
     environment.claims.ask(ask, (decision, claim) => {
       this.#decided(decision, claim, result)
@@ -118,9 +118,12 @@
   }
 }
 
-/** A body that was not gathered counts by its length only. */
-function fingerprintOf(head: Head, body: RequestBody): string {
-  const hash = createHash('sha256').update(`${head.method}\0${head.host}\0${head.target}\0`)
+/**
+ * The host is left out, since the same call sent through another entry may name that entry. A body that was not
+ * gathered counts by its length only.
+ */
+function fingerprintOf(head: Head, route: Route, body: RequestBody): string {
+  const hash = createHash('sha256').update(`${route.service}\0${head.method}\0${head.target}\0`)
   const { whole } = body
   if (whole === undefined) hash.update(`length ${head.bodyLength ?? 'unknown'}`)
   else hash.update(whole)
