Add the router's first policy and a discrete-event comparison

Cause: the policy needs a measurement in which baselines, router and bound meet the same arrivals.

Policy: least estimated load from local calls and the load carried by responses, decayed with age; late binding from a queue per entry; calls may bounce off a full server while retry tokens last; ejection by mean latency with the ages of calls in flight.

--- /dev/null
+++ b/packages/bench/src/routing/event-queue.ts
@@ -0,0 +1,75 @@
+/** Time-ordered events of a discrete-event run. Events of equal time run in the order in which they were added. */
+
+export interface Timer {
+  readonly time: number
+  readonly order: number
+  run: (() => void) | undefined
+}
+
+export class EventQueue {
+  now = 0
+  readonly #heap: Timer[] = []
+  #added = 0
+
+  at(time: number, run: () => void): Timer {
+    const timer: Timer = { time: Math.max(time, this.now), order: this.#added++, run }
+    this.#heap.push(timer)
+    this.#rise(this.#heap.length - 1)
+    return timer
+  }
+
+  after(delay: number, run: () => void): Timer {
+    return this.at(this.now + delay, run)
+  }
+
+  /** Runs events up to and including `end`. */
+  runUntil(end: number): void {
+    for (let first = this.#heap[0]; first !== undefined && first.time <= end; first = this.#heap[0]) {
+      this.#removeFirst()
+      this.now = first.time
+      first.run?.()
+    }
+    this.now = end
+  }
+
+  #removeFirst(): void {
+    const last = this.#heap.pop()
+    if (last === undefined || this.#heap.length === 0) return
+    this.#heap[0] = last
+    this.#sink()
+  }
+
+  #rise(start: number): void {
+    const heap = this.#heap
+    const item = heap[start] as Timer
+    let index = start
+    while (index > 0) {
+      const above = (index - 1) >> 1
+      const parent = heap[above] as Timer
+      if (!isBefore(item, parent)) break
+      heap[index] = parent
+      index = above
+    }
+    heap[index] = item
+  }
+
+  #sink(): void {
+    const heap = this.#heap
+    const item = heap[0] as Timer
+    let index = 0
+    for (;;) {
+      let child = 2 * index + 1
+      if (child >= heap.length) break
+      if (child + 1 < heap.length && isBefore(heap[child + 1] as Timer, heap[child] as Timer)) child += 1
+      const lower = heap[child] as Timer
+      if (!isBefore(lower, item)) break
+      heap[index] = lower
+      index = child
+    }
+    heap[index] = item
+  }
+}
+
+function isBefore(left: Timer, right: Timer): boolean {
+  return left.time < right.time || (left.time === right.time && left.order < right.order)
+}
--- /dev/null
+++ b/packages/routing/src/pool.ts
@@ -0,0 +1,225 @@
+/**
+ * The servers and queues of one service within one entry. Calls wait here rather than at a server while no server is
+ * believed to have a free slot (late binding), urgent ones first.
+ */
+import type { CodeName, Random } from '@bilberrystall/base'
+import type { Call, Effect } from './call'
+import { CallQueue, type Waiting } from './call-queue'
+import { RetryBudget, type RetryLimits } from './retry-budget'
+import { chooseServer, type Choice, type Surroundings } from './selection'
+import type { ServerRecord } from './server-record'
+import { TUNING } from './tuning'
+
+export interface Flight {
+  readonly call: Call
+  readonly pool: Pool
+  readonly record: ServerRecord
+  readonly sentAt: number
+  readonly isTrial: boolean
+}
+
+export interface PoolOptions {
+  readonly random: Random
+  readonly retries: RetryLimits
+  /** Most waiting calls. */
+  readonly queue: number
+  readonly launch: (flight: Flight, queueLimit: number | undefined, effects: Effect[]) => void
+  /** A call ends here without a server. */
+  readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
+}
+
+const RAMP_LENGTH = 10_000
+/** Estimated free slots that deferrable calls leave to urgent ones. */
+const DEFERRABLE_RESERVE = 1
+/** Time in ms for which one urgent call keeps the reserve. */
+const URGENT_MEMORY = 1000
+const INITIAL_LATENCY = 20
+/** Largest part of a call's time that is kept back for running it. */
+const RUN_SHARE = 0.5
+const USUAL_STEP = 0.2
+const HIGH_QUANTILE = 0.95
+const HIGH_STEP = 0.05
+const FAILURE_STEP = 0.02
+const INTERVAL_STEP = 0.05
+/** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
+const PREDICTION_SLACK = 1.2
+
+export class Pool {
+  readonly records: ServerRecord[] = []
+  budget: RetryBudget
+  /** Calls of this entry at servers of the service. */
+  inFlight = 0
+  failureRate = 0
+  readonly place: Surroundings
+  readonly #urgent = new CallQueue()
+  readonly #deferrable = new CallQueue()
+  readonly #options: PoolOptions
+  #queueLimit: number
+  #lastUrgentAt = Number.NEGATIVE_INFINITY
+  #lastDeferrableAt = Number.NEGATIVE_INFINITY
+  #highLatency = 2 * INITIAL_LATENCY
+  #lastDrainAt = Number.NaN
+  #drainInterval = 0
+  #order = 0
+
+  constructor(options: PoolOptions, now: number) {
+    this.#options = options
+    this.#queueLimit = options.queue
+    this.budget = new RetryBudget(options.retries, now)
+    this.place = {
+      random: options.random,
+      usual: INITIAL_LATENCY,
+      typicalOthers: 0,
+      largestRamp: 1,
+      rampLength: RAMP_LENGTH,
+    }
+  }
+
+  get waiting(): number {
+    return this.#urgent.size + this.#deferrable.size
+  }
+
+  configure(retries: RetryLimits, queue: number, now: number): void {
+    this.budget = new RetryBudget(retries, now)
+    this.#queueLimit = queue
+  }
+
+  submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
+    if (call.tried === undefined || call.tried.length === 0) this.budget.credit(now)
+    if (call.urgency === 'urgent') this.#lastUrgentAt = now
+    else this.#lastDeferrableAt = now
+    const refusal = this.#refusal(call, now)
+    if (refusal !== undefined) {
+      this.#options.shed(call, refusal, effects)
+      return undefined
+    }
+    const trial = this.#trialFor(call, now)
+    if (trial !== undefined) {
+      this.#launch(call, trial, true, now, effects)
+      return undefined
+    }
+    const queue = this.#queueOf(call)
+    const isFirst = queue.size === 0 && (call.urgency === 'urgent' || this.#urgent.size === 0)
+    if (isFirst && this.#place(call, now, now, effects)) return undefined
+    const waiting: Waiting = { call, since: now, order: this.#order++, place: -1 }
+    queue.add(waiting)
+    return waiting
+  }
+
+  remove(waiting: Waiting): void {
+    this.#queueOf(waiting.call).remove(waiting)
+  }
+
+  /** Sends what may be sent and sheds what can no longer be in time. */
+  drain(now: number, effects: Effect[]): void {
+    this.#drainQueue(this.#urgent, now, effects)
+    if (this.#urgent.size === 0) this.#drainQueue(this.#deferrable, now, effects)
+    else this.#shedLate(this.#deferrable, now, effects)
+    if (this.waiting === 0) this.#lastDrainAt = Number.NaN
+  }
+
+  /** Learns from the latency in ms of a complete response. */
+  addLatency(latency: number): void {
+    const step = latency > this.#highLatency ? HIGH_QUANTILE : HIGH_QUANTILE - 1
+    this.#highLatency += step * HIGH_STEP * this.#highLatency
+  }
+
+  addResult(isFailure: boolean): void {
+    this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * FAILURE_STEP
+  }
+
+  /** Recomputes what is usual for the service from its servers. */
+  refresh(now: number): void {
+    const latencies: number[] = []
+    let others = 0
+    let ramp = 0
+    for (const record of this.records) {
+      const latency = record.recentLatency
+      if (latency !== undefined) latencies.push(latency)
+      others += record.averageOthers * record.trust
+      ramp = Math.max(ramp, record.ramp(now, RAMP_LENGTH))
+    }
+    const trust = this.records.reduce((sum, record) => sum + record.trust, 0)
+    this.place.typicalOthers = trust > 0 ? others / trust : 0
+    this.place.largestRamp = ramp > 0 ? ramp : 1
+    if (latencies.length === 0) return
+    latencies.sort((left, right) => left - right)
+    const median = latencies[(latencies.length - 1) >> 1] ?? INITIAL_LATENCY
+    this.place.usual += (median - this.place.usual) * USUAL_STEP
+  }
+
+  #queueOf(call: Call): CallQueue {
+    return call.urgency === 'urgent' ? this.#urgent : this.#deferrable
+  }
+
+  #refusal(call: Call, now: number): CodeName | undefined {
+    if (now >= call.deadline) return 'deadlineNotRun'
+    if (!this.records.some((record) => isCandidate(record, call))) return 'noServer'
+    if (this.waiting >= this.#queueLimit) return 'overloaded'
+    const ahead = call.urgency === 'urgent' ? this.#urgent.size : this.waiting
+    const wait = ahead * this.#drainInterval
+    const isHopeless = wait > (call.deadline - now) * PREDICTION_SLACK
+    return isHopeless ? 'overloaded' : undefined
+  }
+
+  /** A server on trial that this call may test: a deferrable one, if there are any. */
+  #trialFor(call: Call, now: number): ServerRecord | undefined {
+    if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < URGENT_MEMORY) return undefined
+    return this.records.find(
+      (record) => record.standing.kind === 'trial' && record.own === 0 && !record.isProbing && isCandidate(record, call),
+    )
+  }
+
+  /** Sends the call if a server is cheap enough for the time it has waited. */
+  #place(call: Call, since: number, now: number, effects: Effect[]): boolean {
+    const choice = chooseServer(this.records, call.tried, this.place, now)
+    if (choice.record === undefined || choice.cost > this.#limit(call, choice, now - since, now)) return false
+    this.#launch(call, choice.record, false, now, effects)
+    return true
+  }
+
+  #limit(call: Call, choice: Choice, waited: number, now: number): number {
+    const isReserved = call.urgency === 'deferrable' && now - this.#lastUrgentAt < URGENT_MEMORY
+    if (isReserved && choice.free < DEFERRABLE_RESERVE + 1) return 0
+    // Without calls of its own in flight no response will tell the entry about a free slot.
+    if (this.inFlight === 0 && waited >= TUNING.wait) return Number.POSITIVE_INFINITY
+    return waited >= TUNING.wait ? TUNING.waited : TUNING.fresh
+  }
+
+  #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
+    const tries = call.tried?.length ?? 0
+    const mayBounce = tries < TUNING.bounceTries && this.budget.available(now) >= TUNING.bounceTokens
+    record.sent(now)
+    this.inFlight += 1
+    this.#options.launch({ call, pool: this, record, sentAt: now, isTrial }, mayBounce ? 0 : undefined, effects)
+  }
+
+  #drainQueue(queue: CallQueue, now: number, effects: Effect[]): void {
+    this.#shedLate(queue, now, effects)
+    for (let first = queue.first(); first !== undefined; first = queue.first()) {
+      if (!this.#place(first.call, first.since, now, effects)) return
+      queue.remove(first)
+      this.#countDrain(now)
+    }
+  }
+
+  #countDrain(now: number): void {
+    if (!Number.isNaN(this.#lastDrainAt)) {
+      this.#drainInterval += (now - this.#lastDrainAt - this.#drainInterval) * INTERVAL_STEP
+    }
+    this.#lastDrainAt = now
+  }
+
+  #shedLate(queue: CallQueue, now: number, effects: Effect[]): void {
+    for (let first = queue.first(); first !== undefined; first = queue.first()) {
+      const runTime = Math.min(this.#highLatency, RUN_SHARE * (first.call.deadline - first.since))
+      if (now + runTime <= first.call.deadline) return
+      queue.remove(first)
+      this.#options.shed(first.call, 'overloaded', effects)
+    }
+  }
+}
+
+function isCandidate(record: ServerRecord, call: Call): boolean {
+  return record.server.state === 'ready' && call.tried?.includes(record.server.id) !== true
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -6,10 +6,15 @@
  * `cancelled`. A call that the shell repeats is submitted again, under the same id, with the servers already tried and
  * after `mayRetry` allowed it.
  */
-import type { CodeName, Random, ServerId, ServiceName } from '@bilberrystall/base'
-import type { Call, CallId, Effect, ExchangeOutcome, Load, Observation, Server } from './call'
-import { RetryBudget, type RetryLimits } from './retry-budget'
+import type { Random, ServerId, ServiceName } from '@bilberrystall/base'
+import type { Call, CallId, Effect, EjectReason, ExchangeOutcome, Load, Observation, Server } from './call'
+import type { Waiting } from './call-queue'
+import { eject, mayEject, outlierReason, TRIALS } from './health'
+import { Pool, type Flight } from './pool'
+import type { RetryLimits } from './retry-budget'
+import { ServerRecord } from './server-record'
 import { MeasuringTokens } from './tokens'
+import { TUNING } from './tuning'
 
 export interface RouterOptions {
   readonly random: Random
@@ -27,44 +32,75 @@
   readonly queue?: number
 }
 
+interface Queued {
+  readonly pool: Pool
+  readonly waiting: Waiting
+}
+
+const DEFAULT_QUEUE = 10_000
+const REFRESH_INTERVAL = 50
+const NO_EFFECTS: readonly Effect[] = []
+
 export class Router {
   readonly tokens: MeasuringTokens
-  readonly #budgets = new Map<ServiceName, RetryBudget>()
+  readonly #options: Required<RouterOptions>
   readonly #limits = new Map<ServiceName, ServiceLimits>()
-  readonly #servers = new Map<ServerId, Server>()
-  readonly #inFlight = new Map<CallId, ServerId>()
+  readonly #pools = new Map<ServiceName, Pool>()
+  readonly #records = new Map<ServerId, ServerRecord>()
+  readonly #flights = new Map<CallId, Flight>()
+  readonly #queued = new Map<CallId, Queued>()
+  #refreshAt = Number.POSITIVE_INFINITY
+  #drainAt = Number.POSITIVE_INFINITY
 
   constructor(options: RouterOptions) {
     this.tokens = options.tokens ?? new MeasuringTokens()
+    this.#options = { roundTrip: 2, probeLimit: 12, tokens: this.tokens, ...options }
   }
 
   /** Applies the limits of the document to a service. */
-  configure(service: ServiceName, limits: ServiceLimits): void {
+  configure(service: ServiceName, limits: ServiceLimits, now: number): void {
     this.#limits.set(service, limits)
-    this.#budgets.delete(service)
+    this.#pools.get(service)?.configure(limits.retries ?? {}, limits.queue ?? DEFAULT_QUEUE, now)
   }
 
   /** Adds a server or replaces what is known about it. */
-  updateServer(server: Server, _now: number): readonly Effect[] {
-    this.#servers.set(server.id, server)
-    return []
+  updateServer(server: Server, now: number): readonly Effect[] {
+    const effects: Effect[] = []
+    const pool = this.#pool(server.service, now)
+    const known = this.#records.get(server.id)
+    if (known === undefined) {
+      const record = new ServerRecord(server)
+      this.#records.set(server.id, record)
+      pool.records.push(record)
+      pool.refresh(now)
+    } else {
+      if (server.firstSeen > known.server.firstSeen) known.restart(server.firstSeen)
+      known.server = server
+    }
+    if (server.load !== undefined) this.#records.get(server.id)?.addRemoteReport(server.load, now)
+    this.#settle(pool, now, effects)
+    return effects
   }
 
   /** The server left or its lease expired. Calls in flight keep their exchange until `finished`. */
-  removeServer(server: ServerId, _now: number): readonly Effect[] {
-    this.#servers.delete(server)
-    return []
+  removeServer(server: ServerId, now: number): readonly Effect[] {
+    const record = this.#records.get(server)
+    if (record === undefined) return NO_EFFECTS
+    const effects: Effect[] = []
+    const pool = this.#pool(record.server.service, now)
+    this.#records.delete(server)
+    pool.records.splice(pool.records.indexOf(record), 1)
+    this.#settle(pool, now, effects)
+    return effects
   }
 
-  submit(call: Call, _now: number): readonly Effect[] {
-    for (const server of this.#servers.values()) {
-      if (server.service !== call.service || server.state !== 'ready') continue
-      if (call.tried?.includes(server.id) === true) continue
-      this.#inFlight.set(call.id, server.id)
-      return [{ kind: 'dispatch', call: call.id, server: server.id }]
-    }
-    const code: CodeName = 'noServer'
-    return [{ kind: 'shed', call: call.id, code }]
+  submit(call: Call, now: number): readonly Effect[] {
+    const effects: Effect[] = []
+    const pool = this.#pool(call.service, now)
+    const waiting = pool.submit(call, now, effects)
+    if (waiting !== undefined) this.#queued.set(call.id, { pool, waiting })
+    this.#schedule(now)
+    return effects
   }
 
   /** The first byte of the request was written to a connection of the server. */
@@ -75,59 +111,208 @@
   /** The exchange ended after `latency` ms; `load` is the report carried by the response. */
   finished(
     call: CallId,
-    _outcome: ExchangeOutcome,
-    _latency: number,
-    _load: Load | undefined,
-    _now: number,
+    outcome: ExchangeOutcome,
+    latency: number,
+    load: Load | undefined,
+    now: number,
   ): readonly Effect[] {
-    this.#inFlight.delete(call)
-    return []
+    const flight = this.#flights.get(call)
+    if (flight === undefined) return NO_EFFECTS
+    const effects: Effect[] = []
+    this.#flights.delete(call)
+    this.#land(flight)
+    this.#learn(flight, outcome, latency, load, now, effects)
+    this.#settle(flight.pool, now, effects)
+    return effects
   }
 
   /** The caller no longer waits: removes the call from its queue or frees its place at the server. */
-  cancelled(call: CallId, _now: number): readonly Effect[] {
-    this.#inFlight.delete(call)
-    return []
+  cancelled(call: CallId, now: number): readonly Effect[] {
+    const queued = this.#queued.get(call)
+    if (queued !== undefined) {
+      this.#queued.delete(call)
+      queued.pool.remove(queued.waiting)
+      return NO_EFFECTS
+    }
+    return this.finished(call, 'unattributed', 0, undefined, now)
   }
 
   /** Takes one retry from the budget of the service; false when the call must end with its failure. */
   mayRetry(service: ServiceName, now: number): boolean {
-    let budget = this.#budgets.get(service)
-    if (budget === undefined) {
-      budget = new RetryBudget(this.#limits.get(service)?.retries ?? {}, now)
-      this.#budgets.set(service, budget)
-    }
-    return budget.take(now)
+    return this.#pool(service, now).budget.take(now)
   }
 
   /** Information from peers or announcements. */
-  observe(_observation: Observation, _now: number): readonly Effect[] {
-    return []
+  observe(observation: Observation, now: number): readonly Effect[] {
+    const record = this.#records.get(observation.server)
+    if (record === undefined) return NO_EFFECTS
+    if (observation.load !== undefined) record.addRemoteReport(observation.load, now - observation.age)
+    if (observation.ejected === true) record.suspectedByPeerAt = now - observation.age
+    return NO_EFFECTS
   }
 
   /** What this entry knows first-hand, to be passed to peers. */
-  observations(_now: number): readonly Observation[] {
-    return []
+  observations(now: number): readonly Observation[] {
+    const seen: Observation[] = []
+    for (const record of this.#records.values()) {
+      const isEjected = record.standing.kind === 'ejected'
+      if (record.lastLoad === undefined && !isEjected) continue
+      const age = Math.max(0, now - record.loadSeenAt)
+      const base = { server: record.server.id, age: isEjected ? 0 : age, ejected: isEjected }
+      seen.push(record.lastLoad === undefined || isEjected ? base : { ...base, load: record.lastLoad })
+    }
+    return seen
   }
 
   /** A probe ended. */
   probed(
-    _server: ServerId,
-    _outcome: ExchangeOutcome,
+    server: ServerId,
+    outcome: ExchangeOutcome,
     _latency: number,
-    _load: Load | undefined,
-    _now: number,
+    load: Load | undefined,
+    now: number,
   ): readonly Effect[] {
-    return []
+    const record = this.#records.get(server)
+    if (record?.isProbing !== true) return NO_EFFECTS
+    record.isProbing = false
+    if (outcome === 'ok') {
+      if (load !== undefined) record.addRemoteReport(load, now)
+    } else {
+      eject(record, now)
+    }
+    return NO_EFFECTS
   }
 
   /** Applies everything that is due: expiry in queues, suspicion by age, probes. */
-  tick(_now: number): readonly Effect[] {
-    return []
+  tick(now: number): readonly Effect[] {
+    const effects: Effect[] = []
+    if (now >= this.#refreshAt) {
+      this.#refreshAt = Number.POSITIVE_INFINITY
+      for (const pool of this.#pools.values()) this.#refresh(pool, now, effects)
+    }
+    this.#drainAt = Number.POSITIVE_INFINITY
+    for (const pool of this.#pools.values()) if (pool.waiting > 0) this.#settle(pool, now, effects)
+    this.#schedule(now)
+    return effects
   }
 
   /** Time in ms at which `tick` is next needed, infinite when no call waits and nothing is due. */
   nextWake(): number {
-    return Number.POSITIVE_INFINITY
+    return Math.min(this.#drainAt, this.#refreshAt)
+  }
+
+  #pool(service: ServiceName, now: number): Pool {
+    const known = this.#pools.get(service)
+    if (known !== undefined) return known
+    const limits = this.#limits.get(service)
+    const pool = new Pool(
+      {
+        random: this.#options.random,
+        retries: limits?.retries ?? {},
+        queue: limits?.queue ?? DEFAULT_QUEUE,
+        launch: (flight, queueLimit, effects) => {
+          this.#queued.delete(flight.call.id)
+          this.#flights.set(flight.call.id, flight)
+          const dispatch = { kind: 'dispatch', call: flight.call.id, server: flight.record.server.id } as const
+          effects.push(queueLimit === undefined ? dispatch : { ...dispatch, queueLimit })
+        },
+        shed: (call, code, effects) => {
+          this.#queued.delete(call.id)
+          effects.push({ kind: 'shed', call: call.id, code })
+        },
+      },
+      now,
+    )
+    this.#pools.set(service, pool)
+    return pool
+  }
+
+  #land(flight: Flight): void {
+    flight.record.returned(flight.sentAt)
+    flight.pool.inFlight -= 1
+  }
+
+  #learn(
+    flight: Flight,
+    outcome: ExchangeOutcome,
+    latency: number,
+    load: Load | undefined,
+    now: number,
+    effects: Effect[],
+  ): void {
+    const { record, pool } = flight
+    if (outcome === 'unattributed') return
+    if (outcome === 'shed') {
+      if (load !== undefined) record.addReport(load, this.#recentlySent(record, now), now)
+      return
+    }
+    if (outcome === 'ok') {
+      record.addLatency(latency, true)
+      pool.addLatency(latency)
+      if (load !== undefined) record.addReport(load, this.#recentlySent(record, now), now)
+    }
+    if (outcome === 'timeout') record.addLatency(latency, false)
+    const isFailure = outcome !== 'ok' && outcome !== 'timeout'
+    record.addResult(isFailure)
+    pool.addResult(isFailure)
+    if (isFailure) record.pausedUntil = now + pool.place.usual * 2 ** Math.min(6, record.consecutiveFailures - 1)
+    this.#judge(flight, outcome, latency, now, effects)
+  }
+
+  #judge(flight: Flight, outcome: ExchangeOutcome, latency: number, now: number, effects: Effect[]): void {
+    const { record, pool } = flight
+    if (!flight.isTrial) {
+      if (outcome !== 'ok') this.#ejectOutlier(record, pool, now, effects)
+      return
+    }
+    if (record.standing.kind !== 'trial') return
+    const isGood = outcome === 'ok' && latency < 4 * pool.place.usual
+    if (!isGood) {
+      eject(record, now)
+      return
+    }
+    const successes = record.standing.successes + 1
+    if (successes < TRIALS) {
+      record.standing = { ...record.standing, successes }
+      return
+    }
+    record.restore(now)
+    effects.push({ kind: 'restored', server: record.server.id })
+  }
+
+  #ejectOutlier(record: ServerRecord, pool: Pool, now: number, effects: Effect[]): void {
+    if (record.standing.kind !== 'healthy') return
+    const reason: EjectReason | undefined = outlierReason(record, pool, now)
+    if (reason === undefined || !mayEject(pool.records)) return
+    eject(record, now)
+    effects.push({ kind: 'ejected', server: record.server.id, reason })
+  }
+
+  /** Own calls that were sent too recently to be counted in a report that arrives now. */
+  #recentlySent(record: ServerRecord, now: number): number {
+    return record.sentSince(now - this.#options.roundTrip)
+  }
+
+  #refresh(pool: Pool, now: number, effects: Effect[]): void {
+    pool.refresh(now)
+    for (const record of pool.records) {
+      this.#ejectOutlier(record, pool, now, effects)
+      if (record.standing.kind !== 'ejected' || now < record.standing.until) continue
+      record.standing = { kind: 'trial', successes: 0, backoff: record.standing.backoff }
+      const cost = this.#options.probeLimit
+      if (!this.tokens.take(record.server.service, cost, now)) continue
+      record.isProbing = true
+      effects.push({ kind: 'probe', server: record.server.id, limit: cost })
+    }
+  }
+
+  #settle(pool: Pool, now: number, effects: Effect[]): void {
+    if (pool.waiting > 0) pool.drain(now, effects)
+    this.#schedule(now)
+  }
+
+  #schedule(now: number): void {
+    if (this.#queued.size > 0) this.#drainAt = Math.min(this.#drainAt, now + TUNING.tick)
+    if (this.#refreshAt === Number.POSITIVE_INFINITY && this.#records.size > 0) this.#refreshAt = now + REFRESH_INTERVAL
   }
 }
--- /dev/null
+++ b/packages/routing/src/selection.ts
@@ -0,0 +1,65 @@
+/**
+ * Choice of a server among the candidates of a service. The cost of a server is its estimated load after the call
+ * relative to the slots that may be used, raised for servers that are slower than usual.
+ */
+import { randomBelow, type Random, type ServerId } from '@bilberrystall/base'
+import type { ServerRecord } from './server-record'
+
+export interface Choice {
+  record: ServerRecord | undefined
+  cost: number
+  /** Estimated free slots of all healthy servers that were looked at. */
+  free: number
+}
+
+export interface Surroundings {
+  readonly random: Random
+  /** Usual latency of the service in ms. */
+  usual: number
+  /** Usual calls of other entries at a server. */
+  typicalOthers: number
+  /** Largest ramp of any server: when all are new, none is held back. */
+  largestRamp: number
+  readonly rampLength: number
+}
+
+/** Above this number of servers a sample of this size is looked at. */
+const SAMPLE = 32
+/** Slowness below this is within the noise of a few latencies. */
+const SLOWNESS_NOISE = 1.5
+
+/** The healthy server with the lowest cost; ties are broken at random. */
+export function chooseServer(
+  records: readonly ServerRecord[],
+  tried: readonly ServerId[] | undefined,
+  place: Surroundings,
+  now: number,
+): Choice {
+  const best: Choice = { record: undefined, cost: Number.POSITIVE_INFINITY, free: 0 }
+  const count = Math.min(SAMPLE, records.length)
+  const offset = randomBelow(place.random, records.length)
+  for (let step = 0; step < count; step += 1) {
+    const record = records[(offset + step) % records.length]
+    if (record === undefined || !isUsable(record, now)) continue
+    const load = record.own + record.others(now, place.usual, place.typicalOthers)
+    const slots = record.server.slots
+    best.free += Math.max(0, slots - load)
+    if (tried?.includes(record.server.id) === true) continue
+    const cost = costOf(record, load, place, now)
+    if (cost >= best.cost) continue
+    best.record = record
+    best.cost = cost
+  }
+  return best
+}
+
+export function isUsable(record: ServerRecord, now: number): boolean {
+  return record.standing.kind === 'healthy' && record.server.state === 'ready' && now >= record.pausedUntil
+}
+
+function costOf(record: ServerRecord, load: number, place: Surroundings, now: number): number {
+  const ramp = record.ramp(now, place.rampLength) / place.largestRamp
+  const slowness = record.slowness(place.usual, now)
+  const penalty = slowness > SLOWNESS_NOISE ? (slowness / SLOWNESS_NOISE) ** 2 : 1
+  return ((load + 1) / (record.server.slots * ramp)) * penalty
+}
--- /dev/null
+++ b/packages/routing/src/server-record.ts
@@ -0,0 +1,165 @@
+/**
+ * What one entry knows about one server: its own calls in flight, the load of others as last reported, the speed seen
+ * by its own calls, and failures. All updates take constant time.
+ */
+import type { Load, Server } from './call'
+
+/** Weight kept by older latencies at each completion: a memory of about five calls. */
+const SPEED_MEMORY = 0.8
+/** Latencies at usual speed that are assumed before any is seen. */
+const SPEED_PRIOR = 2
+/** Share of the newest report in the average load of others. */
+const OTHERS_STEP = 0.1
+const TRUST_LOSS = 0.3
+const TRUST_GAIN = 0.02
+const ERROR_STEP = 0.3
+/** Share of its slots that a server which was just first seen is used with. */
+const RAMP_START = 0.2
+
+export type Standing =
+  | { readonly kind: 'healthy' }
+  | { readonly kind: 'ejected'; readonly until: number; readonly backoff: number }
+  /** One call at a time until enough of them succeeded. */
+  | { readonly kind: 'trial'; readonly successes: number; readonly backoff: number }
+
+const HEALTHY: Standing = { kind: 'healthy' }
+
+export class ServerRecord {
+  server: Server
+  standing: Standing = HEALTHY
+  /** Calls of this entry at the server. */
+  own = 0
+  isProbing = false
+  /** Start of the ramp after a start or a restoration. */
+  rampFrom: number
+  consecutiveFailures = 0
+  failureRate = 0
+  /** No call is sent before this time, after a failure. */
+  pausedUntil = Number.NEGATIVE_INFINITY
+  /** Time of the newest report from any source. */
+  reportedAt = Number.NEGATIVE_INFINITY
+  /** Newest report that came with a response to this entry. */
+  lastLoad: Load | undefined
+  loadSeenAt = Number.NEGATIVE_INFINITY
+  suspectedByPeerAt = Number.NEGATIVE_INFINITY
+  readonly #sentAt: number[] = []
+  #sentAtSum = 0
+  #completed = 0
+  #busy = 0
+  #others = 0
+  #averageOthers = 0
+  #hasReport = false
+  #trust = 1
+
+  constructor(server: Server) {
+    this.server = server
+    this.rampFrom = server.firstSeen
+  }
+
+  get trust(): number {
+    return this.#trust
+  }
+
+  get averageOthers(): number {
+    return this.#averageOthers
+  }
+
+  /** Mean latency of recent calls in ms; `undefined` before the first. */
+  get recentLatency(): number | undefined {
+    return this.#completed > 0 ? this.#busy / this.#completed : undefined
+  }
+
+  sent(now: number): void {
+    this.own += 1
+    this.#sentAtSum += now
+    this.#sentAt.push(now)
+  }
+
+  returned(sentAt: number): void {
+    this.own -= 1
+    this.#sentAt.splice(this.#sentAt.indexOf(sentAt), 1)
+    this.#sentAtSum = this.own === 0 ? 0 : this.#sentAtSum - sentAt
+  }
+
+  /** Own calls in flight that were sent after `time`. */
+  sentSince(time: number): number {
+    let count = 0
+    for (let index = this.#sentAt.length - 1; index >= 0 && (this.#sentAt[index] ?? 0) > time; index -= 1) count += 1
+    return count
+  }
+
+  /** Latency in ms of a completed call, or of one that was given up. */
+  addLatency(latency: number, isComplete: boolean): void {
+    this.#completed = this.#completed * SPEED_MEMORY + (isComplete ? 1 : 0)
+    this.#busy = this.#busy * SPEED_MEMORY + latency
+  }
+
+  forgetSpeed(): void {
+    this.#completed = 0
+    this.#busy = 0
+  }
+
+  /**
+   * Estimated mean latency relative to `usual`, with the ages of calls in flight counted as time without a completion,
+   * so that a slow server shows before any response.
+   */
+  slowness(usual: number, now: number): number {
+    const ages = this.own * now - this.#sentAtSum
+    const mean = (this.#busy + ages + SPEED_PRIOR * usual) / (this.#completed + SPEED_PRIOR)
+    return mean / usual
+  }
+
+  /** A report that arrived with a response; `recentlySent` own calls cannot be counted in it yet. */
+  addReport(load: Load, recentlySent: number, now: number): void {
+    const known = this.own - recentlySent
+    const total = load.inflight + load.queue
+    if (total < known) this.#trust *= 1 - TRUST_LOSS
+    else this.#trust += (1 - this.#trust) * TRUST_GAIN
+    this.#others = Math.max(0, total - known)
+    this.#averageOthers = this.#hasReport
+      ? this.#averageOthers + (this.#others - this.#averageOthers) * OTHERS_STEP
+      : this.#others
+    this.#hasReport = true
+    this.reportedAt = now
+    this.loadSeenAt = now
+    this.lastLoad = load
+  }
+
+  /** A report from a peer or an announcement, used while nothing newer is known first-hand. */
+  addRemoteReport(load: Load, seenAt: number): void {
+    if (seenAt <= this.reportedAt) return
+    this.#others = Math.max(0, load.inflight + load.queue - this.own)
+    this.reportedAt = seenAt
+  }
+
+  /** Estimated calls of other entries at the server. A report loses weight with age and with contradictions. */
+  others(now: number, usual: number, typical: number): number {
+    const average = typical + (this.#averageOthers - typical) * this.#trust
+    const weight = this.#trust * (usual / (usual + Math.max(0, now - this.reportedAt)))
+    return average + (this.#others - average) * weight
+  }
+
+  addResult(isFailure: boolean): void {
+    this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0
+    this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * ERROR_STEP
+  }
+
+  restore(now: number): void {
+    this.standing = HEALTHY
+    this.consecutiveFailures = 0
+    this.failureRate = 0
+    this.pausedUntil = Number.NEGATIVE_INFINITY
+    this.rampFrom = now
+    this.forgetSpeed()
+  }
+
+  /** The server process started anew: what was known about its speed and failures no longer holds. */
+  restart(firstSeen: number): void {
+    this.restore(firstSeen)
+  }
+
+  /** Share of its slots to use, rising from a fifth to all over `length` ms. */
+  ramp(now: number, length: number): number {
+    return Math.min(1, Math.max(RAMP_START, (now - this.rampFrom) / length))
+  }
+}
