--- a/packages/bench/src/routing/router-policy.ts
+++ b/packages/bench/src/routing/router-policy.ts
@@ -55,6 +55,7 @@
 
   ended(exchange: Exchange, outcome: ExchangeOutcome, latency: number, load: Load | undefined): void {
     const { call } = exchange
+    ;((globalThis as any).DBG ??= {})['o-' + outcome] = ((globalThis as any).DBG['o-' + outcome] ?? 0) + 1 //DBG
     const seat = this.#seat(call.home)
     this.#apply(call.home, seat.router.finished(callId(call.id), outcome, latency, load, this.#now))
   }
@@ -110,6 +111,7 @@
 
   #carryOut(entry: number, effect: Effect): void {
     const seat = this.#seat(entry)
+    ;((globalThis as any).DBG ??= {})[effect.kind + ((effect as any).code ?? (effect as any).reason ?? (effect as any).queueLimit ?? '')] = ((globalThis as any).DBG[effect.kind + ((effect as any).code ?? (effect as any).reason ?? (effect as any).queueLimit ?? '')] ?? 0) + 1 //DBG
     switch (effect.kind) {
       case 'dispatch': {
         const call = seat.calls.get(effect.call) as SimulatedCall
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -3,11 +3,11 @@
  * The share of ejected servers is limited, because ejecting everything would leave nobody to serve.
  */
 import type { EjectReason } from './call'
-import type { ServerRecord } from './server-record'
+import { SLOW_EVIDENCE, type ServerRecord } from './server-record'
 
 export interface HealthView {
-  /** Usual latency in ms of the service. */
-  readonly place: { readonly usual: number }
+  /** 95th percentile of the latency of the service in ms. */
+  readonly place: { readonly high: number }
   /** Failure rate over all servers. */
   readonly failureRate: number
 }
@@ -17,8 +17,8 @@
 const FAILURE_RATE = 0.5
 /** A server is a failing outlier only when it fails this many times as often as the service. */
 const FAILURE_CONTRAST = 2
-/** Latency relative to the usual one at which a server is ejected. */
-const EJECT_SLOWNESS = 3
+/** Evidence at which a server is ejected: four slow calls in a row. */
+const EJECT_EVIDENCE = 4 * SLOW_EVIDENCE
 export const FIRST_BACKOFF = 1000
 const MAX_BACKOFF = 20_000
 export const TRIALS = 3
@@ -26,7 +26,7 @@
 /** The reason for which the server should be ejected, if any. */
 export function outlierReason(record: ServerRecord, view: HealthView, now: number): EjectReason | undefined {
   if (isFailing(record) && record.failureRate > FAILURE_CONTRAST * view.failureRate) return 'failing'
-  if (record.slowness(view.place.usual, now) < EJECT_SLOWNESS) return undefined
+  if (record.slowEvidence(view.place.high, now) < EJECT_EVIDENCE) return undefined
   return record.own > 0 ? 'stuck' : 'slow'
 }
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -16,6 +16,8 @@
   readonly record: ServerRecord
   readonly sentAt: number
   readonly isTrial: boolean
+  /** A retry token was taken in advance, so that the server may shed the call. */
+  readonly mayBounce: boolean
 }
 
 export interface PoolOptions {
@@ -23,7 +25,7 @@
   readonly retries: RetryLimits
   /** Most waiting calls. */
   readonly queue: number
-  readonly launch: (flight: Flight, queueLimit: number | undefined, effects: Effect[]) => void
+  readonly launch: (flight: Flight, effects: Effect[]) => void
   /** A call ends here without a server. */
   readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
 }
@@ -37,8 +39,6 @@
 /** Largest part of a call's time that is kept back for running it. */
 const RUN_SHARE = 0.5
 const USUAL_STEP = 0.2
-const HIGH_QUANTILE = 0.95
-const HIGH_STEP = 0.05
 const FAILURE_STEP = 0.02
 const INTERVAL_STEP = 0.05
 /** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
@@ -57,7 +57,6 @@
   #queueLimit: number
   #lastUrgentAt = Number.NEGATIVE_INFINITY
   #lastDeferrableAt = Number.NEGATIVE_INFINITY
-  #highLatency = 2 * INITIAL_LATENCY
   #lastDrainAt = Number.NaN
   #drainInterval = 0
   #order = 0
@@ -69,6 +68,7 @@
     this.place = {
       random: options.random,
       usual: INITIAL_LATENCY,
+      high: 4 * INITIAL_LATENCY,
       typicalOthers: 0,
       largestRamp: 1,
       rampLength: RAMP_LENGTH,
@@ -118,34 +118,28 @@
     if (this.waiting === 0) this.#lastDrainAt = Number.NaN
   }
 
-  /** Learns from the latency in ms of a complete response. */
-  addLatency(latency: number): void {
-    const step = latency > this.#highLatency ? HIGH_QUANTILE : HIGH_QUANTILE - 1
-    this.#highLatency += step * HIGH_STEP * this.#highLatency
-  }
-
   addResult(isFailure: boolean): void {
     this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * FAILURE_STEP
   }
 
-  /** Recomputes what is usual for the service from its servers. */
+  /** Recomputes what is usual for the service as medians over its servers, so that a few outliers change nothing. */
   refresh(now: number): void {
     const latencies: number[] = []
+    const highs: number[] = []
     let others = 0
+    let trust = 0
     let ramp = 0
     for (const record of this.records) {
-      const latency = record.recentLatency
-      if (latency !== undefined) latencies.push(latency)
+      if (record.recentLatency !== undefined) latencies.push(record.recentLatency)
+      if (record.ownHigh !== undefined) highs.push(record.ownHigh)
       others += record.averageOthers * record.trust
+      trust += record.trust
       ramp = Math.max(ramp, record.ramp(now, RAMP_LENGTH))
     }
-    const trust = this.records.reduce((sum, record) => sum + record.trust, 0)
     this.place.typicalOthers = trust > 0 ? others / trust : 0
     this.place.largestRamp = ramp > 0 ? ramp : 1
-    if (latencies.length === 0) return
-    latencies.sort((left, right) => left - right)
-    const median = latencies[(latencies.length - 1) >> 1] ?? INITIAL_LATENCY
-    this.place.usual += (median - this.place.usual) * USUAL_STEP
+    this.place.usual += (median(latencies, this.place.usual) - this.place.usual) * USUAL_STEP
+    this.place.high += (median(highs, this.place.high) - this.place.high) * USUAL_STEP
   }
 
   #queueOf(call: Call): CallQueue {
@@ -179,7 +173,8 @@
   }
 
   #limit(call: Call, choice: Choice, waited: number, now: number): number {
-    const isReserved = call.urgency === 'deferrable' && now - this.#lastUrgentAt < URGENT_MEMORY
+    const isPatient = waited < (call.deadline - now + waited) * TUNING.yieldShare
+    const isReserved = call.urgency === 'deferrable' && isPatient && now - this.#lastUrgentAt < URGENT_MEMORY
     if (isReserved && choice.free < DEFERRABLE_RESERVE + 1) return 0
     // Without calls of its own in flight no response will tell the entry about a free slot.
     if (this.inFlight === 0 && waited >= TUNING.wait) return Number.POSITIVE_INFINITY
@@ -187,11 +182,16 @@
   }
 
   #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
-    const tries = call.tried?.length ?? 0
-    const mayBounce = tries < TUNING.bounceTries && this.budget.available(now) >= TUNING.bounceTokens
+    const mayBounce = this.#reserveBounce(call, now)
     record.sent(now)
     this.inFlight += 1
-    this.#options.launch({ call, pool: this, record, sentAt: now, isTrial }, mayBounce ? 0 : undefined, effects)
+    this.#options.launch({ call, pool: this, record, sentAt: now, isTrial, mayBounce }, effects)
+  }
+
+  /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
+  #reserveBounce(call: Call, now: number): boolean {
+    if ((call.tried?.length ?? 0) >= TUNING.bounceTries) return false
+    return this.budget.available(now) >= TUNING.bounceTokens && this.budget.take(now)
   }
 
   #drainQueue(queue: CallQueue, now: number, effects: Effect[]): void {
@@ -212,7 +212,7 @@
 
   #shedLate(queue: CallQueue, now: number, effects: Effect[]): void {
     for (let first = queue.first(); first !== undefined; first = queue.first()) {
-      const runTime = Math.min(this.#highLatency, RUN_SHARE * (first.call.deadline - first.since))
+      const runTime = Math.min(this.place.high, RUN_SHARE * (first.call.deadline - first.since))
       if (now + runTime <= first.call.deadline) return
       queue.remove(first)
       this.#options.shed(first.call, 'overloaded', effects)
@@ -223,3 +223,8 @@
 function isCandidate(record: ServerRecord, call: Call): boolean {
   return record.server.state === 'ready' && call.tried?.includes(record.server.id) !== true
 }
+
+function median(values: number[], otherwise: number): number {
+  values.sort((left, right) => left - right)
+  return values[(values.length - 1) >> 1] ?? otherwise
+}
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -46,6 +46,11 @@
     return true
   }
 
+  /** Returns a token that was taken in advance and not used. */
+  refund(): void {
+    this.#tokens = Math.min(this.#burst, this.#tokens + 1)
+  }
+
   #fill(now: number): void {
     const elapsed = now - this.#filledAt
     if (elapsed <= 0) return
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -210,11 +210,11 @@
         random: this.#options.random,
         retries: limits?.retries ?? {},
         queue: limits?.queue ?? DEFAULT_QUEUE,
-        launch: (flight, queueLimit, effects) => {
+        launch: (flight, effects) => {
           this.#queued.delete(flight.call.id)
           this.#flights.set(flight.call.id, flight)
           const dispatch = { kind: 'dispatch', call: flight.call.id, server: flight.record.server.id } as const
-          effects.push(queueLimit === undefined ? dispatch : { ...dispatch, queueLimit })
+          effects.push(flight.mayBounce ? { ...dispatch, queueLimit: 0 } : dispatch)
         },
         shed: (call, code, effects) => {
           this.#queued.delete(call.id)
@@ -230,6 +230,7 @@
   #land(flight: Flight): void {
     flight.record.returned(flight.sentAt)
     flight.pool.inFlight -= 1
+    if (flight.mayBounce) flight.pool.budget.refund()
   }
 
   #learn(
@@ -247,11 +248,10 @@
       return
     }
     if (outcome === 'ok') {
-      record.addLatency(latency, true)
-      pool.addLatency(latency)
+      record.addLatency(latency, pool.place.high, true)
       if (load !== undefined) record.addReport(load, this.#recentlySent(record, now), now)
     }
-    if (outcome === 'timeout') record.addLatency(latency, false)
+    if (outcome === 'timeout') record.addLatency(latency, pool.place.high, false)
     const isFailure = outcome !== 'ok' && outcome !== 'timeout'
     record.addResult(isFailure)
     pool.addResult(isFailure)
@@ -262,11 +262,11 @@
   #judge(flight: Flight, outcome: ExchangeOutcome, latency: number, now: number, effects: Effect[]): void {
     const { record, pool } = flight
     if (!flight.isTrial) {
-      if (outcome !== 'ok') this.#ejectOutlier(record, pool, now, effects)
+      this.#ejectOutlier(record, pool, now, effects)
       return
     }
     if (record.standing.kind !== 'trial') return
-    const isGood = outcome === 'ok' && latency < 4 * pool.place.usual
+    const isGood = outcome === 'ok' && latency <= pool.place.high
     if (!isGood) {
       eject(record, now)
       return
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -4,6 +4,7 @@
  */
 import { randomBelow, type Random, type ServerId } from '@bilberrystall/base'
 import type { ServerRecord } from './server-record'
+import { TUNING } from './tuning'
 
 export interface Choice {
   record: ServerRecord | undefined
@@ -16,6 +17,8 @@
   readonly random: Random
   /** Usual latency of the service in ms. */
   usual: number
+  /** 95th percentile of the latency of the service in ms. */
+  high: number
   /** Usual calls of other entries at a server. */
   typicalOthers: number
   /** Largest ramp of any server: when all are new, none is held back. */
@@ -25,9 +28,6 @@
 
 /** Above this number of servers a sample of this size is looked at. */
 const SAMPLE = 32
-/** Slowness below this is within the noise of a few latencies. */
-const SLOWNESS_NOISE = 1.5
-
 /** The healthy server with the lowest cost; ties are broken at random. */
 export function chooseServer(
   records: readonly ServerRecord[],
@@ -59,7 +59,6 @@
 
 function costOf(record: ServerRecord, load: number, place: Surroundings, now: number): number {
   const ramp = record.ramp(now, place.rampLength) / place.largestRamp
-  const slowness = record.slowness(place.usual, now)
-  const penalty = slowness > SLOWNESS_NOISE ? (slowness / SLOWNESS_NOISE) ** 2 : 1
+  const penalty = 1 + record.slowEvidence(place.high, now) * TUNING.slowPenalty
   return ((load + 1) / (record.server.slots * ramp)) * penalty
 }
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -4,10 +4,18 @@
  */
 import type { Load, Server } from './call'
 
-/** Weight kept by older latencies at each completion: a memory of about five calls. */
+/** Weight kept by older latencies at each completion. */
 const SPEED_MEMORY = 0.8
-/** Latencies at usual speed that are assumed before any is seen. */
-const SPEED_PRIOR = 2
+/**
+ * Evidence of slowness as a cumulative sum of log-likelihood ratios. A latency above the service's 95th percentile adds
+ * ln(0.6 / 0.05), any other takes away ln(0.95 / 0.4). This holds for any distribution of service times; a mean of a few
+ * heavy-tailed latencies ejected healthy servers.
+ */
+export const SLOW_EVIDENCE = 2.5
+const USUAL_EVIDENCE = 0.86
+const MAX_EVIDENCE = 15
+const HIGH_QUANTILE = 0.95
+const HIGH_STEP = 0.1
 /** Share of the newest report in the average load of others. */
 const OTHERS_STEP = 0.1
 const TRUST_LOSS = 0.3
@@ -41,9 +49,11 @@
   /** Newest report that came with a response to this entry. */
   lastLoad: Load | undefined
   loadSeenAt = Number.NEGATIVE_INFINITY
+  /** 95th percentile of the latencies of own calls in ms. */
+  ownHigh: number | undefined
   suspectedByPeerAt = Number.NEGATIVE_INFINITY
   readonly #sentAt: number[] = []
-  #sentAtSum = 0
+  #evidence = 0
   #completed = 0
   #busy = 0
   #others = 0
@@ -71,14 +81,12 @@
 
   sent(now: number): void {
     this.own += 1
-    this.#sentAtSum += now
     this.#sentAt.push(now)
   }
 
   returned(sentAt: number): void {
     this.own -= 1
     this.#sentAt.splice(this.#sentAt.indexOf(sentAt), 1)
-    this.#sentAtSum = this.own === 0 ? 0 : this.#sentAtSum - sentAt
   }
 
   /** Own calls in flight that were sent after `time`. */
@@ -88,25 +96,34 @@
     return count
   }
 
-  /** Latency in ms of a completed call, or of one that was given up. */
-  addLatency(latency: number, isComplete: boolean): void {
-    this.#completed = this.#completed * SPEED_MEMORY + (isComplete ? 1 : 0)
+  /** Latency in ms of a completed call, or of one that was given up; `high` is the service's 95th percentile. */
+  addLatency(latency: number, high: number, isComplete: boolean): void {
+    const step = latency > high ? SLOW_EVIDENCE : -USUAL_EVIDENCE
+    this.#evidence = Math.min(MAX_EVIDENCE, Math.max(0, this.#evidence + step))
+    if (!isComplete) return
+    this.ownHigh = nextQuantile(this.ownHigh ?? high, latency)
+    this.#completed = this.#completed * SPEED_MEMORY + 1
     this.#busy = this.#busy * SPEED_MEMORY + latency
   }
 
   forgetSpeed(): void {
+    this.ownHigh = undefined
     this.#completed = 0
     this.#busy = 0
+    this.#evidence = 0
   }
 
   /**
-   * Estimated mean latency relative to `usual`, with the ages of calls in flight counted as time without a completion,
-   * so that a slow server shows before any response.
+   * Evidence that the server is slow. Calls in flight that are older than the 95th percentile count at once, so that a
+   * slow server shows before any response.
    */
-  slowness(usual: number, now: number): number {
-    const ages = this.own * now - this.#sentAtSum
-    const mean = (this.#busy + ages + SPEED_PRIOR * usual) / (this.#completed + SPEED_PRIOR)
-    return mean / usual
+  slowEvidence(high: number, now: number): number {
+    let evidence = this.#evidence
+    for (const sentAt of this.#sentAt) {
+      if (now - sentAt <= high) break
+      evidence += SLOW_EVIDENCE
+    }
+    return evidence
   }
 
   /** A report that arrived with a response; `recentlySent` own calls cannot be counted in it yet. */
@@ -163,3 +180,9 @@
     return Math.min(1, Math.max(RAMP_START, (now - this.rampFrom) / length))
   }
 }
+
+/** Stochastic approximation of the 95th percentile. */
+function nextQuantile(estimate: number, value: number): number {
+  const step = value > estimate ? HIGH_QUANTILE : HIGH_QUANTILE - 1
+  return estimate * (1 + step * HIGH_STEP)
+}
--- a/packages/routing/src/tuning.ts
+++ b/packages/routing/src/tuning.ts
@@ -1,9 +1,11 @@
 /** Constants of the policy that were varied in trials. */
 export const TUNING = {
-  fresh: 1.05,
-  waited: 1.4,
+  fresh: 1.4,
+  waited: 1.7,
   wait: 10,
   bounceTokens: 3,
   bounceTries: 1,
   tick: 2,
+  slowPenalty: 0,
+  yieldShare: 0.03,
 }
