--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -177,8 +177,8 @@
     const isReserved = call.urgency === 'deferrable' && isPatient && now - this.#lastUrgentAt < URGENT_MEMORY
     if (isReserved && choice.free < DEFERRABLE_RESERVE + 1) return 0
     // Without calls of its own in flight no response will tell the entry about a free slot.
-    if (this.inFlight === 0 && waited >= TUNING.wait) return Number.POSITIVE_INFINITY
-    return waited >= TUNING.wait ? TUNING.waited : TUNING.fresh
+    if (this.inFlight === 0 && waited >= TUNING.alone) return Number.POSITIVE_INFINITY
+    return Math.min(TUNING.cap, TUNING.fresh + waited * TUNING.slope)
   }
 
   #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
--- a/packages/routing/src/tuning.ts
+++ b/packages/routing/src/tuning.ts
@@ -1,11 +1,12 @@
 /** Constants of the policy that were varied in trials. */
 export const TUNING = {
   fresh: 1.4,
-  waited: 1.7,
-  wait: 10,
+  slope: 0.1,
+  cap: 3,
+  alone: 10,
   bounceTokens: 3,
   bounceTries: 1,
   tick: 2,
   slowPenalty: 0,
-  yieldShare: 0.03,
+  yieldShare: 0.005,
 }
