Judge load reports by refusals, and shorten the ramp of cold servers

A refusal whose report still shows free slots now lowers the trust in that server, and in all reports of the service in proportion to the trust the server had.

--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -3,7 +3,7 @@
  * believed to have a free slot (late binding), urgent ones first.
  */
 import type { CodeName, Random } from '@bilberrystall/base'
-import type { Call, Effect } from './call'
+import type { Call, Effect, Load } from './call'
 import { CallQueue, type Waiting } from './call-queue'
 import { RetryBudget, type RetryLimits } from './retry-budget'
 import { chooseServer, type Choice, type Surroundings } from './selection'
@@ -30,7 +30,6 @@
   readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
 }
 
-const RAMP_LENGTH = 10_000
 /** Estimated free slots that deferrable calls leave to urgent ones. */
 const DEFERRABLE_RESERVE = 1
 /** Time in ms for which one urgent call keeps the reserve. */
@@ -40,6 +39,9 @@
 const RUN_SHARE = 0.5
 const USUAL_STEP = 0.2
 const FAILURE_STEP = 0.02
+/** Loss of trust in all reports of a service by one contradiction, and gain by one confirmation. */
+const TRUST_LOSS = 0.2
+const TRUST_GAIN = 0.02
 const INTERVAL_STEP = 0.05
 /** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
 const PREDICTION_SLACK = 1.2
@@ -70,8 +72,8 @@
       usual: INITIAL_LATENCY,
       high: 4 * INITIAL_LATENCY,
       typicalOthers: 0,
+      trust: 1,
       largestRamp: 1,
-      rampLength: RAMP_LENGTH,
     }
   }
 
@@ -118,6 +120,15 @@
     if (this.waiting === 0) this.#lastDrainAt = Number.NaN
   }
 
+  /** A report that came with a response, or with a refusal if `hasShed`. */
+  addReport(record: ServerRecord, load: Load, recentlySent: number, hasShed: boolean, now: number): void {
+    const trust = record.trust
+    const isContradicted = record.addReport(load, recentlySent, hasShed, now)
+    // A single server that is known to mislead says nothing about the others.
+    if (isContradicted) this.place.trust *= 1 - TRUST_LOSS * trust
+    else if (hasShed) this.place.trust += (1 - this.place.trust) * TRUST_GAIN
+  }
+
   addResult(isFailure: boolean): void {
     this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * FAILURE_STEP
   }
@@ -134,7 +145,7 @@
       if (record.ownHigh !== undefined) highs.push(record.ownHigh)
       others += record.averageOthers * record.trust
       trust += record.trust
-      ramp = Math.max(ramp, record.ramp(now, RAMP_LENGTH))
+      ramp = Math.max(ramp, record.ramp(now))
     }
     this.place.typicalOthers = trust > 0 ? others / trust : 0
     this.place.largestRamp = ramp > 0 ? ramp : 1
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -244,14 +244,14 @@
     const { record, pool } = flight
     if (outcome === 'unattributed') return
     if (outcome === 'shed') {
-      if (load !== undefined) record.addReport(load, this.#recentlySent(record, now), now)
+      if (load !== undefined) pool.addReport(record, load, this.#recentlySent(record, now), true, now)
       return
     }
     if (outcome === 'ok') {
-      record.addLatency(latency, pool.place.high, true)
-      if (load !== undefined) record.addReport(load, this.#recentlySent(record, now), now)
+      record.addLatency(latency, pool.place.high, true, now)
+      if (load !== undefined) pool.addReport(record, load, this.#recentlySent(record, now), false, now)
     }
-    if (outcome === 'timeout') record.addLatency(latency, pool.place.high, false)
+    if (outcome === 'timeout') record.addLatency(latency, pool.place.high, false, now)
     const isFailure = outcome !== 'ok' && outcome !== 'timeout'
     record.addResult(isFailure)
     pool.addResult(isFailure)
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -21,9 +21,10 @@
   high: number
   /** Usual calls of other entries at a server. */
   typicalOthers: number
+  /** Trust in the reports of the service's servers as a whole. */
+  trust: number
   /** Largest ramp of any server: when all are new, none is held back. */
   largestRamp: number
-  readonly rampLength: number
 }
 
 /** Above this number of servers a sample of this size is looked at. */
@@ -41,7 +42,7 @@
   for (let step = 0; step < count; step += 1) {
     const record = records[(offset + step) % records.length]
     if (record === undefined || !isUsable(record, now)) continue
-    const load = record.own + record.others(now, place.usual, place.typicalOthers)
+    const load = record.own + record.others(now, place)
     const slots = record.server.slots
     best.free += Math.max(0, slots - load)
     if (tried?.includes(record.server.id) === true) continue
@@ -58,7 +59,7 @@
 }
 
 function costOf(record: ServerRecord, load: number, place: Surroundings, now: number): number {
-  const ramp = record.ramp(now, place.rampLength) / place.largestRamp
+  const ramp = record.ramp(now) / place.largestRamp
   const penalty = 1 + record.slowEvidence(place.high, now) * TUNING.slowPenalty
   return ((load + 1) / (record.server.slots * ramp)) * penalty
 }
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -19,10 +19,16 @@
 /** Share of the newest report in the average load of others. */
 const OTHERS_STEP = 0.1
 const TRUST_LOSS = 0.3
-const TRUST_GAIN = 0.02
+/** Gain by a report that contradicts nothing; far smaller, because a stale report is rarely caught. */
+const TRUST_DRIFT = 0.002
+/** Gain by a report that explains why the server shed a call. */
+const TRUST_GAIN = 0.1
 const ERROR_STEP = 0.3
 /** Share of its slots that a server which was just first seen is used with. */
 const RAMP_START = 0.2
+/** Ramp in ms of a server that started, and of one that comes back after an ejection. */
+const START_RAMP = 5000
+const RESTORE_RAMP = 2000
 
 export type Standing =
   | { readonly kind: 'healthy' }
@@ -54,6 +60,7 @@
   suspectedByPeerAt = Number.NEGATIVE_INFINITY
   readonly #sentAt: number[] = []
   #evidence = 0
+  #rampLength = START_RAMP
   #completed = 0
   #busy = 0
   #others = 0
@@ -97,8 +104,8 @@
   }
 
   /** Latency in ms of a completed call, or of one that was given up; `high` is the service's 95th percentile. */
-  addLatency(latency: number, high: number, isComplete: boolean): void {
-    const step = latency > high ? SLOW_EVIDENCE : -USUAL_EVIDENCE
+  addLatency(latency: number, high: number, isComplete: boolean, now: number): void {
+    const step = latency > high / this.ramp(now) ? SLOW_EVIDENCE : -USUAL_EVIDENCE
     this.#evidence = Math.min(MAX_EVIDENCE, Math.max(0, this.#evidence + step))
     if (!isComplete) return
     this.ownHigh = nextQuantile(this.ownHigh ?? high, latency)
@@ -118,20 +125,25 @@
    * slow server shows before any response.
    */
   slowEvidence(high: number, now: number): number {
+    const expected = high / this.ramp(now)
     let evidence = this.#evidence
     for (const sentAt of this.#sentAt) {
-      if (now - sentAt <= high) break
+      if (now - sentAt <= expected) break
       evidence += SLOW_EVIDENCE
     }
     return evidence
   }
 
-  /** A report that arrived with a response; `recentlySent` own calls cannot be counted in it yet. */
-  addReport(load: Load, recentlySent: number, now: number): void {
+  /**
+   * A report that arrived with a response, which is a refusal if `hasShed`; `recentlySent` own calls cannot be counted
+   * in it yet. Returns whether it contradicts what this entry knows.
+   */
+  addReport(load: Load, recentlySent: number, hasShed: boolean, now: number): boolean {
     const known = this.own - recentlySent
     const total = load.inflight + load.queue
-    if (total < known) this.#trust *= 1 - TRUST_LOSS
-    else this.#trust += (1 - this.#trust) * TRUST_GAIN
+    const isContradicted = total < known || (hasShed && total < load.slots)
+    if (isContradicted) this.#trust *= 1 - TRUST_LOSS
+    else this.#trust += (1 - this.#trust) * (hasShed ? TRUST_GAIN : TRUST_DRIFT)
     this.#others = Math.max(0, total - known)
     this.#averageOthers = this.#hasReport
       ? this.#averageOthers + (this.#others - this.#averageOthers) * OTHERS_STEP
@@ -140,6 +152,7 @@
     this.reportedAt = now
     this.loadSeenAt = now
     this.lastLoad = load
+    return isContradicted
   }
 
   /** A report from a peer or an announcement, used while nothing newer is known first-hand. */
@@ -150,9 +163,11 @@
   }
 
   /** Estimated calls of other entries at the server. A report loses weight with age and with contradictions. */
-  others(now: number, usual: number, typical: number): number {
-    const average = typical + (this.#averageOthers - typical) * this.#trust
-    const weight = this.#trust * (usual / (usual + Math.max(0, now - this.reportedAt)))
+  others(now: number, place: { usual: number; typicalOthers: number; trust: number }): number {
+    const { usual, typicalOthers } = place
+    const trust = this.#trust * place.trust
+    const average = typicalOthers + (this.#averageOthers - typicalOthers) * trust
+    const weight = trust * (usual / (usual + Math.max(0, now - this.reportedAt)))
     return average + (this.#others - average) * weight
   }
 
@@ -167,17 +182,19 @@
     this.failureRate = 0
     this.pausedUntil = Number.NEGATIVE_INFINITY
     this.rampFrom = now
+    this.#rampLength = RESTORE_RAMP
     this.forgetSpeed()
   }
 
   /** The server process started anew: what was known about its speed and failures no longer holds. */
   restart(firstSeen: number): void {
     this.restore(firstSeen)
+    this.#rampLength = START_RAMP
   }
 
-  /** Share of its slots to use, rising from a fifth to all over `length` ms. */
-  ramp(now: number, length: number): number {
-    return Math.min(1, Math.max(RAMP_START, (now - this.rampFrom) / length))
+  /** Share of its slots to use, rising from a fifth to all. */
+  ramp(now: number): number {
+    return Math.min(1, Math.max(RAMP_START, (now - this.rampFrom) / this.#rampLength))
   }
 }
 
