--- a/packages/bench/src/routing/baselines.ts
+++ b/packages/bench/src/routing/baselines.ts
@@ -1,4 +1,5 @@
 /** Baselines: each entry sends a call at once to a server chosen by a simple rule. */
+import { required } from './required'
 import { randomBelow, seededRandom, type Random } from '@bilberrystall/base'
 import { RetryBudget, type ExchangeOutcome, type Load } from '@bilberrystall/routing'
 import type { Exchange, Policy, SimulatedCall, Simulation } from './simulation'
@@ -72,7 +73,7 @@
   }
 
   #view(call: SimulatedCall): EntryView {
-    return this.#entries[call.home] as EntryView
+    return required(this.#entries[call.home])
   }
 
   #choose(view: EntryView, candidates: readonly number[]): number | undefined {
--- a/packages/bench/src/routing/bound.ts
+++ b/packages/bench/src/routing/bound.ts
@@ -2,8 +2,7 @@
  * The bound: one queue that sees everything. A call takes a free slot without delay and pays the network delay only in
  * its latency; speeds and faults of servers are known at once.
  */
-import type { ExchangeOutcome } from '@bilberrystall/routing'
-import type { Exchange, Policy, SimulatedCall, Simulation } from './simulation'
+import type { Policy, SimulatedCall, Simulation } from './simulation'
 import type { StandInServer } from './stand-in-server'
 
 /** Servers slower than this are left idle while calls can wait for others. */
@@ -23,7 +22,7 @@
     this.#drain()
   }
 
-  ended(_exchange: Exchange, _outcome: ExchangeOutcome): void {
+  ended(): void {
     this.#drain()
   }
 
--- a/packages/bench/src/routing/case.ts
+++ b/packages/bench/src/routing/case.ts
@@ -1,4 +1,5 @@
 /** Cases of section 1.4: what happens to servers, reports and entries during a run. */
+import { required } from './required'
 import type { Random } from '@bilberrystall/base'
 import type { EventQueue } from './event-queue'
 import { StandInServer } from './stand-in-server'
@@ -42,7 +43,7 @@
 const COLD_STEP = 100
 
 export function applyCase(name: CaseName, scene: Scene): void {
-  const first = scene.servers[0] as StandInServer
+  const first = required(scene.servers[0])
   switch (name) {
     case 'steady state':
     case 'overload 150%':
--- a/packages/bench/src/routing/comparison.ts
+++ b/packages/bench/src/routing/comparison.ts
@@ -1,5 +1,6 @@
 /** Runs every policy over the same arrivals of one scenario. */
-import { BaselinePolicy, type Baseline } from './baselines'
+import type { Tuning } from '@bilberrystall/routing'
+import { BaselinePolicy } from './baselines'
 import { BoundPolicy } from './bound'
 import { RUN_LENGTH, type CaseName } from './case'
 import type { Figures } from './measurements'
@@ -25,19 +26,22 @@
   readonly seed: number
 }
 
-export function runPolicy(scenario: Scenario, policy: PolicyName): Figures {
+export function runPolicy(scenario: Scenario, policy: PolicyName, tuning: Partial<Tuning> = {}): Figures {
   const arrivals = drawArrivals({ ...scenario, length: RUN_LENGTH })
-  const simulation = new Simulation({ ...scenario, arrivals }, (created) => createPolicy(created, policy))
+  const simulation = new Simulation({ ...scenario, arrivals }, (created) => createPolicy(created, policy, tuning))
   return simulation.run().figures()
 }
 
-function createPolicy(simulation: Simulation, policy: PolicyName): Policy {
+function createPolicy(simulation: Simulation, policy: PolicyName, tuning: Partial<Tuning>): Policy {
   switch (policy) {
     case 'router':
-      return new RouterPolicy(simulation)
+      return new RouterPolicy(simulation, tuning)
     case 'bound':
       return new BoundPolicy(simulation)
-    default:
-      return new BaselinePolicy(simulation, policy satisfies Baseline)
+    case 'random':
+    case 'round robin':
+    case 'least reported load':
+    case 'power of two choices':
+      return new BaselinePolicy(simulation, policy)
   }
 }
--- a/packages/bench/src/routing/event-queue.ts
+++ b/packages/bench/src/routing/event-queue.ts
@@ -1,4 +1,5 @@
 /** Time-ordered events of a discrete-event run. Events of equal time run in the order in which they were added. */
+import { required } from './required'
 
 export interface Timer {
   readonly time: number
@@ -41,11 +42,11 @@
 
   #rise(start: number): void {
     const heap = this.#heap
-    const item = heap[start] as Timer
+    const item = required(heap[start])
     let index = start
     while (index > 0) {
       const above = (index - 1) >> 1
-      const parent = heap[above] as Timer
+      const parent = required(heap[above])
       if (!isBefore(item, parent)) break
       heap[index] = parent
       index = above
@@ -55,13 +56,13 @@
 
   #sink(): void {
     const heap = this.#heap
-    const item = heap[0] as Timer
+    const item = required(heap[0])
     let index = 0
     for (;;) {
       let child = 2 * index + 1
       if (child >= heap.length) break
-      if (child + 1 < heap.length && isBefore(heap[child + 1] as Timer, heap[child] as Timer)) child += 1
-      const lower = heap[child] as Timer
+      if (child + 1 < heap.length && isBefore(required(heap[child + 1]), required(heap[child]))) child += 1
+      const lower = required(heap[child])
       if (!isBefore(lower, item)) break
       heap[index] = lower
       index = child
--- a/packages/bench/src/routing/router-policy.ts
+++ b/packages/bench/src/routing/router-policy.ts
@@ -1,4 +1,5 @@
 /** Adapter that runs one router per entry, with timers, gossip of observations and grants of measuring tokens. */
+import { required } from './required'
 import { failureDomain, nodeId, seededRandom, serverId, serviceName, type ServerId } from '@bilberrystall/base'
 import {
   callId,
@@ -9,6 +10,7 @@
   type ExchangeOutcome,
   type Load,
   type Server,
+  type Tuning,
 } from '@bilberrystall/routing'
 import { RUN_LENGTH } from './case'
 import type { Timer } from './event-queue'
@@ -35,9 +37,11 @@
   readonly #seats: readonly Seat[]
   readonly #ledger = new MeasuringLedger()
   readonly #budget: number
+  readonly #tuning: Partial<Tuning>
 
-  constructor(simulation: Simulation) {
+  constructor(simulation: Simulation, tuning: Partial<Tuning> = {}) {
     this.#simulation = simulation
+    this.#tuning = tuning
     this.#budget = (simulation.workload.servers * SLOTS * WINDOW * BUDGET_PERMILLE) / 1000
     this.#seats = Array.from({ length: simulation.workload.entries }, (_, entry) => this.#createSeat(entry))
     this.#ledger.setBudget(SERVICE, this.#budget)
@@ -55,7 +59,6 @@
 
   ended(exchange: Exchange, outcome: ExchangeOutcome, latency: number, load: Load | undefined): void {
     const { call } = exchange
-    ;((globalThis as any).DBG ??= {})['o-' + outcome] = ((globalThis as any).DBG['o-' + outcome] ?? 0) + 1 //DBG
     const seat = this.#seat(call.home)
     this.#apply(call.home, seat.router.finished(callId(call.id), outcome, latency, load, this.#now))
   }
@@ -85,7 +88,7 @@
   }
 
   #seat(entry: number): Seat {
-    return this.#seats[entry] as Seat
+    return required(this.#seats[entry])
   }
 
   #createSeat(entry: number): Seat {
@@ -93,6 +96,7 @@
       random: seededRandom(this.#simulation.seed + 100 + entry),
       roundTrip: 2 * this.#simulation.workload.domainDelay,
       probeLimit: PROBE_LIMIT,
+      tuning: this.#tuning,
     })
     // Servers were first seen long before the run.
     for (const server of this.#simulation.servers) router.updateServer(this.#server(server.index, -1e6), 0)
@@ -111,17 +115,16 @@
 
   #carryOut(entry: number, effect: Effect): void {
     const seat = this.#seat(entry)
-    ;((globalThis as any).DBG ??= {})[effect.kind + ((effect as any).code ?? (effect as any).reason ?? (effect as any).queueLimit ?? '')] = ((globalThis as any).DBG[effect.kind + ((effect as any).code ?? (effect as any).reason ?? (effect as any).queueLimit ?? '')] ?? 0) + 1 //DBG
     switch (effect.kind) {
       case 'dispatch': {
-        const call = seat.calls.get(effect.call) as SimulatedCall
+        const call = required(seat.calls.get(effect.call))
         seat.calls.delete(effect.call)
         this.#simulation.send(call, this.#standIn(effect.server), effect.queueLimit)
         seat.router.started(effect.call, this.#now)
         return
       }
       case 'shed': {
-        const call = seat.calls.get(effect.call) as SimulatedCall
+        const call = required(seat.calls.get(effect.call))
         seat.calls.delete(effect.call)
         this.#simulation.fail(call)
         return
@@ -146,7 +149,7 @@
 
   #standIn(server: ServerId): StandInServer {
     const index = Number(server.slice('server-'.length))
-    return this.#simulation.servers[index] as StandInServer
+    return required(this.#simulation.servers[index])
   }
 
   #scheduleWake(entry: number): void {
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -17,21 +17,25 @@
 const FAILURE_RATE = 0.5
 /** A server is a failing outlier only when it fails this many times as often as the service. */
 const FAILURE_CONTRAST = 2
-/** Evidence at which a server is ejected: four slow calls in a row. */
-const EJECT_EVIDENCE = 4 * SLOW_EVIDENCE
-export const FIRST_BACKOFF = 1000
+/** Evidence at which a server is ejected: six slow calls in a row. Four ejected healthy servers with long calls. */
+const EJECT_EVIDENCE = 6 * SLOW_EVIDENCE
+const FIRST_BACKOFF = 1000
 const MAX_BACKOFF = 20_000
 export const TRIALS = 3
 
+/** Time in ms for which a peer's ejection makes one failure enough. Slowness spread false ejections that way. */
+const PEER_MEMORY = 2000
+
 /** The reason for which the server should be ejected, if any. */
 export function outlierReason(record: ServerRecord, view: HealthView, now: number): EjectReason | undefined {
-  if (isFailing(record) && record.failureRate > FAILURE_CONTRAST * view.failureRate) return 'failing'
+  const isSuspected = now - record.suspectedByPeerAt < PEER_MEMORY
+  if (isFailing(record, isSuspected) && record.failureRate > FAILURE_CONTRAST * view.failureRate) return 'failing'
   if (record.slowEvidence(view.place.high, now) < EJECT_EVIDENCE) return undefined
   return record.own > 0 ? 'stuck' : 'slow'
 }
 
-function isFailing(record: ServerRecord): boolean {
-  return record.consecutiveFailures >= CONSECUTIVE_FAILURES || record.failureRate > FAILURE_RATE
+function isFailing(record: ServerRecord, isSuspected: boolean): boolean {
+  return record.consecutiveFailures >= (isSuspected ? 1 : CONSECUTIVE_FAILURES) || record.failureRate > FAILURE_RATE
 }
 
 /** Whether one more server may be ejected. */
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -8,13 +8,14 @@
 import { RetryBudget, type RetryLimits } from './retry-budget'
 import { chooseServer, type Choice, type Surroundings } from './selection'
 import type { ServerRecord } from './server-record'
-import { TUNING } from './tuning'
+import type { Tuning } from './tuning'
 
 export interface Flight {
   readonly call: Call
   readonly pool: Pool
   readonly record: ServerRecord
-  readonly sentAt: number
+  /** Time in ms of the dispatch, then of the first byte. */
+  sentAt: number
   readonly isTrial: boolean
   /** A retry token was taken in advance, so that the server may shed the call. */
   readonly mayBounce: boolean
@@ -22,6 +23,7 @@
 
 export interface PoolOptions {
   readonly random: Random
+  readonly tuning: Tuning
   readonly retries: RetryLimits
   /** Most waiting calls. */
   readonly queue: number
@@ -34,6 +36,8 @@
 const DEFERRABLE_RESERVE = 1
 /** Time in ms for which one urgent call keeps the reserve. */
 const URGENT_MEMORY = 1000
+/** Time in ms after which what is usual for the service is computed anew. */
+export const REFRESH_INTERVAL = 50
 const INITIAL_LATENCY = 20
 /** Largest part of a call's time that is kept back for running it. */
 const RUN_SHARE = 0.5
@@ -62,6 +66,7 @@
   #lastDrainAt = Number.NaN
   #drainInterval = 0
   #order = 0
+  #refreshedAt = Number.NEGATIVE_INFINITY
 
   constructor(options: PoolOptions, now: number) {
     this.#options = options
@@ -72,7 +77,7 @@
       usual: INITIAL_LATENCY,
       high: 4 * INITIAL_LATENCY,
       typicalOthers: 0,
-      trust: 1,
+      trust: options.tuning.reportWeight,
       largestRamp: 1,
     }
   }
@@ -87,6 +92,7 @@
   }
 
   submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
+    if (now - this.#refreshedAt > REFRESH_INTERVAL) this.refresh(now)
     if (call.tried === undefined || call.tried.length === 0) this.budget.credit(now)
     if (call.urgency === 'urgent') this.#lastUrgentAt = now
     else this.#lastDeferrableAt = now
@@ -126,7 +132,7 @@
     const isContradicted = record.addReport(load, recentlySent, hasShed, now)
     // A single server that is known to mislead says nothing about the others.
     if (isContradicted) this.place.trust *= 1 - TRUST_LOSS * trust
-    else if (hasShed) this.place.trust += (1 - this.place.trust) * TRUST_GAIN
+    else if (hasShed) this.place.trust += (this.#options.tuning.reportWeight - this.place.trust) * TRUST_GAIN
   }
 
   addResult(isFailure: boolean): void {
@@ -135,6 +141,7 @@
 
   /** Recomputes what is usual for the service as medians over its servers, so that a few outliers change nothing. */
   refresh(now: number): void {
+    this.#refreshedAt = now
     const latencies: number[] = []
     const highs: number[] = []
     let others = 0
@@ -159,7 +166,7 @@
 
   #refusal(call: Call, now: number): CodeName | undefined {
     if (now >= call.deadline) return 'deadlineNotRun'
-    if (!this.records.some((record) => isCandidate(record, call))) return 'noServer'
+    if (!this.#hasCandidate(call)) return 'noServer'
     if (this.waiting >= this.#queueLimit) return 'overloaded'
     const ahead = call.urgency === 'urgent' ? this.#urgent.size : this.waiting
     const wait = ahead * this.#drainInterval
@@ -167,11 +174,16 @@
     return isHopeless ? 'overloaded' : undefined
   }
 
+  #hasCandidate(call: Call): boolean {
+    return this.records.some((record) => isCandidate(record, call))
+  }
+
   /** A server on trial that this call may test: a deferrable one, if there are any. */
   #trialFor(call: Call, now: number): ServerRecord | undefined {
     if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < URGENT_MEMORY) return undefined
     return this.records.find(
-      (record) => record.standing.kind === 'trial' && record.own === 0 && !record.isProbing && isCandidate(record, call),
+      (record) =>
+        record.standing.kind === 'trial' && record.own === 0 && !record.isProbing && isCandidate(record, call),
     )
   }
 
@@ -184,12 +196,13 @@
   }
 
   #limit(call: Call, choice: Choice, waited: number, now: number): number {
-    const isPatient = waited < (call.deadline - now + waited) * TUNING.yieldShare
+    const { freshCost, costPerMs, largestCost, newsWait, yieldShare } = this.#options.tuning
+    const isPatient = waited < (call.deadline - now + waited) * yieldShare
     const isReserved = call.urgency === 'deferrable' && isPatient && now - this.#lastUrgentAt < URGENT_MEMORY
     if (isReserved && choice.free < DEFERRABLE_RESERVE + 1) return 0
     // Without calls of its own in flight no response will tell the entry about a free slot.
-    if (this.inFlight === 0 && waited >= TUNING.alone) return Number.POSITIVE_INFINITY
-    return Math.min(TUNING.cap, TUNING.fresh + waited * TUNING.slope)
+    if (this.inFlight === 0 && waited >= newsWait) return Number.POSITIVE_INFINITY
+    return Math.min(largestCost, freshCost + waited * costPerMs)
   }
 
   #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
@@ -201,8 +214,8 @@
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
   #reserveBounce(call: Call, now: number): boolean {
-    if ((call.tried?.length ?? 0) >= TUNING.bounceTries) return false
-    return this.budget.available(now) >= TUNING.bounceTokens && this.budget.take(now)
+    if (call.tried !== undefined && call.tried.length > 0) return false
+    return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
   }
 
   #drainQueue(queue: CallQueue, now: number, effects: Effect[]): void {
@@ -226,7 +239,7 @@
       const runTime = Math.min(this.place.high, RUN_SHARE * (first.call.deadline - first.since))
       if (now + runTime <= first.call.deadline) return
       queue.remove(first)
-      this.#options.shed(first.call, 'overloaded', effects)
+      this.#options.shed(first.call, this.#hasCandidate(first.call) ? 'overloaded' : 'noServer', effects)
     }
   }
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -10,11 +10,11 @@
 import type { Call, CallId, Effect, EjectReason, ExchangeOutcome, Load, Observation, Server } from './call'
 import type { Waiting } from './call-queue'
 import { eject, mayEject, outlierReason, TRIALS } from './health'
-import { Pool, type Flight } from './pool'
+import { Pool, REFRESH_INTERVAL, type Flight } from './pool'
 import type { RetryLimits } from './retry-budget'
 import { ServerRecord } from './server-record'
 import { MeasuringTokens } from './tokens'
-import { TUNING } from './tuning'
+import { DEFAULT_TUNING, type Tuning } from './tuning'
 
 export interface RouterOptions {
   readonly random: Random
@@ -24,6 +24,7 @@
   readonly roundTrip?: number
   /** Slot time in ms reserved for one probe, default 12 (a probe takes about 6). */
   readonly probeLimit?: number
+  readonly tuning?: Partial<Tuning>
 }
 
 export interface ServiceLimits {
@@ -38,23 +39,31 @@
 }
 
 const DEFAULT_QUEUE = 10_000
-const REFRESH_INTERVAL = 50
+/** Interval in ms at which waiting calls are tried again: estimates change with time even without news. */
+const DRAIN_INTERVAL = 2
 const NO_EFFECTS: readonly Effect[] = []
 
 export class Router {
   readonly tokens: MeasuringTokens
-  readonly #options: Required<RouterOptions>
+  readonly #random: Random
+  readonly #roundTrip: number
+  readonly #probeLimit: number
+  readonly #tuning: Tuning
   readonly #limits = new Map<ServiceName, ServiceLimits>()
   readonly #pools = new Map<ServiceName, Pool>()
   readonly #records = new Map<ServerId, ServerRecord>()
   readonly #flights = new Map<CallId, Flight>()
   readonly #queued = new Map<CallId, Queued>()
+  #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
 
   constructor(options: RouterOptions) {
     this.tokens = options.tokens ?? new MeasuringTokens()
-    this.#options = { roundTrip: 2, probeLimit: 12, tokens: this.tokens, ...options }
+    this.#random = options.random
+    this.#roundTrip = options.roundTrip ?? 2
+    this.#probeLimit = options.probeLimit ?? 12
+    this.#tuning = { ...DEFAULT_TUNING, ...options.tuning }
   }
 
   /** Applies the limits of the document to a service. */
@@ -103,9 +112,15 @@
     return effects
   }
 
-  /** The first byte of the request was written to a connection of the server. */
-  started(_call: CallId, _now: number): void {
-    // The exchange is counted from its dispatch.
+  /**
+   * The first byte of the request was written to a connection of the server. The time to open a connection does not
+   * count against the server.
+   */
+  started(call: CallId, now: number): void {
+    const flight = this.#flights.get(call)
+    if (flight === undefined) return
+    flight.record.restamp(flight.sentAt, now)
+    flight.sentAt = now
   }
 
   /** The exchange ended after `latency` ms; `load` is the report carried by the response. */
@@ -189,6 +204,7 @@
     if (now >= this.#refreshAt) {
       this.#refreshAt = Number.POSITIVE_INFINITY
       for (const pool of this.#pools.values()) this.#refresh(pool, now, effects)
+      this.#hasEjected = this.#anyEjected()
     }
     this.#drainAt = Number.POSITIVE_INFINITY
     for (const pool of this.#pools.values()) if (pool.waiting > 0) this.#settle(pool, now, effects)
@@ -201,13 +217,19 @@
     return Math.min(this.#drainAt, this.#refreshAt)
   }
 
+  #anyEjected(): boolean {
+    for (const record of this.#records.values()) if (record.standing.kind !== 'healthy') return true
+    return false
+  }
+
   #pool(service: ServiceName, now: number): Pool {
     const known = this.#pools.get(service)
     if (known !== undefined) return known
     const limits = this.#limits.get(service)
     const pool = new Pool(
       {
-        random: this.#options.random,
+        random: this.#random,
+        tuning: this.#tuning,
         retries: limits?.retries ?? {},
         queue: limits?.queue ?? DEFAULT_QUEUE,
         launch: (flight, effects) => {
@@ -285,34 +307,47 @@
     const reason: EjectReason | undefined = outlierReason(record, pool, now)
     if (reason === undefined || !mayEject(pool.records)) return
     eject(record, now)
+    this.#hasEjected = true
     effects.push({ kind: 'ejected', server: record.server.id, reason })
   }
 
   /** Own calls that were sent too recently to be counted in a report that arrives now. */
   #recentlySent(record: ServerRecord, now: number): number {
-    return record.sentSince(now - this.#options.roundTrip)
+    return record.sentSince(now - this.#roundTrip)
   }
 
   #refresh(pool: Pool, now: number, effects: Effect[]): void {
     pool.refresh(now)
+    this.#restoreWhenNoneHealthy(pool, now, effects)
     for (const record of pool.records) {
       this.#ejectOutlier(record, pool, now, effects)
       if (record.standing.kind !== 'ejected' || now < record.standing.until) continue
       record.standing = { kind: 'trial', successes: 0, backoff: record.standing.backoff }
-      const cost = this.#options.probeLimit
+      const cost = this.#probeLimit
       if (!this.tokens.take(record.server.service, cost, now)) continue
       record.isProbing = true
       effects.push({ kind: 'probe', server: record.server.id, limit: cost })
     }
   }
 
+  /** Ejected servers are better than none. */
+  #restoreWhenNoneHealthy(pool: Pool, now: number, effects: Effect[]): void {
+    const ready = pool.records.filter((record) => record.server.state === 'ready')
+    if (ready.some((record) => record.standing.kind === 'healthy')) return
+    for (const record of ready) {
+      record.restore(now)
+      effects.push({ kind: 'restored', server: record.server.id })
+    }
+  }
+
   #settle(pool: Pool, now: number, effects: Effect[]): void {
     if (pool.waiting > 0) pool.drain(now, effects)
     this.#schedule(now)
   }
 
   #schedule(now: number): void {
-    if (this.#queued.size > 0) this.#drainAt = Math.min(this.#drainAt, now + TUNING.tick)
-    if (this.#refreshAt === Number.POSITIVE_INFINITY && this.#records.size > 0) this.#refreshAt = now + REFRESH_INTERVAL
+    if (this.#queued.size > 0) this.#drainAt = Math.min(this.#drainAt, now + DRAIN_INTERVAL)
+    const isBusy = this.#flights.size > 0 || this.#queued.size > 0 || this.#hasEjected
+    if (this.#refreshAt === Number.POSITIVE_INFINITY && isBusy) this.#refreshAt = now + REFRESH_INTERVAL
   }
 }
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -1,10 +1,9 @@
 /**
  * Choice of a server among the candidates of a service. The cost of a server is its estimated load after the call
- * relative to the slots that may be used, raised for servers that are slower than usual.
+ * relative to the slots that may be used.
  */
 import { randomBelow, type Random, type ServerId } from '@bilberrystall/base'
 import type { ServerRecord } from './server-record'
-import { TUNING } from './tuning'
 
 export interface Choice {
   record: ServerRecord | undefined
@@ -60,6 +59,5 @@
 
 function costOf(record: ServerRecord, load: number, place: Surroundings, now: number): number {
   const ramp = record.ramp(now) / place.largestRamp
-  const penalty = 1 + record.slowEvidence(place.high, now) * TUNING.slowPenalty
-  return ((load + 1) / (record.server.slots * ramp)) * penalty
+  return (load + 1) / (record.server.slots * ramp)
 }
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -13,7 +13,7 @@
  */
 export const SLOW_EVIDENCE = 2.5
 const USUAL_EVIDENCE = 0.86
-const MAX_EVIDENCE = 15
+const MAX_EVIDENCE = 25
 const HIGH_QUANTILE = 0.95
 const HIGH_STEP = 0.1
 /** Share of the newest report in the average load of others. */
@@ -96,6 +96,12 @@
     this.#sentAt.splice(this.#sentAt.indexOf(sentAt), 1)
   }
 
+  restamp(sentAt: number, now: number): void {
+    if (sentAt === now) return
+    this.#sentAt.splice(this.#sentAt.indexOf(sentAt), 1)
+    this.#sentAt.push(now)
+  }
+
   /** Own calls in flight that were sent after `time`. */
   sentSince(time: number): number {
     let count = 0
--- a/packages/routing/src/tuning.ts
+++ b/packages/routing/src/tuning.ts
@@ -1,12 +1,30 @@
-/** Constants of the policy that were varied in trials. */
-export const TUNING = {
-  fresh: 1.4,
-  slope: 0.1,
-  cap: 3,
-  alone: 10,
-  bounceTokens: 3,
-  bounceTries: 1,
-  tick: 2,
-  slowPenalty: 0,
+/**
+ * Constants of the policy that the comparison in `docs/ROUTING.md` varies. Costs are the estimated load of a server after
+ * the call divided by its slots: 1 means that all its slots are busy then.
+ */
+export interface Tuning {
+  /** Highest cost at which a call that has just arrived is sent. */
+  readonly freshCost: number
+  /** Rise of that limit per ms of waiting, so that a call cannot starve behind other entries' calls. */
+  readonly costPerMs: number
+  /** Limit of the rise: bounds the queues at servers under overload. */
+  readonly largestCost: number
+  /** Wait in ms after which a call is sent at any cost if this entry has no call in flight that could bring news. */
+  readonly newsWait: number
+  /** Retry tokens below which no call is sent with the request to be shed by a full server. */
+  readonly spareTokens: number
+  /** Part of its time for which a deferrable call leaves the last free slots to urgent ones. */
+  readonly yieldShare: number
+  /** Weight of load reports, 0 to use only the calls of this entry. */
+  readonly reportWeight: number
+}
+
+export const DEFAULT_TUNING: Tuning = {
+  freshCost: 1.7,
+  costPerMs: 0.1,
+  largestCost: 5,
+  newsWait: 10,
+  spareTokens: 3,
   yieldShare: 0.005,
+  reportWeight: 1,
 }
