--- /dev/null
+++ b/packages/bench/src/routing/comparison.ts
@@ -0,0 +1,47 @@
+/** Runs every policy over the same arrivals of one scenario. */
+import type { Tuning } from '@bilberrystall/routing'
+import { BaselinePolicy } from './baselines'
+import { BoundPolicy } from './bound'
+import { RUN_LENGTH, type CaseName } from './case'
+import type { Figures } from './measurements'
+import { RouterPolicy } from './router-policy'
+import { Simulation, type Policy } from './simulation'
+import { drawArrivals, type Distribution, type Workload } from './workload'
+
+export const POLICIES = [
+  'random',
+  'round robin',
+  'least reported load',
+  'power of two choices',
+  'router',
+  'bound',
+] as const
+export type PolicyName = (typeof POLICIES)[number]
+
+export interface Scenario {
+  readonly workload: Workload
+  readonly caseName: CaseName
+  readonly distribution: Distribution
+  readonly load: number
+  readonly seed: number
+}
+
+export function runPolicy(scenario: Scenario, policy: PolicyName, tuning: Partial<Tuning> = {}): Figures {
+  const arrivals = drawArrivals({ ...scenario, length: RUN_LENGTH })
+  const simulation = new Simulation({ ...scenario, arrivals }, (created) => createPolicy(created, policy, tuning))
+  return simulation.run().figures()
+}
+
+function createPolicy(simulation: Simulation, policy: PolicyName, tuning: Partial<Tuning>): Policy {
+  switch (policy) {
+    case 'router':
+      return new RouterPolicy(simulation, tuning)
+    case 'bound':
+      return new BoundPolicy(simulation)
+    case 'random':
+    case 'round robin':
+    case 'least reported load':
+    case 'power of two choices':
+      return new BaselinePolicy(simulation, policy)
+  }
+}
