--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -149,8 +149,9 @@
   }
 
   #configure(document: Document): void {
+    const now = this.#options.frame.now()
     for (const service of document.services.values()) {
-      this.#router.configure(service.name, { retries: { share: service.retryBudget } })
+      this.#router.configure(service.name, { retries: { share: service.retryBudget } }, now)
     }
   }
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -245,7 +245,10 @@
 }
 
 function isCandidate(record: ServerRecord, call: Call): boolean {
-  return record.server.state === 'ready' && call.tried?.includes(record.server.id) !== true
+  if (record.server.state !== 'ready' || call.tried?.includes(record.server.id) === true) return false
+  // A call that was tried before would wait for an ejected server until its deadline, and then fail all the same.
+  const isRetry = call.tried !== undefined && call.tried.length > 0
+  return !isRetry || record.standing.kind !== 'ejected'
 }
 
 function median(values: number[], otherwise: number): number {
