--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,9 +1,11 @@
 /** Entry role of a node: keeps the HTTP entry and its router in line with the directory and the document in force. */
 import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
-import { Entry } from '@bilberrystall/entry'
+import { HolderTable } from '@bilberrystall/claims'
+import { ClaimGate, claimRoutes, Entry, RpcClaimTransport, SYSTEM_CLOCK } from '@bilberrystall/entry'
 import type { Change, Server } from '@bilberrystall/membership'
 import { Router, type Effect } from '@bilberrystall/routing'
+import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Result } from 'neverthrow'
@@ -30,6 +32,7 @@
   readonly #entry: Entry
   readonly #router: Router
   readonly #feed: EntryFeed
+  readonly #holder: HolderTable
   readonly #options: EntryRoleOptions
   readonly #calls: Counter<'result'>
   readonly #latency: Histogram
@@ -54,6 +57,7 @@
       },
       onDrain: options.onDrain,
     })
+    this.#holder = new HolderTable({ startedAt: frame.startedAt })
     this.#entry = new Entry({
       host,
       port,
@@ -62,6 +66,7 @@
       router: this.#router,
       document: () => this.#feed.document(),
       liveEntries: () => this.#liveEntries(),
+      claims: this.#claimGate(),
       events: {
         ended: (result, latencyMs) => {
           this.#ended(result, latencyMs)
@@ -75,6 +80,8 @@
       },
     })
     frame.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.#entry.callsInFlight)
+    frame.metrics.gauge('claimed_keys', 'Idempotency keys that this holder remembers', () => this.#holder.size)
+    frame.metrics.gauge('claim_bytes', 'Bytes of remembered keys', () => this.#holder.bytes)
     frame.metrics.gauge('servers', 'Servers in view of the environment', () => this.#firstSeen.size)
   }
 
@@ -88,6 +95,11 @@
     return this.#feed.confirmedAt()
   }
 
+  /** Registers the service by which other entries claim keys at this holder. */
+  routes(router: ConnectRouter): void {
+    claimRoutes(router, this.#holder, this.#options.frame.unix)
+  }
+
   /** Errors: `address-in-use`. */
   listen(): Promise<Result<void, Failure>> {
     return this.#entry.start()
@@ -110,6 +122,19 @@
     await this.#entry.stop()
   }
 
+  #claimGate(): ClaimGate {
+    const { frame, settings } = this.#options
+    const transport = new RpcClaimTransport({
+      clients: frame.clients,
+      address: (holder) => frame.directory.nodes.get(holder)?.address,
+      self: frame.self,
+      table: this.#holder,
+      now: frame.unix,
+    })
+    const roster = () => this.#feed.roster()
+    return new ClaimGate({ environment: settings.environment, transport, roster, clock: SYSTEM_CLOCK })
+  }
+
   /** Live entries that serve the same environment, this one included. */
   #liveEntries(): number {
     const { frame, settings } = this.#options
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -151,6 +151,7 @@
       traffic: this.#traffic,
       routes: (router) => {
         this.#frame.gossip.routes(router)
+        this.#entry?.routes(router)
         if (this.#control !== undefined) this.#control.routes(router)
         else deliveryRoutes(router, { keeper: this.#keeper, now: this.#frame.now, control: undefined })
       },
