--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -14,6 +14,12 @@
   sentAt: number
 }
 
+/** A removed replica is served until it holds the entry of its removal, or until a time limit. */
+export interface Leaving {
+  readonly index: LogIndex
+  readonly until: number
+}
+
 export class Progress {
   readonly replica: ReplicaId
   state: ProgressState = 'probe'
@@ -31,6 +37,7 @@
   /** Sending time of the latest confirmed message, on the leader's clock. */
   confirmedAt = Number.NEGATIVE_INFINITY
   transfer: SnapshotTransfer | undefined
+  leaving: Leaving | undefined
   /** Highest commit index sent to it. */
   commitSent: LogIndex = logIndex(0)
 
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -5,13 +5,17 @@
 import { Progress } from './progress'
 import { resendChunk, startSnapshotTransfer } from './snapshots'
 
+/** Time for which a removed replica is told of its removal, so that it stops to campaign, in milliseconds. */
+const LEAVING_MS = 5_000
+
 /** Brings the followers known to the leader in line with the replica set. */
 export function syncFollowers(core: Core): void {
   const lead = core.lead
   if (lead === undefined) return
   const members = new Set(core.sets.current.map((info) => info.replica))
-  for (const replica of lead.progress.keys()) {
-    if (!members.has(replica)) lead.progress.delete(replica)
+  for (const progress of lead.progress.values()) {
+    if (members.has(progress.replica)) progress.leaving = undefined
+    else progress.leaving ??= { index: core.sets.currentIndex, until: core.now + LEAVING_MS }
   }
   for (const replica of members) {
     if (replica === core.replica || lead.progress.has(replica)) continue
@@ -19,6 +23,12 @@
   }
 }
 
+function dropRemoved(core: Core, lead: Leadership): void {
+  for (const [replica, { leaving, match }] of lead.progress) {
+    if (leaving !== undefined && (match >= leaving.index || core.now >= leaving.until)) lead.progress.delete(replica)
+  }
+}
+
 /** Sends what each follower may receive now. */
 export function broadcast(core: Core): void {
   for (const progress of core.lead?.progress.values() ?? []) sendPending(core, progress)
@@ -37,6 +47,7 @@
 /** Sends a message to every follower, with entries where there are any to send. */
 export function heartbeat(core: Core, lead: Leadership): void {
   lead.heartbeatDue = core.now + core.limits.heartbeat
+  dropRemoved(core, lead)
   for (const progress of lead.progress.values()) {
     progress.probeSent = false
     if (progress.state === 'snapshot') resendChunk(core, progress)
--- a/packages/consensus/src/snapshots.ts
+++ b/packages/consensus/src/snapshots.ts
@@ -182,8 +182,9 @@
     return
   }
   const size = transfer.snapshot.data.byteLength
-  const moved = message.offset !== transfer.offset && message.offset >= 0 && message.offset <= size
-  if (!moved) return
+  if (message.offset < 0 || message.offset > size) return
+  // Only progress is answered with the next chunk: an answer to every late or repeated response would multiply chunks.
+  const isForward = message.offset > transfer.offset
   transfer.offset = message.offset
-  if (transfer.offset < size) sendChunk(core, progress)
+  if (isForward && message.offset < size) sendChunk(core, progress)
 }
--- a/packages/consensus/test/membership.test.ts
+++ b/packages/consensus/test/membership.test.ts
@@ -64,6 +64,30 @@
     expect(driver.replica.status()).toMatchObject({ role: 'idle', commit: 3 })
   })
 
+  it('a removed replica is told of its removal, which ends its campaigns, and then no more', () => {
+    const driver = leaderOf()
+    driver.acknowledge(B, 2)
+    driver.acknowledge(C, 2)
+    const outputs = driver.run({ kind: 'change-replica-set', proposal: 1, change: { kind: 'remove', replica: C } })
+    expect(messagesOf(outputs, 'append').map((message) => message.to)).toContain(C)
+    driver.acknowledge(C, 3)
+    expect(driver.replica.status().commit).toBe(2)
+    driver.acknowledge(B, 3)
+    expect(messagesOf(driver.tick(100), 'append').map((message) => message.to)).toEqual([B])
+  })
+
+  it('a removed replica that does not answer is given up', () => {
+    const driver = leaderOf()
+    driver.acknowledge(B, 2)
+    driver.run({ kind: 'change-replica-set', proposal: 1, change: { kind: 'remove', replica: C } })
+    for (let passed = 0; passed < 5_000; passed += 500) {
+      driver.acknowledge(B, 3)
+      driver.tick(500)
+    }
+    driver.acknowledge(B, 3)
+    expect(messagesOf(driver.tick(100), 'append').map((message) => message.to)).toEqual([B])
+  })
+
   it('a learner commits nothing, confirms no read and carries no lease', () => {
     const driver = leaderOf([...THREE, info('d', 'learner')])
     driver.acknowledge(D, 2)
@@ -169,6 +193,28 @@
     expect(driver.replica.status()).toMatchObject({ commit: 7, applied: 7, replicas: THREE, role: 'follower' })
   })
 
+  it('are sent chunk by chunk, and a repeated response does not repeat the chunk', () => {
+    const limits = { logEntries: 4, keptEntries: 1, chunkBytes: 4 }
+    const driver = new Driver({ stored: storedOf(THREE), limits })
+    driver.lead()
+    for (let proposal = 1; proposal <= 6; proposal += 1) driver.run({ kind: 'propose', proposal, command })
+    const taken = driver.acknowledge(B, 8).find((output) => output.kind === 'take-snapshot')
+    if (taken === undefined) return expect.unreachable('no snapshot was asked for')
+    driver.run({ kind: 'snapshot-taken', snapshot: { ...taken.position, data: new Uint8Array(12) } })
+    const current = driver.replica.status().term
+    const rejection = { from: C, term: current, accepted: false, match: logIndex(1), hint: logIndex(1), round: 0 }
+    const started = driver.receive('append-response', { ...rejection, sentAt: driver.now })
+    expect(messagesOf(started, 'snapshot-chunk')).toMatchObject([{ offset: 0, size: 12 }])
+    const response = { from: C, term: current, index: taken.position.index, installed: false, round: 0 }
+    const answer = (offset: number): readonly number[] =>
+      messagesOf(
+        driver.receive('snapshot-response', { ...response, offset, sentAt: driver.now }),
+        'snapshot-chunk',
+      ).map((message) => message.offset)
+    expect([answer(4), answer(4), answer(8), answer(4), answer(8)]).toEqual([[4], [], [8], [], [8]])
+    expect(messagesOf(driver.tick(300), 'snapshot-chunk')).toMatchObject([{ offset: 8 }])
+  })
+
   it('larger than the limit or out of bounds are ignored', () => {
     const driver = new Driver()
     const position = { index: logIndex(7), term: term(1), replicas: THREE }
