--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -37,6 +37,8 @@
   round: number
   heartbeatDue: number
   transfer: Transfer | undefined
+  /** Snapshot that followers are receiving; dropped once none needs it. */
+  snapshot: Snapshot | undefined
   /** After a transfer message was sent, another replica may win an election at any time, so the lease is void. */
   leaseVoid: boolean
   /** Bytes of entries that are not applied yet. */
@@ -86,7 +88,8 @@
   lead: Leadership | undefined
   commit: LogIndex
   applied: LogIndex
-  snapshot: Snapshot | undefined
+  /** Newest snapshot on the own disk. Its data is not kept in memory. */
+  snapshot: SnapshotPosition | undefined
   /** Highest index known to match the log of the leader of this term. */
   matched: LogIndex = logIndex(0)
   /** Probe of the last append whose response waits for a sync. */
@@ -114,7 +117,7 @@
     this.now = options.now
     this.term = stored.ballot?.term ?? term(0)
     this.votedFor = stored.ballot?.votedFor
-    this.snapshot = snapshot
+    this.snapshot = snapshot === undefined ? undefined : positionOf(snapshot)
     this.commit = snapshot?.index ?? logIndex(0)
     this.applied = this.commit
     this.log = restoredLog(stored)
@@ -243,6 +246,10 @@
   }
 }
 
+export function positionOf({ index, term: lastTerm, replicas }: SnapshotPosition): SnapshotPosition {
+  return { index, term: lastTerm, replicas }
+}
+
 function isEmpty(stored: StoredState): boolean {
   return stored.ballot === undefined && stored.snapshot === undefined && (stored.entries ?? []).length === 0
 }
--- a/packages/consensus/src/output.ts
+++ b/packages/consensus/src/output.ts
@@ -39,7 +39,10 @@
   readonly snapshot: Snapshot
 }
 
-/** The host stores a snapshot of its state machine as of `index` and answers with `snapshot-taken` once it is synced. */
+/**
+ * The host stores a snapshot of its state machine as of `index` and answers with `snapshot-taken` once it is synced. The
+ * request serves to shorten the log or to bring a follower up to date; it may repeat the index of the stored snapshot.
+ */
 export interface TakeSnapshotOutput {
   readonly kind: 'take-snapshot'
   readonly position: SnapshotPosition
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -22,7 +22,7 @@
 import { changeReplicaSet, propose } from './proposals'
 import { advanceReads, receiveReadRequest, receiveReadResponse, startRead } from './reads'
 import { heartbeat, notifyCommit, receiveAppend, receiveAppendResponse, respondSynced } from './replication'
-import { receiveChunk, receiveSnapshotResponse, requestSnapshot, snapshotInstalled, snapshotTaken } from './snapshots'
+import { receiveChunk, receiveSnapshotResponse, shortenLog, snapshotInstalled, snapshotTaken } from './snapshots'
 import { statusOf, type Status } from './status'
 import { advanceTransfer, receiveTransfer, sendTransfer, startTransfer } from './transfer'
 
@@ -168,7 +168,7 @@
   applyCommitted(core)
   advanceReads(core)
   advanceTransfer(core)
-  requestSnapshot(core)
+  shortenLog(core)
 }
 
 /** A leader outside the replica set goes on until the set is committed and then leaves it to the others. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -3,7 +3,7 @@
 import type { Core, Leadership } from './core'
 import type { AppendMessage, AppendResponseMessage, Entry } from './message'
 import { Progress } from './progress'
-import { resendChunk, startSnapshotTransfer } from './snapshots'
+import { continueTransfer, releaseSnapshot, startSnapshotTransfer } from './snapshots'
 
 /** Time for which a removed replica is told of its removal, so that it stops to campaign, in milliseconds. */
 const LEAVING_MS = 5_000
@@ -50,9 +50,10 @@
   dropRemoved(core, lead)
   for (const progress of lead.progress.values()) {
     progress.probeSent = false
-    if (progress.state === 'snapshot') resendChunk(core, progress)
+    if (progress.state === 'snapshot') continueTransfer(core, progress)
     if (progress.state === 'snapshot' || !sendPending(core, progress)) sendHeartbeat(core, progress)
   }
+  releaseSnapshot(lead)
 }
 
 /** An append without entries; it also carries the commit index and the read round. */
--- a/packages/consensus/src/snapshots.ts
+++ b/packages/consensus/src/snapshots.ts
@@ -1,6 +1,6 @@
 /** Taking snapshots to shorten the log, and sending them in chunks to followers that need entries no longer held. */
 import { logIndex } from '@bilberrystall/base'
-import type { Core } from './core'
+import { positionOf, type Core, type Leadership } from './core'
 import { entryBytes } from './log'
 import type { Snapshot, SnapshotChunkMessage, SnapshotResponseMessage } from './message'
 import type { Progress } from './progress'
@@ -12,14 +12,18 @@
 const NO_DATA = new Uint8Array(0)
 
 /** Asks the host for a snapshot once the log has reached one of its limits. */
-export function requestSnapshot(core: Core): void {
-  if (core.snapshotRequested !== undefined || !isLogLong(core)) return
+export function shortenLog(core: Core): void {
+  if (!isLogLong(core)) return
+  const covered = core.applied - (core.snapshot?.index ?? 0)
+  // Entries that are not applied yet cannot be dropped; waiting for some avoids a snapshot per applied entry.
+  if (covered <= 0 || (covered < core.limits.keptEntries && core.log.bytes < core.limits.logBytes)) return
+  requestSnapshot(core)
+}
+
+function requestSnapshot(core: Core): void {
   const index = core.applied
   const entryTerm = core.log.termAt(index)
-  const covered = index - (core.snapshot?.index ?? 0)
-  if (entryTerm === undefined || covered <= 0) return
-  // Entries that are not applied yet cannot be dropped; waiting for some avoids a snapshot per applied entry.
-  if (covered < core.limits.keptEntries && core.log.bytes < core.limits.logBytes) return
+  if (core.snapshotRequested !== undefined || entryTerm === undefined) return
   core.snapshotRequested = index
   core.emit({ kind: 'take-snapshot', position: { index, term: entryTerm, replicas: core.sets.at(index) } })
 }
@@ -30,9 +34,10 @@
 
 export function snapshotTaken(core: Core, snapshot: Snapshot): void {
   if (snapshot.index === core.snapshotRequested) core.snapshotRequested = undefined
-  const isNew = snapshot.index > (core.snapshot?.index ?? 0) && snapshot.index <= core.applied
-  if (!isNew || core.log.termAt(snapshot.index) !== snapshot.term) return
-  core.snapshot = snapshot
+  if (snapshot.index > core.applied || core.log.termAt(snapshot.index) !== snapshot.term) return
+  serveWaiting(core, snapshot)
+  if (snapshot.index <= (core.snapshot?.index ?? 0)) return
+  core.snapshot = positionOf(snapshot)
   const through = compactionPoint(core, snapshot)
   if (through <= core.log.baseIndex) return
   core.log.compact(logIndex(through))
@@ -54,22 +59,57 @@
   return through
 }
 
+/**
+ * Starts to send a snapshot to a follower in contact. Where none is at hand the host is asked for a fresh one, so that
+ * the data of the last snapshot need not be kept in memory.
+ */
 export function startSnapshotTransfer(core: Core, progress: Progress): boolean {
-  const snapshot = core.snapshot
-  if (snapshot === undefined) return false
+  if (core.lead === undefined || isSilent(core, progress)) return false
   progress.state = 'snapshot'
   progress.inFlight = []
-  progress.transfer = { snapshot, offset: 0, sentAt: core.now }
-  sendChunk(core, progress)
+  progress.transfer = undefined
+  const { snapshot } = core.lead
+  if (snapshot === undefined || core.log.termAt(snapshot.index) !== snapshot.term) {
+    requestSnapshot(core)
+    return false
+  }
+  sendFirstChunk(core, progress, snapshot)
   return true
 }
 
-export function resendChunk(core: Core, progress: Progress): void {
-  const transfer = progress.transfer
-  if (transfer === undefined || core.now - transfer.sentAt < RESEND_HEARTBEATS * core.limits.heartbeat) return
+function isSilent(core: Core, progress: Progress): boolean {
+  return !progress.heard || core.now - progress.lastContact >= core.limits.majorityTimeout
+}
+
+function sendFirstChunk(core: Core, progress: Progress, snapshot: Snapshot): void {
+  progress.transfer = { snapshot, offset: 0, sentAt: core.now }
   sendChunk(core, progress)
 }
 
+function serveWaiting(core: Core, snapshot: Snapshot): void {
+  if (core.lead === undefined) return
+  for (const progress of core.lead.progress.values()) {
+    if (progress.state !== 'snapshot' || progress.transfer !== undefined) continue
+    core.lead.snapshot = snapshot
+    sendFirstChunk(core, progress, snapshot)
+  }
+}
+
+/** Called with every heartbeat: repeats what was lost, and gives up on a follower that fell silent. */
+export function continueTransfer(core: Core, progress: Progress): void {
+  const { transfer } = progress
+  if (isSilent(core, progress)) progress.probeFrom(logIndex(progress.match + 1))
+  else if (transfer === undefined) startSnapshotTransfer(core, progress)
+  else if (core.now - transfer.sentAt >= RESEND_HEARTBEATS * core.limits.heartbeat) sendChunk(core, progress)
+}
+
+/** Frees the snapshot once no follower is receiving one. */
+export function releaseSnapshot(lead: Leadership): void {
+  if (lead.snapshot === undefined) return
+  for (const progress of lead.progress.values()) if (progress.state === 'snapshot') return
+  lead.snapshot = undefined
+}
+
 function sendChunk(core: Core, progress: Progress): void {
   const transfer = progress.transfer
   if (transfer === undefined) return
@@ -147,7 +187,7 @@
 
 /** The snapshot is on disk: the state machine may use it and the leader may count on it. */
 export function snapshotInstalled(core: Core, snapshot: Snapshot): void {
-  if (snapshot.index > (core.snapshot?.index ?? 0)) core.snapshot = snapshot
+  if (snapshot.index > (core.snapshot?.index ?? 0)) core.snapshot = positionOf(snapshot)
   if (snapshot.index <= core.applied) return
   core.applied = snapshot.index
   core.emit({ kind: 'restore', snapshot })
--- a/packages/consensus/test/membership.test.ts
+++ b/packages/consensus/test/membership.test.ts
@@ -1,7 +1,7 @@
 /** Guards changes of the replica set, confirmed reads and snapshots at a single replica. */
 import { logIndex, nodeId, replicaId, term } from '@bilberrystall/base'
 import { describe, expect, it } from 'vitest'
-import type { Output, ReplicaSetChange } from '../src/index'
+import type { Output, ReplicaSetChange, SnapshotPosition } from '../src/index'
 import { B, C, Driver, info, messagesOf, SELF, storedOf } from './support/driver'
 
 const THREE = [info('a'), info('b'), info('c')]
@@ -149,6 +149,11 @@
   })
 })
 
+function snapshotRequest(outputs: readonly Output[]): SnapshotPosition {
+  const request = outputs.find((output) => output.kind === 'take-snapshot')
+  return request?.position ?? expect.unreachable('no snapshot was asked for')
+}
+
 describe('snapshots', () => {
   it('keep the log within 1,000 entries and 4 MiB plus the entry that reaches the limit', () => {
     const driver = new Driver({ bootstrap: true })
@@ -198,14 +203,15 @@
     const driver = new Driver({ stored: storedOf(THREE), limits })
     driver.lead()
     for (let proposal = 1; proposal <= 6; proposal += 1) driver.run({ kind: 'propose', proposal, command })
-    const taken = driver.acknowledge(B, 8).find((output) => output.kind === 'take-snapshot')
-    if (taken === undefined) return expect.unreachable('no snapshot was asked for')
-    driver.run({ kind: 'snapshot-taken', snapshot: { ...taken.position, data: new Uint8Array(12) } })
+    const shortened = snapshotRequest(driver.acknowledge(B, 8))
+    driver.run({ kind: 'snapshot-taken', snapshot: { ...shortened, data: new Uint8Array(12) } })
     const current = driver.replica.status().term
     const rejection = { from: C, term: current, accepted: false, match: logIndex(1), hint: logIndex(1), round: 0 }
-    const started = driver.receive('append-response', { ...rejection, sentAt: driver.now })
+    // The data of the stored snapshot is not kept, so the host is asked again.
+    const position = snapshotRequest(driver.receive('append-response', { ...rejection, sentAt: driver.now }))
+    const started = driver.run({ kind: 'snapshot-taken', snapshot: { ...position, data: new Uint8Array(12) } })
     expect(messagesOf(started, 'snapshot-chunk')).toMatchObject([{ offset: 0, size: 12 }])
-    const response = { from: C, term: current, index: taken.position.index, installed: false, round: 0 }
+    const response = { from: C, term: current, index: position.index, installed: false, round: 0 }
     const answer = (offset: number): readonly number[] =>
       messagesOf(
         driver.receive('snapshot-response', { ...response, offset, sentAt: driver.now }),
@@ -215,6 +221,21 @@
     expect(messagesOf(driver.tick(300), 'snapshot-chunk')).toMatchObject([{ offset: 8 }])
   })
 
+  it('are not sent to a follower that fell silent', () => {
+    const driver = new Driver({ stored: storedOf(THREE), limits: { logEntries: 4, keptEntries: 1, chunkBytes: 4 } })
+    driver.lead()
+    driver.acknowledge(C, 1)
+    for (let proposal = 1; proposal <= 6; proposal += 1) driver.run({ kind: 'propose', proposal, command })
+    const position = snapshotRequest(driver.acknowledge(B, 8))
+    driver.run({ kind: 'snapshot-taken', snapshot: { ...position, data: new Uint8Array(12) } })
+    for (let passed = 0; passed < 3_000; passed += 100) {
+      const outputs = [...driver.acknowledge(B, 8), ...driver.tick(100)]
+      if (passed < 1_000) continue
+      expect(messagesOf(outputs, 'snapshot-chunk')).toEqual([])
+      expect(outputs.some((output) => output.kind === 'take-snapshot')).toBe(false)
+    }
+  })
+
   it('larger than the limit or out of bounds are ignored', () => {
     const driver = new Driver()
     const position = { index: logIndex(7), term: term(1), replicas: THREE }
