--- a/packages/consensus/test/planted-faults.test.ts
+++ b/packages/consensus/test/planted-faults.test.ts
@@ -56,6 +56,15 @@
     expectCaught({ seeds: 400, violation: /stale read/, fault: { make: PLANTED_FAULTS.unconfirmedRead } })
   })
 
+  it('a lease that outlasts an election', () => {
+    expectCaught({
+      seeds: 400,
+      violation: /stale read/,
+      fault: { make: PLANTED_FAULTS.longLease },
+      conditions: { emphasis: ['read', 'partition'] },
+    })
+  })
+
   it('truncation of a committed suffix', () => {
     expectCaught({
       seeds: 400,
--- a/packages/consensus/test/support/planted-faults.ts
+++ b/packages/consensus/test/support/planted-faults.ts
@@ -99,7 +99,13 @@
   }
 }
 
+/** A lease that outlasts the shortest election timeout, with a majority check that is as late. */
+function longLease(options: ReplicaOptions): Stepper {
+  return new Replica({ ...options, limits: { ...options.limits, lease: 1_500, majorityTimeout: 1_500 } })
+}
+
 export const PLANTED_FAULTS = {
+  longLease,
   unsyncedVote: (options: ReplicaOptions, host: Host) => new UnsyncedVote(options, host),
   unconfirmedRead: (options: ReplicaOptions, host: Host) => new UnconfirmedRead(options, host),
   truncation: (options: ReplicaOptions, host: Host) => new Truncation(options, host),
