Let a promotion wait for entries that are on their way to the learner

Cause: the host records a step as an audit entry before it asks for the step, and the commit of that entry reaches the leader before the acknowledgement of the learner, so the promotion was refused with replicaBehind and recorded twice. The rule stays strict: the learner must hold every committed entry; the promotion now waits for that up to 1 s if the learner receives the log.

--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -8,6 +8,7 @@
   randomBelow,
   term,
   type CodeName,
+  type Failure,
   type LogIndex,
   type NodeId,
   type Random,
@@ -15,6 +16,7 @@
   type Term,
 } from '@bilberrystall/base'
 import { Durability } from './durability'
+import type { ChangeReplicaSetInput } from './input'
 import { bytesOf, Log } from './log'
 import type { Entry, Message, ReplicaSetEntry, Snapshot, SnapshotChunkMessage, SnapshotPosition } from './message'
 import { DEFAULT_LIMITS, type Limits, type ReplicaOptions, type StoredState } from './options'
@@ -30,6 +32,12 @@
   sent: boolean
 }
 
+/** A promotion that waits until the learner has acknowledged the entries committed last. */
+export interface Promotion {
+  readonly input: ChangeReplicaSetInput
+  readonly deadline: number
+}
+
 /** State that exists only while this replica leads. */
 export interface Leadership {
   readonly progress: Map<ReplicaId, Progress>
@@ -37,6 +45,7 @@
   round: number
   heartbeatDue: number
   transfer: Transfer | undefined
+  promotion: Promotion | undefined
   /** Snapshot that followers are receiving; dropped once none needs it. */
   snapshot: Snapshot | undefined
   /** After a transfer message was sent, another replica may win an election at any time, so the lease is void. */
@@ -187,13 +196,13 @@
 
   becomeFollower(newTerm: Term, leader: ReplicaId | undefined): void {
     if (newTerm > this.term) this.setBallot(newTerm, undefined)
-    const led = this.lead !== undefined
+    const lead = this.lead
     this.mode = 'follower'
     this.leader = leader
     this.lead = undefined
     this.votes.clear()
     this.resetElection()
-    if (led) this.#failWaitingReads()
+    if (lead !== undefined) this.#failWaiting(lead)
   }
 
   emit(output: Output): void {
@@ -211,6 +220,11 @@
     return { from: this.replica, to, term: this.term }
   }
 
+  reject(proposal: number, cause: Failure): void {
+    const leader = this.lead?.transfer?.target ?? this.leader
+    this.emit({ kind: 'rejected', proposal, failure: cause, leader })
+  }
+
   failRead(read: number, code: CodeName): void {
     this.emit({ kind: 'read-failed', read, failure: failure(code), leader: this.leader })
   }
@@ -228,7 +242,8 @@
     return persist === undefined ? outputs : [persist, ...outputs]
   }
 
-  #failWaitingReads(): void {
+  #failWaiting({ promotion }: Leadership): void {
+    if (promotion !== undefined) this.reject(promotion.input.proposal, failure('notLeader'))
     for (const waiting of this.waitingReads) {
       if (waiting.origin === undefined) this.failRead(waiting.read, 'notLeader')
     }
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -105,6 +105,7 @@
     round: 0,
     heartbeatDue: core.now + core.limits.heartbeat,
     transfer: undefined,
+    promotion: undefined,
     snapshot: undefined,
     leaseVoid: false,
     backlog: core.log.bytesAfter(core.applied),
--- a/packages/consensus/src/input.ts
+++ b/packages/consensus/src/input.ts
@@ -31,7 +31,10 @@
   readonly command: Uint8Array
 }
 
-/** Appends a change of the replica set; answered like a proposal. */
+/**
+ * Appends a change of the replica set; answered like a proposal. A promotion whose learner receives the log but lacks the
+ * entries committed last is answered once it holds them, or refused with `replicaBehind` after 1 s.
+ */
 export interface ChangeReplicaSetInput {
   readonly kind: 'change-replica-set'
   readonly proposal: number
--- a/packages/consensus/src/proposals.ts
+++ b/packages/consensus/src/proposals.ts
@@ -1,5 +1,5 @@
 /** Proposals to the leader: commands, and changes of the replica set in single steps. */
-import { failure, logIndex, type CodeName, type Failure } from '@bilberrystall/base'
+import { failure, logIndex, type CodeName, type Failure, type ReplicaId } from '@bilberrystall/base'
 import { err, ok, type Result } from 'neverthrow'
 import type { Core, Leadership } from './core'
 import type { ChangeReplicaSetInput, ProposeInput, ReplicaSetChange } from './input'
@@ -10,7 +10,7 @@
 export function propose(core: Core, input: ProposeInput): void {
   const refused = refusal(core, input.command.byteLength)
   if (refused !== undefined) {
-    reject(core, input.proposal, failure(refused))
+    core.reject(input.proposal, failure(refused))
     return
   }
   const index = logIndex(core.log.lastIndex + 1)
@@ -18,19 +18,47 @@
 }
 
 export function changeReplicaSet(core: Core, input: ChangeReplicaSetInput): void {
-  const lead = core.lead
-  const refused = refusal(core, 0)
-  if (lead === undefined || refused !== undefined) {
-    reject(core, input.proposal, failure(refused ?? 'notLeader'))
+  if (core.lead?.promotion !== undefined) {
+    core.reject(input.proposal, failure('replicaSetBusy'))
+    return
+  }
+  const changed = checkedSet(core, input.change)
+  const waits = changed.isErr() && changed.error.code === 'replicaBehind' && isReceiving(core, input.change.replica)
+  if (core.lead !== undefined && waits) {
+    // Whoever asks has seen the learner caught up; entries committed since then are on their way to it.
+    core.lead.promotion = { input, deadline: core.now + core.limits.majorityTimeout }
     return
   }
-  const changed = changedSet(core, lead, input.change)
+  finishChange(core, input.proposal, changed)
+}
+
+/** Carries out or refuses a promotion that waits for its learner. */
+export function advancePromotion(core: Core): void {
+  const promotion = core.lead?.promotion
+  if (core.lead === undefined || promotion === undefined) return
+  const changed = checkedSet(core, promotion.input.change)
+  if (changed.isErr() && changed.error.code === 'replicaBehind' && core.now < promotion.deadline) return
+  core.lead.promotion = undefined
+  finishChange(core, promotion.input.proposal, changed)
+}
+
+function isReceiving(core: Core, replica: ReplicaId): boolean {
+  return core.lead?.progress.get(replica)?.state === 'replicate'
+}
+
+function checkedSet(core: Core, change: ReplicaSetChange): Result<ReplicaSet, Failure> {
+  const refused = refusal(core, 0)
+  if (core.lead === undefined || refused !== undefined) return err(failure(refused ?? 'notLeader'))
+  return changedSet(core, core.lead, change)
+}
+
+function finishChange(core: Core, proposal: number, changed: Result<ReplicaSet, Failure>): void {
   if (changed.isErr()) {
-    reject(core, input.proposal, changed.error)
+    core.reject(proposal, changed.error)
     return
   }
   const index = logIndex(core.log.lastIndex + 1)
-  appendOwn(core, input.proposal, { kind: 'replica-set', index, term: core.term, replicas: changed.value })
+  appendOwn(core, proposal, { kind: 'replica-set', index, term: core.term, replicas: changed.value })
 }
 
 function refusal(core: Core, bytes: number): CodeName | undefined {
@@ -48,11 +76,6 @@
   broadcast(core)
 }
 
-function reject(core: Core, proposal: number, cause: Failure): void {
-  const leader = core.lead?.transfer?.target ?? core.leader
-  core.emit({ kind: 'rejected', proposal, failure: cause, leader })
-}
-
 /**
  * The set after one step. Majorities of sets one voter apart overlap, provided that the previous step is committed and
  * that this leader has committed an entry of its own term.
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -19,7 +19,7 @@
 import type { Message } from './message'
 import type { ReplicaOptions, StoredState } from './options'
 import type { Output } from './output'
-import { changeReplicaSet, propose } from './proposals'
+import { advancePromotion, changeReplicaSet, propose } from './proposals'
 import { advanceReads, receiveReadRequest, receiveReadResponse, startRead } from './reads'
 import { heartbeat, notifyCommit, receiveAppend, receiveAppendResponse, respondSynced } from './replication'
 import { receiveChunk, receiveSnapshotResponse, shortenLog, snapshotInstalled, snapshotTaken } from './snapshots'
@@ -159,12 +159,13 @@
   if (core.disk.durable > before) respondSynced(core)
 }
 
-/** Draws the conclusions of the step: commit, apply, reads, transfer, snapshot. */
+/** Draws the conclusions of the step: commit, promotion, apply, reads, transfer, snapshot. */
 function advance(core: Core): void {
   if (core.lead !== undefined && advanceCommit(core, core.lead)) {
     notifyCommit(core)
     stepDownIfRemoved(core)
   }
+  advancePromotion(core)
   applyCommitted(core)
   advanceReads(core)
   advanceTransfer(core)
