--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -78,6 +78,7 @@
       high: 4 * INITIAL_LATENCY,
       typicalOthers: 0,
       trust: options.tuning.reportWeight,
+      suspicionWeight: options.tuning.suspicionWeight,
       largestRamp: 1,
     }
   }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -157,6 +157,12 @@
     return this.#pool(service, now).budget.take(now)
   }
 
+  /** Calls of the service that wait in this entry and that are at servers, for metrics. */
+  gauges(service: ServiceName): { readonly waiting: number; readonly inFlight: number } {
+    const pool = this.#pools.get(service)
+    return { waiting: pool?.waiting ?? 0, inFlight: pool?.inFlight ?? 0 }
+  }
+
   /** Information from peers or announcements. */
   observe(observation: Observation, now: number): readonly Effect[] {
     const record = this.#records.get(observation.server)
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -22,6 +22,11 @@
   typicalOthers: number
   /** Trust in the reports of the service's servers as a whole. */
   trust: number
+  /**
+   * Rise of a server's rank per unit of evidence that it is slow. It changes the order only: a limit on it kept calls
+   * from healthy servers.
+   */
+  readonly suspicionWeight: number
   /** Largest ramp of any server: when all are new, none is held back. */
   largestRamp: number
 }
@@ -36,6 +41,7 @@
   now: number,
 ): Choice {
   const best: Choice = { record: undefined, cost: Number.POSITIVE_INFINITY, free: 0 }
+  let bestRank = Number.POSITIVE_INFINITY
   const count = Math.min(SAMPLE, records.length)
   const offset = randomBelow(place.random, records.length)
   for (let step = 0; step < count; step += 1) {
@@ -46,7 +52,9 @@
     best.free += Math.max(0, slots - load)
     if (tried?.includes(record.server.id) === true) continue
     const cost = costOf(record, load, place, now)
-    if (cost >= best.cost) continue
+    const rank = cost * (1 + place.suspicionWeight * record.slowEvidence(place.high, now))
+    if (rank >= bestRank) continue
+    bestRank = rank
     best.record = record
     best.cost = cost
   }
--- a/packages/routing/src/tuning.ts
+++ b/packages/routing/src/tuning.ts
@@ -17,6 +17,8 @@
   readonly yieldShare: number
   /** Weight of load reports, 0 to use only the calls of this entry. */
   readonly reportWeight: number
+  /** Rise of a server's rank per unit of evidence that it is slow. */
+  readonly suspicionWeight: number
 }
 
 export const DEFAULT_TUNING: Tuning = {
@@ -27,4 +29,5 @@
   spareTokens: 3,
   yieldShare: 0.005,
   reportWeight: 1,
+  suspicionWeight: 0.03,
 }
--- /dev/null
+++ b/packages/routing/test/policy.test.ts
@@ -0,0 +1,189 @@
+import { serviceName } from '@bilberrystall/base'
+import { describe, expect, test } from 'vitest'
+import { callId, type Call, type Effect, type ExchangeOutcome, type Load, type Router } from '../src/index'
+import { makeCall, makeRouter, makeServer, name, SERVICE } from './driver'
+
+/** Sends calls one after another; servers answer as `reply` says, all others at once and well. */
+class Traffic {
+  now = 0
+  readonly counts = new Map<string, number>()
+  readonly effects: Effect[] = []
+  readonly #router: Router
+  #next = 0
+
+  constructor(router: Router) {
+    this.#router = router
+  }
+
+  submit(change: Partial<Call> = {}): readonly Effect[] {
+    const id = this.#next++
+    const effects = this.#router.submit(makeCall(id, { deadline: this.now + 1000, ...change }), this.now)
+    for (const effect of effects) {
+      if (effect.kind === 'dispatch') this.counts.set(effect.server, (this.counts.get(effect.server) ?? 0) + 1)
+    }
+    return effects
+  }
+
+  /** Runs calls of 10 ms each; `reply` gives outcome and load of a server. */
+  run(calls: number, reply: (server: string) => { outcome: ExchangeOutcome; load?: Load }): void {
+    for (let call = 0; call < calls; call += 1) {
+      const sent = this.submit().filter((effect) => effect.kind === 'dispatch')
+      this.advance(10)
+      for (const { call: id, server } of sent) {
+        const { outcome, load } = reply(server)
+        this.effects.push(...this.#router.finished(id, outcome, 10, load, this.now))
+      }
+    }
+  }
+
+  advance(time: number): void {
+    const end = this.now + time
+    for (let wake = this.#router.nextWake(); wake <= end; wake = this.#router.nextWake()) {
+      this.now = wake
+      const effects = this.#router.tick(this.now)
+      this.effects.push(...effects)
+      for (const effect of effects) {
+        if (effect.kind === 'probe') this.#router.probed(effect.server, 'ok', 6, idle, this.now)
+      }
+    }
+    this.now = end
+  }
+}
+
+const idle: Load = { inflight: 0, slots: 3, queue: 0 }
+const full: Load = { inflight: 3, slots: 3, queue: 0 }
+const ok = (): { outcome: ExchangeOutcome; load: Load } => ({ outcome: 'ok', load: idle })
+
+function dispatched(effects: readonly Effect[]): string[] {
+  return effects.flatMap((effect) => (effect.kind === 'dispatch' ? [effect.server] : []))
+}
+
+describe('selection', () => {
+  // Guards against sending to a server that its own report shows as full.
+  test('a server that reports free slots is preferred to a full one', () => {
+    const router = makeRouter(2)
+    const traffic = new Traffic(router)
+    traffic.run(40, (server) => ({ outcome: 'ok', load: server === name(0) ? full : idle }))
+    traffic.counts.clear()
+    traffic.run(40, (server) => ({ outcome: 'ok', load: server === name(0) ? full : idle }))
+    expect(traffic.counts.get(name(1))).toBeGreaterThan(30)
+  })
+
+  // Guards against a server that always says idle and so attracts every call.
+  test('reports that contradict refusals lose their weight', () => {
+    const router = makeRouter(2)
+    const traffic = new Traffic(router)
+    const reply = (server: string): { outcome: ExchangeOutcome; load: Load } =>
+      server === name(0) ? { outcome: 'shed', load: idle } : { outcome: 'ok', load: { ...full, inflight: 2 } }
+    traffic.run(100, reply)
+    traffic.counts.clear()
+    traffic.run(100, reply)
+    expect(traffic.counts.get(name(0)) ?? 0).toBeLessThan(70)
+  })
+
+  // Guards against a cold server that takes a full share of calls at once.
+  test('a server that was just seen ramps up', () => {
+    const router = makeRouter(3)
+    router.updateServer(makeServer(3, { firstSeen: 0 }), 0)
+    const traffic = new Traffic(router)
+    for (let call = 0; call < 12; call += 1) traffic.submit()
+    expect(traffic.counts.get(name(3)) ?? 0).toBeLessThanOrEqual(1)
+  })
+})
+
+describe('outliers', () => {
+  // Guards against a fail-fast server that looks idle: target under 2% of calls after 1 s.
+  test('a server that fails fast receives under 2% of calls after 1 s', () => {
+    const traffic = new Traffic(makeRouter(6))
+    const reply = (server: string): { outcome: ExchangeOutcome; load: Load } => ({
+      outcome: server === name(0) ? 'error' : 'ok',
+      load: idle,
+    })
+    traffic.run(100, reply)
+    traffic.counts.clear()
+    traffic.run(2000, reply)
+    expect(traffic.counts.get(name(0)) ?? 0).toBeLessThan(2000 * 0.02)
+    expect(traffic.effects).toContainEqual({ kind: 'ejected', server: name(0), reason: 'failing' })
+  })
+
+  // Guards against waiting for the first slow response before a server is suspected.
+  test('a server is ejected by the age of calls before any of them returns', () => {
+    const router = makeRouter(4)
+    const traffic = new Traffic(router)
+    traffic.run(200, ok)
+    traffic.counts.clear()
+    for (let burst = 0; burst < 30; burst += 1) {
+      const sent = Array.from({ length: 16 }, () => traffic.submit({ deadline: 10_000 })).flat()
+      traffic.advance(10)
+      for (const effect of sent) {
+        if (effect.kind !== 'dispatch' || effect.server === name(0)) continue
+        router.finished(effect.call, 'ok', 10, idle, traffic.now)
+      }
+    }
+    expect(traffic.effects).toContainEqual({ kind: 'ejected', server: name(0), reason: 'stuck' })
+  })
+
+  // Guards against ejecting everything when the service as a whole fails.
+  test('at most a third of the servers is ejected', () => {
+    const traffic = new Traffic(makeRouter(6))
+    traffic.run(1000, () => ({ outcome: 'error' }))
+    const ejected = traffic.effects.filter((effect) => effect.kind === 'ejected')
+    expect(new Set(ejected.map((effect) => effect.server)).size).toBeLessThanOrEqual(2)
+  })
+
+  // Guards against probes that are not covered by the measuring budget.
+  test('an ejected server is probed only with tokens, and tried without them', () => {
+    const router = makeRouter(4)
+    const traffic = new Traffic(router)
+    router.tokens.add({ service: SERVICE, tokens: 12, validFor: 10_000 }, 0)
+    traffic.run(3000, (server) => ({ outcome: server === name(0) ? 'error' : 'ok', load: idle }))
+    expect(traffic.effects.filter((effect) => effect.kind === 'probe')).toHaveLength(1)
+    expect(traffic.counts.get(name(0))).toBeGreaterThan(4)
+  })
+})
+
+describe('queue', () => {
+  const flood = (traffic: Traffic, change: Partial<Call>): void => {
+    for (let call = 0; call < 30; call += 1) traffic.submit(change)
+  }
+
+  // Guards against deferrable calls that hold up urgent ones.
+  test('urgent calls leave the queue before deferrable ones', () => {
+    const router = makeRouter(1)
+    const traffic = new Traffic(router)
+    for (let call = 0; call < 5; call += 1) traffic.submit()
+    expect(traffic.submit({ urgency: 'deferrable', deadline: 100_000 })).toEqual([])
+    expect(traffic.submit({ urgency: 'urgent', deadline: 200_000 })).toEqual([])
+    const next = router.finished(callId(0), 'ok', 10, { inflight: 3, slots: 3, queue: 1 }, 10)
+    expect(next).toMatchObject([{ kind: 'dispatch', call: 6 }])
+  })
+
+  // Guards against deferrable calls that take the last free slot while urgent ones arrive.
+  test('a deferrable call does not take the last free slots', () => {
+    const traffic = new Traffic(makeRouter(1))
+    traffic.submit()
+    traffic.submit()
+    expect(dispatched(traffic.submit({ urgency: 'deferrable', deadline: 100_000 }))).toEqual([])
+    expect(dispatched(traffic.submit())).toEqual([name(0)])
+  })
+
+  // Guards against work for callers that no longer wait, and against shedding before that is certain.
+  test('a queued call is shed when it can no longer be in time, not before', () => {
+    const router = makeRouter(1)
+    const traffic = new Traffic(router)
+    flood(traffic, { deadline: 500 })
+    traffic.advance(200)
+    expect(traffic.effects.filter((effect) => effect.kind === 'shed')).toEqual([])
+    traffic.advance(299)
+    const shed = traffic.effects.filter((effect) => effect.kind === 'shed')
+    expect(shed.length).toBeGreaterThan(0)
+    expect(shed.every((effect) => effect.code === 'overloaded')).toBe(true)
+  })
+
+  // Guards against a call that waits in vain for a service without servers.
+  test('a call without any server ends at once', () => {
+    const router = makeRouter(1)
+    const effects = router.submit(makeCall(1, { service: serviceName('nowhere') }), 0)
+    expect(effects).toEqual([{ kind: 'shed', call: 1, code: 'noServer' }])
+  })
+})
--- /dev/null
+++ b/packages/routing/test/retry-budget.test.ts
@@ -0,0 +1,27 @@
+import { expect, test } from 'vitest'
+import { RetryBudget } from '../src/index'
+
+// Guards against retries that multiply an overload.
+test('retries stay within their share of calls', () => {
+  const budget = new RetryBudget({ minimum: 0, burst: 1000 }, 0)
+  while (budget.take(0)) continue
+  for (let call = 0; call < 1000; call += 1) budget.credit(0)
+  let retries = 0
+  while (budget.take(0)) retries += 1
+  expect(retries).toBeLessThanOrEqual(100)
+  expect(retries).toBeGreaterThan(98)
+})
+
+// Guards against a service with few calls that can never retry.
+test('one retry per second is always allowed', () => {
+  const budget = new RetryBudget({}, 0)
+  expect(budget.take(0)).toBe(true)
+  expect(budget.take(900)).toBe(false)
+  expect(budget.take(1000)).toBe(true)
+})
+
+// Guards against a quiet night that saves up retries for a storm.
+test('saved retries are limited', () => {
+  const budget = new RetryBudget({ burst: 5 }, 0)
+  expect(budget.available(1e9)).toBe(5)
+})
