--- a/packages/bench/src/routing/comparison.ts
+++ b/packages/bench/src/routing/comparison.ts
@@ -3,6 +3,7 @@
 import { BaselinePolicy } from './baselines'
 import { BoundPolicy } from './bound'
 import { RUN_LENGTH, type CaseName } from './case'
+import { LeasePolicy } from './leases'
 import type { Figures } from './measurements'
 import { RouterPolicy } from './router-policy'
 import { Simulation, type Policy } from './simulation'
@@ -16,7 +17,7 @@
   'router',
   'bound',
 ] as const
-export type PolicyName = (typeof POLICIES)[number]
+export type PolicyName = (typeof POLICIES)[number] | 'leased slots'
 
 export interface Scenario {
   readonly workload: Workload
@@ -38,6 +39,8 @@
       return new RouterPolicy(simulation, tuning)
     case 'bound':
       return new BoundPolicy(simulation)
+    case 'leased slots':
+      return new LeasePolicy(simulation)
     case 'random':
     case 'round robin':
     case 'least reported load':
