Keep an error listener on every RPC session

Cause: the session manager of connect-node takes its error listener off a session that a GOAWAY is just ending when the peer is forgotten at that moment, and the session's error then ends the process; a leaving peer could have taken others with it. Ruled out: concurrent calls during the stop of a peer, which did not show it.

The change in force everywhere is now awaited on every node before the test announces it; the earlier wait covered one follower only. Audit records have one order of members, so a reader that rebuilds a record gets the digest of the chain.

--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -11,6 +11,22 @@
 export const AUDIT_SCAN_LIMIT = 2_000
 /** Dropping the oldest records in batches costs one array copy per batch and not one per record. */
 const DROP_BATCH = 500
+/** One order of members, so that a reader that rebuilds a record gets the same bytes and the same digest. */
+const MEMBERS: (keyof AuditRecord)[] = [
+  'sequence',
+  'previous',
+  'at',
+  'operation',
+  'requester',
+  'source',
+  'changeId',
+  'environment',
+  'target',
+  'digest',
+  'revision',
+  'result',
+  'repeated',
+]
 const CHAIN_START = '0'.repeat(64) as Digest
 
 export type AuditOperation =
@@ -95,7 +111,7 @@
 
   append(event: AuditEvent): AuditRecord {
     const record: AuditRecord = { sequence: this.#dropped + this.size + 1, previous: this.#head, ...event }
-    const line = JSON.stringify(record)
+    const line = JSON.stringify(record, MEMBERS)
     this.#lines.push(line)
     this.#head = sha256(line)
     if (this.size > AUDIT_RECORDS_KEPT) this.#dropOldest()
--- a/packages/control/test/audit.test.ts
+++ b/packages/control/test/audit.test.ts
@@ -30,6 +30,16 @@
   expect(verifyAudit({ ...content, lines: [...lines, 'not json'] })).toEqual({ intact: false, sequence: 7 })
 })
 
+test('the order of members is fixed, so that a reader who rebuilds a record gets the digest of the chain', () => {
+  const log = new AuditLog()
+  const { at, ...rest } = event(1)
+  log.append({ ...rest, revision: 2, digest: 'd', at })
+  expect(log.content().lines[0]).toBe(
+    `{"sequence":1,"previous":"${'0'.repeat(64)}","at":1,"operation":"submit","requester":"jana",` +
+      '"source":"10.0.0.1","environment":"trial","digest":"d","revision":2,"result":"ok"}',
+  )
+})
+
 test('dropping old records keeps the chain verifiable from the root of the dropped ones', () => {
   const log = logOf(AUDIT_RECORDS_KEPT + 700)
   const content = log.content()
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -17,7 +17,7 @@
 import { Control, DocumentKeeper, type ControlOptions } from '../src/index'
 import { listen, type Listener } from '../src/listener'
 
-const NODE_KEY = 'node key of the test'
+export const NODE_KEY = 'node key of the test'
 const OPERATOR_KEY = 'operator key of the test'
 const quiet = { info: () => undefined, warn: () => undefined, error: () => undefined }
 
--- /dev/null
+++ b/packages/node/test/control-documents.test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from 'vitest'
+import { digestOf, revision } from '@bilberrystall/base'
+import { DocumentKeeper, type HeldDocument } from '../src/index'
+import { TRIAL } from './control-cluster'
+
+const held = (number: number, digest = `digest ${number}`): HeldDocument => {
+  return { environment: TRIAL, revision: revision(number), digest: digestOf(digest), text: '' }
+}
+
+test('a document is not used after a start until a majority confirmed that it is the newest', () => {
+  const keeper = new DocumentKeeper()
+  keeper.offer(held(3))
+  expect(keeper.inForce(TRIAL)).toBeUndefined()
+  keeper.confirm(TRIAL, revision(4), 100)
+  expect(keeper.inForce(TRIAL)).toBeUndefined()
+  keeper.offer(held(4))
+  expect(keeper.inForce(TRIAL)?.revision).toBe(4)
+  expect(keeper.confirmedAt(TRIAL)).toBe(100)
+})
+
+test('a revision below the highest one seen anywhere, or another content of it, is refused', () => {
+  const keeper = new DocumentKeeper()
+  expect(keeper.saw({ environment: TRIAL, revision: revision(5), digest: digestOf('digest 5') })).toBe(true)
+  expect(keeper.offer(held(4))._unsafeUnwrapErr().code).toBe('revisionBelowFloor')
+  expect(keeper.offer(held(5, 'forged'))._unsafeUnwrapErr().code).toBe('revisionBelowFloor')
+  expect(keeper.offer(held(5)).isOk()).toBe(true)
+  expect(keeper.offer(held(4)).isErr()).toBe(true)
+  expect(keeper.saw({ environment: TRIAL, revision: revision(5), digest: digestOf('digest 5') })).toBe(false)
+})
+
+test('a document in force stays in force while a newer one is on its way', () => {
+  const keeper = new DocumentKeeper()
+  keeper.offer(held(3))
+  keeper.confirm(TRIAL, revision(3), 100)
+  keeper.confirm(TRIAL, revision(4), 200)
+  expect(keeper.inForce(TRIAL)?.revision).toBe(3)
+  expect(keeper.versions()).toEqual([{ environment: TRIAL, revision: 3, digest: 'digest 3' }])
+  // The held document is no longer known to be the newest, so its last confirmation stays where it was.
+  expect(keeper.confirmedAt(TRIAL)).toBe(100)
+  keeper.offer(held(4))
+  expect(keeper.confirmedAt(TRIAL)).toBe(200)
+})
--- /dev/null
+++ b/packages/node/test/control-entry.test.ts
@@ -0,0 +1,96 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { environmentName, failureDomain, nodeId, serverId, serviceName } from '@bilberrystall/base'
+import { RpcClients, RpcServer, Traffic } from '@bilberrystall/rpc'
+import { DocumentKeeper, DocumentWatcher, LeaseClient, controlNodesOf, deliveryRoutes, type Lease } from '../src/index'
+import { NODE_KEY, TRIAL, TestCluster, call, submitBody, until } from './control-cluster'
+
+let cluster: TestCluster
+const stops: (() => unknown)[] = []
+
+beforeEach(() => {
+  cluster = new TestCluster()
+})
+
+afterEach(async () => {
+  for (const stop of stops.splice(0)) await stop()
+  await cluster.close()
+})
+
+/** An entry as control sees it: documents, watch and lease, and an RPC server that passes its documents on. */
+async function startEntry(name: string) {
+  const node = nodeId(name)
+  const traffic = new Traffic()
+  const clients = new RpcClients({ nodeKey: NODE_KEY, traffic })
+  const keeper = new DocumentKeeper()
+  const now = () => performance.now()
+  const leases: Lease[] = []
+  const peers = {
+    environment: TRIAL,
+    clients,
+    addressOf: (other: typeof node) => cluster.nodes.get(other)?.address,
+    controlNodes: () => controlNodesOf(cluster),
+    now,
+  }
+  const otherEntries = () => {
+    const entries = [...cluster.nodes.values()].filter((other) => other.roles.includes('entry'))
+    return entries.map((other) => other.node).filter((other) => other !== node)
+  }
+  const watcher = new DocumentWatcher({ ...peers, keeper, otherEntries })
+  const wishes = () => [{ service: 'booking', wantedMs: 10_000, unitMs: 5 }]
+  const client = new LeaseClient({ ...peers, node, start: 0, wishes, onLease: (lease) => leases.push(lease) })
+  const routes: Parameters<typeof RpcServer.listen>[0]['routes'] = (router) => {
+    deliveryRoutes(router, { keeper, now, control: undefined })
+  }
+  const listening = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
+  const rpc = listening._unsafeUnwrap()
+  const place = { environment: TRIAL, address: `127.0.0.1:${rpc.port}`, failureDomain: failureDomain('north') }
+  const rest = { region: 'default', state: 'serving' as const, disk: '', documents: [], ejected: [] }
+  cluster.nodes.set(node, { node, roles: ['entry'], ...place, ...rest })
+  watcher.start()
+  client.start()
+  stops.push(() => rpc.close())
+  stops.push(() => {
+    watcher.stop()
+    client.stop()
+    clients.close()
+  })
+  return { keeper, leases, client }
+}
+
+test('an entry gets new documents, the roster of holders and no measuring tokens from a new leader', async () => {
+  const only = await cluster.start('a', { bootstrap: true })
+  await until(() => cluster.leader())
+  const server = { environment: TRIAL, service: serviceName('booking'), server: serverId('s1'), address: '' }
+  const rest = { start: 0, sequence: 0, failureDomain: failureDomain('north'), slots: 3, connectionLimit: 300 }
+  cluster.servers.set('s1', { ...server, ...rest, state: 'ready' })
+  await call(only, '/v1/changes', submitBody('c1', 0))
+  const entry = await startEntry('e')
+  await until(() => entry.keeper.inForce(TRIAL))
+  await call(only, '/v1/changes', submitBody('c2', 1))
+  const newest = await until(() => (entry.keeper.inForce(TRIAL)?.revision === 2 ? true : undefined))
+  expect(newest).toBe(true)
+  const holders = await until(() => entry.client.holdersAt(Date.now()))
+  expect(holders.entries).toEqual([{ node: 'e', failureDomain: 'north' }])
+  expect(entry.leases[0]).toMatchObject({ revision: 1, grants: [{ service: 'booking', tokensMs: 0 }], drain: false })
+})
+
+test('an entry that starts without a majority of control takes the document of a live entry', async () => {
+  const only = await cluster.start('a', { bootstrap: true })
+  await until(() => cluster.leader())
+  await call(only, '/v1/changes', submitBody('c1', 0))
+  const first = await startEntry('e')
+  await until(() => first.keeper.inForce(TRIAL))
+  await cluster.kill(only)
+  const second = await startEntry('f')
+  const document = await until(() => second.keeper.inForce(TRIAL))
+  expect(document.revision).toBe(1)
+  expect(second.client.holdersAt(Date.now())).toBeUndefined()
+})
+
+test('an environment without a document leaves an entry unready', async () => {
+  await cluster.start('a', { bootstrap: true })
+  const entry = await startEntry('e')
+  await until(() => entry.leases[0])
+  expect(entry.leases[0]?.revision).toBe(0)
+  expect(entry.keeper.isReady(environmentName('trial'))).toBe(false)
+})
--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -21,8 +21,10 @@
 
   const first = await call(follower, '/v1/changes', submitBody('c1', 0))
   expect(first).toMatchObject({ status: 200, body: { revision: 1, repeated: false } })
-  await until(() => other.keeper.inForce(TRIAL))
-  for (const member of cluster.members.values()) cluster.announce(member)
+  for (const member of cluster.members.values()) {
+    await until(() => member.keeper.inForce(TRIAL))
+    cluster.announce(member)
+  }
   const view = await call(other, '/v1/environments/trial')
   expect(view).toMatchObject({ status: 200, body: { revision: 1, requester: 'asha', inForceEverywhere: true } })
 
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -5,8 +5,9 @@
 import { connect } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import { createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import { bearer } from './node-key'
+import { SessionManager } from './session'
 import type { Traffic } from './traffic'
 
 const PING_INTERVAL_MS = 1000
@@ -22,7 +23,7 @@
 
 interface Peer {
   readonly transport: Transport
-  readonly manager: Http2SessionManager
+  readonly manager: SessionManager
 }
 
 export class RpcClients {
@@ -58,7 +59,7 @@
 
   #open(address: string): Peer {
     const baseUrl = `http://${address}`
-    const manager = new Http2SessionManager(
+    const manager = new SessionManager(
       baseUrl,
       {
         pingIntervalMs: PING_INTERVAL_MS,
