--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -1,16 +1,15 @@
 /**
  * Audit records of every request, accepted or refused. Each record holds the SHA-256 of the one before it, so a changed,
- * removed or reordered record breaks the chain. Records are kept as lines of JSON: a snapshot then copies text and
+ * removed or reordered record breaks the chain. Records are kept as lines of JSON: a snapshot then copies bytes and
  * encodes nothing, which keeps the loop free with 50,000 records.
  */
 import type { Digest } from '@bilberrystall/base'
+import { AuditLines, type PackedLines } from './audit-lines'
 import { sha256 } from './digest'
 
 export const AUDIT_RECORDS_KEPT = 50_000
 /** Records read by one call of `query`, so that a search leaves the loop free between calls. */
 export const AUDIT_SCAN_LIMIT = 2_000
-/** Dropping the oldest records in batches costs one array copy per batch and not one per record. */
-const DROP_BATCH = 500
 /** One order of members, so that a reader that rebuilds a record gets the same bytes and the same digest. */
 const MEMBERS: (keyof AuditRecord)[] = [
   'sequence',
@@ -85,24 +84,30 @@
   | { readonly intact: true; readonly records: number; readonly root: Digest; readonly head: Digest }
   | { readonly intact: false; readonly sequence: number }
 
+/** Form of the records in a snapshot. */
+export interface PackedAudit extends Omit<AuditContent, 'lines'> {
+  readonly lines: PackedLines
+}
+
 export class AuditLog {
-  #lines: string[] = []
-  #start = 0
+  #lines = new AuditLines()
+  #size = 0
   #dropped = 0
   #root: Digest = CHAIN_START
   #head: Digest = CHAIN_START
 
-  static restore(content: AuditContent): AuditLog {
+  static restore(packed: PackedAudit): AuditLog {
     const log = new AuditLog()
-    log.#lines = [...content.lines]
-    log.#dropped = content.dropped
-    log.#root = content.root
-    log.#head = content.head
+    log.#lines = AuditLines.restore(packed.lines)
+    log.#size = log.#lines.length
+    log.#dropped = packed.dropped
+    log.#root = packed.root
+    log.#head = packed.head
     return log
   }
 
   get size(): number {
-    return this.#lines.length - this.#start
+    return this.#size
   }
 
   get head(): Digest {
@@ -110,43 +115,40 @@
   }
 
   append(event: AuditEvent): AuditRecord {
-    const record: AuditRecord = { sequence: this.#dropped + this.size + 1, previous: this.#head, ...event }
+    const record: AuditRecord = { sequence: this.#dropped + this.#size + 1, previous: this.#head, ...event }
     const line = JSON.stringify(record, MEMBERS)
     this.#lines.push(line)
+    this.#size += 1
     this.#head = sha256(line)
-    if (this.size > AUDIT_RECORDS_KEPT) this.#dropOldest()
+    if (this.#size > AUDIT_RECORDS_KEPT) this.#dropOldest()
     return record
   }
 
+  /** All kept records, to be verified. */
   content(): AuditContent {
-    return { root: this.#root, head: this.#head, dropped: this.#dropped, lines: this.#lines.slice(this.#start) }
+    return { root: this.#root, head: this.#head, dropped: this.#dropped, lines: [...this.#lines] }
+  }
+
+  packed(): PackedAudit {
+    return { root: this.#root, head: this.#head, dropped: this.#dropped, lines: this.#lines.packed() }
   }
 
   /** Reads at most `AUDIT_SCAN_LIMIT` records from the newest, or from before the sequence number `before`. */
   query(filter: AuditFilter, limit: number, before = Number.POSITIVE_INFINITY): AuditPage {
     const records: AuditRecord[] = []
-    let sequence = Math.min(before - 1, this.#dropped + this.size)
+    let sequence = Math.min(before - 1, this.#dropped + this.#size)
     const stop = Math.max(this.#dropped, sequence - AUDIT_SCAN_LIMIT)
     for (; sequence > stop && records.length < limit; sequence -= 1) {
-      const record = this.#read(sequence)
+      const record = JSON.parse(this.#lines.at(sequence - this.#dropped - 1)) as AuditRecord
       if (matches(record, filter)) records.push(record)
     }
     return sequence > this.#dropped ? { records, next: sequence + 1 } : { records }
   }
 
-  #read(sequence: number): AuditRecord {
-    const line = this.#lines[this.#start + sequence - this.#dropped - 1] ?? ''
-    return JSON.parse(line) as AuditRecord
-  }
-
   #dropOldest(): void {
-    this.#root = sha256(this.#lines[this.#start] ?? '')
-    this.#lines[this.#start] = ''
-    this.#start += 1
+    this.#root = sha256(this.#lines.shift())
+    this.#size -= 1
     this.#dropped += 1
-    if (this.#start < DROP_BATCH) return
-    this.#lines = this.#lines.slice(this.#start)
-    this.#start = 0
   }
 }
 
--- a/packages/control/src/snapshot.ts
+++ b/packages/control/src/snapshot.ts
@@ -1,6 +1,6 @@
 /**
- * Snapshot of the state as bytes: one line of JSON with the format version and everything but the audit records,
- * followed by the audit records, one line each. The same state always gives the same bytes.
+ * Snapshot of the state as bytes: one line of JSON with the format version and everything but the full blocks of audit
+ * records, followed by those blocks. The same state always gives the same bytes.
  */
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
@@ -10,6 +10,7 @@
 import type { ControlState } from './state'
 
 export const SNAPSHOT_FORMAT = 1
+const LINE_FEED = 0x0a
 
 const documentSchema = z.object({
   revision: revisionSchema,
@@ -57,11 +58,20 @@
   replicas: z.array(z.object({ replica: replicaName, node: nodeName, role: z.enum(['voter', 'learner']) })),
   drains: z.array(z.object({ node: nodeName, at: z.number() })),
   replacing: z.array(nodeName),
-  audit: z.object({ root: digestSchema, head: digestSchema, dropped: z.number(), count: z.number() }),
+  audit: z.object({
+    root: digestSchema,
+    head: digestSchema,
+    dropped: z.number(),
+    hidden: z.number(),
+    blocks: z.array(z.object({ count: z.number().positive(), bytes: z.number().positive() })),
+    open: z.array(z.string()),
+  }),
 })
 
 export function snapshot(state: ControlState): Uint8Array {
-  const { root, head, dropped, lines } = state.audit.content()
+  const { root, head, dropped, lines } = state.audit.packed()
+  const { hidden, blocks, open } = lines
+  const sizes = blocks.map(({ count, data }) => ({ count, bytes: data.byteLength }))
   const first: z.infer<typeof headSchema> = {
     format: SNAPSHOT_FORMAT,
     clock: state.clock,
@@ -75,27 +85,29 @@
     replicas: [...state.replicas],
     drains: state.drains,
     replacing: state.replacing,
-    audit: { root, head, dropped, count: lines.length },
+    audit: { root, head, dropped, hidden, blocks: sizes, open: [...open] },
   }
-  return Buffer.from([JSON.stringify(first), ...lines].join('\n'), 'utf8')
+  return Buffer.concat([Buffer.from(`${JSON.stringify(first)}\n`, 'utf8'), ...blocks.map(({ data }) => data)])
 }
 
 /** Errors: `format-unknown` for another format version, `snapshot-damaged` for anything else that cannot be read. */
 export function restore(bytes: Uint8Array): Result<ControlState, Failure> {
   try {
-    const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('utf8')
-    const [first = '', ...lines] = text.split('\n')
-    const raw = JSON.parse(first) as { readonly format?: unknown }
+    const all = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+    const headEnd = all.indexOf(LINE_FEED)
+    const raw = JSON.parse(all.toString('utf8', 0, headEnd < 0 ? undefined : headEnd)) as { readonly format?: unknown }
     if (raw.format !== SNAPSHOT_FORMAT) {
       return err(failure('formatUnknown', `snapshot has format ${String(raw.format)}, expected ${SNAPSHOT_FORMAT}`))
     }
     const head = headSchema.parse(raw)
-    if (head.audit.count !== lines.length) return err(failure('snapshotDamaged', 'audit records are missing'))
+    const { root, head: last, dropped, hidden, open } = head.audit
+    const blocks = cutBlocks(all.subarray(headEnd + 1), head.audit.blocks)
+    if (blocks === undefined) return err(failure('snapshotDamaged', 'audit records are missing'))
     return ok({
       clock: head.clock,
       environments: new Map(head.environments),
       results: new Map(head.results),
-      audit: AuditLog.restore({ ...head.audit, lines }),
+      audit: AuditLog.restore({ root, head: last, dropped, lines: { hidden, blocks, open } }),
       roster: head.roster,
       nextEpoch: head.nextEpoch,
       rosterVersion: head.rosterVersion,
@@ -109,3 +121,17 @@
     return err(failure('snapshotDamaged', `snapshot cannot be read: ${errorMessage(cause)}`))
   }
 }
+
+/** Copies the blocks out of the snapshot, so that they do not keep all of it in memory. */
+function cutBlocks(
+  body: Buffer,
+  sizes: readonly { readonly count: number; readonly bytes: number }[],
+): { readonly count: number; readonly data: Uint8Array }[] | undefined {
+  let start = 0
+  const blocks = sizes.map(({ count, bytes }) => {
+    const data = Uint8Array.from(body.subarray(start, start + bytes))
+    start += bytes
+    return { count, data }
+  })
+  return start === body.length ? blocks : undefined
+}
--- a/packages/control/test/audit.test.ts
+++ b/packages/control/test/audit.test.ts
@@ -1,5 +1,14 @@
 import { expect, test } from 'vitest'
-import { AUDIT_RECORDS_KEPT, AUDIT_SCAN_LIMIT, AuditLog, emptyState, verifyAudit, type AuditEvent } from '../src/index'
+import {
+  AUDIT_RECORDS_KEPT,
+  AUDIT_SCAN_LIMIT,
+  AuditLog,
+  emptyState,
+  restore,
+  snapshot,
+  verifyAudit,
+  type AuditEvent,
+} from '../src/index'
 import { change, submit } from './fixture'
 
 const event = (at: number): AuditEvent => ({
@@ -47,6 +56,13 @@
   expect(content.dropped).toBe(700)
   expect(verifyAudit(content).intact).toBe(true)
   expect(log.query({}, 1).records[0]?.sequence).toBe(AUDIT_RECORDS_KEPT + 700)
+  const state = { ...emptyState(), audit: log }
+  const restored = restore(snapshot(state))._unsafeUnwrap()
+  for (const audit of [log, restored.audit]) audit.append(event(1))
+  expect(restored.audit.content()).toEqual(log.content())
+  expect(verifyAudit(restored.audit.content())).toMatchObject({ intact: true, records: AUDIT_RECORDS_KEPT })
+  expect(restored.audit.query({}, 1, 702).records[0]?.sequence).toBeUndefined()
+  expect(restored.audit.query({}, 1, 703).records[0]?.sequence).toBe(702)
 })
 
 test('filters by time, requester, environment and result select exactly the matching records', () => {
