Answer at once when leadership is lost or the replica has ended

A deposed leader ends its open proposals as unknown, a forwarded request is given up when another leader is known, and a replica that has ended answers no proposal after 5 s but at once. The change is sent again to the next leader, which is safe by its id.

--- a/packages/node/src/control-changes.ts
+++ b/packages/node/src/control-changes.ts
@@ -31,6 +31,7 @@
 const SUBMIT_LIMIT_MS = 10_000
 const ATTEMPT_LIMIT_MS = 6_000
 const RETRY_MS = 100
+const LEADER_POLL_MS = 100
 const FAULT_TEXT_LIMIT = 300
 
 export type SubmitOutcome =
@@ -125,15 +126,35 @@
     const { clients, addressOf } = this.#options
     const address = addressOf(target)
     if (address === undefined) return { kind: 'retry', sent: false, leader: undefined }
+    const watch = this.#abortOnNewLeader()
     try {
       const request = { command: encodeCommand(command) }
-      const response = await clients.client(DeliveryService, address).submit(request, { timeoutMs: ATTEMPT_LIMIT_MS })
-      return readResponse(response)
+      const options = { timeoutMs: ATTEMPT_LIMIT_MS, signal: watch.signal }
+      return readResponse(await clients.client(DeliveryService, address).submit(request, options))
     } catch (cause) {
       if (ConnectError.from(cause).code === Code.InvalidArgument) {
         return { kind: 'failed', failure: failure('requestInvalid', ConnectError.from(cause).rawMessage) }
       }
       return { kind: 'retry', sent: true, leader: undefined }
+    } finally {
+      watch.stop()
+    }
+  }
+
+  /** A frozen leader never answers; once this node knows another one, the request goes there. */
+  #abortOnNewLeader(): { readonly signal: AbortSignal; readonly stop: () => void } {
+    const { host } = this.#options
+    const { leader } = host.status()
+    const abort = new AbortController()
+    const timer = setInterval(() => {
+      const current = host.status().leader
+      if (current !== undefined && current !== leader) abort.abort()
+    }, LEADER_POLL_MS)
+    return {
+      signal: abort.signal,
+      stop: () => {
+        clearInterval(timer)
+      },
     }
   }
 }
--- a/packages/node/src/control-replica.ts
+++ b/packages/node/src/control-replica.ts
@@ -192,6 +192,7 @@
   }
 
   #await(input: (proposal: number) => Input): Promise<Proposed> {
+    if (this.#stopped) return Promise.resolve({ kind: 'failed', failure: failure('noQuorum'), leader: undefined })
     const proposal = this.#nextId
     this.#nextId += 1
     return new Promise((resolve) => {
@@ -204,6 +205,7 @@
   }
 
   #startRead(): Promise<Result<void, Failure>> {
+    if (this.#stopped) return Promise.resolve(err(failure('noQuorum')))
     const read = this.#nextId
     this.#nextId += 1
     return new Promise((resolve) => {
@@ -257,7 +259,7 @@
         this.#endRead(output.read, err(output.failure))
         break
       case 'role':
-        if (output.role !== 'leader') this.#transferDone?.()
+        if (output.role !== 'leader') this.#lostLeadership()
         this.#options.onRole(output.role, output.leader, output.term)
         break
       case 'transfer-failed':
@@ -266,6 +268,12 @@
     }
   }
 
+  /** What becomes of the accepted proposals is decided by the next leader; whoever waits asks there. */
+  #lostLeadership(): void {
+    this.#transferDone?.()
+    for (const { proposal } of [...this.#entries.values()]) this.#endProposal(proposal, { kind: 'unknown' })
+  }
+
   #accepted(index: LogIndex, pending: PendingEntry): void {
     const replaced = this.#entries.get(index)
     if (replaced !== undefined) this.#endProposal(replaced.proposal, { kind: 'unknown' })
--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { FakeFileSystem } from '../../storage/test/fake-file-system'
 import { TRIAL, TestCluster, call, submitBody, until } from './control-cluster'
 
 let cluster: TestCluster
@@ -122,3 +123,24 @@
     ],
   })
 })
+
+test.each([
+  ['full', 'diskFull', 53],
+  ['sync', 'syncFailed', 53],
+] as const)(
+  'a disk with fault %s ends the node with its code and keeps what was accepted',
+  async (fault, code, result) => {
+    const fileSystem = new FakeFileSystem()
+    const only = await cluster.start('a', { bootstrap: true, fileSystem, submitLimitMs: 300 })
+    await until(() => cluster.leader())
+    await call(only, '/v1/changes', submitBody('c1', 0))
+    fileSystem.fault = fault
+    // The change was appended and its fate is not known, so it must not be reported as refused.
+    expect((await call(only, '/v1/changes', submitBody('c2', 1))).body.code).toBe(result)
+    expect(cluster.fatal.map((cause) => cause.code)).toEqual([code])
+    await cluster.kill(only)
+    const restarted = await cluster.start('a', { fileSystem: fileSystem.afterPowerLoss(), folder: only.folder })
+    const document = await until(() => restarted.keeper.inForce(TRIAL))
+    expect(document.revision).toBe(1)
+  },
+)
