--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -41,7 +41,8 @@
 export class Attempt {
   readonly #options: AttemptOptions
   readonly #pool: ServerPool | undefined
-  readonly #dispatchedAt: number
+  /** Opening a connection does not count as latency of the server. */
+  #sentAt: number
   #exchange: Exchange | undefined
   #finished = false
   #suspected = false
@@ -51,7 +52,7 @@
   constructor(options: AttemptOptions) {
     this.#options = options
     this.#pool = options.environment.pool(options.server)
-    this.#dispatchedAt = options.environment.clock.monotonic()
+    this.#sentAt = options.environment.clock.monotonic()
   }
 
   /** Whether a byte of the request was written. */
@@ -144,6 +145,7 @@
       environment.clock.monotonic,
     )
     this.#exchange = exchange
+    this.#sentAt = environment.clock.monotonic()
     environment.driver.started(call)
     const { whole } = body
     exchange.start({ ...request(), body: whole ?? body.stream() })
@@ -191,7 +193,7 @@
     this.#finished = true
     const { environment, call } = this.#options
     const end = this.#respondedAt ?? environment.clock.monotonic()
-    environment.driver.finished(call, outcome, end - this.#dispatchedAt, head?.load)
+    environment.driver.finished(call, outcome, end - this.#sentAt, head?.load)
   }
 
   #withdraw(): void {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -145,6 +145,10 @@
   dispatched(server: ServerId, queueLimit: number | undefined): void {
     const { route, head, request } = this.#options
     this.#queued = false
+    if (this.#done) {
+      this.#environment.driver.cancelled(this.id)
+      return
+    }
     this.#attemptsLeft -= 1
     this.#tried.push(server)
     const silenceMs = Math.min(this.#environment.limits.silenceMs, route.deadlineMs / 4)
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -99,9 +99,13 @@
 
   #carryOut(effect: Effect): void {
     switch (effect.kind) {
-      case 'dispatch':
-        this.#calls.get(effect.call)?.dispatched(effect.server, effect.queueLimit)
+      case 'dispatch': {
+        const call = this.#calls.get(effect.call)
+        // A call that ended while the effect waited must not keep its place at the server.
+        if (call === undefined) this.cancelled(effect.call)
+        else call.dispatched(effect.server, effect.queueLimit)
         return
+      }
       case 'shed':
         this.#calls.get(effect.call)?.shed(effect.code)
         return
