--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -151,7 +151,7 @@
     }
     this.#attemptsLeft -= 1
     this.#tried.push(server)
-    const silenceMs = Math.min(this.#environment.limits.silenceMs, route.deadlineMs / 4)
+    const silenceMs = Math.min(this.#environment.limits.silenceMs, this.#remaining() / 4)
     this.#attempt = new Attempt({
       call: this.id,
       server,
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -90,6 +90,10 @@
 deadline = 5s
 max-body = 256KiB
 key = optional
+[route.middle]
+service = booking
+path = /middle
+deadline = 1s
 [route.brief]
 service = booking
 path = /brief
