Read the operator API directly where the harness only waits

The harness takes the example settings without loading the rest of the command line, because running sources with tsx fails on the ESM build of ts-results.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,5 @@
 /** Entry point of the binary. */
 import { runCli } from './cli'
 
-void runCli(process.argv.slice(2)).then((status) => {
-  process.exitCode = status
-})
+// An explicit exit, because idle connections and timers of libraries must not keep a stopped process alive.
+void runCli(process.argv.slice(2)).then((status) => process.exit(status))
--- a/packages/cli/src/node-commands.ts
+++ b/packages/cli/src/node-commands.ts
@@ -1,6 +1,6 @@
 /** Commands on nodes, servers and the audit records. */
 import { createHash } from 'node:crypto'
-import { failure, RESULT_CODES } from '@bilberrystall/base'
+import { failure } from '@bilberrystall/base'
 import { Command, Option } from 'clipanion'
 import { err, ok, type Result } from 'neverthrow'
 import { NodeCommand } from './command-base'
@@ -11,6 +11,28 @@
 const SYSTEM = 'System'
 const VERIFY_PAGE = 1000
 
+const NODE_COLUMNS = {
+  NODE: 'node',
+  ROLES: 'roles',
+  STATE: 'state',
+  REPLICA: 'replica',
+  ENVIRONMENT: 'environment',
+  'FAILURE DOMAIN': 'failureDomain',
+  ADDRESS: 'address',
+  DOCUMENTS: 'documents',
+}
+
+const SERVER_COLUMNS = {
+  SERVER: 'server',
+  SERVICE: 'service',
+  ENVIRONMENT: 'environment',
+  STATE: 'state',
+  'FAILURE DOMAIN': 'failureDomain',
+  ADDRESS: 'address',
+  SLOTS: 'slots',
+  'EJECTED BY': 'ejectedBy',
+}
+
 type Loose = Readonly<Record<string, unknown>>
 
 export class Status extends NodeCommand {
@@ -32,7 +54,7 @@
   override execute(): Promise<number> {
     return this.ask(
       (client) => client.get('/v1/nodes', nodesSchema),
-      ({ nodes }) => listing('node', nodes),
+      ({ nodes }) => listing(NODE_COLUMNS, nodes),
     )
   }
 }
@@ -44,7 +66,7 @@
   override execute(): Promise<number> {
     return this.ask(
       (client) => client.get('/v1/servers', serversSchema),
-      ({ servers }) => listing('server', servers),
+      ({ servers }) => listing(SERVER_COLUMNS, servers),
     )
   }
 }
@@ -124,8 +146,7 @@
     const times = { from: this.from, until: this.until }
     for (const [name, value] of Object.entries(times))
       if (value !== undefined) query.set(name, String(Date.parse(value)))
-    const result = this.result === undefined ? undefined : resultKey(this.result)
-    const filters = { requester: this.requester, environment: this.environment, result }
+    const filters = { requester: this.requester, environment: this.environment, result: this.result }
     for (const [name, value] of Object.entries(filters)) if (value !== undefined) query.set(name, value)
     return query.toString()
   }
@@ -171,7 +192,7 @@
       { title: 'ENVIRONMENT', value: (entry) => entry.environment ?? entry.target },
       { title: 'REQUESTER', value: (entry) => entry.requester },
       { title: 'SOURCE', value: (entry) => entry.source },
-      { title: 'RESULT', value: (entry) => resultName(entry.result) + (entry.repeated === true ? ' (repeated)' : '') },
+      { title: 'RESULT', value: (entry) => (entry.repeated === true ? `${entry.result} (repeated)` : entry.result) },
       { title: 'REVISION', value: (entry) => entry.revision },
       { title: 'DIGEST', value: (entry) => (entry.digest === undefined ? undefined : shortDigest(entry.digest)) },
       { title: 'CHANGE', value: (entry) => entry.changeId },
@@ -180,31 +201,24 @@
   )
 }
 
-/** Audit records hold the key of the result code; the documentation and this table show its name. */
-function resultName(key: string): string {
-  return Object.entries(RESULT_CODES).find(([candidate]) => candidate === key)?.[1].name ?? key
-}
-
-function resultKey(name: string): string {
-  return Object.entries(RESULT_CODES).find(([, code]) => code.name === name)?.[0] ?? name
-}
-
-/** Table of all members, the named one first. */
-function listing(first: string, rows: readonly Loose[]): string {
-  const names = [...new Set([first, ...rows.flatMap((row) => Object.keys(row))])]
+/** Table of the named members; `--json` shows all of them. */
+function listing(columns: Readonly<Record<string, string>>, rows: readonly Loose[]): string {
+  const named = Object.entries(columns)
   return table(
-    names.map((name) => ({ title: name.toUpperCase(), value: (row: Loose) => scalar(row[name]) })),
+    named.map(([title, member]) => ({ title, value: (row: Loose) => cell(row[member]) })),
     rows,
   )
 }
 
 function members(value: Loose): string {
   return Object.entries(value)
-    .map(([name, member]) => `${name}: ${scalar(member) ?? '-'}\n`)
+    .map(([name, member]) => `${name}: ${cell(member) ?? '-'}\n`)
     .join('')
 }
 
-function scalar(value: unknown): string | undefined {
+function cell(value: unknown): string | undefined {
   if (value === undefined || value === null) return undefined
-  return typeof value === 'string' ? value : JSON.stringify(value)
+  if (typeof value === 'string') return value
+  if (Array.isArray(value)) return value.length === 0 ? undefined : value.map(String).join(', ')
+  return JSON.stringify(value)
 }
--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -4,7 +4,7 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
-import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli'
+import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli/example'
 import { request } from 'undici'
 import type { RecordView } from './execution-record'
 import type { Session } from './golden'
@@ -13,6 +13,8 @@
 import { bilberrystallCommand, standInCommand } from './programs'
 import type { StandInChange, StandInOptions } from './stand-in'
 
+const VIEW_LIMIT_MS = 1000
+
 export interface NodeOptions {
   readonly name: string
   readonly roles: 'entry' | 'control' | 'entry, control'
@@ -23,6 +25,13 @@
   readonly balancerGrace?: string
 }
 
+/** What the tests read of the status of control. */
+export interface ControlStatus {
+  readonly leader: string | null
+  readonly replicas: readonly { readonly node: string; readonly role: string }[]
+  readonly roster: readonly { readonly entries: number; readonly standing: string }[]
+}
+
 export interface CommandResult {
   readonly status: number | NodeJS.Signals
   readonly stdout: string
@@ -169,7 +178,9 @@
   }
 
   async standIn(options: StandInOptions): Promise<StandInProcess> {
-    const entries = options.entries ?? this.entries.map((node) => node.addresses.status)
+    const { environment = 'production' } = options
+    const serving = this.entries.filter((node) => (node.options.environment ?? 'trial') === environment)
+    const entries = options.entries ?? serving.map((node) => node.addresses.status)
     const full: StandInOptions = { serverKey: this.#keys.server, ...options, entries }
     const command = [...(await standInCommand()), JSON.stringify(full)]
     const process = this.harness.start({ name: options.server, command })
@@ -197,10 +208,24 @@
     return JSON.parse(result.stdout)
   }
 
-  /** The replica that leads, as the control nodes state it. */
+  /** Reads the operator API of one control node, or of the first that answers; undefined when none does. */
+  async view(path: string, nodes: readonly Operated[] = this.controls): Promise<unknown> {
+    for (const node of nodes) {
+      const body = await this.#get(node.addresses.operators, path)
+      if (body !== undefined) return body
+    }
+    return undefined
+  }
+
+  /** Status of control as one of the nodes states it. */
+  async status(nodes?: readonly Operated[]): Promise<ControlStatus | undefined> {
+    return (await this.view('/v1/status', nodes)) as ControlStatus | undefined
+  }
+
+  /** The replica that leads, as the first control node that answers states it. */
   async leader(): Promise<ClusterNode> {
     return eventually('a leader', async () => {
-      const { leader } = (await this.operatorJson('status')) as { leader?: string }
+      const leader = (await this.status())?.leader
       return this.controls.find((node) => node.name === leader)
     })
   }
@@ -210,17 +235,41 @@
     const file = join(this.harness.folder, `${environment}.ini`)
     await writeFile(file, document)
     await this.operatorJson('document', 'submit', file, '--environment', environment)
-    await this.operatorJson('document', 'status', '--environment', environment, '--wait', '11s')
+    await eventually('in force everywhere', async () => {
+      const view = (await this.view(`/v1/environments/${environment}`)) as { inForceEverywhere: boolean } | undefined
+      return view?.inForceEverywhere
+    })
   }
 
-  /** Waits until every named entry knows this number of servers. */
+  /** Waits until the control nodes see every node. */
+  async allJoined(): Promise<void> {
+    await eventually('all nodes joined', async () => {
+      const view = (await this.view('/v1/nodes')) as { nodes: unknown[] } | undefined
+      return view?.nodes.length === this.nodes.length
+    })
+  }
+
+  /** Waits until the control nodes see this number of servers. */
   async serversKnown(count: number): Promise<void> {
     await eventually(`${count} servers known`, async () => {
-      const { servers } = (await this.operatorJson('servers')) as { servers: unknown[] }
-      return servers.length === count
+      const view = (await this.view('/v1/servers')) as { servers: unknown[] } | undefined
+      return view?.servers.length === count
     })
   }
 
+  async #get(address: string, path: string): Promise<unknown> {
+    try {
+      const response = await request(`http://${address}${path}`, {
+        headers: { authorization: `Bearer ${this.#keys.operator}` },
+        signal: AbortSignal.timeout(VIEW_LIMIT_MS),
+      })
+      const body: unknown = await response.body.json()
+      return response.statusCode === 200 ? body : undefined
+    } catch {
+      return undefined
+    }
+  }
+
   async #make(options: NodeOptions): Promise<ClusterNode> {
     const port = async (): Promise<string> => `127.0.0.1:${await freePort()}`
     const rpcListen = await port()
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -50,6 +50,7 @@
     { name: 'entry-trial', roles: 'entry', environment: 'trial', failureDomain: 'fd-1' },
   )
   await cluster.startAll()
+  await cluster.allJoined()
   for (const node of cluster.nodes) {
     say(
       `  ${node.name}: process ${node.running.pid}, ${node.options.roles} (${node.options.environment ?? 'all environments'})`,
