--- /dev/null
+++ b/packages/routing/src/pool.ts
@@ -0,0 +1,254 @@
+/**
+ * The servers and queues of one service within one entry. Calls wait here rather than at a server while no server is
+ * believed to have a free slot (late binding), urgent ones first.
+ */
+import type { CodeName, Random } from '@bilberrystall/base'
+import type { Call, Effect, Load } from './call'
+import { CallQueue, type Waiting } from './call-queue'
+import { RetryBudget, type RetryLimits } from './retry-budget'
+import { chooseServer, type Choice, type Surroundings } from './selection'
+import type { ServerRecord } from './server-record'
+import type { Tuning } from './tuning'
+
+export interface Flight {
+  readonly call: Call
+  readonly pool: Pool
+  readonly record: ServerRecord
+  /** Time in ms of the dispatch, then of the first byte. */
+  sentAt: number
+  readonly isTrial: boolean
+  /** A retry token was taken in advance, so that the server may shed the call. */
+  readonly mayBounce: boolean
+}
+
+export interface PoolOptions {
+  readonly random: Random
+  readonly tuning: Tuning
+  readonly retries: RetryLimits
+  /** Most waiting calls. */
+  readonly queue: number
+  readonly launch: (flight: Flight, effects: Effect[]) => void
+  /** A call ends here without a server. */
+  readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
+}
+
+/** Estimated free slots that deferrable calls leave to urgent ones. */
+const DEFERRABLE_RESERVE = 1
+/** Time in ms for which one urgent call keeps the reserve. */
+const URGENT_MEMORY = 1000
+/** Time in ms after which what is usual for the service is computed anew. */
+export const REFRESH_INTERVAL = 50
+const INITIAL_LATENCY = 20
+/** Largest part of a call's time that is kept back for running it. */
+const RUN_SHARE = 0.5
+const USUAL_STEP = 0.2
+const FAILURE_STEP = 0.02
+/** Loss of trust in all reports of a service by one contradiction, and gain by one confirmation. */
+const TRUST_LOSS = 0.2
+const TRUST_GAIN = 0.02
+const INTERVAL_STEP = 0.05
+/** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
+const PREDICTION_SLACK = 1.2
+
+export class Pool {
+  readonly records: ServerRecord[] = []
+  budget: RetryBudget
+  /** Calls of this entry at servers of the service. */
+  inFlight = 0
+  failureRate = 0
+  readonly place: Surroundings
+  readonly #urgent = new CallQueue()
+  readonly #deferrable = new CallQueue()
+  readonly #options: PoolOptions
+  #queueLimit: number
+  #lastUrgentAt = Number.NEGATIVE_INFINITY
+  #lastDeferrableAt = Number.NEGATIVE_INFINITY
+  #lastDrainAt = Number.NaN
+  #drainInterval = 0
+  #order = 0
+  #refreshedAt = Number.NEGATIVE_INFINITY
+
+  constructor(options: PoolOptions, now: number) {
+    this.#options = options
+    this.#queueLimit = options.queue
+    this.budget = new RetryBudget(options.retries, now)
+    this.place = {
+      random: options.random,
+      usual: INITIAL_LATENCY,
+      high: 4 * INITIAL_LATENCY,
+      typicalOthers: 0,
+      trust: options.tuning.reportWeight,
+      largestRamp: 1,
+    }
+  }
+
+  get waiting(): number {
+    return this.#urgent.size + this.#deferrable.size
+  }
+
+  configure(retries: RetryLimits, queue: number, now: number): void {
+    this.budget = new RetryBudget(retries, now)
+    this.#queueLimit = queue
+  }
+
+  submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
+    if (now - this.#refreshedAt > REFRESH_INTERVAL) this.refresh(now)
+    if (call.tried === undefined || call.tried.length === 0) this.budget.credit(now)
+    if (call.urgency === 'urgent') this.#lastUrgentAt = now
+    else this.#lastDeferrableAt = now
+    const refusal = this.#refusal(call, now)
+    if (refusal !== undefined) {
+      this.#options.shed(call, refusal, effects)
+      return undefined
+    }
+    const trial = this.#trialFor(call, now)
+    if (trial !== undefined) {
+      this.#launch(call, trial, true, now, effects)
+      return undefined
+    }
+    const queue = this.#queueOf(call)
+    const isFirst = queue.size === 0 && (call.urgency === 'urgent' || this.#urgent.size === 0)
+    if (isFirst && this.#place(call, now, now, effects)) return undefined
+    const waiting: Waiting = { call, since: now, order: this.#order++, place: -1 }
+    queue.add(waiting)
+    return waiting
+  }
+
+  remove(waiting: Waiting): void {
+    this.#queueOf(waiting.call).remove(waiting)
+  }
+
+  /** Sends what may be sent and sheds what can no longer be in time. */
+  drain(now: number, effects: Effect[]): void {
+    this.#drainQueue(this.#urgent, now, effects)
+    if (this.#urgent.size === 0) this.#drainQueue(this.#deferrable, now, effects)
+    else this.#shedLate(this.#deferrable, now, effects)
+    if (this.waiting === 0) this.#lastDrainAt = Number.NaN
+  }
+
+  /** A report that came with a response, or with a refusal if `hasShed`. */
+  addReport(record: ServerRecord, load: Load, recentlySent: number, hasShed: boolean, now: number): void {
+    const trust = record.trust
+    const isContradicted = record.addReport(load, recentlySent, hasShed, now)
+    // A single server that is known to mislead says nothing about the others.
+    if (isContradicted) this.place.trust *= 1 - TRUST_LOSS * trust
+    else if (hasShed) this.place.trust += (this.#options.tuning.reportWeight - this.place.trust) * TRUST_GAIN
+  }
+
+  addResult(isFailure: boolean): void {
+    this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * FAILURE_STEP
+  }
+
+  /** Recomputes what is usual for the service as medians over its servers, so that a few outliers change nothing. */
+  refresh(now: number): void {
+    this.#refreshedAt = now
+    const latencies: number[] = []
+    const highs: number[] = []
+    let others = 0
+    let trust = 0
+    let ramp = 0
+    for (const record of this.records) {
+      if (record.recentLatency !== undefined) latencies.push(record.recentLatency)
+      if (record.ownHigh !== undefined) highs.push(record.ownHigh)
+      others += record.averageOthers * record.trust
+      trust += record.trust
+      ramp = Math.max(ramp, record.ramp(now))
+    }
+    this.place.typicalOthers = trust > 0 ? others / trust : 0
+    this.place.largestRamp = ramp > 0 ? ramp : 1
+    this.place.usual += (median(latencies, this.place.usual) - this.place.usual) * USUAL_STEP
+    this.place.high += (median(highs, this.place.high) - this.place.high) * USUAL_STEP
+  }
+
+  #queueOf(call: Call): CallQueue {
+    return call.urgency === 'urgent' ? this.#urgent : this.#deferrable
+  }
+
+  #refusal(call: Call, now: number): CodeName | undefined {
+    if (now >= call.deadline) return 'deadlineNotRun'
+    if (!this.#hasCandidate(call)) return 'noServer'
+    if (this.waiting >= this.#queueLimit) return 'overloaded'
+    const ahead = call.urgency === 'urgent' ? this.#urgent.size : this.waiting
+    const wait = ahead * this.#drainInterval
+    const isHopeless = wait > (call.deadline - now) * PREDICTION_SLACK
+    return isHopeless ? 'overloaded' : undefined
+  }
+
+  #hasCandidate(call: Call): boolean {
+    return this.records.some((record) => isCandidate(record, call))
+  }
+
+  /** A server on trial that this call may test: a deferrable one, if there are any. */
+  #trialFor(call: Call, now: number): ServerRecord | undefined {
+    if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < URGENT_MEMORY) return undefined
+    return this.records.find(
+      (record) =>
+        record.standing.kind === 'trial' && record.own === 0 && !record.isProbing && isCandidate(record, call),
+    )
+  }
+
+  /** Sends the call if a server is cheap enough for the time it has waited. */
+  #place(call: Call, since: number, now: number, effects: Effect[]): boolean {
+    const choice = chooseServer(this.records, call.tried, this.place, now)
+    if (choice.record === undefined || choice.cost > this.#limit(call, choice, now - since, now)) return false
+    this.#launch(call, choice.record, false, now, effects)
+    return true
+  }
+
+  #limit(call: Call, choice: Choice, waited: number, now: number): number {
+    const { freshCost, costPerMs, largestCost, newsWait, yieldShare } = this.#options.tuning
+    const isPatient = waited < (call.deadline - now + waited) * yieldShare
+    const isReserved = call.urgency === 'deferrable' && isPatient && now - this.#lastUrgentAt < URGENT_MEMORY
+    if (isReserved && choice.free < DEFERRABLE_RESERVE + 1) return 0
+    // Without calls of its own in flight no response will tell the entry about a free slot.
+    if (this.inFlight === 0 && waited >= newsWait) return Number.POSITIVE_INFINITY
+    return Math.min(largestCost, freshCost + waited * costPerMs)
+  }
+
+  #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
+    const mayBounce = this.#reserveBounce(call, now)
+    record.sent(now)
+    this.inFlight += 1
+    this.#options.launch({ call, pool: this, record, sentAt: now, isTrial, mayBounce }, effects)
+  }
+
+  /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
+  #reserveBounce(call: Call, now: number): boolean {
+    if (call.tried !== undefined && call.tried.length > 0) return false
+    return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
+  }
+
+  #drainQueue(queue: CallQueue, now: number, effects: Effect[]): void {
+    this.#shedLate(queue, now, effects)
+    for (let first = queue.first(); first !== undefined; first = queue.first()) {
+      if (!this.#place(first.call, first.since, now, effects)) return
+      queue.remove(first)
+      this.#countDrain(now)
+    }
+  }
+
+  #countDrain(now: number): void {
+    if (!Number.isNaN(this.#lastDrainAt)) {
+      this.#drainInterval += (now - this.#lastDrainAt - this.#drainInterval) * INTERVAL_STEP
+    }
+    this.#lastDrainAt = now
+  }
+
+  #shedLate(queue: CallQueue, now: number, effects: Effect[]): void {
+    for (let first = queue.first(); first !== undefined; first = queue.first()) {
+      const runTime = Math.min(this.place.high, RUN_SHARE * (first.call.deadline - first.since))
+      if (now + runTime <= first.call.deadline) return
+      queue.remove(first)
+      this.#options.shed(first.call, this.#hasCandidate(first.call) ? 'overloaded' : 'noServer', effects)
+    }
+  }
+}
+
+function isCandidate(record: ServerRecord, call: Call): boolean {
+  return record.server.state === 'ready' && call.tried?.includes(record.server.id) !== true
+}
+
+function median(values: number[], otherwise: number): number {
+  values.sort((left, right) => left - right)
+  return values[(values.length - 1) >> 1] ?? otherwise
+}
