--- a/packages/node/src/log.ts
+++ b/packages/node/src/log.ts
@@ -3,7 +3,7 @@
  * JSON unless standard error is a terminal.
  */
 import { resultCode, type CodeName } from '@bilberrystall/base'
-import { createConsola, type ConsolaInstance, type LogObject } from 'consola'
+import { createConsola, LogLevels, type ConsolaInstance, type LogObject } from 'consola'
 
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[]>>
 
@@ -20,7 +20,7 @@
 
 export function createLog(options: LogOptions): Log {
   const terminal = options.terminal ?? process.stderr.isTTY
-  const output = terminal ? createConsola({ stdout: process.stderr }) : jsonConsola()
+  const output = terminal ? createConsola({ level: LogLevels.info, stdout: process.stderr }) : jsonConsola()
   const write = (level: 'info' | 'warn' | 'error', code: CodeName, fields: LogFields) => {
     const entry = resultCode(code)
     output[level]({ message: entry.name, code: entry.number, node: options.node, fields })
@@ -39,7 +39,7 @@
 }
 
 function jsonConsola(): ConsolaInstance {
-  return createConsola({ reporters: [{ log: writeJson }] })
+  return createConsola({ level: LogLevels.info, reporters: [{ log: writeJson }] })
 }
 
 function writeJson(entry: LogObject): void {
