Refuse documents that were confirmed before the entry started

An entry with revision 2 in force was killed, found a cut-off replica first and put revision 1 in force: the replica had been confirmed 5 to 9 s earlier, and confirmations of up to 11 s were passed on. This breaks the promise that a document never reverts. A confirmation now counts only when it was made after the start of the entry; with confirmations every 4 s an entry can still start from a peer. Ruled out: bytes that the test's proxy delivered late (the log showed revision 1).

--- a/packages/node/src/control-documents.ts
+++ b/packages/node/src/control-documents.ts
@@ -7,9 +7,6 @@
 import { failure, type Digest, type Environment, type Failure, type Revision } from '@bilberrystall/base'
 import type { DocumentVersion } from '@bilberrystall/membership'
 
-/** A live entry passes on its confirmation for this long; the target time for a change to be in force everywhere. */
-export const CONFIRMATION_PASSED_ON_MS = 11_000
-
 export interface HeldDocument {
   readonly environment: Environment
   readonly revision: Revision
--- a/packages/node/src/control-watch.ts
+++ b/packages/node/src/control-watch.ts
@@ -1,11 +1,12 @@
 /**
  * Keeps the document of an entry current. It watches one replica and fetches from any node that states a newer revision.
- * At the start it also takes a document from a live entry that was confirmed within the last 11 s.
+ * At the start it also takes a document from another node when a majority confirmed it after this process started: an
+ * older confirmation may be older than a revision that was in force here before the restart.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { environmentName, revision, type Digest, type Environment, type NodeId } from '@bilberrystall/base'
 import { DeliveryService, type DeliveredDocument, type RpcClients } from '@bilberrystall/rpc'
-import { CONFIRMATION_PASSED_ON_MS, type DocumentKeeper, type HeldDocument } from './control-documents'
+import type { DocumentKeeper, HeldDocument } from './control-documents'
 
 const REOPEN_MS = 200
 const START_INTERVAL_MS = 500
@@ -26,10 +27,12 @@
   readonly #options: WatcherOptions
   readonly #abort = new AbortController()
   readonly #fetching = new Set<NodeId>()
+  readonly #startedAt: number
   #round = 0
 
   constructor(options: WatcherOptions) {
     this.#options = options
+    this.#startedAt = options.now()
   }
 
   start(): void {
@@ -54,8 +57,8 @@
       const response = await clients.client(DeliveryService, address).fetch(request, options)
       const document = heldDocument(response.document)
       if (document === undefined || keeper.offer(document).isErr()) return
-      if (response.confirmedAgeMs > CONFIRMATION_PASSED_ON_MS) return
-      keeper.confirm(environment, document.revision, sentAt - response.confirmedAgeMs)
+      const confirmedAt = sentAt - response.confirmedAgeMs
+      if (confirmedAt >= this.#startedAt) keeper.confirm(environment, document.revision, confirmedAt)
     } catch {
       // The node may have left or may not have the revision; the watch and later gossip offer others.
     } finally {
