--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -4,6 +4,7 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli/example'
 import { request } from 'undici'
 import type { RecordView } from './execution-record'
@@ -13,6 +14,10 @@
 import { bilberrystallCommand, standInCommand } from './programs'
 import type { StandInChange, StandInOptions } from './stand-in'
 
+/** Holders abstain for keys made up to 31 s after their start; a key may be up to 30 s ahead of the entry's clock. */
+export const KEY_AHEAD_MS = 29_000
+/** What is left of the abstention for keys that far ahead, with margin. */
+const ABSTAIN_LEFT_MS = 2500
 const VIEW_LIMIT_MS = 1000
 
 export interface NodeOptions {
@@ -94,6 +99,17 @@
     }
   }
 
+  /** Value of a metric without labels; undefined when the node does not answer. */
+  async metric(name: string): Promise<number | undefined> {
+    try {
+      const response = await request(`http://${this.addresses.status}/metrics`)
+      const value = new RegExp(`^${name} (.*)$`, 'm').exec(await response.body.text())?.[1]
+      return value === undefined ? undefined : Number(value)
+    } catch {
+      return undefined
+    }
+  }
+
   async healthy(limitMs?: number): Promise<void> {
     await this.running.whileRunning('healthy', async () => (await this.health()).status === 200, limitMs)
   }
@@ -224,7 +240,7 @@
 
   /** The replica that leads, as the first control node that answers states it. */
   async leader(): Promise<ClusterNode> {
-    return eventually('a leader', async () => {
+    return this.until('a leader', async () => {
       const leader = (await this.status())?.leader
       return this.controls.find((node) => node.name === leader)
     })
@@ -235,7 +251,7 @@
     const file = join(this.harness.folder, `${environment}.ini`)
     await writeFile(file, document)
     await this.operatorJson('document', 'submit', file, '--environment', environment)
-    await eventually('in force everywhere', async () => {
+    await this.until('in force everywhere', async () => {
       const view = (await this.view(`/v1/environments/${environment}`)) as { inForceEverywhere: boolean } | undefined
       return view?.inForceEverywhere
     })
@@ -243,18 +259,42 @@
 
   /** Waits until the control nodes see every node. */
   async allJoined(): Promise<void> {
-    await eventually('all nodes joined', async () => {
+    await this.until('all nodes joined', async () => {
       const view = (await this.view('/v1/nodes')) as { nodes: unknown[] } | undefined
       return view?.nodes.length === this.nodes.length
     })
   }
 
-  /** Waits until the control nodes see this number of servers. */
-  async serversKnown(count: number): Promise<void> {
-    await eventually(`${count} servers known`, async () => {
-      const view = (await this.view('/v1/servers')) as { servers: unknown[] } | undefined
-      return view?.servers.length === count
+  /** Waits until every entry of the environment sees this number of servers. */
+  async serversKnown(count: number, environment = 'production'): Promise<void> {
+    const serving = this.entries.filter((node) => node.options.environment === environment)
+    await this.until(`${count} servers known`, async () => {
+      const counts = await Promise.all(serving.map((node) => node.metric('bilberrystall_servers')))
+      return counts.every((known) => known === count)
+    })
+  }
+
+  /** Waits like `eventually`; a failure shows the output of every node. */
+  async until<T>(
+    what: string,
+    check: () => T | undefined | false | Promise<T | undefined | false>,
+    limitMs?: number,
+  ): Promise<T> {
+    try {
+      return await eventually(what, check, limitMs)
+    } catch (cause) {
+      const outputs = this.nodes.map((node) => `--- ${node.name}\n${node.process?.output ?? 'not started'}`)
+      throw new Error([String(cause), ...outputs].join('\n'), { cause })
+    }
+  }
+
+  /** Waits until the roster of key holders names every entry and the holders vote on keys that are `KEY_AHEAD_MS` ahead. */
+  async keysReady(entries: number): Promise<void> {
+    await this.until(`${entries} entries in the roster`, async () => {
+      const newest = (await this.status())?.roster.at(-1)
+      return newest?.standing === 'sealed' && newest.entries === entries
     })
+    await sleep(ABSTAIN_LEFT_MS)
   }
 
   async #get(address: string, path: string): Promise<unknown> {
--- /dev/null
+++ b/packages/testkit/test/session/operator.test.ts
@@ -0,0 +1,111 @@
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { RESULT_CODES } from '@bilberrystall/base'
+import {
+  Cluster,
+  Harness,
+  normalise,
+  sendCall,
+  Session,
+  workloadDocument,
+  READS,
+  type CommandResult,
+} from '@bilberrystall/testkit'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { entryNode, startCluster } from './fixture'
+
+let harness: Harness
+
+beforeEach(async () => {
+  harness = await Harness.create()
+})
+
+afterEach(() => harness.end())
+
+test('first start of the embedded default: submit to trial, then promote', async () => {
+  const cluster = await Cluster.create(harness)
+  await cluster.add({ name: 'first', roles: 'entry, control', environment: 'production', bootstrap: true })
+  const node = cluster.node('first')
+  await node.start()
+  const session = new Session()
+  const commands = async (...lines: string[]): Promise<void> => {
+    for (const line of lines) await cluster.operator(line.split(' '), { session })
+  }
+  await writeFile(join(harness.folder, 'document.ini'), workloadDocument())
+  await commands(
+    'settings check first.ini',
+    'document check document.ini',
+    'document show --environment trial',
+    'document promote --environment production',
+    'document submit document.ini --environment trial',
+    'document status --environment trial --wait 11s',
+    'document promote --environment production',
+    'document status --environment production --wait 11s',
+    'document history --environment production',
+  )
+  await node.healthy()
+  await cluster.standIn({ service: 'site-history', server: 'history-1' })
+  await cluster.serversKnown(1)
+  expect(await sendCall(node.addresses.callers, READS[0] ?? { method: 'GET', path: '/' })).toMatchObject({
+    outcome: 'complete',
+    server: 'history-1',
+  })
+  await commands(
+    'servers',
+    'nodes',
+    'document submit document.ini --environment trial --base 0',
+    'audit',
+    'audit --verify',
+  )
+  await cluster.operator(['status'], { session, key: 'node.key' })
+  node.running.signal('SIGTERM')
+  expect(await node.running.exit()).toBe(0)
+  const text = session.text({ replace: { [harness.folder]: '<folder>' } })
+  await expect(text).toMatchFileSnapshot('golden/first-start.txt')
+})
+
+test('the log of a node that starts and stops has one line for each change of state', async () => {
+  const cluster = await startCluster(harness, [
+    { ...entryNode(1), name: 'first', roles: 'entry, control', bootstrap: true },
+  ])
+  const { running } = cluster.node('first')
+  running.signal('SIGTERM')
+  expect(await running.exit()).toBe(0)
+  const lines = running.stderr
+    .trim()
+    .split('\n')
+    .map((line) => JSON.parse(line) as { code: number; event: string })
+  const codes = new Set<number>(Object.values(RESULT_CODES).map((code) => code.number))
+  for (const line of lines) expect(codes).toContain(line.code)
+  await expect(normalise(running.stderr)).toMatchFileSnapshot('golden/node-log.txt')
+})
+
+test('of two operators who race from the same revision one is refused and told so', async () => {
+  const cluster = await startCluster(harness, [{ name: 'control-1', roles: 'control', bootstrap: true }])
+  const submit = async (title: string, key: string): Promise<CommandResult> => {
+    await writeFile(join(harness.folder, `${title}.ini`), workloadDocument(title))
+    return cluster.operator(['document', 'submit', `${title}.ini`, '--environment', 'production', '--base', '1'], {
+      key,
+    })
+  }
+  const results = await Promise.all([submit('asha', 'operator.key'), submit('marek', 'second.key')])
+  const statuses = results.map((result) => Number(result.status)).sort((left, right) => left - right)
+  expect(statuses).toEqual([RESULT_CODES.ok.number, RESULT_CODES.revisionConflict.number])
+  const { documents } = (await cluster.operatorJson('document', 'history', '--environment', 'production')) as {
+    documents: unknown[]
+  }
+  expect(documents).toHaveLength(2)
+  const { records } = (await cluster.operatorJson('audit')) as { records: { requester: string; result: string }[] }
+  expect(
+    records
+      .slice(0, 2)
+      .map((record) => record.requester)
+      .sort(),
+  ).toEqual(['asha', 'marek'])
+  expect(
+    records
+      .slice(0, 2)
+      .map((record) => record.result)
+      .sort(),
+  ).toEqual(['ok', 'revision-conflict'])
+})
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -6,6 +6,7 @@
 import {
   Cluster,
   Harness,
+  KEY_AHEAD_MS,
   KEYED_WRITES,
   READS,
   SERVICES,
@@ -27,8 +28,6 @@
 const PHOTO_BYTES = 24 * 1024 * 1024
 const LOAD_MS = 2000
 const CALLS_PER_SECOND = 200
-/** Holders abstain for keys made up to 31 s after their start; a key may be up to 30 s ahead. */
-const KEY_AHEAD_MS = 29_000
 
 let failures = 0
 
@@ -157,6 +156,7 @@
   await promote(cluster)
   for (const entry of entries) await entry.healthy()
   await cluster.serversKnown(servers.length)
+  await cluster.keysReady(cluster.entries.length)
   say('Calls of both workloads:')
   await calls(cluster, servers)
   say('Planned stop:')
