--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -33,6 +33,7 @@
 /** What the tests read of the status of control. */
 export interface ControlStatus {
   readonly leader: string | null
+  readonly logEntries: number
   readonly replicas: readonly { readonly node: string; readonly role: string }[]
   readonly roster: readonly { readonly entries: number; readonly standing: string }[]
 }
--- a/packages/testkit/test/session/fixture.ts
+++ b/packages/testkit/test/session/fixture.ts
@@ -23,6 +23,9 @@
   { name: 'control-3', roles: 'control', failureDomain: 'fd-3' },
 ]
 
+/** The smallest control: one replica. */
+export const ONE_CONTROL: NodeOptions = { name: 'control-1', roles: 'control', bootstrap: true }
+
 export function entryNode(number: number): NodeOptions {
   return { name: `entry-${number}`, roles: 'entry', environment: 'production', failureDomain: `fd-${number}` }
 }
