--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -4,7 +4,8 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
-import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { exampleSettings, newKeys, operatorKeyLines, type ExampleKeys } from '@bilberrystall/cli/example'
 import { request } from 'undici'
 import type { RecordView } from './execution-record'
 import type { Session } from './golden'
@@ -13,6 +14,12 @@
 import { bilberrystallCommand, standInCommand } from './programs'
 import type { StandInChange, StandInOptions } from './stand-in'
 
+/** Holders abstain for keys made up to 31 s after their start; a key may be up to 30 s ahead of the entry's clock. */
+export const KEY_AHEAD_MS = 29_000
+/** What is left of the abstention for keys that far ahead, with margin. */
+const ABSTAIN_LEFT_MS = 2500
+const VIEW_LIMIT_MS = 1000
+
 export interface NodeOptions {
   readonly name: string
   readonly roles: 'entry' | 'control' | 'entry, control'
@@ -23,6 +30,14 @@
   readonly balancerGrace?: string
 }
 
+/** What the tests read of the status of control. */
+export interface ControlStatus {
+  readonly leader: string | null
+  readonly logEntries: number
+  readonly replicas: readonly { readonly node: string; readonly role: string }[]
+  readonly roster: readonly { readonly entries: number; readonly standing: string }[]
+}
+
 export interface CommandResult {
   readonly status: number | NodeJS.Signals
   readonly stdout: string
@@ -85,6 +100,17 @@
     }
   }
 
+  /** Value of a metric without labels; undefined when the node does not answer. */
+  async metric(name: string): Promise<number | undefined> {
+    try {
+      const response = await request(`http://${this.addresses.status}/metrics`)
+      const value = new RegExp(`^${name} (.*)$`, 'm').exec(await response.body.text())?.[1]
+      return value === undefined ? undefined : Number(value)
+    } catch {
+      return undefined
+    }
+  }
+
   async healthy(limitMs?: number): Promise<void> {
     await this.running.whileRunning('healthy', async () => (await this.health()).status === 200, limitMs)
   }
@@ -169,7 +195,9 @@
   }
 
   async standIn(options: StandInOptions): Promise<StandInProcess> {
-    const entries = options.entries ?? this.entries.map((node) => node.addresses.status)
+    const { environment = 'production' } = options
+    const serving = this.entries.filter((node) => (node.options.environment ?? 'trial') === environment)
+    const entries = options.entries ?? serving.map((node) => node.addresses.status)
     const full: StandInOptions = { serverKey: this.#keys.server, ...options, entries }
     const command = [...(await standInCommand()), JSON.stringify(full)]
     const process = this.harness.start({ name: options.server, command })
@@ -197,10 +225,24 @@
     return JSON.parse(result.stdout)
   }
 
-  /** The replica that leads, as the control nodes state it. */
+  /** Reads the operator API of one control node, or of the first that answers; undefined when none does. */
+  async view(path: string, nodes: readonly Operated[] = this.controls): Promise<unknown> {
+    for (const node of nodes) {
+      const body = await this.#get(node.addresses.operators, path)
+      if (body !== undefined) return body
+    }
+    return undefined
+  }
+
+  /** Status of control as one of the nodes states it. */
+  async status(nodes?: readonly Operated[]): Promise<ControlStatus | undefined> {
+    return (await this.view('/v1/status', nodes)) as ControlStatus | undefined
+  }
+
+  /** The replica that leads, as the first control node that answers states it. */
   async leader(): Promise<ClusterNode> {
-    return eventually('a leader', async () => {
-      const { leader } = (await this.operatorJson('status')) as { leader?: string }
+    return this.until('a leader', async () => {
+      const leader = (await this.status())?.leader
       return this.controls.find((node) => node.name === leader)
     })
   }
@@ -210,17 +252,65 @@
     const file = join(this.harness.folder, `${environment}.ini`)
     await writeFile(file, document)
     await this.operatorJson('document', 'submit', file, '--environment', environment)
-    await this.operatorJson('document', 'status', '--environment', environment, '--wait', '11s')
+    await this.until('in force everywhere', async () => {
+      const view = (await this.view(`/v1/environments/${environment}`)) as { inForceEverywhere: boolean } | undefined
+      return view?.inForceEverywhere
+    })
   }
 
-  /** Waits until every named entry knows this number of servers. */
-  async serversKnown(count: number): Promise<void> {
-    await eventually(`${count} servers known`, async () => {
-      const { servers } = (await this.operatorJson('servers')) as { servers: unknown[] }
-      return servers.length === count
+  /** Waits until the control nodes see every node. */
+  async allJoined(): Promise<void> {
+    await this.until('all nodes joined', async () => {
+      const view = (await this.view('/v1/nodes')) as { nodes: unknown[] } | undefined
+      return view?.nodes.length === this.nodes.length
     })
   }
 
+  /** Waits until every entry of the environment sees this number of servers. */
+  async serversKnown(count: number, environment = 'production'): Promise<void> {
+    const serving = this.entries.filter((node) => node.options.environment === environment)
+    await this.until(`${count} servers known`, async () => {
+      const counts = await Promise.all(serving.map((node) => node.metric('bilberrystall_servers')))
+      return counts.every((known) => known === count)
+    })
+  }
+
+  /** Waits like `eventually`; a failure shows the output of every node. */
+  async until<T>(
+    what: string,
+    check: () => T | undefined | false | Promise<T | undefined | false>,
+    limitMs?: number,
+  ): Promise<T> {
+    try {
+      return await eventually(what, check, limitMs)
+    } catch (cause) {
+      const outputs = this.nodes.map((node) => `--- ${node.name}\n${node.process?.output ?? 'not started'}`)
+      throw new Error([String(cause), ...outputs].join('\n'), { cause })
+    }
+  }
+
+  /** Waits until the roster of key holders names every entry and the holders vote on keys that are `KEY_AHEAD_MS` ahead. */
+  async keysReady(entries: number): Promise<void> {
+    await this.until(`${entries} entries in the roster`, async () => {
+      const newest = (await this.status())?.roster.at(-1)
+      return newest?.standing === 'sealed' && newest.entries === entries
+    })
+    await sleep(ABSTAIN_LEFT_MS)
+  }
+
+  async #get(address: string, path: string): Promise<unknown> {
+    try {
+      const response = await request(`http://${address}${path}`, {
+        headers: { authorization: `Bearer ${this.#keys.operator}` },
+        signal: AbortSignal.timeout(VIEW_LIMIT_MS),
+      })
+      const body: unknown = await response.body.json()
+      return response.statusCode === 200 ? body : undefined
+    } catch {
+      return undefined
+    }
+  }
+
   async #make(options: NodeOptions): Promise<ClusterNode> {
     const port = async (): Promise<string> => `127.0.0.1:${await freePort()}`
     const rpcListen = await port()
--- /dev/null
+++ b/packages/testkit/test/session/calls.test.ts
@@ -0,0 +1,83 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import {
+  FaultProxy,
+  FITTERS_HOST,
+  Harness,
+  NETCHECK_HOST,
+  photoPull,
+  runLoad,
+  sendCall,
+  type Call,
+} from '@bilberrystall/testkit'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { callers, entryNode, expectAllComplete, ONE_CONTROL, startCluster, startServers, untilRunning } from './fixture'
+
+const HISTORY: Call = { method: 'GET', host: NETCHECK_HOST, path: '/sites/17' }
+const NOTE: Call = { method: 'POST', host: FITTERS_HOST, path: '/notes', body: 'note' }
+
+let harness: Harness
+
+beforeEach(async () => {
+  harness = await Harness.create()
+})
+
+afterEach(() => harness.end())
+
+test('a planned stop of an entry under load cuts no call off', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2)])
+  const servers = await startServers(cluster, 'dispatch-archive', 2)
+  const [first, second] = cluster.entries
+  const address = first?.addresses.callers ?? ''
+  const calls = Array.from({ length: 5 }, () =>
+    sendCall(address, { ...photoPull(1000), path: '/photos/1?bytes=1000&ms=1000' }),
+  )
+  const pull = sendCall(address, photoPull(40 * 1024 * 1024))
+  await untilRunning(servers, 5)
+  first?.running.signal('SIGTERM')
+  await cluster.until('the health page says leaving', async () => (await first?.health())?.status === 503)
+  const during = await Promise.all(callers(cluster.entries).map((entry) => sendCall(entry, photoPull(1000))))
+  expect(during.map((result) => result.outcome)).toEqual(['complete', 'complete'])
+  expect((await Promise.all([...calls, pull])).map((result) => result.outcome)).toEqual(Array(6).fill('complete'))
+  expect(await first?.running.exit()).toBe(0)
+  expect((await sendCall(second?.addresses.callers ?? '', photoPull(1000))).outcome).toBe('complete')
+})
+
+test('established connections that go silent are replaced and the server keeps its calls', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1)])
+  const proxy = await new FaultProxy({ target: '' }).start()
+  harness.onEnd(() => proxy.stop())
+  const behind = await cluster.standIn({ service: 'site-history', server: 'behind', announcedAddress: proxy.address })
+  proxy.target = behind.address
+  await startServers(cluster, 'site-history', 1, 2)
+  const entry = callers(cluster.entries)
+  const pace = { kind: 'closed', callers: 4 } as const
+  const before = await runLoad({ entries: entry, pace, durationMs: 500, calls: [HISTORY] })
+  expectAllComplete(before)
+  proxy.freeze({ kind: 'established' })
+  const during = await runLoad({ entries: entry, pace, durationMs: 1000, calls: [HISTORY] })
+  expectAllComplete(during)
+  const { executions } = await behind.record()
+  const after = await runLoad({ entries: entry, pace, durationMs: 1000, calls: [HISTORY] })
+  expectAllComplete(after)
+  expect((await behind.record()).executions).toBeGreaterThan(executions)
+})
+
+test('late, cut and reset responses never reach another caller, also on reused connections', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1)])
+  const servers = await startServers(cluster, 'booking', 2)
+  const pace = { kind: 'closed', callers: 8 } as const
+  const calls = [NOTE, { ...NOTE, body: 'another note' }, { ...NOTE, path: '/notes?ms=30' }]
+  const load = runLoad({ entries: callers(cluster.entries), pace, durationMs: 2000, calls })
+  for (let round = 0; round < 6; round += 1) {
+    const lateMs = round === 2 ? 4500 : 0
+    const behaviour = { truncateNext: 4, resetNext: 2, lateMs }
+    await Promise.all(servers.map((server) => server.change({ behaviour })))
+    await sleep(200)
+  }
+  await Promise.all(servers.map((server) => server.change({ behaviour: { lateMs: 0, truncateNext: 0, resetNext: 0 } })))
+  const during = await load
+  expect(during.outcomes.wrong).toBe(0)
+  expect(during.outcomes.complete).toBeGreaterThan(0)
+  const after = await runLoad({ entries: callers(cluster.entries), pace, durationMs: 500, calls })
+  expectAllComplete(after)
+})
