Let a promotion wait in every state of replication

Cause: a learner in contact may be probed when the promotion is asked for; it then was refused at once although it needs one more acknowledgement. The condition is now contact within 1 s.

--- a/packages/consensus/src/input.ts
+++ b/packages/consensus/src/input.ts
@@ -32,7 +32,7 @@
 }
 
 /**
- * Appends a change of the replica set; answered like a proposal. A promotion whose learner receives the log but lacks the
+ * Appends a change of the replica set; answered like a proposal. A promotion whose learner is in contact but lacks the
  * entries committed last is answered once it holds them, or refused with `replicaBehind` after 1 s.
  */
 export interface ChangeReplicaSetInput {
--- a/packages/consensus/src/proposals.ts
+++ b/packages/consensus/src/proposals.ts
@@ -23,7 +23,7 @@
     return
   }
   const changed = checkedSet(core, input.change)
-  const waits = changed.isErr() && changed.error.code === 'replicaBehind' && isReceiving(core, input.change.replica)
+  const waits = changed.isErr() && changed.error.code === 'replicaBehind' && isInContact(core, input.change.replica)
   if (core.lead !== undefined && waits) {
     // Whoever asks has seen the learner caught up; entries committed since then are on their way to it.
     core.lead.promotion = { input, deadline: core.now + core.limits.majorityTimeout }
@@ -42,8 +42,9 @@
   finishChange(core, promotion.input.proposal, changed)
 }
 
-function isReceiving(core: Core, replica: ReplicaId): boolean {
-  return core.lead?.progress.get(replica)?.state === 'replicate'
+function isInContact(core: Core, replica: ReplicaId): boolean {
+  const progress = core.lead?.progress.get(replica)
+  return progress?.heard === true && core.now - progress.lastContact < core.limits.majorityTimeout
 }
 
 function checkedSet(core: Core, change: ReplicaSetChange): Result<ReplicaSet, Failure> {
--- a/packages/consensus/test/membership.test.ts
+++ b/packages/consensus/test/membership.test.ts
@@ -63,6 +63,8 @@
     driver.now += 900
     driver.acknowledge(B, 2)
     expect(answers(driver.tick(100))).toEqual(['replicaBehind'])
+    expect(outcome(driver, { kind: 'promote', replica: D })).toBe('replicaBehind')
+    driver.acknowledge(D, 1)
     expect(outcome(driver, { kind: 'promote', replica: D })).toBe('none')
     expect(answers(driver.run(driver.append({ term: term(9) })))).toEqual(['notLeader'])
   })
