--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -50,7 +50,8 @@
   readonly cluster: ClusterView
   /** SHA-256 of each operator's key by the operator's name. */
   readonly operatorKeys: ReadonlyMap<string, string>
-  readonly onUnauthorized: () => void
+  /** Counts each request by its result. */
+  readonly onRequest: (code: CodeName) => void
 }
 
 interface Operator {
@@ -92,7 +93,7 @@
   app.use('/v1/*', async (context, next) => {
     const requester = operatorOf(options.operatorKeys, context.req.header('authorization') ?? '')
     if (requester === undefined) {
-      options.onUnauthorized()
+      options.onRequest('operatorUnauthorized')
       return problemResponse(failure('operatorUnauthorized'))
     }
     context.set('requester', requester)
@@ -180,7 +181,7 @@
   }
   const request = parsed.data
   const origin = originOf(context)
-  if (request.kind === 'promote') return respond(await options.changes.submit({ ...request, ...origin }))
+  if (request.kind === 'promote') return respond(options, await options.changes.submit({ ...request, ...origin }))
   const { document, ...rest } = request
   const content = { validity: 'valid' as const, text: document }
   if (Buffer.byteLength(document) > DOCUMENT_BYTES_LIMIT) {
@@ -191,7 +192,7 @@
       digest: sha256(document),
     })
   }
-  return respond(await options.changes.submit({ ...rest, ...origin, content }))
+  return respond(options, await options.changes.submit({ ...rest, ...origin, content }))
 }
 
 /** Refuses a request that is not worth a place as a change, and records the refusal. */
@@ -202,6 +203,7 @@
   message?: string,
   rest: Pick<Extract<Command, { kind: 'refuse' }>, 'changeId' | 'environment' | 'digest'> = {},
 ): Promise<Response> {
+  options.onRequest(code)
   await options.changes.submit({ kind: 'refuse', ...origin, code, ...rest })
   return problemResponse(failure(code, message))
 }
@@ -217,7 +219,9 @@
   }
   const origin = originOf(context)
   const outcome = await options.changes.submit({ kind: 'node', ...origin, action, node })
-  return outcome.kind === 'recorded' ? context.json({ node, action }) : respond(outcome)
+  if (outcome.kind !== 'recorded') return respond(options, outcome)
+  options.onRequest('ok')
+  return context.json({ node, action })
 }
 
 async function audit(options: OperatorOptions, context: Context<Operator>): Promise<Response> {
@@ -241,7 +245,8 @@
   return { records, next }
 }
 
-function respond(outcome: SubmitOutcome): Response {
+function respond(options: OperatorOptions, outcome: SubmitOutcome): Response {
+  options.onRequest(codeOf(outcome))
   switch (outcome.kind) {
     case 'change':
       return changeResponse(outcome.result, outcome.repeated)
@@ -254,6 +259,19 @@
   }
 }
 
+function codeOf(outcome: SubmitOutcome): CodeName {
+  switch (outcome.kind) {
+    case 'change':
+      return outcome.result.kind === 'accepted' ? 'ok' : outcome.result.code
+    case 'recorded':
+      return 'ok'
+    case 'unknown':
+      return 'changeUnknown'
+    case 'failed':
+      return outcome.failure.code
+  }
+}
+
 function changeResponse(result: ChangeResult, repeated: boolean): Response {
   if (result.kind === 'accepted') return Response.json({ revision: result.revision, digest: result.digest, repeated })
   const { currentRevision, faults } = result
--- a/packages/node/src/control-replica.ts
+++ b/packages/node/src/control-replica.ts
@@ -64,6 +64,8 @@
   readonly onRole: (role: Role, leader: ReplicaId | undefined, term: Term) => void
   /** The replica cannot go on; the process is to end with the code. */
   readonly onFatal: (cause: Failure) => void
+  /** Called with the time of each sync in milliseconds. */
+  readonly onSynced?: (duration: number) => void
   readonly now?: () => number
   readonly limits?: Partial<Limits>
 }
@@ -281,7 +283,9 @@
   }
 
   async #persist(persist: number, records: Parameters<ControlDisk['persist']>[0]): Promise<void> {
+    const start = performance.now()
     const result = await this.#options.disk.persist(records)
+    this.#options.onSynced?.(performance.now() - start)
     if (result.isErr()) this.#fail(result.error)
     else this.#step({ kind: 'persisted', persist })
   }
--- a/packages/node/src/control-watch.ts
+++ b/packages/node/src/control-watch.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { environmentName, revision, type Digest, type Environment, type NodeId } from '@bilberrystall/base'
+import { sha256 } from '@bilberrystall/control'
 import { DeliveryService, type DeliveredDocument, type RpcClients } from '@bilberrystall/rpc'
 import { CONFIRMATION_PASSED_ON_MS, type DocumentKeeper, type HeldDocument } from './control-documents'
 
@@ -119,9 +120,11 @@
   }
 }
 
+/** Undefined when there is none or when its text does not match its digest. */
 function heldDocument(message: DeliveredDocument | undefined): HeldDocument | undefined {
   if (message === undefined) return undefined
   const { digest, text } = message
+  if (sha256(text) !== digest) return undefined
   const environment = environmentName(message.environment)
   return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text }
 }
--- a/packages/node/src/control.ts
+++ b/packages/node/src/control.ts
@@ -6,7 +6,7 @@
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import type { Environment, Failure, NodeId, Random, ReplicaId } from '@bilberrystall/base'
+import type { CodeName, Environment, Failure, NodeId, Random, ReplicaId } from '@bilberrystall/base'
 import type { Limits, Role } from '@bilberrystall/consensus'
 import { documentInForce, type Command } from '@bilberrystall/control'
 import { parseDocument } from '@bilberrystall/document'
@@ -18,11 +18,13 @@
 import type { DocumentKeeper } from './control-documents'
 import { LeaderDuties } from './control-duties'
 import { LeaseServer } from './control-lease-server'
+import { controlMetrics, type ControlMetrics } from './control-metrics'
 import { operatorApp } from './control-operator'
 import { ReplicaHost } from './control-replica'
 import { ReplicaTransport } from './control-transport'
 import type { ClusterView } from './control-views'
 import type { Log } from './log'
+import type { Metrics } from './metrics'
 import type { ControlSettings } from './settings'
 
 /** Interval of the confirmed read by which a control node keeps its documents confirmed. */
@@ -45,7 +47,7 @@
   readonly onFatal: (cause: Failure) => void
   /** An operator asked this node to drain. */
   readonly onDrain: () => void
-  readonly onUnauthorized?: () => void
+  readonly metrics?: Metrics
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
   readonly lostAfterMs?: number
@@ -63,6 +65,7 @@
   readonly #changes: Changes
   readonly #leases: LeaseServer
   readonly #duties: LeaderDuties
+  readonly #metrics: ControlMetrics | undefined
   #confirmTimer: NodeJS.Timeout | undefined
   #confirmedAt = Number.NEGATIVE_INFINITY
   #leads = false
@@ -74,6 +77,7 @@
     this.host = host
     this.replica = replica
     this.#transport = transport
+    this.#metrics = options.metrics && controlMetrics(options.metrics, () => host.status())
     const now = () => performance.now()
     const wallClock = () => Date.now()
     const addressOf = (other: NodeId) => cluster.nodes.get(other)?.address
@@ -139,6 +143,7 @@
       },
       onApplied: (commands) => hooks.control?.applied(commands),
       onRole: (role) => hooks.control?.roleChanged(role),
+      onSynced: (duration) => hooks.control?.synced(duration),
       onFatal,
       ...(limits === undefined ? {} : { limits }),
     })
@@ -167,9 +172,10 @@
   }
 
   operatorApp(): Hono {
-    const { cluster, settings, onUnauthorized = () => undefined } = this.#options
+    const { cluster, settings } = this.#options
     const { operatorKeys } = settings
-    const app = operatorApp({ host: this.host, changes: this.#changes, cluster, operatorKeys, onUnauthorized })
+    const onRequest = (code: CodeName) => this.#metrics?.request(code)
+    const app = operatorApp({ host: this.host, changes: this.#changes, cluster, operatorKeys, onRequest })
     return app as unknown as Hono
   }
 
@@ -210,6 +216,11 @@
     this.#options.log.info(leads ? 'leaderElected' : 'leaderLost', { term: this.host.status().term })
   }
 
+  /** Called by the replica with the time of each sync in milliseconds. */
+  synced(duration: number): void {
+    this.#metrics?.synced(duration)
+  }
+
   #offerDocuments(): void {
     const { keeper } = this.#options
     for (const environment of this.host.state.environments.keys()) this.#offer(keeper, environment)
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -126,6 +126,7 @@
       cluster: this.#frame.directory,
       keeper: this.#keeper,
       log: this.#frame.log,
+      metrics: this.#metrics,
       random: this.#frame.random,
       start: this.#frame.startedAt,
       onFatal: (cause) => {
--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -86,6 +86,24 @@
   })
 })
 
+test('a new replica catches up from a snapshot after the log was truncated, and so does a restart', async () => {
+  const options = { limits: { logEntries: 20, keptEntries: 5, chunkBytes: 512 } }
+  const first = await cluster.start('a', { bootstrap: true, ...options })
+  await until(() => cluster.leader())
+  for (let base = 0; base < 30; base += 1) await call(first, '/v1/changes', submitBody(`c${base}`, base))
+  await until(() => ((first.control.host.status().snapshotIndex ?? 0) >= 10 ? true : undefined))
+  const second = await cluster.start('b', options)
+  await cluster.start('c', options)
+  await cluster.settled()
+  await until(() => (second.keeper.inForce(TRIAL)?.revision === 30 ? true : undefined))
+  expect(second.control.host.status().snapshotIndex).toBeGreaterThanOrEqual(10)
+  await cluster.kill(second)
+  const restarted = await cluster.start('b', { folder: second.folder, ...options })
+  await until(() => (restarted.keeper.inForce(TRIAL)?.revision === 30 ? true : undefined))
+  const old = await call(restarted, '/v1/changes', submitBody('c0', 0))
+  expect(old).toMatchObject({ status: 200, body: { revision: 1, repeated: true } })
+})
+
 test('without a majority no change is accepted and reads are refused instead of stale', async () => {
   const options = { submitLimitMs: 300 }
   await cluster.start('a', { bootstrap: true, ...options })
