--- a/packages/node/src/control-watch.ts
+++ b/packages/node/src/control-watch.ts
@@ -5,6 +5,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { environmentName, revision, type Digest, type Environment, type NodeId } from '@bilberrystall/base'
+import { sha256 } from '@bilberrystall/control'
 import { DeliveryService, type DeliveredDocument, type RpcClients } from '@bilberrystall/rpc'
 import type { DocumentKeeper, HeldDocument } from './control-documents'
 
@@ -122,9 +123,11 @@
   }
 }
 
+/** Undefined when there is none or when its text does not match its digest. */
 function heldDocument(message: DeliveredDocument | undefined): HeldDocument | undefined {
   if (message === undefined) return undefined
   const { digest, text } = message
+  if (sha256(text) !== digest) return undefined
   const environment = environmentName(message.environment)
   return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text }
 }
