--- /dev/null
+++ b/packages/node/test/control-lease-server.test.ts
@@ -0,0 +1,82 @@
+import { err, ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { failure, failureDomain, nodeId, replicaId, revision, serverId, serviceName } from '@bilberrystall/base'
+import type { Status } from '@bilberrystall/consensus'
+import { applyCommand, emptyState } from '@bilberrystall/control'
+import type { Node, Server } from '@bilberrystall/membership'
+import { LeaseServer, MEASURING_WINDOW_MS } from '../src/control-lease-server'
+import { TRIAL, submitBody } from './control-cluster'
+
+/** Slots of the one server times the default share of 0.5%, in ms of a window. */
+const SLOTS = 3
+const BUDGET_MS = 0.005 * SLOTS * MEASURING_WINDOW_MS
+
+class Leader {
+  time = 0
+  role: Status['role'] = 'leader'
+  majority = true
+  readonly state = emptyState()
+  readonly server: LeaseServer
+
+  constructor() {
+    const text = submitBody('c1', 0).document
+    const origin = { at: 1, requester: 'asha', source: '10.0.0.1', changeId: 'c1', environment: TRIAL }
+    const content = { validity: 'valid', text } as const
+    applyCommand(this.state, { kind: 'submit', ...origin, baseRevision: revision(0), content })
+    const place = { environment: TRIAL, address: '', failureDomain: failureDomain('north') }
+    const service = { service: serviceName('booking'), server: serverId('s1'), connectionLimit: 300 }
+    const server: Server = { ...place, ...service, start: 0, sequence: 0, state: 'ready', slots: SLOTS }
+    const status = () => ({ role: this.role, leader: replicaId('other/1') }) as unknown as Status
+    const read = () => Promise.resolve(this.majority ? ok() : err(failure('noQuorum')))
+    this.server = new LeaseServer({
+      host: { status, read, state: this.state },
+      directory: { nodes: new Map<Node['node'], Node>(), servers: new Map([['s1', server]]) },
+      now: () => this.time,
+    })
+    this.server.roleChanged(true)
+  }
+
+  async ask(node: string, start = 0) {
+    const measuring = [{ $typeName: 'bilberrystall.v1.MeasuringRequest' as const, service: 'booking', ...wish }]
+    const request = { node, environment: TRIAL, start: BigInt(start), rosterVersion: 0n, measuring }
+    return (await this.server.lease(request))._unsafeUnwrap()
+  }
+}
+
+const wish = { wantedMs: 100, unitMs: 10 }
+const tokens = (lease: Awaited<ReturnType<Leader['ask']>>) => lease.grants[0]?.tokensMs ?? 0
+
+test('entries together never get more probe time than the budget of the document in a window', async () => {
+  const leader = new Leader()
+  leader.time = 2 * MEASURING_WINDOW_MS
+  let granted = 0
+  for (const node of ['e', 'f', 'g', 'e', 'f']) granted += tokens(await leader.ask(node))
+  expect(granted).toBeGreaterThan(0)
+  expect(granted).toBeLessThanOrEqual(BUDGET_MS)
+})
+
+test('a new leader grants nothing for one whole window, because the old one may have granted in it', async () => {
+  const leader = new Leader()
+  for (leader.time = 0; leader.time <= MEASURING_WINDOW_MS; leader.time += 1_000) {
+    expect(tokens(await leader.ask('e'))).toBe(0)
+  }
+})
+
+test('a node that does not lead grants nothing and names the leader; a leader without a majority answers nothing', async () => {
+  const leader = new Leader()
+  leader.time = 2 * MEASURING_WINDOW_MS
+  leader.role = 'follower'
+  expect(await leader.ask('e')).toMatchObject({ notLeader: true, leader: 'other', grants: [], revision: 0n })
+  leader.role = 'leader'
+  leader.majority = false
+  await expect(leader.ask('e')).rejects.toThrow()
+})
+
+test('a request to drain reaches the process it was meant for and no later one of the same node', async () => {
+  const leader = new Leader()
+  const origin = { at: 500, requester: 'asha', source: '10.0.0.1' }
+  applyCommand(leader.state, { kind: 'node', ...origin, action: 'drain', node: nodeId('e') })
+  expect((await leader.ask('e', 400)).drain).toBe(true)
+  expect((await leader.ask('e', 600)).drain).toBe(false)
+  expect((await leader.ask('f', 400)).drain).toBe(false)
+})
