Do not answer malformed bytes in the middle of a pipelined response

Cause: found by review. A caller's connection counted as free when its first pipelined response was complete, so a parse error during the second response wrote a problem document into it. Reproduced by the new test before the fix: the response of the second call was followed by a 400 head.

Conclusion: responses in progress are counted per connection, and such a connection is closed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -71,8 +71,8 @@
   readonly #environment: CallEnvironment
   readonly #pools = new Map<ServerId, ServerPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
-  /** Connections of callers with a response in progress. */
-  readonly #busy = new WeakSet<Socket>()
+  /** Number of responses in progress per connection of a caller; pipelined requests have several. */
+  readonly #busy = new WeakMap<Socket, number>()
   readonly #own: (request: IncomingMessage, response: ServerResponse) => unknown
   #sweep: NodeJS.Timeout | undefined
   #draining = false
@@ -194,7 +194,7 @@
     )
     server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
       // A problem after the start of a response would be taken for a part of it.
-      if (this.#busy.has(socket)) socket.destroy()
+      if ((this.#busy.get(socket) ?? 0) > 0) socket.destroy()
       else answerParseError(cause, socket)
     })
     return server
@@ -229,8 +229,8 @@
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request
-    this.#busy.add(socket)
-    response.once('close', () => this.#busy.delete(socket))
+    this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1)
+    response.once('close', () => this.#busy.set(socket, (this.#busy.get(socket) ?? 1) - 1))
     if (request.url?.startsWith(OWN_PREFIX) === true) {
       this.#own(request, response)
       return
--- a/packages/entry/test/caller.test.ts
+++ b/packages/entry/test/caller.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net'
 import { RESULT_CODES, serviceName } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
 import { ContextCodec, extendSteps, MAX_DEPTH, type CallContext } from '../src/index'
@@ -163,3 +164,21 @@
   )
   expect(answers.map(({ status }) => status)).toEqual(Array(5).fill(413))
 })
+
+test('malformed bytes behind a second pipelined request are not answered in the middle of its response', async () => {
+  const server = await standIn((received) => {
+    if (received.head.includes('/read/1')) answer(received, 'first')
+    else received.socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart')
+  })
+  const { origin } = await startEntry([server])
+  const socket = connect(Number(new URL(origin).port), '127.0.0.1')
+  let text = ''
+  socket.on('data', (part) => (text += part.toString('latin1')))
+  const closed = new Promise((resolve) => socket.once('close', resolve))
+  socket.on('error', () => undefined)
+  socket.write('GET /read/1 HTTP/1.1\r\nhost: a\r\n\r\nGET /read/2 HTTP/1.1\r\nhost: a\r\n\r\n')
+  await until(() => text.includes('part'))
+  socket.write('\x00\x01 malformed\r\n\r\n')
+  await closed
+  expect(text).toMatch(/part$/)
+})
