Test responses whose lengths conflict

Cause: a response passed on with a length that differs from its body would leave bytes for the caller's next call. The library's parser refuses all four forms before the head is passed on; nothing had to change.

--- a/packages/entry/test/outcome.test.ts
+++ b/packages/entry/test/outcome.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { RESULT_CODES } from '@bilberrystall/base'
-import { addServer, answer, call, standIn, startEntry, until } from './harness'
+import { addServer, answer, call, raw, standIn, startEntry, until } from './harness'
 
 const { connectionLost, connectFailed, deadlineUnknown, serverShed } = RESULT_CODES
 
@@ -154,3 +154,21 @@
   expect(result.status).toBe(status)
   await until(() => entry.callsInFlight === 0)
 })
+
+test.each([
+  ['content-length: 3\r\ntransfer-encoding: chunked', '5\r\nhello\r\n0\r\n\r\n'],
+  ['transfer-encoding: chunked\r\ncontent-length: 3', '5\r\nhello\r\n0\r\n\r\n'],
+  ['content-length: 3\r\ncontent-length: 5', 'hello'],
+  ['content-length: 3, 5', 'hello'],
+])(
+  'a response with conflicting lengths %j is refused, so no byte of it is left for the next call',
+  async (fields, body) => {
+    const server = await standIn((received) => {
+      received.socket.write(`HTTP/1.1 200 OK\r\n${fields}\r\n\r\n`)
+      setTimeout(() => received.socket.write(body), 10)
+    })
+    const { origin } = await startEntry([server])
+    const text = await raw(origin, 'POST /write HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1\r\n\r\na')
+    expect(text).toMatch(/^HTTP\/1.1 502 /)
+  },
+)
