Expire keys of one second without a call that has them all as arguments

Cause: a spread of some 100,000 keys into push passes the limit of arguments; found by review, a table of 32 MiB holds 38,514 keys and stays below it.

--- a/packages/claims/src/expiry-wheel.ts
+++ b/packages/claims/src/expiry-wheel.ts
@@ -32,7 +32,7 @@
     }
     const due: IdempotencyKey[] = []
     for (; this.#next <= end; this.#next += 1) {
-      due.push(...(this.#buckets.get(this.#next) ?? []))
+      for (const key of this.#buckets.get(this.#next) ?? []) due.push(key)
       this.#buckets.delete(this.#next)
     }
     return due
