--- a/packages/entry/test/outcome.test.ts
+++ b/packages/entry/test/outcome.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { RESULT_CODES } from '@bilberrystall/base'
-import { addServer, answer, call, standIn, startEntry, until } from './harness'
+import { addServer, answer, call, raw, standIn, startEntry, until } from './harness'
 
 const { connectionLost, connectFailed, deadlineUnknown, serverShed } = RESULT_CODES
 
@@ -136,3 +136,39 @@
     expect(await call(`${origin}/write`, { method: 'POST', body })).toMatchObject({ text: body })
   }
 })
+
+test.each([
+  ['x-bad: a\x7fb', 502],
+  ['x-bad: a\x01b', 502],
+  ['x bad: a', 502],
+  [': empty', 502],
+  ['x-odd: \xff\xfe', 200],
+])('the response field %j of a server ends neither the entry nor the wait of the caller', async (field, status) => {
+  const server = await standIn((received) => {
+    // The head is passed on before the body arrives.
+    received.socket.write(`HTTP/1.1 200 OK\r\n${field}\r\ncontent-length: 2\r\n\r\n`, 'latin1')
+    setTimeout(() => received.socket.write('ok'), 20)
+  })
+  const { origin, entry } = await startEntry([server])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'a' })
+  expect(result.status).toBe(status)
+  await until(() => entry.callsInFlight === 0)
+})
+
+test.each([
+  ['content-length: 3\r\ntransfer-encoding: chunked', '5\r\nhello\r\n0\r\n\r\n'],
+  ['transfer-encoding: chunked\r\ncontent-length: 3', '5\r\nhello\r\n0\r\n\r\n'],
+  ['content-length: 3\r\ncontent-length: 5', 'hello'],
+  ['content-length: 3, 5', 'hello'],
+])(
+  'a response with conflicting lengths %j is refused, so no byte of it is left for the next call',
+  async (fields, body) => {
+    const server = await standIn((received) => {
+      received.socket.write(`HTTP/1.1 200 OK\r\n${fields}\r\n\r\n`)
+      setTimeout(() => received.socket.write(body), 10)
+    })
+    const { origin } = await startEntry([server])
+    const text = await raw(origin, 'POST /write HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1\r\n\r\na')
+    expect(text).toMatch(/^HTTP\/1.1 502 /)
+  },
+)
