Test planned stops by an operator, hand-over of a leader and a second process

Guards against a drain command that cuts calls off, a stopped leader that leaves changes waiting, and two processes on one data folder or address.

--- a/packages/testkit/test/session/calls.test.ts
+++ b/packages/testkit/test/session/calls.test.ts
@@ -23,24 +23,28 @@
 
 afterEach(() => harness.end())
 
-test('a planned stop of an entry under load cuts no call off', async () => {
-  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2)])
-  const servers = await startServers(cluster, 'dispatch-archive', 2)
-  const [first, second] = cluster.entries
-  const address = first?.addresses.callers ?? ''
-  const calls = Array.from({ length: 5 }, () =>
-    sendCall(address, { ...photoPull(1000), path: '/photos/1?bytes=1000&ms=1000' }),
-  )
-  const pull = sendCall(address, photoPull(40 * 1024 * 1024))
-  await untilRunning(servers, 5)
-  first?.running.signal('SIGTERM')
-  await cluster.until('the health page says leaving', async () => (await first?.health())?.status === 503)
-  const during = await Promise.all(callers(cluster.entries).map((entry) => sendCall(entry, photoPull(1000))))
-  expect(during.map((result) => result.outcome)).toEqual(['complete', 'complete'])
-  expect((await Promise.all([...calls, pull])).map((result) => result.outcome)).toEqual(Array(6).fill('complete'))
-  expect(await first?.running.exit()).toBe(0)
-  expect((await sendCall(second?.addresses.callers ?? '', photoPull(1000))).outcome).toBe('complete')
-})
+test.each(['a signal', 'an operator'])(
+  'a planned stop of an entry by %s under load cuts no call off',
+  async (cause) => {
+    const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2)])
+    const servers = await startServers(cluster, 'dispatch-archive', 2)
+    const [first, second] = cluster.entries
+    const address = first?.addresses.callers ?? ''
+    const calls = Array.from({ length: 5 }, () =>
+      sendCall(address, { ...photoPull(1000), path: '/photos/1?bytes=1000&ms=1000' }),
+    )
+    const pull = sendCall(address, photoPull(40 * 1024 * 1024))
+    await untilRunning(servers, 5)
+    if (cause === 'a signal') first?.running.signal('SIGTERM')
+    else await cluster.operatorJson('node', 'drain', 'entry-1')
+    await cluster.until('the health page says leaving', async () => (await first?.health())?.status === 503)
+    const during = await Promise.all(callers(cluster.entries).map((entry) => sendCall(entry, photoPull(1000))))
+    expect(during.map((result) => result.outcome)).toEqual(['complete', 'complete'])
+    expect((await Promise.all([...calls, pull])).map((result) => result.outcome)).toEqual(Array(6).fill('complete'))
+    expect(await first?.running.exit()).toBe(0)
+    expect((await sendCall(second?.addresses.callers ?? '', photoPull(1000))).outcome).toBe('complete')
+  },
+)
 
 test('established connections that go silent are replaced and the server keeps its calls', async () => {
   const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1)])
--- a/packages/testkit/test/session/changes.test.ts
+++ b/packages/testkit/test/session/changes.test.ts
@@ -55,3 +55,13 @@
   expect(JSON.parse(again.stdout)).toMatchObject({ revision: 2 })
   expect(await history(cluster, rest)).toHaveLength(2)
 })
+
+test('a leader that is stopped hands over and the next change is accepted', async () => {
+  const leader = await cluster.leader()
+  leader.running.signal('SIGTERM')
+  expect(await submit(cluster, { title: 'second', base: 1, nodes: others(cluster, leader) })).toMatchObject({
+    status: 0,
+  })
+  expect(await leader.running.exit()).toBe(0)
+  await inForceEverywhere(cluster, others(cluster, leader), 2)
+})
--- a/packages/testkit/test/session/operator.test.ts
+++ b/packages/testkit/test/session/operator.test.ts
@@ -1,4 +1,4 @@
-import { writeFile } from 'node:fs/promises'
+import { readFile, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { RESULT_CODES } from '@bilberrystall/base'
 import {
@@ -109,3 +109,13 @@
       .sort(),
   ).toEqual(['ok', 'revision-conflict'])
 })
+
+test('a second process on the same data folder or address is refused with a code', async () => {
+  const cluster = await startCluster(harness, [{ name: 'control-1', roles: 'control', bootstrap: true }])
+  const first = cluster.node('control-1').running
+  expect((await cluster.operator(['run', 'control-1.ini'])).status).toBe(RESULT_CODES.folderInUse.number)
+  const settings = await readFile(join(harness.folder, 'control-1.ini'), 'utf8')
+  await writeFile(join(harness.folder, 'copy.ini'), settings.replace('data-folder = data', 'data-folder = other'))
+  expect((await cluster.operator(['run', 'copy.ini'])).status).toBe(RESULT_CODES.addressInUse.number)
+  expect(first.running).toBe(true)
+})
