Average reports over more calls and let a single report fade within ms

The average of others' load now takes 1% of each report (before 10%), a single report loses half of its weight in 6 ms (before: the usual latency), and trust returns more slowly (0.02 and 0.005 instead of 0.1 and 0.02).

--- a/packages/bench/src/routing/plan.ts
+++ b/packages/bench/src/routing/plan.ts
@@ -44,12 +44,13 @@
 }
 
 const NEVER = Number.POSITIVE_INFINITY
+const NO_QUEUE: Partial<Tuning> = { freshCost: NEVER, largestCost: NEVER, yieldShare: 0 }
 
 export const VARIANTS: readonly Variant[] = [
   { name: 'router', tuning: {} },
-  { name: 'least own calls in flight only', tuning: { reportWeight: 0, spareTokens: NEVER, freshCost: NEVER } },
-  { name: 'reports, no queue, no refusals', tuning: { spareTokens: NEVER, freshCost: NEVER } },
-  { name: 'reports and refusals, no queue', tuning: { freshCost: NEVER } },
+  { name: 'least own calls in flight only', tuning: { ...NO_QUEUE, reportWeight: 0, spareTokens: NEVER } },
+  { name: 'reports, no queue, no refusals', tuning: { ...NO_QUEUE, spareTokens: NEVER } },
+  { name: 'reports and refusals, no queue', tuning: NO_QUEUE },
   { name: 'reports and queue, no refusals', tuning: { spareTokens: NEVER } },
   { name: 'refusals and queue, no reports', tuning: { reportWeight: 0 } },
   { name: 'queue until a slot is believed free', tuning: { freshCost: 1.05, costPerMs: 0, largestCost: 1.05 } },
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -45,7 +45,7 @@
 const FAILURE_STEP = 0.02
 /** Loss of trust in all reports of a service by one contradiction, and gain by one confirmation. */
 const TRUST_LOSS = 0.2
-const TRUST_GAIN = 0.02
+const TRUST_GAIN = 0.005
 const INTERVAL_STEP = 0.05
 /** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
 const PREDICTION_SLACK = 1.2
@@ -76,6 +76,7 @@
       random: options.random,
       usual: INITIAL_LATENCY,
       high: 4 * INITIAL_LATENCY,
+      reportMemory: options.tuning.reportMemory,
       typicalOthers: 0,
       trust: options.tuning.reportWeight,
       suspicionWeight: options.tuning.suspicionWeight,
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -18,6 +18,8 @@
   usual: number
   /** 95th percentile of the latency of the service in ms. */
   high: number
+  /** Age in ms at which a single report has lost half of its weight against the average. */
+  readonly reportMemory: number
   /** Usual calls of other entries at a server. */
   typicalOthers: number
   /** Trust in the reports of the service's servers as a whole. */
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -16,13 +16,13 @@
 const MAX_EVIDENCE = 25
 const HIGH_QUANTILE = 0.95
 const HIGH_STEP = 0.1
-/** Share of the newest report in the average load of others. */
-const OTHERS_STEP = 0.1
+/** Share of the newest report in the average load of others: a short average oscillates when reports lag. */
+const OTHERS_STEP = 0.01
 const TRUST_LOSS = 0.3
 /** Gain by a report that contradicts nothing; far smaller, because a stale report is rarely caught. */
 const TRUST_DRIFT = 0.002
 /** Gain by a report that explains why the server shed a call. */
-const TRUST_GAIN = 0.1
+const TRUST_GAIN = 0.02
 const ERROR_STEP = 0.3
 /** Share of its slots that a server which was just first seen is used with. */
 const RAMP_START = 0.2
@@ -169,11 +169,11 @@
   }
 
   /** Estimated calls of other entries at the server. A report loses weight with age and with contradictions. */
-  others(now: number, place: { usual: number; typicalOthers: number; trust: number }): number {
-    const { usual, typicalOthers } = place
+  others(now: number, place: { reportMemory: number; typicalOthers: number; trust: number }): number {
+    const { reportMemory: memory, typicalOthers } = place
     const trust = this.#trust * place.trust
     const average = typicalOthers + (this.#averageOthers - typicalOthers) * trust
-    const weight = trust * (usual / (usual + Math.max(0, now - this.reportedAt)))
+    const weight = trust * (memory / (memory + Math.max(0, now - this.reportedAt)))
     return average + (this.#others - average) * weight
   }
 
--- a/packages/routing/src/tuning.ts
+++ b/packages/routing/src/tuning.ts
@@ -17,6 +17,11 @@
   readonly yieldShare: number
   /** Weight of load reports, 0 to use only the calls of this entry. */
   readonly reportWeight: number
+  /**
+   * Age in ms at which a single report has lost half of its weight against the server's average. With 20 ms all entries
+   * followed the same reports when these were 500 ms old.
+   */
+  readonly reportMemory: number
   /** Rise of a server's rank per unit of evidence that it is slow. */
   readonly suspicionWeight: number
 }
@@ -29,5 +34,6 @@
   spareTokens: 3,
   yieldShare: 0.005,
   reportWeight: 1,
+  reportMemory: 6,
   suspicionWeight: 0.03,
 }
