--- a/packages/bench/src/routing/report.ts
+++ b/packages/bench/src/routing/report.ts
@@ -85,14 +85,42 @@
     WAYS,
     renderVariants(report),
     JUDGEMENT,
-    '## All figures',
+    FIGURES,
+    ...summary(report.results),
     '',
-    'Times in ms.',
-    '',
-    ...report.results.map(renderScenario),
   ].join('\n')
 }
 
+/** One row per scenario; the command prints all policies. */
+function summary(results: readonly Result[]): string[] {
+  const header = [
+    'Scenario',
+    'Router',
+    'Power of two',
+    'Best baseline',
+    'Bound',
+    'In time',
+    'Queued',
+    'Goodput',
+    'Probes',
+  ]
+  const rows = results.map((result) => {
+    const { router, bound, baselines } = result
+    const powerOfTwo = baselines['power of two choices']
+    const best = Object.values(baselines).reduce((left, right) => (right.urgentP99 < left.urgentP99 ? right : left))
+    const tails = [router, powerOfTwo ?? bound, best, bound].map(tailsOf)
+    const shares = [percent(router.inTime, 2), percent(router.queuedWhileFree, 1), percent(router.goodput, 1)]
+    const spent = `${router.measuringSpent}/${router.measuringBudget}`
+    return `| ${[label(result.scenario), ...tails, ...shares, spent].join(' | ')} |`
+  })
+  return [...table(header), ...rows]
+}
+
+function tailsOf(figures: Figures): string {
+  const { p50, p99, p999, urgentP99 } = figures
+  return [p50, p99, p999, urgentP99].map((time) => time.toFixed(0)).join(' / ')
+}
+
 const INTRODUCTION = `# Routing
 
 This page is written by the comparison of routing policies. Several routers share servers with 3 slots and a FIFO queue;
@@ -110,6 +138,14 @@
 - Measuring budget: 2 permille of slot time, in probes of at most 12 ms.
 `
 
+const FIGURES = `## All figures
+
+Times in ms as p50 / p99 / p99.9 of all calls / p99 of urgent calls. The best baseline is the one with the lowest p99 of
+urgent calls. In time: urgent calls of the router with a complete response before their deadline. Queued: calls of the
+router that met a server without a free slot while another server had one. Probes: ms of slot time reserved, and budget.
+At 95% load a slow, cold or lost server makes the load exceed the capacity.
+`
+
 const WAYS = `## Ways weighed
 
 Urgent p99 / p99 of all calls in ms, service booking (6 servers, 11 entries), exponential.
@@ -122,10 +158,14 @@
   goes elsewhere. The token for that is taken in advance, so a refused call is never lost for lack of one.
 - **Counting to idle**, that is waiting until a slot is believed free, leaves slots idle for a round trip after each
   call; entries with few calls in flight learn too late of free slots.
+- **Own counts alone** come close: with 6 to 16 servers and 7 to 11 entries most of the gain over power of two comes
+  from looking at all servers and from the queue; reports and refusals add a few percent in steady state.
 - **Leased slots** never queue at a server, but with 18 slots and 11 entries most calls wait for a lease. The model is
   optimistic: it finds idle leases at once.
 - **Hedged and tied requests** were weighed but not run: work belongs to the call here, so a second request can only
   save the wait in a queue, which refusals save without a second request; against a slow server the age of calls acts
   within a few calls. They would also spend the retry budget that refusals use.
+- **Deferrable calls** leave the last free slots to urgent ones for 0.5% of their time only (20 ms of 4 s). An eighth
+  lowers the tail of urgent calls a little but misses the target for all calls at 80%.
 - **Reports** lose weight with age, and with refusals that contradict them, per server and for the whole service.
 `
--- a/packages/bench/src/routing/targets.ts
+++ b/packages/bench/src/routing/targets.ts
@@ -36,6 +36,9 @@
       slow(results),
       (result) => atMost(result.router.p99, SLOW_FACTOR * powerOfTwo(result).p99),
     ),
+    check('The same for urgent calls', slow(results), (result) =>
+      atMost(result.router.urgentP99, SLOW_FACTOR * powerOfTwo(result).urgentP99),
+    ),
     check('p99 of urgent calls never worse than 1.05 times the best baseline', results, (result) =>
       atMost(result.router.urgentP99, BASELINE_FACTOR * best(result, 'urgentP99')),
     ),
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -56,6 +56,8 @@
   /** Calls of this entry at servers of the service. */
   inFlight = 0
   failureRate = 0
+  /** Whether a server may be on trial: spares the search for one on every call. */
+  hasTrial = false
   readonly place: Surroundings
   readonly #urgent = new CallQueue()
   readonly #deferrable = new CallQueue()
@@ -144,6 +146,7 @@
   /** Recomputes what is usual for the service as medians over its servers, so that a few outliers change nothing. */
   refresh(now: number): void {
     this.#refreshedAt = now
+    this.hasTrial = this.records.some((record) => record.standing.kind === 'trial')
     const latencies: number[] = []
     const highs: number[] = []
     let others = 0
@@ -182,6 +185,7 @@
 
   /** A server on trial that this call may test: a deferrable one, if there are any. */
   #trialFor(call: Call, now: number): ServerRecord | undefined {
+    if (!this.hasTrial) return undefined
     if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < URGENT_MEMORY) return undefined
     return this.records.find(
       (record) =>
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -329,6 +329,7 @@
       this.#ejectOutlier(record, pool, now, effects)
       if (record.standing.kind !== 'ejected' || now < record.standing.until) continue
       record.standing = { kind: 'trial', successes: 0, backoff: record.standing.backoff }
+      pool.hasTrial = true
       const cost = this.#probeLimit
       if (!this.tokens.take(record.server.service, cost, now)) continue
       record.isProbing = true
