--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,13 @@
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
       '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    // Indexing fixtures by constants is safe in tests; a missing element fails the test at once.
+    files: ['packages/*/test/**/*.ts'],
+    rules: { '@typescript-eslint/no-non-null-assertion': 'off' },
+  },
 )
--- /dev/null
+++ b/packages/consensus/test/support/schedule.ts
@@ -0,0 +1,289 @@
+/** Seeded schedules: random faults for a while, then a healed network in which the cluster must make progress. */
+import { failureDomain, randomBelow, type FailureDomain } from '@bilberrystall/base'
+import { planRepair, type RepairNode, type ReplicaSet } from '../../src/index'
+import { majorityOf, votersOf } from '../../src/replica-sets'
+import { Violation } from './checker'
+import { Cluster, QUIET, type Host, type MakeStepper } from './cluster'
+
+/** Shares of the actions of a schedule before it weighs them anew. */
+const WEIGHTS = {
+  propose: 40,
+  read: 20,
+  repair: 15,
+  crash: 4,
+  crashAll: 1,
+  partition: 5,
+  reconnect: 4,
+  freeze: 5,
+  transfer: 3,
+  loseDisk: 3,
+}
+
+export type Action = keyof typeof WEIGHTS
+
+export interface ScheduleOptions {
+  readonly seed: number
+  /** Voters at the start; a single one grows to 3 by repair. */
+  readonly voters?: 1 | 3 | 5
+  readonly spares?: number
+  readonly make?: MakeStepper
+  /** A fault of the host: an empty disk is started under the old replica id. */
+  readonly keepsIdentity?: boolean
+  /** Length of the part with faults in milliseconds. */
+  readonly faultMs?: number
+  /** Leaves out the check of each message against the disk of its sender, to show that the outcome is caught as well. */
+  readonly outcomeOnly?: boolean
+  /** Actions that are frequent in every schedule. */
+  readonly emphasis?: readonly Action[]
+  /** Longest sync of the fake disk in milliseconds. */
+  readonly syncMs?: number
+}
+
+export interface ScheduleResult {
+  readonly violation: string | undefined
+  readonly steps: number
+  readonly committed: number
+  readonly reads: number
+}
+
+/** Log limits small enough that every schedule takes, sends and installs snapshots. */
+const SMALL_LOG = { logEntries: 10, keptEntries: 4, chunkBytes: 16, batchEntries: 4, inFlight: 3 }
+/** Time in which a healed cluster must elect a leader and apply a new command everywhere, in milliseconds. */
+const RECOVERY_MS = 10_000
+const LOST_AFTER_MS = 700
+
+export function runSchedule(options: ScheduleOptions): ScheduleResult {
+  const voters = options.voters ?? 3
+  const { seed, spares = 1, syncMs = 5 } = options
+  const make = options.make === undefined ? {} : { make: options.make }
+  const cluster = new Cluster({ seed, voters, spares, syncMs, limits: SMALL_LOG, ...make })
+  cluster.checker.checksMessages = options.outcomeOnly !== true
+  let violation: string | undefined
+  try {
+    new Schedule(cluster, options, voters === 5 ? 5 : 3).run()
+  } catch (cause) {
+    if (!(cause instanceof Violation)) throw cause
+    violation = cause.message
+  }
+  const { steps, checker } = cluster
+  return { violation, steps, committed: checker.committedCount, reads: checker.reads }
+}
+
+class Schedule {
+  readonly #cluster: Cluster
+  readonly #options: ScheduleOptions
+  readonly #target: 3 | 5
+  readonly #weights: ReadonlyMap<Action, number>
+
+  constructor(cluster: Cluster, options: ScheduleOptions, target: 3 | 5) {
+    this.#cluster = cluster
+    this.#options = options
+    this.#target = target
+    this.#weights = this.#weigh()
+  }
+
+  run(): void {
+    const cluster = this.#cluster
+    const faultMs = this.#options.faultMs ?? 4_000
+    cluster.runUntil(1_500)
+    cluster.network = {
+      loss: this.#pick([0, 0.02, 0.2]),
+      duplicates: this.#pick([0, 0.05]),
+      slow: this.#pick([0, 0.05, 0.3]),
+      slowMs: this.#pick([100, 1_500]),
+    }
+    const end = cluster.now + faultMs
+    while (cluster.now < end) {
+      this.#act()
+      cluster.runUntil(cluster.now + 10 + randomBelow(cluster.random, 80))
+    }
+    this.#heal()
+    this.#expectProgress()
+  }
+
+  /** Each schedule weighs the actions anew, so that rare combinations become frequent in some schedules. */
+  #weigh(): ReadonlyMap<Action, number> {
+    const weights = new Map<Action, number>()
+    for (const [action, weight] of Object.entries(WEIGHTS) as [Action, number][]) {
+      const isEmphasized = this.#options.emphasis?.includes(action) === true
+      const factor = action === 'propose' ? 1 : this.#pick(isEmphasized ? [4, 8] : [0, 1, 4])
+      weights.set(action, weight * factor)
+    }
+    return weights
+  }
+
+  #act(): void {
+    const weights = [...this.#weights]
+    let dice = this.#cluster.random() * weights.reduce((sum, [, weight]) => sum + weight, 0)
+    for (const [action, weight] of weights) {
+      dice -= weight
+      if (dice >= 0) continue
+      this.#do(action, this.#pick(this.#cluster.hosts))
+      return
+    }
+  }
+
+  #do(action: Action, host: Host): void {
+    const cluster = this.#cluster
+    const leader = cluster.leader() ?? host
+    switch (action) {
+      case 'propose':
+        for (let burst = this.#pick([1, 1, 6]); burst > 0; burst -= 1) cluster.propose(leader)
+        break
+      case 'read':
+        cluster.read(this.#reader(host), this.#pick(['quorum', 'lease']))
+        break
+      case 'repair':
+        this.#repair()
+        break
+      case 'crash':
+        this.#crash(host)
+        break
+      case 'crashAll':
+        for (const each of cluster.hosts) this.#crash(each)
+        break
+      case 'partition':
+        this.#partition()
+        break
+      case 'reconnect':
+        cluster.blocked.clear()
+        break
+      case 'freeze':
+        cluster.freeze(this.#pick([host, leader]), randomBelow(cluster.random, 2_000))
+        break
+      case 'transfer':
+        cluster.step(leader, { kind: 'transfer' })
+        break
+      case 'loseDisk':
+        this.#loseDisk(host)
+        break
+    }
+  }
+
+  /** Replicas that believe they lead are read most, since a stale answer would come from them. */
+  #reader(host: Host): Host {
+    const leaders = this.#cluster.hosts.filter((candidate) => candidate.role === 'leader')
+    return leaders.length > 0 && this.#cluster.random() < 0.7 ? this.#pick(leaders) : host
+  }
+
+  #repair(): void {
+    const cluster = this.#cluster
+    const leader = cluster.leader()
+    const status = leader?.stepper?.status()
+    if (leader === undefined || status === undefined) return
+    const plan = planRepair({
+      status,
+      nodes: this.#liveNodes(),
+      now: cluster.clock(leader),
+      target: this.#target,
+      lostAfter: LOST_AFTER_MS,
+      liveWithin: 300,
+    })
+    if (plan.some) cluster.change(leader, plan.val)
+  }
+
+  #liveNodes(): readonly RepairNode[] {
+    const running = this.#cluster.hosts.filter((host) => host.stepper !== undefined)
+    return running.map((host) => ({ node: host.node, replica: host.replica, failureDomain: domainOf(host) }))
+  }
+
+  #crash(host: Host): void {
+    if (host.stepper === undefined) return
+    this.#cluster.crash(host)
+    this.#restartLater(host)
+  }
+
+  #restartLater(host: Host): void {
+    this.#cluster.at(randomBelow(this.#cluster.random, 1_500), () => {
+      if (host.stepper === undefined) this.#cluster.start(host)
+    })
+  }
+
+  #partition(): void {
+    const { hosts, random } = this.#cluster
+    const side = new Set(hosts.filter(() => random() < 0.5))
+    const leader = this.#cluster.leader()
+    if (leader !== undefined && random() < 0.5) {
+      side.clear()
+      side.add(leader)
+    }
+    this.#isolate(side, random() < 0.2)
+  }
+
+  #isolate(side: ReadonlySet<Host>, isOneWay: boolean): void {
+    const { hosts, blocked } = this.#cluster
+    for (const from of hosts) {
+      for (const to of hosts) {
+        if (side.has(from) && !side.has(to)) blocked.add(`${from.node} ${to.node}`)
+        if (!isOneWay && side.has(to) && !side.has(from)) blocked.add(`${from.node} ${to.node}`)
+      }
+    }
+  }
+
+  /**
+   * Disks are lost only while every set in use keeps a majority of voters with their disks, also if its learners were
+   * voters: their promotion may be under way.
+   */
+  #loseDisk(host: Host): void {
+    const cluster = this.#cluster
+    const lost = new Set([...cluster.lostReplicas, host.replica])
+    const keepsMajority = (members: ReplicaSet): boolean => {
+      const intact = members.filter((info) => !lost.has(info.replica))
+      return members.length === 0 || intact.length >= majorityOf(members.length)
+    }
+    const isSafe = cluster.hosts.every((other) => {
+      const replicas = other.stepper?.status().replicas
+      if (replicas === undefined || !keepsMajority(votersOf(replicas))) return false
+      return keepsMajority(replicas)
+    })
+    if (!isSafe) return
+    cluster.loseDisk(host, this.#options.keepsIdentity !== true)
+    this.#restartLater(host)
+    if (cluster.random() < 0.5) return
+    // A second fault right after the first: the leader is cut off from the others, which may have been cut off before.
+    cluster.blocked.clear()
+    this.#isolate(new Set(cluster.hosts.filter((other) => other === cluster.leader())), false)
+  }
+
+  #heal(): void {
+    const cluster = this.#cluster
+    cluster.network = { ...QUIET }
+    cluster.blocked.clear()
+    for (const host of cluster.hosts) {
+      if (host.stepper === undefined) cluster.start(host)
+      else if (host.frozenUntil > cluster.now) cluster.thaw(host)
+    }
+  }
+
+  #expectProgress(): void {
+    const cluster = this.#cluster
+    const deadline = cluster.now + RECOVERY_MS
+    const before = cluster.checker.maxCommit
+    let done = false
+    while (!done && cluster.now < deadline) {
+      const leader = cluster.leader()
+      if (leader !== undefined) {
+        cluster.propose(leader)
+        cluster.read(this.#pick(cluster.hosts), 'quorum')
+      }
+      done = cluster.runUntil(cluster.now + 100, () => this.#hasRecovered(before))
+    }
+    if (!done) throw new Violation('no progress after the network healed')
+  }
+
+  /** A leader committed something new and every running member applied it. */
+  #hasRecovered(before: number): boolean {
+    const leader = this.#cluster.leader()?.stepper?.status()
+    if (leader === undefined || leader.commit <= before) return false
+    const members = new Set(leader.replicas.map((info) => info.replica))
+    return this.#cluster.hosts.every((host) => !members.has(host.replica) || host.applied > before)
+  }
+
+  #pick<T>(choices: readonly T[]): T {
+    return choices[randomBelow(this.#cluster.random, choices.length)] as T
+  }
+}
+
+function domainOf(host: Host): FailureDomain {
+  return failureDomain(`domain-${host.node}`)
+}
--- /dev/null
+++ b/packages/control/src/apply.ts
@@ -0,0 +1,119 @@
+/** Applies committed commands to the state, in log order. The same commands give the same state on every replica. */
+import { resultCode, type ReplicaId } from '@bilberrystall/base'
+import type { AuditEvent } from './audit'
+import { applyChange, type ChangeApplied } from './change'
+import type { Command } from './command'
+import { decideRoster, proposeRoster } from './roster'
+import {
+  NODE_REQUESTS_KEPT,
+  REPLICA_STEPS_KEPT,
+  currentRevision,
+  type ControlState,
+  type ReplicaAction,
+  type ReplicaMember,
+  type RosterEpoch,
+} from './state'
+
+export type Applied =
+  | ChangeApplied
+  | { readonly kind: 'recorded' }
+  | { readonly kind: 'roster'; readonly epoch?: RosterEpoch; readonly changed: boolean }
+
+/**
+ * Updates `state` in place and returns it: copying 10,000 kept results per command would cost more than the restart
+ * target allows for 2,000 changes.
+ */
+export function applyCommand(state: ControlState, command: Command): { state: ControlState; result: Applied } {
+  state.clock = Math.max(state.clock, command.at)
+  return { state, result: dispatch(state, command) }
+}
+
+function dispatch(state: ControlState, command: Command): Applied {
+  switch (command.kind) {
+    case 'submit':
+    case 'promote':
+      return applyChange(state, command)
+    case 'refuse':
+      return recordRefusal(state, command)
+    case 'node':
+      return recordNodeRequest(state, command)
+    case 'replica-step':
+      state.replicaIntent = command
+      return { kind: 'recorded' }
+    case 'roster-propose':
+      return { kind: 'roster', epoch: proposeRoster(state, command.entries), changed: true }
+    case 'roster-seal':
+      return { kind: 'roster', changed: decideRoster(state, command.epoch, 'sealed') }
+    case 'roster-void':
+      return { kind: 'roster', changed: decideRoster(state, command.epoch, 'void') }
+  }
+}
+
+function recordRefusal(state: ControlState, command: Extract<Command, { kind: 'refuse' }>): Applied {
+  const event: AuditEvent = {
+    at: state.clock,
+    operation: 'refuse',
+    requester: command.requester,
+    source: command.source,
+    ...(command.changeId === undefined ? {} : { changeId: command.changeId }),
+    ...(command.environment === undefined
+      ? {}
+      : { environment: command.environment, revision: currentRevision(state, command.environment) }),
+    ...(command.digest === undefined ? {} : { digest: command.digest }),
+    result: resultCode(command.code).name,
+  }
+  state.audit.append(event)
+  return { kind: 'recorded' }
+}
+
+function recordNodeRequest(state: ControlState, command: Extract<Command, { kind: 'node' }>): Applied {
+  const { requester, source, node } = command
+  const operation = command.action === 'drain' ? 'drain-node' : 'replace-node'
+  state.audit.append({ at: state.clock, operation, requester, source, target: node, result: 'ok' })
+  if (command.action === 'drain') {
+    const others = state.drains.filter((drain) => drain.node !== node)
+    state.drains = [...others, { node, at: state.clock }].slice(-NODE_REQUESTS_KEPT)
+  } else if (state.replicas.some((replica) => replica.node === node) && !state.replacing.includes(node)) {
+    state.replacing = [...state.replacing, node]
+  }
+  return { kind: 'recorded' }
+}
+
+/**
+ * Applies a committed replica set. The record of the step is derived from the set itself, so it exists exactly when the
+ * step took effect; the command before it gives time and reason.
+ */
+export function applyReplicaSet(state: ControlState, replicas: readonly ReplicaMember[]): void {
+  for (const { action, replica } of stepsBetween(state.replicas, replicas)) {
+    const intent = state.replicaIntent
+    const reason = intent?.action === action && intent.replica === replica ? intent.reason : 'no reason recorded'
+    const at = state.clock
+    state.replicaSteps = [...state.replicaSteps, { at, action, replica, reason }].slice(-REPLICA_STEPS_KEPT)
+    state.audit.append({
+      at,
+      operation: `replica-${action}`,
+      requester: 'control',
+      source: reason,
+      target: replica,
+      result: 'ok',
+    })
+  }
+  state.replicas = replicas
+  state.replicaIntent = undefined
+  state.replacing = state.replacing.filter((node) => replicas.some((replica) => replica.node === node))
+}
+
+function stepsBetween(
+  before: readonly ReplicaMember[],
+  after: readonly ReplicaMember[],
+): { readonly action: ReplicaAction; readonly replica: ReplicaId }[] {
+  const steps = after.flatMap((member) => {
+    const known = before.find((candidate) => candidate.replica === member.replica)
+    if (known?.role === member.role) return []
+    return [
+      { action: member.role === 'voter' ? ('promote' as const) : ('add-learner' as const), replica: member.replica },
+    ]
+  })
+  const gone = before.filter((member) => !after.some((candidate) => candidate.replica === member.replica))
+  return [...steps, ...gone.map(({ replica }) => ({ action: 'remove' as const, replica }))]
+}
--- /dev/null
+++ b/packages/node/src/frame.ts
@@ -0,0 +1,29 @@
+/**
+ * What every role of a process shares: directory, gossip, RPC, log, metrics and clocks. Roles are wired to it.
+ */
+import type { NodeId, Random } from '@bilberrystall/base'
+import type { Directory, Node } from '@bilberrystall/membership'
+import type { RpcClients } from '@bilberrystall/rpc'
+import type { Gossip } from './gossip'
+import type { Log } from './log'
+import type { Metrics } from './metrics'
+import type { Settings } from './settings'
+
+export interface Frame {
+  readonly settings: Settings
+  readonly self: NodeId
+  /** Start of this process in Unix milliseconds. */
+  readonly startedAt: number
+  readonly directory: Directory
+  readonly gossip: Gossip
+  readonly clients: RpcClients
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly random: Random
+  /** Monotonic milliseconds. */
+  readonly now: () => number
+  /** Unix milliseconds; agrees between nodes to within 1 s. */
+  readonly unix: () => number
+  /** Publishes a changed part of this node's record in the directory. */
+  readonly announce: (part: Partial<Node>) => void
+}
