--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -45,7 +45,7 @@
 const FAILURE_STEP = 0.02
 /** Loss of trust in all reports of a service by one contradiction, and gain by one confirmation. */
 const TRUST_LOSS = 0.2
-const TRUST_GAIN = 0.02
+const TRUST_GAIN = 0.005
 const INTERVAL_STEP = 0.05
 /** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
 const PREDICTION_SLACK = 1.2
@@ -56,6 +56,8 @@
   /** Calls of this entry at servers of the service. */
   inFlight = 0
   failureRate = 0
+  /** Whether a server may be on trial: spares the search for one on every call. */
+  hasTrial = false
   readonly place: Surroundings
   readonly #urgent = new CallQueue()
   readonly #deferrable = new CallQueue()
@@ -76,6 +78,7 @@
       random: options.random,
       usual: INITIAL_LATENCY,
       high: 4 * INITIAL_LATENCY,
+      reportMemory: options.tuning.reportMemory,
       typicalOthers: 0,
       trust: options.tuning.reportWeight,
       suspicionWeight: options.tuning.suspicionWeight,
@@ -143,6 +146,7 @@
   /** Recomputes what is usual for the service as medians over its servers, so that a few outliers change nothing. */
   refresh(now: number): void {
     this.#refreshedAt = now
+    this.hasTrial = this.records.some((record) => record.standing.kind === 'trial')
     const latencies: number[] = []
     const highs: number[] = []
     let others = 0
@@ -181,6 +185,7 @@
 
   /** A server on trial that this call may test: a deferrable one, if there are any. */
   #trialFor(call: Call, now: number): ServerRecord | undefined {
+    if (!this.hasTrial) return undefined
     if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < URGENT_MEMORY) return undefined
     return this.records.find(
       (record) =>
