Wait for the committed replica set before reading the audit trail in a test

Cause: the test read the replica set while the removal was only appended; its audit record appears when the entry is applied, so the test failed in up to 4 of 7 runs under load.

--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -72,8 +72,10 @@
   if (lost === undefined) throw new Error('a follower is expected')
   await cluster.kill(lost)
   await until(() => {
-    const { replicas } = leader.control.host.status()
-    const isReplaced = replicas.length === 3 && !replicas.some(({ replica }) => replica === lost.control.replica)
+    // The audit record exists once the removal is applied, not when it is only in the log.
+    const { replicas, replicasCommitted } = leader.control.host.status()
+    const isReplaced =
+      replicasCommitted && replicas.length === 3 && !replicas.some(({ replica }) => replica === lost.control.replica)
     return isReplaced && replicas.every(({ role }) => role === 'voter') ? true : undefined
   })
   const { body } = await call(leader, '/v1/audit?requester=control&limit=3')
