Test an entry that is frozen while a server leaves

Cause: after SIGCONT an entry could route waiting calls before its expiry timer runs. Tried and reverted: a hook that lets leases expire before each routing decision.

--- a/packages/testkit/test/session/leaving.test.ts
+++ b/packages/testkit/test/session/leaving.test.ts
@@ -78,3 +78,23 @@
   const records = await Promise.all(servers.map((server) => server.record()))
   return servers[records.findIndex((record) => record.executions > 0)]
 }
+
+test('an entry that was frozen while a server left sends it no work when it wakes with calls waiting', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2)])
+  const servers = await startServers(cluster, 'site-history', 2)
+  const frozen = cluster.node('entry-2')
+  const [leaving] = servers
+  for (const server of servers) await server.change({ entries: [cluster.node('entry-1').addresses.status] })
+  await sleep(1000)
+  frozen.running.signal('SIGSTOP')
+  const told = Date.now()
+  await leaving?.change({ state: 'draining' })
+  await sleep(LEAVING_LIMIT_MS + 500)
+  // The calls wait in the socket of the frozen entry and are read before any timer of it runs.
+  const pace = { kind: 'open', callsPerSecond: 200 } as const
+  const load = runLoad({ entries: callers([frozen]), pace, durationMs: 500, calls: [HISTORY] })
+  await sleep(300)
+  frozen.running.signal('SIGCONT')
+  await load
+  expect((await leaving?.record())?.lastArrival ?? 0).toBeLessThan(told + LEAVING_LIMIT_MS)
+})
