Ask for refusals only for calls that can be sent again

Cause: an entry that does not keep the request body, or has no attempt left, cannot repeat a call that a full server refused, and would end it with server-shed although a slot frees within ms. The call states it now with resendable (default true). Both tests were seen to fail with the rule, or the refund of the token, taken out.

--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -19,6 +19,11 @@
   readonly deadline: number
   /** Whether the call may run more than once. */
   readonly repeatable: boolean
+  /**
+   * Whether the shell can send the call again after a refusal, default true. A call whose body is not kept, or that has
+   * no attempt left, never asks a full server to refuse it.
+   */
+  readonly resendable?: boolean
   /** Servers that must not be chosen: the call was sent to them before. */
   readonly tried?: readonly ServerId[]
 }
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -225,7 +225,7 @@
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
   #reserveBounce(call: Call, now: number): boolean {
-    if (call.tried !== undefined && call.tried.length > 0) return false
+    if (call.resendable === false || (call.tried !== undefined && call.tried.length > 0)) return false
     return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
   }
 
--- a/packages/routing/test/policy.test.ts
+++ b/packages/routing/test/policy.test.ts
@@ -91,6 +91,32 @@
   })
 })
 
+describe('refusals', () => {
+  // Guards against a call that a full server refuses and that the shell cannot send again.
+  test('only a call that can be sent again asks a full server to refuse it', () => {
+    const traffic = new Traffic(makeRouter(6))
+    traffic.run(100, ok)
+    expect(traffic.submit()).toMatchObject([{ kind: 'dispatch', queueLimit: 0 }])
+    expect(traffic.submit({ resendable: false })[0]).not.toHaveProperty('queueLimit')
+    expect(traffic.submit({ tried: [name(0)] })[0]).not.toHaveProperty('queueLimit')
+  })
+
+  // Guards against a refused call that finds the retry budget spent by others.
+  test('a refused call can always be sent again', () => {
+    const router = makeRouter(6)
+    const traffic = new Traffic(router)
+    traffic.run(100, ok)
+    const refusable = Array.from({ length: 12 }, () => traffic.submit()).flat()
+    const asked = refusable.filter((effect) => effect.kind === 'dispatch' && effect.queueLimit === 0)
+    expect(asked.length).toBeGreaterThan(7)
+    for (const effect of asked) {
+      if (effect.kind !== 'dispatch') continue
+      router.finished(effect.call, 'shed', 1, full, traffic.now)
+      expect(router.mayRetry(SERVICE, traffic.now)).toBe(true)
+    }
+  })
+})
+
 describe('outliers', () => {
   // Guards against a fail-fast server that looks idle: target under 2% of calls after 1 s.
   test('a server that fails fast receives under 2% of calls after 1 s', () => {
