--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -71,9 +71,8 @@
   readonly #environment: CallEnvironment
   readonly #pools = new Map<ServerId, ServerPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
-  readonly #calls = new Map<Call, number>()
-  /** Connections of callers with a response in progress. */
-  readonly #busy = new WeakSet<Socket>()
+  /** Number of responses in progress per connection of a caller; pipelined requests have several. */
+  readonly #busy = new WeakMap<Socket, number>()
   readonly #own: (request: IncomingMessage, response: ServerResponse) => unknown
   #sweep: NodeJS.Timeout | undefined
   #draining = false
@@ -103,7 +102,7 @@
   }
 
   get callsInFlight(): number {
-    return this.#calls.size
+    return this.#driver.size
   }
 
   /** Fails with `address-in-use`. */
@@ -149,7 +148,7 @@
     this.leave()
     this.#http.close()
     this.#http.closeIdleConnections()
-    if (this.#calls.size === 0) return true
+    if (this.callsInFlight === 0) return true
     let timer: NodeJS.Timeout | undefined
     const idle = new Promise<boolean>((resolve) => {
       this.#idle = () => {
@@ -195,7 +194,7 @@
     )
     server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
       // A problem after the start of a response would be taken for a part of it.
-      if (this.#busy.has(socket)) socket.destroy()
+      if ((this.#busy.get(socket) ?? 0) > 0) socket.destroy()
       else answerParseError(cause, socket)
     })
     return server
@@ -211,12 +210,10 @@
       pool: (server) => this.#pool(server),
       draining: () => this.#draining,
       ended: (call, result) => {
-        const startedAt = this.#calls.get(call) ?? this.#clock.monotonic()
-        this.#options.events?.ended?.(result, this.#clock.monotonic() - startedAt)
+        this.#options.events?.ended?.(result, this.#clock.monotonic() - call.acceptedAt)
       },
-      closed: (call) => {
-        this.#calls.delete(call)
-        if (this.#calls.size === 0) this.#idle?.()
+      closed: () => {
+        if (this.callsInFlight === 0) this.#idle?.()
       },
     }
   }
@@ -232,8 +229,8 @@
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request
-    this.#busy.add(socket)
-    response.once('close', () => this.#busy.delete(socket))
+    this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1)
+    response.once('close', () => this.#busy.set(socket, (this.#busy.get(socket) ?? 1) - 1))
     if (request.url?.startsWith(OWN_PREFIX) === true) {
       this.#own(request, response)
       return
@@ -245,9 +242,7 @@
       this.#options.events?.ended?.(prepared.error.code, 0)
       return
     }
-    const call = new Call({ request, response, ...prepared.value }, this.#environment)
-    this.#calls.set(call, this.#clock.monotonic())
-    call.begin()
+    new Call({ request, response, ...prepared.value }, this.#environment).begin()
   }
 
   #prepare(head: Head): Result<{ head: Head; document: Document; route: Route; context: CallContext }, Failure> {
@@ -309,8 +304,7 @@
   }
 
   #sweepAll(): void {
-    const now = this.#clock.monotonic()
-    for (const call of this.#calls.keys()) call.sweep(now)
+    this.#driver.sweep()
     for (const pool of this.#pools.values()) pool.sweep()
   }
 }
--- a/packages/node/src/control-replica.ts
+++ b/packages/node/src/control-replica.ts
@@ -64,6 +64,8 @@
   readonly onRole: (role: Role, leader: ReplicaId | undefined, term: Term) => void
   /** The replica cannot go on; the process is to end with the code. */
   readonly onFatal: (cause: Failure) => void
+  /** Called with the time of each sync in milliseconds. */
+  readonly onSynced?: (duration: number) => void
   readonly now?: () => number
   readonly limits?: Partial<Limits>
 }
@@ -192,6 +194,7 @@
   }
 
   #await(input: (proposal: number) => Input): Promise<Proposed> {
+    if (this.#stopped) return Promise.resolve({ kind: 'failed', failure: failure('noQuorum'), leader: undefined })
     const proposal = this.#nextId
     this.#nextId += 1
     return new Promise((resolve) => {
@@ -204,6 +207,7 @@
   }
 
   #startRead(): Promise<Result<void, Failure>> {
+    if (this.#stopped) return Promise.resolve(err(failure('noQuorum')))
     const read = this.#nextId
     this.#nextId += 1
     return new Promise((resolve) => {
@@ -257,7 +261,7 @@
         this.#endRead(output.read, err(output.failure))
         break
       case 'role':
-        if (output.role !== 'leader') this.#transferDone?.()
+        if (output.role !== 'leader') this.#lostLeadership()
         this.#options.onRole(output.role, output.leader, output.term)
         break
       case 'transfer-failed':
@@ -266,6 +270,12 @@
     }
   }
 
+  /** What becomes of the accepted proposals is decided by the next leader; whoever waits asks there. */
+  #lostLeadership(): void {
+    this.#transferDone?.()
+    for (const { proposal } of [...this.#entries.values()]) this.#endProposal(proposal, { kind: 'unknown' })
+  }
+
   #accepted(index: LogIndex, pending: PendingEntry): void {
     const replaced = this.#entries.get(index)
     if (replaced !== undefined) this.#endProposal(replaced.proposal, { kind: 'unknown' })
@@ -273,7 +283,9 @@
   }
 
   async #persist(persist: number, records: Parameters<ControlDisk['persist']>[0]): Promise<void> {
+    const start = performance.now()
     const result = await this.#options.disk.persist(records)
+    this.#options.onSynced?.(performance.now() - start)
     if (result.isErr()) this.#fail(result.error)
     else this.#step({ kind: 'persisted', persist })
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -126,6 +126,7 @@
       cluster: this.#frame.directory,
       keeper: this.#keeper,
       log: this.#frame.log,
+      metrics: this.#metrics,
       random: this.#frame.random,
       start: this.#frame.startedAt,
       onFatal: (cause) => {
@@ -151,6 +152,7 @@
       traffic: this.#traffic,
       routes: (router) => {
         this.#frame.gossip.routes(router)
+        this.#entry?.routes(router)
         if (this.#control !== undefined) this.#control.routes(router)
         else deliveryRoutes(router, { keeper: this.#keeper, now: this.#frame.now, control: undefined })
       },
