--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -70,13 +70,11 @@
   #lastDrainAt = Number.NaN
   #drainInterval = 0
   #order = 0
-  #seenAt: number
   #refreshedAt = Number.NEGATIVE_INFINITY
 
   constructor(options: PoolOptions, now: number) {
     this.#options = options
     this.#queueLimit = options.queue
-    this.#seenAt = now
     this.budget = new RetryBudget(options.retries, now)
     this.place = {
       random: options.random,
@@ -94,13 +92,12 @@
     return this.#urgent.size + this.#deferrable.size
   }
 
-  configure(retries: RetryLimits, queue: number): void {
-    this.budget = new RetryBudget(retries, this.#seenAt)
+  configure(retries: RetryLimits, queue: number, now: number): void {
+    this.budget = new RetryBudget(retries, now)
     this.#queueLimit = queue
   }
 
   submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
-    this.#seenAt = now
     if (now - this.#refreshedAt > REFRESH_INTERVAL) this.refresh(now)
     if (call.tried === undefined || call.tried.length === 0) this.budget.credit(now)
     if (call.urgency === 'urgent') this.#lastUrgentAt = now
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -67,9 +67,9 @@
   }
 
   /** Applies the limits of the document to a service. */
-  configure(service: ServiceName, limits: ServiceLimits): void {
+  configure(service: ServiceName, limits: ServiceLimits, now: number): void {
     this.#limits.set(service, limits)
-    this.#pools.get(service)?.configure(limits.retries ?? {}, limits.queue ?? DEFAULT_QUEUE)
+    this.#pools.get(service)?.configure(limits.retries ?? {}, limits.queue ?? DEFAULT_QUEUE, now)
   }
 
   /** Adds a server or replaces what is known about it. */
--- a/packages/routing/test/driver.ts
+++ b/packages/routing/test/driver.ts
@@ -57,7 +57,7 @@
   readonly #states = new Map<ServerId, ServerState>()
 
   constructor() {
-    this.#router.configure(SERVICE, { queue: QUEUE_LIMIT })
+    this.#router.configure(SERVICE, { queue: QUEUE_LIMIT }, 0)
     for (let index = 0; index < SERVERS; index += 1) this.#states.set(name(index), 'ready')
   }
 
