--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -39,6 +39,8 @@
 /** Time in ms after which what is usual for the service is computed anew. */
 export const REFRESH_INTERVAL = 50
 const INITIAL_LATENCY = 20
+/** Time kept back for running a queued call, in 95th percentiles: long calls that time out cost slot time. */
+const HIGH_MARGIN = 1.5
 /** Largest part of a call's time that is kept back for running it. */
 const RUN_SHARE = 0.5
 const USUAL_STEP = 0.2
@@ -220,7 +222,7 @@
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
   #reserveBounce(call: Call, now: number): boolean {
-    if (call.tried !== undefined && call.tried.length > 0) return false
+    if (call.resendable === false || (call.tried !== undefined && call.tried.length > 0)) return false
     return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
   }
 
@@ -242,7 +244,7 @@
 
   #shedLate(queue: CallQueue, now: number, effects: Effect[]): void {
     for (let first = queue.first(); first !== undefined; first = queue.first()) {
-      const runTime = Math.min(this.place.high, RUN_SHARE * (first.call.deadline - first.since))
+      const runTime = Math.min(HIGH_MARGIN * this.place.high, RUN_SHARE * (first.call.deadline - first.since))
       if (now + runTime <= first.call.deadline) return
       queue.remove(first)
       this.#options.shed(first.call, this.#hasCandidate(first.call) ? 'overloaded' : 'noServer', effects)
