--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -131,6 +131,8 @@
       urgency: context.urgency,
       deadline: this.#deadline,
       repeatable: route.repeatable,
+      // Only a call that can be sent again may be offered to a full server for refusal.
+      resendable: this.#body.whole !== undefined && this.#attemptsLeft > 1,
       tried: [...this.#tried],
     })
   }
