--- /dev/null
+++ b/packages/testkit/test/session/key-fixture.ts
@@ -0,0 +1,34 @@
+/** What the tests of idempotency keys share: three entries that hold keys and two servers of bookings. */
+import {
+  FITTERS_HOST,
+  KEY_AHEAD_MS,
+  sendCall,
+  uuidV7,
+  type Call,
+  type CallResult,
+  type Cluster,
+  type Harness,
+  type StandInProcess,
+} from '@bilberrystall/testkit'
+import { entryNode, ONE_CONTROL, startCluster, startServers } from './fixture'
+
+export interface KeyCluster {
+  readonly cluster: Cluster
+  readonly servers: readonly StandInProcess[]
+}
+
+export async function startKeyCluster(harness: Harness): Promise<KeyCluster> {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2), entryNode(3)])
+  const servers = await startServers(cluster, 'booking', 2)
+  await cluster.keysReady(3)
+  return { cluster, servers }
+}
+
+export function visit(ms: number): Call & { idempotencyKey: string } {
+  const idempotencyKey = uuidV7(Date.now() + KEY_AHEAD_MS)
+  return { method: 'POST', host: FITTERS_HOST, path: `/visits?ms=${ms}`, body: 'visit on Tuesday', idempotencyKey }
+}
+
+export function send(cluster: Cluster, entry: string, call: Call): Promise<CallResult> {
+  return sendCall(cluster.node(entry).addresses.callers, call)
+}
