--- a/packages/testkit/src/programs.ts
+++ b/packages/testkit/src/programs.ts
@@ -2,6 +2,7 @@
  * Programs that tests start. Sources are bundled once per test file, which takes a fifth of a second and makes each
  * start a second faster than running the sources. `BILBERRYSTALL_BINARY` names a built binary to test instead.
  */
+import { rmSync } from 'node:fs'
 import { mkdir } from 'node:fs/promises'
 import { join } from 'node:path'
 import { build } from 'esbuild'
@@ -43,5 +44,8 @@
     legalComments: 'none',
     logLevel: 'error',
   })
+  process.once('exit', () => {
+    rmSync(outfile, { force: true })
+  })
   return outfile
 }
