Name the bundles of tests by worker

The removal at the exit of the process did not work: workers of the test runner end without that event, and the file was still there after a run. Named by worker, the files are overwritten and their number is bounded by the worker count.

--- a/packages/testkit/src/programs.ts
+++ b/packages/testkit/src/programs.ts
@@ -2,7 +2,6 @@
  * Programs that tests start. Sources are bundled once per test file, which takes a fifth of a second and makes each
  * start a second faster than running the sources. `BILBERRYSTALL_BINARY` names a built binary to test instead.
  */
-import { rmSync } from 'node:fs'
 import { mkdir } from 'node:fs/promises'
 import { join } from 'node:path'
 import { build } from 'esbuild'
@@ -29,10 +28,10 @@
   return known
 }
 
-/** Options are those of `scripts/build.ts`. Files are named by process, because test files run at the same time. */
+/** Options are those of `scripts/build.ts`. Files are named by worker, because test files run at the same time. */
 async function bundle(source: string): Promise<string> {
   await mkdir(CACHE, { recursive: true })
-  const outfile = join(CACHE, `${source.replaceAll('/', '-')}-${process.pid}.cjs`)
+  const outfile = join(CACHE, `${source.replaceAll('/', '-')}-${process.env.VITEST_POOL_ID ?? process.pid}.cjs`)
   await build({
     entryPoints: [join(REPOSITORY, source)],
     outfile,
@@ -44,8 +43,5 @@
     legalComments: 'none',
     logLevel: 'error',
   })
-  process.once('exit', () => {
-    rmSync(outfile, { force: true })
-  })
   return outfile
 }
