--- a/packages/testkit/src/programs.ts
+++ b/packages/testkit/src/programs.ts
@@ -28,10 +28,10 @@
   return known
 }
 
-/** Options are those of `scripts/build.ts`. Files are named by process, because test files run at the same time. */
+/** Options are those of `scripts/build.ts`. Files are named by worker, because test files run at the same time. */
 async function bundle(source: string): Promise<string> {
   await mkdir(CACHE, { recursive: true })
-  const outfile = join(CACHE, `${source.replaceAll('/', '-')}-${process.pid}.cjs`)
+  const outfile = join(CACHE, `${source.replaceAll('/', '-')}-${process.env.VITEST_POOL_ID ?? process.pid}.cjs`)
   await build({
     entryPoints: [join(REPOSITORY, source)],
     outfile,
