--- a/packages/testkit/src/slots.ts
+++ b/packages/testkit/src/slots.ts
@@ -16,6 +16,11 @@
     return this.#waiting.length
   }
 
+  /** Whether one more call would make the queue longer than `limit`. */
+  exceeds(limit: number): boolean {
+    return this.#running >= this.#count && this.#waiting.length >= limit
+  }
+
   /** Resolves with true when a slot is taken and with false when the signal ends the wait. */
   take(signal: AbortSignal): Promise<boolean> {
     if (signal.aborted) return Promise.resolve(false)
--- a/packages/testkit/src/stand-in.ts
+++ b/packages/testkit/src/stand-in.ts
@@ -161,7 +161,9 @@
     const body = await readBody(arrival.request)
     const { failFastStatus, shedAtQueue, silent } = this.#behaviour
     if (silent) return
-    if (shedAtQueue > 0 && this.#slots.queued >= shedAtQueue) {
+    const queueLimit = headerOf(arrival.request, 'bilberrystall-queue-limit')
+    const isUnwanted = queueLimit !== undefined && this.#slots.exceeds(Number(queueLimit))
+    if (isUnwanted || (shedAtQueue > 0 && this.#slots.queued >= shedAtQueue)) {
       this.#shed(arrival)
       return
     }
--- a/packages/testkit/test/stand-in.test.ts
+++ b/packages/testkit/test/stand-in.test.ts
@@ -52,6 +52,15 @@
   expect((await sendCall(server.address, photo)).outcome).toBe('complete')
 })
 
+test('a call that accepts no queue is shed by a full server, as the entry expects of a refusal', async () => {
+  const server = await standIn({ slots: 1 })
+  const running = sendCall(server.address, { method: 'GET', path: '/?ms=300' })
+  await eventually('one call runs', () => server.record.inflight === 1)
+  const response = await fetch(`http://${server.address}/`, { headers: { 'bilberrystall-queue-limit': '0' } })
+  expect([response.status, response.headers.get('bilberrystall-not-run')]).toEqual([503, '1'])
+  expect((await running).outcome).toBe('complete')
+})
+
 test('shed calls are marked as not run and are not in the record', async () => {
   const server = await standIn({ slots: 1, behaviour: { shedAtQueue: 1 } })
   const slow = { method: 'GET', path: '/?ms=200' } as const
