Measure slopes of router, claims, control, log and storage

The capacity page had slopes of the directory only. Each part gets a module with four or more sizes; npm run capacity takes names of groups, and only a run of all of them writes the page. Retained memory now counts buffers outside the heap: audit blocks are such buffers and read as 0 bytes before.

--- a/packages/bench/src/capacity-slopes.ts
+++ b/packages/bench/src/capacity-slopes.ts
@@ -1,41 +1,47 @@
-/** Measures every slope of `docs/CAPACITY.md`, prints the table and writes `docs/capacity-slopes.md`. */
+/**
+ * Measures every slope of `docs/CAPACITY.md`, prints the table and writes `docs/capacity-slopes.md` and its plot.
+ * Arguments: names of the groups to run, all when absent; the page is written only by a run of all groups.
+ */
 import { writeFileSync } from 'node:fs'
-import { cpus } from 'node:os'
+import { claimsMeasurements } from './capacity/claims-cost'
+import { controlMeasurements } from './capacity/control-cost'
 import { directoryMeasurements } from './capacity/directory-cost'
+import { logMeasurements } from './capacity/log-cost'
+import { page, row } from './capacity/report'
+import { routerMeasurements } from './capacity/router-cost'
 import { measureSlope, type Measurement, type Slope } from './capacity/slope'
+import { storageMeasurements } from './capacity/storage-cost'
 
-const MEASUREMENTS: readonly Measurement[] = [...directoryMeasurements]
-
-const slopes: Slope[] = []
-for (const measurement of MEASUREMENTS) {
-  const slope = await measureSlope(measurement)
-  slopes.push(slope)
-  process.stdout.write(`${row(slope)}\n`)
+const groupOf = (measurements: readonly Measurement[]) => async () => {
+  const slopes: Slope[] = []
+  for (const measurement of measurements) slopes.push(await measureSlope(measurement))
+  return slopes
 }
-writeFileSync(new URL('../../../docs/capacity-slopes.md', import.meta.url), page(slopes))
 
-function row(slope: Slope): string {
-  const points = slope.points.map((point) => `${point.size}: ${figure(point.median)}`).join('; ')
-  const spread = `${Math.round(slope.spread * 100)}%`
-  return `| ${slope.name} | ${slope.unit} per ${slope.per} | ${points} | ${figure(slope.intercept)} | ${figure(slope.slope)} | ${spread} |`
+const GROUPS: Readonly<Record<string, () => Promise<readonly Slope[]>>> = {
+  directory: groupOf(directoryMeasurements),
+  router: groupOf(routerMeasurements),
+  claims: groupOf(claimsMeasurements),
+  control: groupOf(controlMeasurements),
+  log: groupOf(logMeasurements),
+  storage: groupOf(storageMeasurements),
 }
 
-function figure(value: number): string {
-  return Math.abs(value) >= 100 ? Math.round(value).toLocaleString('en-US') : value.toPrecision(3)
+const wanted = process.argv.slice(2)
+const unknown = wanted.filter((name) => !(name in GROUPS))
+if (unknown.length > 0) {
+  throw new Error(`unknown group ${unknown.join(', ')}; the groups are ${Object.keys(GROUPS).join(', ')}`)
 }
 
-function page(all: readonly Slope[]): string {
-  return [
-    '# Measured slopes',
-    '',
-    'Written by `npm run capacity`: each cost at four or more sizes, median of three runs, with the fitted line and the',
-    'largest distance of a run from its median. `docs/CAPACITY.md` works out the figures at the design size from it.',
-    '',
-    `Measured with Node.js ${process.version} on ${cpus().length} cores, other work on the machine included.`,
-    '',
-    '| Cost | Unit | Median at each size | Intercept | Slope | Spread |',
-    '| --- | --- | --- | --- | --- | --- |',
-    ...all.map(row),
-    '',
-  ].join('\n')
+const groups: { readonly name: string; readonly slopes: readonly Slope[] }[] = []
+for (const [name, measure] of Object.entries(GROUPS)) {
+  if (wanted.length > 0 && !wanted.includes(name)) continue
+  const start = performance.now()
+  const slopes = await measure()
+  groups.push({ name, slopes })
+  process.stdout.write(`${name}, ${((performance.now() - start) / 1_000).toFixed(1)} s\n`)
+  for (const slope of slopes) process.stdout.write(`${row(slope)}\n`)
+}
+if (wanted.length === 0) {
+  writeFileSync(new URL('../../../docs/capacity-slopes.md', import.meta.url), page(groups))
 }
--- a/packages/bench/src/capacity/probe.ts
+++ b/packages/bench/src/capacity/probe.ts
@@ -20,7 +20,15 @@
   return spent / runs
 }
 
-/** Bytes of heap that the built value keeps alive; run Node with `--expose-gc`. */
+/** Microseconds of CPU per unit of work that runs once, for work that cannot be repeated on the same state. */
+export function cpuMicrosecondsOf(work: () => void, units: number): number {
+  const before = process.cpuUsage()
+  work()
+  const { user, system } = process.cpuUsage(before)
+  return (user + system) / units
+}
+
+/** Bytes of heap and of buffers outside it that the built value keeps alive; run Node with `--expose-gc`. */
 export function retainedBytes(build: () => unknown): number {
   const before = heapAfterCollection()
   const value = build()
@@ -33,5 +41,6 @@
   if (globalThis.gc === undefined) throw new Error('memory measurements need node --expose-gc')
   globalThis.gc()
   globalThis.gc()
-  return process.memoryUsage().heapUsed
+  const { heapUsed, external } = process.memoryUsage()
+  return heapUsed + external
 }
