Measure slopes of the entry process and of nodes at rest

The entry group reuses the processes of the overhead measurement and adds servers with longer bodies and servers that call each other; the processes group grows one cluster. A group that measures several costs at once passes its samples to slopeOf.

The processes group was not run yet.

--- a/packages/bench/src/capacity-slopes.ts
+++ b/packages/bench/src/capacity-slopes.ts
@@ -6,7 +6,10 @@
 import { claimsMeasurements } from './capacity/claims-cost'
 import { controlMeasurements } from './capacity/control-cost'
 import { directoryMeasurements } from './capacity/directory-cost'
+import { measureEntry } from './capacity/entry-cost'
 import { logMeasurements } from './capacity/log-cost'
+import { plotSlopes } from './capacity/plot'
+import { measureProcesses } from './capacity/process-cost'
 import { page, row } from './capacity/report'
 import { routerMeasurements } from './capacity/router-cost'
 import { measureSlope, type Measurement, type Slope } from './capacity/slope'
@@ -25,6 +28,8 @@
   control: groupOf(controlMeasurements),
   log: groupOf(logMeasurements),
   storage: groupOf(storageMeasurements),
+  entry: measureEntry,
+  processes: measureProcesses,
 }
 
 const wanted = process.argv.slice(2)
@@ -44,4 +49,5 @@
 }
 if (wanted.length === 0) {
   writeFileSync(new URL('../../../docs/capacity-slopes.md', import.meta.url), page(groups))
+  writeFileSync(new URL('../../../docs/capacity-slopes.svg', import.meta.url), plotSlopes(groups))
 }
--- a/packages/bench/src/capacity/report.ts
+++ b/packages/bench/src/capacity/report.ts
@@ -31,6 +31,10 @@
     `Measured with Node.js ${process.version} on ${cpus().length} cores. Other work was running on the machine: its load`,
     `average over 15 minutes was ${(loadavg()[2] ?? 0).toFixed(1)} at the end of the run.`,
     '',
+    'CPU of processes is the run time of all their threads. Processes at rest are read in three windows of 3.4 s at each size.',
+    '',
+    '![The slopes that decide the design size](capacity-slopes.svg)',
+    '',
     ...groups.flatMap(table),
   ].join('\n')
 }
--- a/packages/bench/src/capacity/slope.ts
+++ b/packages/bench/src/capacity/slope.ts
@@ -2,16 +2,26 @@
 
 const REPEATS = 3
 
-export interface Measurement {
+export interface Cost {
   /** Name of the cost, for example `directory memory`. */
   readonly name: string
   /** What the size counts, for example `servers`. */
   readonly per: string
   readonly unit: string
+}
+
+export interface Measurement extends Cost {
   readonly sizes: readonly number[]
+  /** Runs at each size that compile the code and are not counted, default 1. */
+  readonly warmUps?: number
   readonly measure: (size: number) => number | Promise<number>
 }
 
+export interface Sample {
+  readonly size: number
+  readonly runs: readonly number[]
+}
+
 export interface Point {
   readonly size: number
   readonly median: number
@@ -19,10 +29,7 @@
   readonly most: number
 }
 
-export interface Slope {
-  readonly name: string
-  readonly per: string
-  readonly unit: string
+export interface Slope extends Cost {
   readonly points: readonly Point[]
   readonly slope: number
   readonly intercept: number
@@ -31,21 +38,23 @@
 }
 
 export async function measureSlope(measurement: Measurement): Promise<Slope> {
-  const points: Point[] = []
+  const samples: Sample[] = []
   for (const size of measurement.sizes) {
     const runs: number[] = []
-    // The first run compiles the code and is not counted.
-    await measurement.measure(size)
+    for (let run = 0; run < (measurement.warmUps ?? 1); run += 1) await measurement.measure(size)
     for (let run = 0; run < REPEATS; run += 1) runs.push(await measurement.measure(size))
-    runs.sort((left, right) => left - right)
-    points.push({
-      size,
-      median: runs[Math.floor(runs.length / 2)] ?? 0,
-      least: runs[0] ?? 0,
-      most: runs.at(-1) ?? 0,
-    })
+    samples.push({ size, runs })
   }
-  const { name, per, unit } = measurement
+  return slopeOf(measurement, samples)
+}
+
+/** Fits a line through runs that were measured elsewhere. */
+export function slopeOf({ name, per, unit }: Cost, samples: readonly Sample[]): Slope {
+  const points = samples.map(({ size, runs }) => {
+    const sorted = [...runs].sort((left, right) => left - right)
+    const median = sorted[Math.floor(sorted.length / 2)] ?? 0
+    return { size, median, least: sorted[0] ?? 0, most: sorted.at(-1) ?? 0 }
+  })
   return { name, per, unit, points, ...fitLine(points), spread: spreadOf(points) }
 }
 
--- a/packages/bench/src/overhead/entry-main.ts
+++ b/packages/bench/src/overhead/entry-main.ts
@@ -14,6 +14,11 @@
 methods = GET, POST
 repeatable = yes
 deadline = 10s
+[route.hop]
+service = calendar
+path = /hop/
+repeatable = yes
+deadline = 10s
 `
 
 /** Calls before this one are the warm-up of the optimising compiler. */
--- a/packages/bench/src/overhead/server-main.ts
+++ b/packages/bench/src/overhead/server-main.ts
@@ -1,8 +1,12 @@
-/** Server process of the overhead measurement: answers every request at once with a short body. */
+/**
+ * Server process of the overhead measurement: answers every request at once. The argument is the length of the body in
+ * bytes, by default that of a short list of slots.
+ */
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
-const BODY = JSON.stringify({ free: ['09:00', '10:30', '14:00'] })
+const SHORT_BODY = JSON.stringify({ free: ['09:00', '10:30', '14:00'] })
+const BODY = process.argv[2] === undefined ? SHORT_BODY : 'x'.repeat(Number(process.argv[2]))
 
 const server = createServer({ noDelay: true, keepAliveTimeout: 60_000 }, (request, response) => {
   request.resume()
