Let calls wait for a service whose last server has just left

Cause: the session test of a killed entry saw 2 of 465 calls refused with no-server under load. The records of servers that had announced themselves to the dead entry expire 1.5 s after its last statement, which can be shortly before they have announced themselves elsewhere and gossip has spread it. Ruled out: a longer lease, because a leaving server must be out of use after 3 s.

--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -49,6 +49,11 @@
 const TRUST_LOSS = 0.2
 const TRUST_GAIN = 0.005
 const INTERVAL_STEP = 0.05
+/**
+ * Time in ms for which calls wait for a service without any server after one left. When the entry dies that servers
+ * announced themselves to, their records expire shortly before they have announced themselves elsewhere.
+ */
+const RETURN_GRACE = 1500
 /** A call is refused on arrival only when its predicted wait exceeds its time by this factor. */
 const PREDICTION_SLACK = 1.2
 
@@ -71,6 +76,7 @@
   #drainInterval = 0
   #order = 0
   #refreshedAt = Number.NEGATIVE_INFINITY
+  #lossAt = Number.NEGATIVE_INFINITY
 
   constructor(options: PoolOptions, now: number) {
     this.#options = options
@@ -99,7 +105,7 @@
 
   submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
     if (now - this.#refreshedAt > REFRESH_INTERVAL) this.refresh(now)
-    if (call.tried === undefined || call.tried.length === 0) this.budget.credit(now)
+    if (!isRetry(call)) this.budget.credit(now)
     if (call.urgency === 'urgent') this.#lastUrgentAt = now
     else this.#lastDeferrableAt = now
     const refusal = this.#refusal(call, now)
@@ -124,8 +130,14 @@
     this.#queueOf(waiting.call).remove(waiting)
   }
 
+  /** A server of the service left. */
+  noteLoss(now: number): void {
+    this.#lossAt = now
+  }
+
   /** Sends what may be sent and sheds what can no longer be in time. */
   drain(now: number, effects: Effect[]): void {
+    if (!this.#mayHaveServer(now)) this.#shedAll(effects)
     this.#drainQueue(this.#urgent, now, effects)
     if (this.#urgent.size === 0) this.#drainQueue(this.#deferrable, now, effects)
     else this.#shedLate(this.#deferrable, now, effects)
@@ -173,7 +185,7 @@
 
   #refusal(call: Call, now: number): CodeName | undefined {
     if (now >= call.deadline) return 'deadlineNotRun'
-    if (!this.#hasCandidate(call)) return 'noServer'
+    if (!this.#hasCandidate(call) && (isRetry(call) || !this.#mayHaveServer(now))) return 'noServer'
     if (this.waiting >= this.#queueLimit) return 'overloaded'
     const ahead = call.urgency === 'urgent' ? this.#urgent.size : this.waiting
     const wait = ahead * this.#drainInterval
@@ -181,6 +193,11 @@
     return isHopeless ? 'overloaded' : undefined
   }
 
+  /** Whether a server is ready, or may be again before long. */
+  #mayHaveServer(now: number): boolean {
+    return now - this.#lossAt < RETURN_GRACE || this.records.some((record) => record.server.state === 'ready')
+  }
+
   #hasCandidate(call: Call): boolean {
     return this.records.some((record) => isCandidate(record, call))
   }
@@ -222,7 +239,7 @@
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
   #reserveBounce(call: Call, now: number): boolean {
-    if (call.resendable === false || (call.tried !== undefined && call.tried.length > 0)) return false
+    if (call.resendable === false || isRetry(call)) return false
     return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
   }
 
@@ -242,6 +259,15 @@
     this.#lastDrainAt = now
   }
 
+  #shedAll(effects: Effect[]): void {
+    for (const queue of [this.#urgent, this.#deferrable]) {
+      for (let first = queue.first(); first !== undefined; first = queue.first()) {
+        queue.remove(first)
+        this.#options.shed(first.call, 'noServer', effects)
+      }
+    }
+  }
+
   #shedLate(queue: CallQueue, now: number, effects: Effect[]): void {
     for (let first = queue.first(); first !== undefined; first = queue.first()) {
       const runTime = Math.min(HIGH_MARGIN * this.place.high, RUN_SHARE * (first.call.deadline - first.since))
@@ -255,8 +281,11 @@
 function isCandidate(record: ServerRecord, call: Call): boolean {
   if (record.server.state !== 'ready' || call.tried?.includes(record.server.id) === true) return false
   // A call that was tried before would wait for an ejected server until its deadline, and then fail all the same.
-  const isRetry = call.tried !== undefined && call.tried.length > 0
-  return !isRetry || record.standing.kind !== 'ejected'
+  return !isRetry(call) || record.standing.kind !== 'ejected'
+}
+
+function isRetry(call: Call): boolean {
+  return call.tried !== undefined && call.tried.length > 0
 }
 
 function median(values: number[], otherwise: number): number {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -84,6 +84,7 @@
       pool.refresh(now)
     } else {
       if (server.firstSeen > known.server.firstSeen) known.restart(server.firstSeen)
+      if (known.server.state === 'ready' && server.state !== 'ready') pool.noteLoss(now)
       known.server = server
     }
     if (server.load !== undefined) this.#records.get(server.id)?.addRemoteReport(server.load, now)
@@ -98,6 +99,7 @@
     const effects: Effect[] = []
     const pool = this.#pool(record.server.service, now)
     this.#records.delete(server)
+    if (record.server.state === 'ready') pool.noteLoss(now)
     pool.records.splice(pool.records.indexOf(record), 1)
     this.#settle(pool, now, effects)
     return effects
--- a/packages/routing/test/policy.test.ts
+++ b/packages/routing/test/policy.test.ts
@@ -213,3 +213,26 @@
     expect(effects).toEqual([{ kind: 'shed', call: 1, code: 'noServer' }])
   })
 })
+
+describe('servers that leave', () => {
+  // Guards against refusals while servers announce themselves elsewhere after their entry died.
+  test('calls wait for a service whose last server has just left, and go to the first that returns', () => {
+    const router = makeRouter(1)
+    const traffic = new Traffic(router)
+    router.removeServer(name(0), traffic.now)
+    expect(traffic.submit({ deadline: 10_000 })).toEqual([])
+    traffic.advance(1000)
+    expect(dispatched(router.updateServer(makeServer(0), traffic.now))).toEqual([name(0)])
+  })
+
+  // Guards against calls that wait until their deadline for a service that is gone.
+  test('calls are refused when no server has returned', () => {
+    const router = makeRouter(1)
+    const traffic = new Traffic(router)
+    router.removeServer(name(0), traffic.now)
+    traffic.submit({ deadline: 10_000 })
+    traffic.advance(2000)
+    expect(traffic.effects).toEqual([{ kind: 'shed', call: callId(0), code: 'noServer' }])
+    expect(traffic.submit({ deadline: 10_000 })).toMatchObject([{ kind: 'shed', code: 'noServer' }])
+  })
+})
