Attribute proxied connections by both of their ports

Cause: the network of the session tests looked up the process behind a connection by its local port only. Connections to different ports may share a local port: 213 of 1,732 local ports in the kernel's table were shared during a test run. A connection that is attributed to no node is not frozen, so a node that is to be isolated may reach another one.

Seen once with gossip streams, which replace silent connections and so open more of them: "an entry that is cut off stops using a leaving server" failed with "not seen within 15000 ms: isolated", because the entry was heard again 8 s into its isolation. The wrong attribution was not recorded in that run; it is the likely cause, not a shown one. No assertion changes.

--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -28,8 +28,8 @@
   readonly target: string
   readonly host?: string
   readonly port?: number
-  /** Names the process behind a connection by its local port. */
-  readonly identify?: (port: number) => string | undefined
+  /** Names the process behind a connection by the port it comes from and the port of the proxy. */
+  readonly identify?: (from: number, to: number) => string | undefined
 }
 
 /** Body of `POST` on the control path. */
@@ -150,7 +150,7 @@
     this.#nextId += 1
     const { hostname, port } = new URL(`tcp://${this.#target}`)
     const upstream = connect({ host: hostname, port: Number(port), allowHalfOpen: true })
-    const peer = this.#options.identify?.(socket.remotePort ?? 0)
+    const peer = this.#options.identify?.(socket.remotePort ?? 0, socket.localPort ?? 0)
     const faults = (peer === undefined ? undefined : this.#peerFaults.get(peer)) ?? this.#faults
     const link = new Link({ near: socket, far: upstream, faults, peer })
     this.#links.set(id, link)
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -7,6 +7,7 @@
 import { FaultProxy } from './fault-proxy'
 
 const LOCAL_PORT_COLUMN = 1
+const REMOTE_PORT_COLUMN = 2
 const INODE_COLUMN = 9
 
 export class Network {
@@ -15,7 +16,7 @@
 
   /** Opens the address that the others use for a node. */
   async join(node: string, target: string, port: number): Promise<FaultProxy> {
-    const proxy = new FaultProxy({ target, port, identify: (from) => this.#nodeOf(from) })
+    const proxy = new FaultProxy({ target, port, identify: (from, to) => this.#nodeOf(from, to) })
     this.#proxies.set(node, await proxy.start())
     return proxy
   }
@@ -52,8 +53,8 @@
     await Promise.all([...this.#proxies.values()].map((proxy) => proxy.stop()))
   }
 
-  #nodeOf(port: number): string | undefined {
-    const inode = inodeOf(port)
+  #nodeOf(from: number, to: number): string | undefined {
+    const inode = inodeOf(from, to)
     if (inode === undefined) return undefined
     for (const [node, pid] of this.#pids) if (ownsSocket(pid, inode)) return node
     return undefined
@@ -64,16 +65,24 @@
   return left.flatMap((from) => right.map((to): [string, string] => [from, to]))
 }
 
-/** Inode of the socket with this local port, from the kernel's table of IPv4 connections. */
-function inodeOf(port: number): string | undefined {
-  const suffix = `:${port.toString(16).toUpperCase().padStart(4, '0')}`
+/**
+ * Inode of the socket that is connected from one port to the other, from the kernel's table of IPv4 connections. The
+ * local port alone is not enough: connections to different ports may share it.
+ */
+function inodeOf(from: number, to: number): string | undefined {
   for (const line of readFileSync('/proc/net/tcp', 'utf8').split('\n')) {
     const columns = line.trim().split(/\s+/)
-    if (columns[LOCAL_PORT_COLUMN]?.endsWith(suffix) === true) return columns[INODE_COLUMN]
+    const [local, remote] = [columns[LOCAL_PORT_COLUMN], columns[REMOTE_PORT_COLUMN]]
+    if (local?.endsWith(suffixOf(from)) === true && remote?.endsWith(suffixOf(to)) === true)
+      return columns[INODE_COLUMN]
   }
   return undefined
 }
 
+function suffixOf(port: number): string {
+  return `:${port.toString(16).toUpperCase().padStart(4, '0')}`
+}
+
 function ownsSocket(pid: number, inode: string): boolean {
   const folder = `/proc/${pid}/fd`
   try {
