--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -6,7 +6,7 @@
 import type { Call, Effect, Load } from './call'
 import { CallQueue, type Waiting } from './call-queue'
 import { RetryBudget, type RetryLimits } from './retry-budget'
-import { chooseServer, type Choice, type Surroundings } from './selection'
+import { chooseServer, isUsable, type Choice, type Surroundings } from './selection'
 import type { ServerRecord } from './server-record'
 import type { Tuning } from './tuning'
 
@@ -231,15 +231,17 @@
   }
 
   #launch(call: Call, record: ServerRecord, isTrial: boolean, now: number, effects: Effect[]): void {
-    const mayBounce = this.#reserveBounce(call, now)
+    const mayBounce = this.#reserveBounce(call, record, now)
     record.sent(now)
     this.inFlight += 1
     this.#options.launch({ call, pool: this, record, sentAt: now, isTrial, mayBounce }, effects)
   }
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
-  #reserveBounce(call: Call, now: number): boolean {
+  #reserveBounce(call: Call, record: ServerRecord, now: number): boolean {
     if (call.resendable === false || isRetry(call)) return false
+    // Without another server the refused call would have nowhere to go.
+    if (!this.records.some((other) => other !== record && isUsable(other, now))) return false
     return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
   }
 
--- a/packages/routing/test/policy.test.ts
+++ b/packages/routing/test/policy.test.ts
@@ -225,6 +225,18 @@
     expect(dispatched(router.updateServer(makeServer(0), traffic.now))).toEqual([name(0)])
   })
 
+  // Guards against a refusal by the only server left, after which the call would end without a server.
+  test('a call to the only usable server does not ask to be refused', () => {
+    const router = makeRouter(2)
+    const traffic = new Traffic(router)
+    traffic.run(40, ok)
+    expect(traffic.submit()).toMatchObject([{ kind: 'dispatch', queueLimit: 0 }])
+    router.updateServer({ ...makeServer(1), state: 'draining' }, traffic.now)
+    const [effect] = traffic.submit()
+    expect(effect).toMatchObject({ kind: 'dispatch', server: name(0) })
+    expect(effect).not.toHaveProperty('queueLimit')
+  })
+
   // Guards against calls that wait until their deadline for a service that is gone.
   test('calls are refused when no server has returned', () => {
     const router = makeRouter(1)
