--- a/packages/node/src/control-views.ts
+++ b/packages/node/src/control-views.ts
@@ -12,6 +12,15 @@
   readonly servers: ReadonlyMap<string, Server>
 }
 
+/** Lists are sorted, so that two looks at them can be compared. */
+function byNode(left: Pick<Node, 'node'>, right: Pick<Node, 'node'>): number {
+  return left.node.localeCompare(right.node)
+}
+
+function byKey([left]: readonly [string, Server], [right]: readonly [string, Server]): number {
+  return left.localeCompare(right)
+}
+
 interface NodeRevision {
   readonly node: NodeId
   readonly revision: number
@@ -22,7 +31,7 @@
   const concerned = [...cluster.nodes.values()].filter(({ node, environment: served }) => {
     return served === environment || state.replicas.some((replica) => replica.node === node)
   })
-  return concerned.map(({ node, documents }) => {
+  return concerned.sort(byNode).map(({ node, documents }) => {
     const held = documents.find((document) => document.environment === environment)
     return { node, revision: held?.revision ?? 0 }
   })
@@ -74,7 +83,7 @@
 export function nodeViews(host: Pick<ReplicaHost, 'status' | 'state'>, cluster: ClusterView) {
   const { replicas, leader } = host.status()
   const leading = leader === undefined ? undefined : nodeOf(leader)
-  return [...cluster.nodes.values()].map((node) => {
+  return [...cluster.nodes.values()].sort(byNode).map((node) => {
     const { ejected, documents, disk, ...rest } = node
     const member = replicas.find((replica) => replica.node === node.node)
     const replica = leading === node.node ? 'leader' : (member?.role ?? 'none')
@@ -85,7 +94,7 @@
 
 export function serverViews(cluster: ClusterView) {
   const nodes = [...cluster.nodes.values()]
-  return [...cluster.servers].map(([key, server]) => {
+  return [...cluster.servers].sort(byKey).map(([key, server]) => {
     const ejectedBy = nodes.filter((node) => node.ejected.includes(key)).map(({ node }) => node)
     return { ...server, ejectedBy }
   })
