Enforce the concurrency of a service

Cause: documents accept the key and the reference explains it, but nothing limited the calls in flight; found when each key of the reference was traced to its use. Ruled out: refusing calls above the limit; they wait in the queue like calls without a free slot and are shed by deadline. Measured: the new test fails without the change; routing 26 tests pass.

--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -176,7 +176,8 @@
   #configure(document: Document): void {
     const now = this.#options.frame.now()
     for (const service of document.services.values()) {
-      this.#router.configure(service.name, { retries: { share: service.retryBudget } }, now)
+      const { concurrency, retryBudget } = service
+      this.#router.configure(service.name, { retries: { share: retryBudget }, concurrency }, now)
     }
   }
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -27,6 +27,8 @@
   readonly retries: RetryLimits
   /** Most waiting calls. */
   readonly queue: number
+  /** Most calls in flight. */
+  readonly concurrency: number
   readonly launch: (flight: Flight, effects: Effect[]) => void
   /** A call ends here without a server. */
   readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
@@ -70,6 +72,7 @@
   readonly #deferrable = new CallQueue()
   readonly #options: PoolOptions
   #queueLimit: number
+  #concurrency: number
   #lastUrgentAt = Number.NEGATIVE_INFINITY
   #lastDeferrableAt = Number.NEGATIVE_INFINITY
   #lastDrainAt = Number.NaN
@@ -81,6 +84,7 @@
   constructor(options: PoolOptions, now: number) {
     this.#options = options
     this.#queueLimit = options.queue
+    this.#concurrency = options.concurrency
     this.budget = new RetryBudget(options.retries, now)
     this.place = {
       random: options.random,
@@ -98,9 +102,10 @@
     return this.#urgent.size + this.#deferrable.size
   }
 
-  configure(retries: RetryLimits, queue: number, now: number): void {
+  configure(retries: RetryLimits, queue: number, concurrency: number, now: number): void {
     this.budget = new RetryBudget(retries, now)
     this.#queueLimit = queue
+    this.#concurrency = concurrency
   }
 
   submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
@@ -113,7 +118,7 @@
       this.#options.shed(call, refusal, effects)
       return undefined
     }
-    const trial = this.#trialFor(call, now)
+    const trial = this.inFlight < this.#concurrency ? this.#trialFor(call, now) : undefined
     if (trial !== undefined) {
       this.#launch(call, trial, true, now, effects)
       return undefined
@@ -214,6 +219,7 @@
 
   /** Sends the call if a server is cheap enough for the time it has waited. */
   #place(call: Call, since: number, now: number, effects: Effect[]): boolean {
+    if (this.inFlight >= this.#concurrency) return false
     const choice = chooseServer(this.records, call.tried, this.place, now)
     if (choice.record === undefined || choice.cost > this.#limit(call, choice, now - since, now)) return false
     this.#launch(call, choice.record, false, now, effects)
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -31,6 +31,8 @@
   readonly retries?: RetryLimits
   /** Most calls that wait in this entry, default 10,000. */
   readonly queue?: number
+  /** Most calls in flight from this entry, unlimited by default. */
+  readonly concurrency?: number
 }
 
 interface Queued {
@@ -69,7 +71,8 @@
   /** Applies the limits of the document to a service. */
   configure(service: ServiceName, limits: ServiceLimits, now: number): void {
     this.#limits.set(service, limits)
-    this.#pools.get(service)?.configure(limits.retries ?? {}, limits.queue ?? DEFAULT_QUEUE, now)
+    const { retries = {}, queue = DEFAULT_QUEUE, concurrency = Number.POSITIVE_INFINITY } = limits
+    this.#pools.get(service)?.configure(retries, queue, concurrency, now)
   }
 
   /** Adds a server or replaces what is known about it. */
@@ -240,6 +243,7 @@
         tuning: this.#tuning,
         retries: limits?.retries ?? {},
         queue: limits?.queue ?? DEFAULT_QUEUE,
+        concurrency: limits?.concurrency ?? Number.POSITIVE_INFINITY,
         launch: (flight, effects) => {
           this.#queued.delete(flight.call.id)
           this.#flights.set(flight.call.id, flight)
--- a/packages/routing/test/policy.test.ts
+++ b/packages/routing/test/policy.test.ts
@@ -248,3 +248,18 @@
     expect(traffic.submit({ deadline: 10_000 })).toMatchObject([{ kind: 'shed', code: 'noServer' }])
   })
 })
+
+describe('limits of the document', () => {
+  // Guards against a service that takes more calls from one entry than the document allows.
+  test('calls beyond the concurrency of the service wait until one ends', () => {
+    const router = makeRouter(2)
+    router.configure(SERVICE, { concurrency: 1 }, 0)
+    const traffic = new Traffic(router)
+    const [first] = traffic.submit().filter((effect) => effect.kind === 'dispatch')
+    expect(first).toBeDefined()
+    expect(dispatched(traffic.submit())).toEqual([])
+    traffic.advance(100)
+    expect(dispatched(traffic.effects)).toEqual([])
+    expect(dispatched(router.finished(callId(0), 'ok', 10, idle, traffic.now))).toHaveLength(1)
+  })
+})
