--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint'
 
 export default defineConfig(
-  { ignores: ['eslint.config.js', '**/node_modules/', '**/dist/', 'packages/rpc/src/gen/'] },
+  { ignores: ['eslint.config.js', '**/node_modules/', '**/dist/', 'target/', 'journal/', 'packages/rpc/src/gen/'] },
   eslint.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
@@ -21,7 +21,7 @@
   },
   {
     // Indexing fixtures by constants is safe in tests; a missing element fails the test at once.
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: { '@typescript-eslint/no-non-null-assertion': 'off' },
   },
 )
--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -34,7 +34,7 @@
   bodyTooLarge: call(13, 'body-too-large', 413, 'not-run', 'The request body is larger than the route allows.'),
   slowSender: call(14, 'slow-sender', 408, 'not-run', 'The request head did not arrive in time.'),
   loop: call(15, 'loop', 508, 'not-run', 'Nested calls form a loop or exceed the depth limit.'),
-  deadlineNotRun: call(16, 'deadline-not-run', 504, 'not-run', 'The deadline passed before the request was sent.'),
+  deadlineNotRun: call(16, 'deadline-not-run', 503, 'not-run', 'The deadline passed before the request was sent.'),
   overloaded: call(17, 'overloaded', 503, 'not-run', 'The request was shed because it could not meet its deadline.'),
   noServer: call(18, 'no-server', 503, 'not-run', 'No server of the service is available.'),
   entryLeaving: call(19, 'entry-leaving', 503, 'not-run', 'The entry is shutting down.'),
@@ -80,6 +80,7 @@
   changeTooLarge: code(58, 'change-too-large', 413, 'The change is larger than allowed.'),
   revisionBelowFloor: code(59, 'revision-below-floor', 409, 'A document older than the newest one seen was refused.'),
   requestInvalid: code(60, 'request-invalid', 400, 'The operator request is malformed.'),
+  versionNotAbove: code(62, 'version-not-above', 400, 'The version of the change is not above the one in force.'),
   notFound: code(61, 'not-found', 404, 'The named resource does not exist.'),
 
   announcementInvalid: code(70, 'announcement-invalid', 422, 'The announcement has faults.'),
@@ -124,6 +125,8 @@
   nodeLost: code(162, 'node-lost', 0, 'A node left or its lease expired.'),
   replicaSetChanged: code(163, 'replica-set-changed', 0, 'The set of control replicas changed.'),
   controlUnreachable: code(164, 'control-unreachable', 0, 'No confirmed answer from control.'),
+  settingsReloaded: code(167, 'settings-reloaded', 0, 'The settings file was read again.'),
+  keysOff: code(166, 'keys-off', 0, 'No keys are set: whoever reaches the listeners is trusted.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/bench/src/overhead/entry-main.ts
+++ b/packages/bench/src/overhead/entry-main.ts
@@ -37,6 +37,7 @@
   node: nodeId('entry-1'),
   nodeKey: 'node key',
   router: new Router({ random: seededRandom(1) }),
+  random: seededRandom(2),
   document: () => document,
   liveEntries: () => 1,
   events: { ended: count },
@@ -48,6 +49,7 @@
   slots: 64,
   state: 'ready',
   firstSeen: 0,
+  instance: 'calendar-1',
   address: { host: '127.0.0.1', port: Number(process.argv[2]) },
   connectionLimit: 256,
 })
--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -1,8 +1,11 @@
 /** Runs one node until a signal, a request of an operator or a failure ends it. */
 import { resultCode, type CodeName } from '@bilberrystall/base'
 import { readSettings, startNode } from '@bilberrystall/node'
+import { platformAdapter } from '@bilberrystall/platform'
 import { Command, Option } from 'clipanion'
+import { ok } from 'neverthrow'
 import { OutputCommand } from './command-base'
+import { SettingsWatch } from './settings-watch'
 
 export class Run extends OutputCommand {
   static override paths = [['run']]
@@ -19,9 +22,24 @@
     const settings = readSettings(this.file)
     if (settings.isErr()) return this.fail(settings.error)
     const ended = endOfProcess()
-    const node = await startNode(settings.value, { onEnd: ended.end })
+    const { platform } = settings.value
+    const adapter = platform === undefined ? ok(undefined) : platformAdapter(platform)
+    if (adapter.isErr()) return this.fail(adapter.error)
+    const options = adapter.value === undefined ? {} : { adapter: adapter.value }
+    const node = await startNode(settings.value, { onEnd: ended.end, ...options })
     if (node.isErr()) return this.fail(node.error)
+    const watch = new SettingsWatch({
+      file: this.file,
+      changed: (changed) => {
+        node.value.reload(changed)
+      },
+      refused: (cause) => {
+        node.value.log.error(cause.code, { message: cause.message })
+      },
+    })
+    watch.start()
     const reason = await ended.reason
+    watch.stop()
     const stopped = await node.value.stop()
     // A failure that ended the node says more than the result of its shutdown.
     const code: CodeName = reason === 'nodeLeaving' ? stopped : reason
--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -110,6 +110,8 @@
   snapshotRequested: LogIndex | undefined
   electionDeadline = 0
   leaderContact: number
+  /** Commit index in the last append of a leader, and the time of its receipt. */
+  heard: { readonly commit: LogIndex; readonly at: number } | undefined
   waitingReads: WaitingRead[] = []
   localReads = new Map<number, LocalRead>()
   nextLocalRead: number
@@ -194,6 +196,15 @@
     if (this.lead !== undefined) this.lead.backlog += bytesOf(entries)
   }
 
+  /** Starts a cluster with this replica as the only voter, unless it holds anything. */
+  found(): void {
+    const isBlank = this.log.lastIndex === 0 && this.term === 0 && this.sets.current.length === 0
+    if (!isBlank) return
+    this.setBallot(term(1), undefined)
+    this.append([foundingEntry(this)])
+    this.electionDeadline = this.now
+  }
+
   becomeFollower(newTerm: Term, leader: ReplicaId | undefined): void {
     if (newTerm > this.term) this.setBallot(newTerm, undefined)
     const lead = this.lead
@@ -273,13 +284,11 @@
 function startingState(options: ReplicaOptions): StoredState {
   const stored = options.stored ?? {}
   if (options.bootstrap !== true || !isEmpty(stored)) return stored
-  const first: ReplicaSetEntry = {
-    kind: 'replica-set',
-    index: logIndex(1),
-    term: term(1),
-    replicas: [{ replica: options.replica, node: options.node, role: 'voter' }],
-  }
-  return { ballot: { term: term(1), votedFor: undefined }, entries: [first] }
+  return { ballot: { term: term(1), votedFor: undefined }, entries: [foundingEntry(options)] }
+}
+
+function foundingEntry({ replica, node }: { readonly replica: ReplicaId; readonly node: NodeId }): ReplicaSetEntry {
+  return { kind: 'replica-set', index: logIndex(1), term: term(1), replicas: [{ replica, node, role: 'voter' }] }
 }
 
 function restoredLog(stored: StoredState): Log {
--- a/packages/consensus/src/input.ts
+++ b/packages/consensus/src/input.ts
@@ -63,6 +63,14 @@
   readonly snapshot: Snapshot
 }
 
+/**
+ * Starts a new cluster with this replica as the only voter. It has no effect on a replica that holds anything; the host
+ * has to see to it that only one replica founds a cluster.
+ */
+export interface FoundInput {
+  readonly kind: 'found'
+}
+
 export type Input =
   | TickInput
   | MessageInput
@@ -72,3 +80,4 @@
   | ReadInput
   | TransferInput
   | SnapshotTakenInput
+  | FoundInput
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -98,6 +98,9 @@
     case 'snapshot-taken':
       snapshotTaken(core, input.snapshot)
       break
+    case 'found':
+      core.found()
+      break
   }
 }
 
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -124,6 +124,7 @@
   if (last > core.matched) core.matched = last
   const commit = logIndex(Math.min(message.commit, last))
   if (commit > core.commit) core.commit = commit
+  core.heard = { commit: message.commit, at: core.now }
   if (message.entries.length > 0 && last > core.disk.durable) {
     core.unanswered = { round: message.round, sentAt: message.sentAt }
     return
--- a/packages/consensus/src/status.ts
+++ b/packages/consensus/src/status.ts
@@ -1,7 +1,7 @@
 /** What a host may ask of a replica between steps. */
 import type { LogIndex, NodeId, ReplicaId, Term } from '@bilberrystall/base'
 import type { Core } from './core'
-import { holdsLease } from './majority'
+import { holdsLease, knowsCommit } from './majority'
 import type { ReplicaRole, ReplicaSet } from './message'
 import type { Role } from './output'
 import type { ProgressState } from './progress'
@@ -36,6 +36,11 @@
   /** False while a change of the replica set is in progress. */
   readonly replicasCommitted: boolean
   readonly lease: boolean
+  /**
+   * Time on the clock of `step` up to which the applied state holds everything that was committed; minus infinity while
+   * that is not known. It relies on the leader lease, so it is good for bounds on staleness and not for confirmed reads.
+   */
+  readonly currentAt: number
   /** Empty unless this replica leads. */
   readonly followers: readonly FollowerStatus[]
 }
@@ -56,10 +61,20 @@
     replicas: core.sets.current,
     replicasCommitted: core.sets.currentIndex <= core.commit,
     lease: core.lead !== undefined && holdsLease(core, core.lead),
+    currentAt: currentAt(core),
     followers: followersOf(core),
   }
 }
 
+function currentAt(core: Core): number {
+  const { lead, heard } = core
+  if (lead !== undefined) {
+    const isCurrent = holdsLease(core, lead) && knowsCommit(core) && core.applied >= core.commit
+    return isCurrent ? core.now : Number.NEGATIVE_INFINITY
+  }
+  return heard !== undefined && core.applied >= heard.commit ? heard.at : Number.NEGATIVE_INFINITY
+}
+
 function followersOf(core: Core): readonly FollowerStatus[] {
   const followers: FollowerStatus[] = []
   for (const info of core.sets.current) {
--- a/packages/consensus/test/self-repair.test.ts
+++ b/packages/consensus/test/self-repair.test.ts
@@ -37,6 +37,7 @@
     replicas,
     replicasCommitted: true,
     lease: true,
+    currentAt: 0,
     followers,
   }
 }
--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -2,9 +2,10 @@
 import { resultCode, type ReplicaId } from '@bilberrystall/base'
 import type { AuditEvent } from './audit'
 import { applyChange, type ChangeApplied } from './change'
-import type { Command } from './command'
+import type { Command, Depart } from './command'
 import { decideRoster, proposeRoster } from './roster'
 import {
+  DEPARTURES_KEPT,
   NODE_REQUESTS_KEPT,
   REPLICA_STEPS_KEPT,
   currentRevision,
@@ -31,8 +32,11 @@
 function dispatch(state: ControlState, command: Command): Applied {
   switch (command.kind) {
     case 'submit':
+    case 'amend':
     case 'promote':
       return applyChange(state, command)
+    case 'depart':
+      return recordDeparture(state, command)
     case 'refuse':
       return recordRefusal(state, command)
     case 'node':
@@ -66,6 +70,20 @@
   return { kind: 'recorded' }
 }
 
+/** A server that announces its departure again keeps its position. */
+function recordDeparture(state: ControlState, { server, start }: Depart): Applied {
+  const known = state.departures.get(server)
+  if (known !== undefined && known.start >= start) return { kind: 'recorded' }
+  state.departurePosition += 1
+  state.departures.delete(server)
+  state.departures.set(server, { position: state.departurePosition, server, start })
+  if (state.departures.size > DEPARTURES_KEPT) {
+    const [oldest] = state.departures.keys()
+    if (oldest !== undefined) state.departures.delete(oldest)
+  }
+  return { kind: 'recorded' }
+}
+
 function recordNodeRequest(state: ControlState, command: Extract<Command, { kind: 'node' }>): Applied {
   const { requester, source, node } = command
   const operation = command.action === 'drain' ? 'drain-node' : 'replace-node'
--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -29,7 +29,13 @@
 const CHAIN_START = '0'.repeat(64) as Digest
 
 export type AuditOperation =
-  'submit' | 'promote' | 'refuse' | 'drain-node' | 'replace-node' | `replica-${'add-learner' | 'promote' | 'remove'}`
+  | 'submit'
+  | 'amend'
+  | 'promote'
+  | 'refuse'
+  | 'drain-node'
+  | 'replace-node'
+  | `replica-${'add-learner' | 'promote' | 'remove'}`
 
 /** What a request leaves behind. `at` is in milliseconds since the Unix epoch. */
 export interface AuditEvent {
--- a/packages/control/src/change.ts
+++ b/packages/control/src/change.ts
@@ -3,8 +3,9 @@
  * kept, so a repeat gets the first response and has no second effect.
  */
 import { failure, resultCode, type CodeName, type Digest, type Fault } from '@bilberrystall/base'
+import { amendDocument, parseDocument } from '@bilberrystall/document'
 import type { AuditEvent } from './audit'
-import type { Promote, Submit } from './command'
+import { FAULTS_KEPT, type Amend, type Promote, type Submit } from './command'
 import { sha256 } from './digest'
 import {
   DOCUMENT_BYTES_LIMIT,
@@ -13,13 +14,18 @@
   REVISIONS_KEPT,
   TRIAL,
   currentRevision,
+  currentVersion,
+  documentInForce,
   type Accepted,
   type ChangeResult,
   type ControlState,
   type Refused,
 } from './state'
 
-export type Change = Submit | Promote
+export type Change = Submit | Amend | Promote
+
+/** Numbers chosen by the operator, which replace the base revision as the condition of a change. */
+type Numbering = Amend['numbering']
 
 export interface ChangeApplied {
   readonly kind: 'change'
@@ -29,10 +35,14 @@
 
 export function applyChange(state: ControlState, change: Change): ChangeApplied {
   const digest = contentDigest(change)
-  const fingerprint = fingerprintOf(change, digest)
+  const numbering = numberingOf(change)
+  // The id of a numbered change is derived from its content, which an amendment has no other digest for.
+  const fingerprint = numbering === undefined ? fingerprintOf(change, digest) : change.changeId
   const known = state.results.get(change.changeId)
   const applied = known === undefined ? decide(state, change, digest) : repeat(state, change, known, fingerprint)
-  if (known === undefined) keepResult(state, change.changeId, fingerprint, applied.result)
+  if (known === undefined && isKept(change, applied.result)) {
+    keepResult(state, change.changeId, fingerprint, applied.result)
+  }
   state.audit.append(auditEvent(state, change, digest, applied))
   return applied
 }
@@ -47,9 +57,18 @@
   return { kind: 'change', result: refuse(state, change, 'changeIdReused'), repeated: false }
 }
 
+function numberingOf(change: Change): Numbering | undefined {
+  return change.kind === 'promote' ? undefined : change.numbering
+}
+
+/** A numbered change that was refused may fit later, when the version that it builds on is in force. */
+function isKept(change: Change, result: ChangeResult): boolean {
+  return numberingOf(change) === undefined || result.kind === 'accepted'
+}
+
 function decide(state: ControlState, change: Change, digest: Digest): ChangeApplied {
   const text = checkedText(state, change, digest)
-  const result = typeof text === 'string' ? accept(state, change, digest, text) : text
+  const result = typeof text === 'string' ? accept(state, change, text) : text
   return { kind: 'change', result, repeated: false }
 }
 
@@ -58,11 +77,10 @@
   if (!state.environments.has(change.environment) && state.environments.size >= ENVIRONMENTS_LIMIT) {
     return refuse(state, change, 'requestInvalid', `at most ${ENVIRONMENTS_LIMIT} environments are kept`)
   }
-  const current = currentRevision(state, change.environment)
-  if (change.baseRevision !== current) {
-    return refuse(state, change, 'revisionConflict', `base revision ${change.baseRevision}, in force is ${current}`)
-  }
+  const unmet = unmetCondition(state, change)
+  if (unmet !== undefined) return unmet
   if (change.kind === 'promote') return promotedText(state, change, digest)
+  if (change.kind === 'amend') return amendedText(state, change)
   if (change.content.validity === 'invalid') {
     return refuse(state, change, 'documentInvalid', undefined, change.content.faults)
   }
@@ -70,6 +88,31 @@
   return change.content.text
 }
 
+/** The refusal of a change that builds on something else than what is in force. */
+function unmetCondition(state: ControlState, change: Change): Refused | undefined {
+  const numbering = numberingOf(change)
+  if (numbering === undefined) {
+    const current = currentRevision(state, change.environment)
+    if (change.baseRevision === current) return undefined
+    return refuse(state, change, 'revisionConflict', `base revision ${change.baseRevision}, in force is ${current}`)
+  }
+  const { version, base } = numbering
+  const current = currentVersion(state, change.environment)
+  if (base !== current) {
+    return refuse(state, change, 'revisionConflict', `base version ${base}, in force is ${current}`)
+  }
+  if (version > current) return undefined
+  return refuse(state, change, 'versionNotAbove', `version ${version}, in force is ${current}`)
+}
+
+function amendedText(state: ControlState, change: Amend): string | Refused {
+  const text = amendDocument(documentInForce(state, change.environment)?.text ?? '', change.changed, change.removed)
+  if (Buffer.byteLength(text) > DOCUMENT_BYTES_LIMIT) return refuse(state, change, 'changeTooLarge')
+  const parsed = parseDocument(text)
+  if (parsed.isOk()) return text
+  return refuse(state, change, 'documentInvalid', undefined, parsed.error.slice(0, FAULTS_KEPT))
+}
+
 function promotedText(state: ControlState, change: Promote, digest: Digest): string | Refused {
   if (change.environment === TRIAL) {
     return refuse(state, change, 'requestInvalid', 'a promotion goes from trial to another environment')
@@ -79,11 +122,21 @@
   return tested.text
 }
 
-function accept(state: ControlState, change: Change, digest: Digest, text: string): Accepted {
+function accept(state: ControlState, change: Change, text: string): Accepted {
+  const digest = sha256(text)
+  const version = numberingOf(change)?.version
   const revision = (currentRevision(state, change.environment) + 1) as Accepted['revision']
   const { changeId, requester } = change
   const kept = state.environments.get(change.environment) ?? []
-  kept.push({ revision, digest, text, at: state.clock, requester, changeId })
+  kept.push({
+    revision,
+    digest,
+    text,
+    at: state.clock,
+    requester,
+    changeId,
+    ...(version === undefined ? {} : { version }),
+  })
   if (kept.length > REVISIONS_KEPT) kept.shift()
   state.environments.set(change.environment, kept)
   return { kind: 'accepted', revision, digest }
@@ -112,6 +165,7 @@
 
 function contentDigest(change: Change): Digest {
   if (change.kind === 'promote') return change.digest
+  if (change.kind === 'amend') return sha256(JSON.stringify([change.changed, change.removed]))
   return change.content.validity === 'valid' ? sha256(change.content.text) : change.content.digest
 }
 
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -16,6 +16,7 @@
   type NodeId,
   type ReplicaId,
   type Revision,
+  type ServerId,
 } from '@bilberrystall/base'
 import { DOCUMENT_BYTES_LIMIT } from './state'
 
@@ -44,6 +45,7 @@
 )
 export const changeIdSchema = z.string().regex(/^[A-Za-z0-9._:-]{1,100}$/, 'must be 1 to 100 letters, digits or ._:-')
 const codeSchema = z.custom<CodeName>((value) => typeof value === 'string' && value in RESULT_CODES)
+const serverName = z.custom<ServerId>((value) => nodeName.safeParse(value).success)
 const nodeSchema = z.custom<NodeId>((value) => nodeName.safeParse(value).success)
 const domainSchema = z.custom<FailureDomain>((value) => nodeName.safeParse(value).success)
 const replicaSchema = z.custom<ReplicaId>((value) => nodeName.safeParse(value).success)
@@ -51,6 +53,11 @@
 export const rosterEntrySchema = z.object({ node: nodeSchema, failureDomain: domainSchema })
 
 const origin = { at: time, requester: person, source: person }
+/**
+ * Numbers chosen by the operator: the version of the document and the version that it builds on, 0 for the first. They
+ * replace the base revision as the condition of the change.
+ */
+const numberingSchema = z.object({ version: z.int().nonnegative(), base: z.int().nonnegative() })
 const change = { ...origin, changeId: changeIdSchema, environment: environmentSchema, baseRevision: revisionSchema }
 
 /** The proposer validates the document; an invalid one travels as its digest and faults. */
@@ -64,7 +71,20 @@
 ])
 
 const commandSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('submit'), ...change, content: contentSchema }),
+  z.object({
+    kind: z.literal('submit'),
+    ...change,
+    numbering: numberingSchema.exactOptional(),
+    content: contentSchema,
+  }),
+  z.object({
+    kind: z.literal('amend'),
+    ...change,
+    numbering: numberingSchema,
+    changed: z.string().max(DOCUMENT_BYTES_LIMIT),
+    removed: z.object({ service: z.array(z.string()), route: z.array(z.string()) }),
+  }),
+  z.object({ kind: z.literal('depart'), ...origin, server: serverName, start: time }),
   z.object({ kind: z.literal('promote'), ...change, sourceRevision: revisionSchema, digest: digestSchema }),
   z.object({
     kind: z.literal('refuse'),
@@ -89,6 +109,8 @@
 
 export type Command = z.infer<typeof commandSchema>
 export type Submit = Extract<Command, { kind: 'submit' }>
+export type Amend = Extract<Command, { kind: 'amend' }>
+export type Depart = Extract<Command, { kind: 'depart' }>
 export type Promote = Extract<Command, { kind: 'promote' }>
 
 export function encodeCommand(command: Command): Uint8Array {
--- a/packages/control/src/snapshot.ts
+++ b/packages/control/src/snapshot.ts
@@ -4,7 +4,15 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
-import { errorMessage, failure, type CodeName, type Failure, type NodeId, type ReplicaId } from '@bilberrystall/base'
+import {
+  errorMessage,
+  failure,
+  type CodeName,
+  type Failure,
+  type NodeId,
+  type ReplicaId,
+  type ServerId,
+} from '@bilberrystall/base'
 import { AuditLog } from './audit'
 import { digestSchema, environmentSchema, revisionSchema, rosterEntrySchema } from './command'
 import type { ControlState } from './state'
@@ -19,6 +27,7 @@
   at: z.number(),
   requester: z.string(),
   changeId: z.string(),
+  version: z.number().exactOptional(),
 })
 const faultSchema = z.object({ section: z.string(), key: z.string(), reason: z.string() })
 const resultSchema = z.discriminatedUnion('kind', [
@@ -32,6 +41,7 @@
   }),
 ])
 const replicaName = z.custom<ReplicaId>((value) => typeof value === 'string')
+const serverName = z.custom<ServerId>((value) => typeof value === 'string')
 const nodeName = z.custom<NodeId>((value) => typeof value === 'string')
 const stepSchema = z.object({
   action: z.enum(['add-learner', 'promote', 'remove']),
@@ -58,6 +68,9 @@
   replicas: z.array(z.object({ replica: replicaName, node: nodeName, role: z.enum(['voter', 'learner']) })),
   drains: z.array(z.object({ node: nodeName, at: z.number() })),
   replacing: z.array(nodeName),
+  // Absent in snapshots of versions that kept no departures.
+  departures: z.array(z.object({ position: z.number(), server: serverName, start: z.number() })).default([]),
+  departurePosition: z.number().default(0),
   audit: z.object({
     root: digestSchema,
     head: digestSchema,
@@ -85,6 +98,8 @@
     replicas: [...state.replicas],
     drains: state.drains,
     replacing: state.replacing,
+    departures: [...state.departures.values()],
+    departurePosition: state.departurePosition,
     audit: { root, head, dropped, hidden, blocks: sizes, open: [...open] },
   }
   return Buffer.concat([Buffer.from(`${JSON.stringify(first)}\n`, 'utf8'), ...blocks.map(({ data }) => data)])
@@ -116,6 +131,8 @@
       replicas: head.replicas,
       drains: head.drains,
       replacing: head.replacing,
+      departures: new Map(head.departures.map((departure) => [departure.server, departure])),
+      departurePosition: head.departurePosition,
     })
   } catch (cause) {
     return err(failure('snapshotDamaged', `snapshot cannot be read: ${errorMessage(cause)}`))
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -11,16 +11,19 @@
   NodeId,
   ReplicaId,
   Revision,
+  ServerId,
 } from '@bilberrystall/base'
 import { AuditLog } from './audit'
 
 /** Accepted documents kept per environment, in bytes of UTF-8 each and in number. */
-export const DOCUMENT_BYTES_LIMIT = 256 * 1024
+export const DOCUMENT_BYTES_LIMIT = 1024 * 1024
 export const REVISIONS_KEPT = 20
 /** Change results kept. A change older than these builds on an old revision and is refused when it is sent again. */
 export const RESULTS_KEPT = 10_000
 /** Bounds memory: each environment may hold `REVISIONS_KEPT` documents. */
 export const ENVIRONMENTS_LIMIT = 16
+/** Departures kept: the servers that leave in hours, while a record is needed until the lease of the server ends. */
+export const DEPARTURES_KEPT = 2_000
 export const REPLICA_STEPS_KEPT = 100
 export const NODE_REQUESTS_KEPT = 200
 /** The environment whose documents may be promoted. */
@@ -34,6 +37,17 @@
   readonly at: number
   readonly requester: string
   readonly changeId: string
+  /** Version chosen by the operator, for documents that carry one. */
+  readonly version?: number
+}
+
+/** A server process that announced that it leaves: it gets no new call, whatever it announces later. */
+export interface Departure {
+  /** Rises by one with each departure. */
+  readonly position: number
+  readonly server: ServerId
+  /** Start time of the process in Unix milliseconds; earlier starts of the server have left as well. */
+  readonly start: number
 }
 
 export interface Accepted {
@@ -118,6 +132,10 @@
   drains: NodeDrain[]
   /** Nodes whose replica an operator wants replaced, until it is. */
   replacing: NodeId[]
+  /** By server, in the order of their positions. */
+  readonly departures: Map<ServerId, Departure>
+  /** Position of the newest departure, 0 before the first. */
+  departurePosition: number
 }
 
 export function emptyState(): ControlState {
@@ -134,6 +152,8 @@
     replicas: [],
     drains: [],
     replacing: [],
+    departures: new Map(),
+    departurePosition: 0,
   }
 }
 
@@ -145,3 +165,8 @@
 export function currentRevision(state: ControlState, environment: Environment): Revision {
   return documentInForce(state, environment)?.revision ?? (0 as Revision)
 }
+
+/** Version chosen by the operator of the document in force; 0 without one. */
+export function currentVersion(state: ControlState, environment: Environment): number {
+  return documentInForce(state, environment)?.version ?? 0
+}
--- a/packages/document/src/document.ts
+++ b/packages/document/src/document.ts
@@ -6,12 +6,17 @@
 import { digestOf, serviceName, type Digest, type Fault, type ServiceName } from '@bilberrystall/base'
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
-import { duration, flag, integer, list, name, share, size } from './field'
+import { duration, flag, integer, list, name, share, size, split } from './field'
 import { readIni } from './ini'
 
-export const DOCUMENT_LIMIT_BYTES = 262_144
+/** A thousand routes at about 250 bytes each, four times over. */
+export const DOCUMENT_LIMIT_BYTES = 1_048_576
 const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const
 const DAY_MS = 86_400_000
+/** A caller that waits longer than ten minutes is served better by an asynchronous interface. */
+const LONGEST_DEADLINE_MS = 600_000
+/** Stands in `methods` for every method. */
+const ANY_METHOD = '*'
 
 export type Method = (typeof METHODS)[number]
 /** Urgent calls go before deferrable ones, which may wait. */
@@ -27,17 +32,39 @@
   readonly retryBudget: number
   /** Most calls in flight from one entry. */
   readonly concurrency: number
+  /** Path at which servers report their health. */
+  readonly healthPath: string
+  /** Most connections that one server of the service accepts from all entries together. */
+  readonly connectionLimit: number
+  readonly protocol: 'h1'
+  readonly tls: boolean
+}
+
+/** One of the services among which a route distributes its calls. */
+export interface SplitPart {
+  readonly service: ServiceName
+  /** Share relative to the sum of the weights. */
+  readonly weight: number
 }
 
 export interface Route {
   readonly name: string
+  /** The service of the calls; the first one when the route distributes its calls. */
   readonly service: ServiceName
+  /** Services that share the calls; empty when all go to `service`. */
+  readonly split: readonly SplitPart[]
   /** Exact host name in lower case; undefined matches every host. */
   readonly host: string | undefined
   /** Path prefix; a prefix that ends in `/` matches below it, another one matches itself and paths below it. */
   readonly path: string
   readonly methods: ReadonlySet<string>
+  /** Whether every method is accepted, also those that `methods` cannot name. */
+  readonly anyMethod: boolean
   readonly urgency: Urgency
+  /** Rank among the routes, 0 is the highest. */
+  readonly priority: number
+  /** Time in ms within which a response has its full value. */
+  readonly targetMs: number | undefined
   /** Whether the request is idempotent and may run more than once. */
   readonly repeatable: boolean
   readonly key: KeyRule
@@ -47,8 +74,20 @@
   readonly maxBodyBytes: number
 }
 
+/** What a caller may send to any route. */
+export interface CallerLimits {
+  readonly headBytes: number
+  /** Size of a request body, unless the route sets its own limit. */
+  readonly bodyBytes: number
+  /** Time for a caller to send the head of a request. */
+  readonly headMs: number
+  /** Time after which an idle connection of a caller is closed. */
+  readonly idleMs: number
+}
+
 export interface Document {
   readonly title: string
+  readonly callerLimits: CallerLimits
   /** How long an idempotency key counts, from the time in the key. */
   readonly keyRetentionMs: number
   readonly services: ReadonlyMap<ServiceName, Service>
@@ -59,31 +98,44 @@
   'measuring-budget': share.default(0.005),
   'retry-budget': share.default(0.1),
   concurrency: integer(1, 100_000).default(1000),
+  'health-path': z.string().regex(/^\//, 'must start with /').default('/health'),
+  'connection-limit': integer(1, 1_000_000).default(1_000_000),
+  protocol: z.literal('h1', 'must be h1').default('h1'),
+  tls: flag.default(false),
 })
 
 const routeSchema = z.strictObject({
-  service: name,
+  service: name.optional(),
+  split: split.optional(),
   host: z.string().optional(),
   path: z.string().regex(/^\//, 'must start with /').default('/'),
   methods: list.default(['GET', 'HEAD']),
   urgency: z.enum(['urgent', 'deferrable'], 'must be urgent or deferrable').default('urgent'),
   repeatable: flag.default(false),
   key: z.enum(['none', 'optional', 'required'], 'must be none, optional or required').default('none'),
-  deadline: duration(1, 3_600_000).default(10_000),
-  attempts: integer(1, 10).default(3),
-  'max-body': size(0, 1_073_741_824).default(1_048_576),
+  priority: integer(0, 1_000).default(0),
+  target: duration(1, LONGEST_DEADLINE_MS).optional(),
+  deadline: duration(1, LONGEST_DEADLINE_MS).default(10_000),
+  attempts: integer(1, 100).default(3),
+  'max-body': size(0, 1_073_741_824).optional(),
 })
 
 const documentSchema = z.strictObject({
   document: z.strictObject({
     title: z.string().min(1).max(200),
     'key-retention': duration(60_000, DAY_MS).default(3_600_000),
+    'max-head': size(256, 1_048_576).default(16_384),
+    'max-body': size(0, 1_073_741_824).default(1_048_576),
+    'head-timeout': duration(1, LONGEST_DEADLINE_MS).default(10_000),
+    // Longer than the usual 60 s of platform balancers, so that they close idle connections first.
+    'idle-timeout': duration(1, LONGEST_DEADLINE_MS).default(75_000),
   }),
-  service: z.record(name, serviceSchema),
-  route: z.record(name, routeSchema),
+  service: z.record(name, serviceSchema).default({}),
+  route: z.record(name, routeSchema).default({}),
 })
 
 type RawDocument = z.output<typeof documentSchema>
+type RawRoute = z.output<typeof routeSchema>
 
 /** Parses and checks a document as a whole; the error lists every fault. */
 export function parseDocument(text: string): Result<Document, readonly Fault[]> {
@@ -106,14 +158,12 @@
   const places = new Map<string, string>()
   for (const [routeName, route] of Object.entries(raw.route)) {
     const section = `route.${routeName}`
-    if (raw.service[route.service] === undefined) {
-      faults.push({ section, key: 'service', reason: `names no section [service.${route.service}]` })
-    }
+    faults.push(...serviceFaults(raw, section, route))
     if (route.key !== 'none' && route.repeatable) {
       faults.push({ section, key: 'key', reason: 'is only for routes with repeatable = no' })
     }
     for (const method of route.methods) {
-      if (!METHODS.includes(method as Method)) {
+      if (method !== ANY_METHOD && !METHODS.includes(method as Method)) {
         faults.push({ section, key: 'methods', reason: `${method} is not one of ${METHODS.join(', ')}` })
       }
       const place = `${method} ${route.host?.toLowerCase() ?? '*'} ${route.path}`
@@ -125,6 +175,22 @@
   return faults
 }
 
+function serviceFaults(raw: RawDocument, section: string, route: RawRoute): Fault[] {
+  if ((route.service === undefined) === (route.split === undefined)) {
+    return [{ section, key: 'service', reason: 'either service or split is required, not both' }]
+  }
+  const parts = partsOf(route)
+  const faults = parts
+    .filter(({ service }) => raw.service[service] === undefined)
+    .map(({ service }) => ({ section, key: 'service', reason: `names no section [service.${service}]` }))
+  if (parts.reduce((sum, { weight }) => sum + weight, 0) > 0) return faults
+  return [...faults, { section, key: 'split', reason: 'the weights add up to 0' }]
+}
+
+function partsOf(route: RawRoute): readonly SplitPart[] {
+  return route.split ?? (route.service === undefined ? [] : [{ service: serviceName(route.service), weight: 1 }])
+}
+
 function toDocument(raw: RawDocument): Document {
   const services = Object.entries(raw.service).map(([key, value]): [ServiceName, Service] => [
     serviceName(key),
@@ -133,30 +199,46 @@
       measuringBudget: value['measuring-budget'],
       retryBudget: value['retry-budget'],
       concurrency: value.concurrency,
+      healthPath: value['health-path'],
+      connectionLimit: value['connection-limit'],
+      protocol: value.protocol,
+      tls: value.tls,
     },
   ])
-  const routes = Object.entries(raw.route).map(([key, value]) => toRoute(key, value))
+  const { document } = raw
+  const routes = Object.entries(raw.route).map(([key, value]) => toRoute(key, value, document['max-body']))
   return {
-    title: raw.document.title,
-    keyRetentionMs: raw.document['key-retention'],
+    title: document.title,
+    callerLimits: {
+      headBytes: document['max-head'],
+      bodyBytes: document['max-body'],
+      headMs: document['head-timeout'],
+      idleMs: document['idle-timeout'],
+    },
+    keyRetentionMs: document['key-retention'],
     services: new Map(services),
     routes: routes.sort(moreSpecificFirst),
   }
 }
 
-function toRoute(routeName: string, raw: z.output<typeof routeSchema>): Route {
+function toRoute(routeName: string, raw: RawRoute, maxBodyBytes: number): Route {
+  const parts = partsOf(raw)
   return {
     name: routeName,
-    service: serviceName(raw.service),
+    service: parts[0]?.service ?? serviceName(''),
+    split: raw.split ?? [],
     host: raw.host?.toLowerCase(),
     path: raw.path,
     methods: new Set(raw.methods),
+    anyMethod: raw.methods.includes(ANY_METHOD),
     urgency: raw.urgency,
+    priority: raw.priority,
+    targetMs: raw.target,
     repeatable: raw.repeatable,
     key: raw.key,
     deadlineMs: raw.deadline,
     attempts: raw.attempts,
-    maxBodyBytes: raw['max-body'],
+    maxBodyBytes: raw['max-body'] ?? maxBodyBytes,
   }
 }
 
--- a/packages/document/src/field.ts
+++ b/packages/document/src/field.ts
@@ -1,5 +1,5 @@
 /** zod schemas of single INI values: durations, sizes, shares, lists, flags, names and addresses. */
-import { parseDuration, parseShare, parseSize } from '@bilberrystall/base'
+import { parseDuration, parseShare, parseSize, serviceName, type ServiceName } from '@bilberrystall/base'
 import { z } from 'zod'
 
 const NAME_PATTERN = /^[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?$/
@@ -39,6 +39,20 @@
     .filter((item) => item !== ''),
 )
 
+/** Services with weights, `slots:90, slots-next:10`. */
+export const split = z.string().transform((text, context) => {
+  const parts: { service: ServiceName; weight: number }[] = []
+  for (const item of text.split(',')) {
+    const match = /^([a-z0-9-]+):(\d{1,9})$/.exec(item.trim())
+    if (match?.[1] === undefined) {
+      context.addIssue({ code: 'custom', message: 'must be services with weights such as slots:90, slots-next:10' })
+      return z.NEVER
+    }
+    parts.push({ service: serviceName(match[1]), weight: Number(match[2]) })
+  }
+  return parts
+})
+
 /** An IP address and port, `127.0.0.1:8080` or `[::1]:8080`. */
 export const address = z
   .string()
--- a/packages/document/src/route-match.ts
+++ b/packages/document/src/route-match.ts
@@ -13,7 +13,7 @@
   for (const route of document.routes) {
     if (route.host !== undefined && route.host !== name) continue
     if (!pathMatches(route.path, path)) continue
-    if (route.methods.has(method)) return { kind: 'matched', route }
+    if (route.anyMethod || route.methods.has(method)) return { kind: 'matched', route }
     for (const allowed of route.methods) methods.add(allowed)
   }
   return methods.size > 0 ? { kind: 'method-not-allowed', methods: [...methods].sort() } : { kind: 'none' }
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -9,6 +9,9 @@
 import type { Acquired, ServerPool } from './pool'
 import type { RequestBody } from './request-body'
 
+/** Status of a server process that is not the one the request names. */
+const MISDIRECTED = 421
+
 export interface AttemptEnd {
   readonly code: CodeName
   /** Whether another attempt is possible as far as this one is concerned. */
@@ -143,6 +146,7 @@
         },
       },
       environment.clock.monotonic,
+      environment.dialect,
     )
     this.#exchange = exchange
     this.#sentAt = environment.clock.monotonic()
@@ -157,14 +161,25 @@
     if (this.#options.body.received) this.#pool?.release(connection)
     else connection.destroy()
     if (this.#discard) {
-      this.#finish('shed', head)
-      this.#options.events.failed({ code: 'serverShed', retry: true, allowed: false })
+      this.#discarded(head)
       return
     }
     this.#finish(head.status >= 500 ? 'error' : 'ok', head)
     this.#options.events.ended(head)
   }
 
+  /** The server said that it did not run the request. */
+  #discarded(head: ResponseHead | undefined): void {
+    const { environment, server, events } = this.#options
+    if (head?.status === MISDIRECTED) {
+      this.#finish('unattributed')
+      environment.misdirected(server)
+    } else {
+      this.#finish('shed', head)
+    }
+    events.failed({ code: 'serverShed', retry: true, allowed: false })
+  }
+
   #broken(sent: boolean): void {
     const { body, events } = this.#options
     const head = this.#exchange?.head
@@ -172,8 +187,7 @@
       this.#finish('unattributed')
       events.failed({ code: body.fault, retry: false, allowed: false })
     } else if (this.#discard) {
-      this.#finish('shed', head)
-      events.failed({ code: 'serverShed', retry: true, allowed: false })
+      this.#discarded(head)
     } else if (!sent) {
       // An idle connection that the server closed at this moment says nothing about its health.
       this.#finish('unattributed')
@@ -182,7 +196,7 @@
       this.#finish('lost')
       events.failed({
         code: head === undefined ? 'connectionLost' : 'responseTruncated',
-        retry: head === undefined,
+        retry: true,
         allowed: false,
       })
     }
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -10,22 +10,23 @@
 import { Attempt, type AttemptEnd } from './attempt'
 import type { CallEnvironment } from './call-environment'
 import { KeyedCall } from './keyed-call'
-import {
-  CONTEXT_HEADER,
-  DEADLINE_HEADER,
-  QUEUE_LIMIT_HEADER,
-  requestFields,
-  type Head,
-  type ResponseHead,
-} from './head'
+import { CONTEXT_HEADER, QUEUE_LIMIT_HEADER, requestFields, type Head, type ResponseHead } from './head'
 import type { CallContext } from './context'
 import { Reply } from './reply'
 import { RequestBody } from './request-body'
 import type { RoutedCall } from './router-driver'
 
+/** Statuses by which a server may say that it did not run the request, and the caller would take it so. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/** Time after which a refused call may find a free server: the length of a usual call. */
+const RETURN_AFTER_MS = 100
+
 export interface CallOptions {
   readonly request: IncomingMessage
   readonly response: ServerResponse
+  /** Whether no request of the caller waits behind this one on its connection. */
+  readonly isLast: () => boolean
   readonly head: Head
   readonly document: Document
   readonly route: Route
@@ -70,7 +71,7 @@
       gatherBytes: limits.gatherBytes,
       now: clock.monotonic,
     })
-    this.#reply = new Reply(response, () => environment.draining() || !this.#body.received)
+    this.#reply = new Reply(response, () => (environment.draining() && options.isLast()) || !this.#body.received)
     this.#keyed = new KeyedCall({ head, route, document: options.document, environment })
     this.#timer = setTimeout(
       () => {
@@ -164,7 +165,8 @@
       request: () => ({
         method: head.method,
         target: head.target,
-        fields: requestFields(request, this.#addedFields(queueLimit)),
+        fields: requestFields(request, this.#addedFields(server, queueLimit), this.#environment.dialect),
+        attempt: head.attempt,
       }),
       events: {
         head: (responseHead) => this.#onHead(responseHead),
@@ -184,11 +186,16 @@
     this.#attempt.start()
   }
 
-  #addedFields(queueLimit: number | undefined): string[] {
+  #addedFields(server: ServerId, queueLimit: number | undefined): string[] {
     const { context } = this.#options
-    const signed = this.#environment.codec.sign({ ...context, attempts: this.#attemptsLeft })
-    const fields = [DEADLINE_HEADER, String(Math.max(1, Math.floor(this.#remaining()))), CONTEXT_HEADER, signed]
-    if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
+    const { dialect, codec, instance } = this.#environment
+    const fields = [dialect.deadlineHeader, String(Math.max(1, Math.floor(this.#remaining())))]
+    if (dialect.carriesContext) {
+      fields.push(CONTEXT_HEADER, codec.sign({ ...context, attempts: this.#attemptsLeft }))
+      if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
+    }
+    const named = instance(server)
+    if (dialect.instanceHeader !== undefined && named !== undefined) fields.push(dialect.instanceHeader, named)
     const { bodyLength } = this.#options.head
     // The library states the length of a gathered body itself.
     if (this.#body.whole === undefined && bodyLength !== undefined) fields.push('content-length', String(bodyLength))
@@ -197,7 +204,7 @@
 
   /** Returns whether the response is passed on; otherwise it is discarded and the attempt ends as shed. */
   #onHead(head: ResponseHead): boolean {
-    if (head.notRun && head.status === 503) return false
+    if (head.notRun && PROMISES_NOT_RUN.has(head.status)) return false
     this.#keyed.responded(head)
     this.#reply.head(head)
     return true
@@ -216,7 +223,8 @@
     const outcome = resultCode(code).outcome
     if (outcome === 'unknown') this.#unknown ??= code
     const repeatable = outcome === 'not-run' || this.#options.route.repeatable
-    if (end.retry && repeatable && (end.allowed || this.#mayRetry())) {
+    if (end.retry && !this.#reply.begun && repeatable && (end.allowed || this.#mayRetry())) {
+      this.#reply.reset()
       this.#submit()
       return
     }
@@ -257,7 +265,7 @@
     this.#finish(code)
     this.#keyed.settle(this.#unknown === undefined ? 'not-run' : 'unknown')
     if (code === 'callerCancelled' || this.#reply.begun) this.#reply.abort()
-    else this.#reply.problem(failure(code), { ...retryAfter(code), ...fields }, members)
+    else this.#reply.problem(failure(code), { ...this.#retryAfter(code), ...fields }, members)
   }
 
   #truthful(cause: CodeName): CodeName {
@@ -274,9 +282,9 @@
   #remaining(): number {
     return this.#deadline - this.#environment.clock.monotonic()
   }
-}
 
-/** A call that was refused for lack of capacity may be sent again after a second. */
-function retryAfter(code: CodeName): Readonly<Record<string, string>> {
-  return resultCode(code).status === 503 || code === 'keyInProgress' ? { 'retry-after': '1' } : {}
+  #retryAfter(code: CodeName): Readonly<Record<string, string>> {
+    const isRefused = resultCode(code).status === 503 || code === 'keyInProgress'
+    return isRefused ? { 'retry-after': this.#environment.dialect.retryAfter(RETURN_AFTER_MS) } : {}
+  }
 }
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -25,6 +25,8 @@
   retired = false
   /** Set when the socket ended with an error, so that a body without a marked end is not taken for complete. */
   broken = false
+  /** Set when the server closed its side in order. */
+  ended = false
   readonly #socket: Socket
   readonly #client: Client
 
@@ -38,6 +40,9 @@
       if (socket.readableLength === 0) socket.read()
     }
     socket.on('readable', watch)
+    socket.once('end', () => {
+      this.ended = true
+    })
     let given = false
     this.#client = new Client(originOf(address), {
       pipelining: 1,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,15 @@
 import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { getRequestListener } from '@hono/node-server'
-import { errorMessage, failure, type CodeName, type Failure, type NodeId, type ServerId } from '@bilberrystall/base'
+import {
+  errorMessage,
+  failure,
+  type CodeName,
+  type Failure,
+  type NodeId,
+  type Random,
+  type ServerId,
+} from '@bilberrystall/base'
 import { createKey } from '@bilberrystall/claims'
 import { matchRoute, type Document, type Route } from '@bilberrystall/document'
 import type { Effect, Router, Server } from '@bilberrystall/routing'
@@ -16,6 +24,7 @@
 import type { CallEnvironment } from './call-environment'
 import type { ClaimGate } from './claim-gate'
 import type { Address } from './connection'
+import { OWN_DIALECT, type Dialect } from './dialect'
 import { ContextCodec, extendSteps, type CallContext } from './context'
 import { readHead, type Head } from './head'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
@@ -24,16 +33,20 @@
 import { Reply } from './reply'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
+import { RouteSplits } from './route-split'
+import { ServiceRanks } from './service-rank'
 
 const OWN_PREFIX = '/.bilberrystall/'
-/** Longer than the usual 60 s of platform balancers, so that they close idle connections first. */
-const CALLER_IDLE_MS = 75_000
+/** Kept back from the time that a caller states, for the way of the answer to it. */
+const CALLER_WAY_MS = 20
 
 /** A server as announced, with what the entry needs to reach it. */
 export interface EntryServer extends Server {
   readonly address: Address
   /** Most connections the server accepts from all entries together. */
   readonly connectionLimit: number
+  /** Id by which the process is named in requests. */
+  readonly instance: string
 }
 
 export interface EntryEvents {
@@ -51,6 +64,8 @@
   readonly node: NodeId
   readonly nodeKey: string
   readonly router: Router
+  readonly random: Random
+  readonly dialect?: Dialect
   /** The document in force; undefined until one is confirmed. */
   readonly document: () => Document | undefined
   /** Number of live entries, this one included. */
@@ -68,6 +83,9 @@
   readonly #http: HttpServer
   readonly #driver: RouterDriver
   readonly #codec: ContextCodec
+  readonly #dialect: Dialect
+  readonly #splits: RouteSplits
+  readonly #ranks = new ServiceRanks()
   readonly #environment: CallEnvironment
   readonly #pools = new Map<ServerId, ServerPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
@@ -83,6 +101,8 @@
     this.#limits = { ...DEFAULT_LIMITS, ...options.limits }
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
+    this.#dialect = options.dialect ?? OWN_DIALECT
+    this.#splits = new RouteSplits(options.random)
     this.#driver = new RouterDriver({
       router: options.router,
       now: this.#clock.monotonic,
@@ -122,6 +142,15 @@
     })
   }
 
+  /** Applies the limits and ranks of a document that came into force. */
+  configure(document: Document): void {
+    const { headMs, idleMs } = document.callerLimits
+    this.#http.headersTimeout = headMs
+    this.#http.keepAliveTimeout = idleMs
+    this.#ranks.configure(document)
+    this.#splits.configure(document)
+  }
+
   /** Adds a server or replaces what is known about it. */
   updateServer(server: EntryServer): void {
     const known = this.#servers.get(server.id)
@@ -182,7 +211,6 @@
         maxHeaderSize: MAX_HEAD_BYTES,
         headersTimeout: this.#limits.headMs,
         requestTimeout: 0,
-        keepAliveTimeout: CALLER_IDLE_MS,
         connectionsCheckingInterval: Math.min(1_000, this.#limits.headMs),
         // Checked by `readHead`, which answers with a problem.
         requireHostHeader: false,
@@ -205,6 +233,11 @@
       clock: this.#clock,
       limits: this.#limits,
       codec: this.#codec,
+      dialect: this.#dialect,
+      misdirected: (server) => {
+        this.removeServer(server)
+      },
+      instance: (server) => this.#servers.get(server)?.instance,
       driver: this.#driver,
       claims: this.#options.claims,
       pool: (server) => this.#pool(server),
@@ -235,14 +268,17 @@
       this.#own(request, response)
       return
     }
-    const prepared = readHead(request).andThen((head) => this.#prepare(head))
+    const prepared = readHead(request, this.#dialect).andThen((head) => this.#prepare(head))
     if (prepared.isErr()) {
       const received = request.headers['content-length'] === undefined && !('transfer-encoding' in request.headers)
-      new Reply(response, () => this.#draining || !received).problem(prepared.error)
+      new Reply(response, () => (this.#draining && this.#busy.get(socket) === 1) || !received).problem(prepared.error)
       this.#options.events?.ended?.(prepared.error.code, 0)
       return
     }
-    new Call({ request, response, ...prepared.value }, this.#environment).begin()
+    new Call(
+      { request, response, isLast: () => this.#busy.get(socket) === 1, ...prepared.value },
+      this.#environment,
+    ).begin()
   }
 
   #prepare(head: Head): Result<{ head: Head; document: Document; route: Route; context: CallContext }, Failure> {
@@ -251,17 +287,19 @@
     const match = matchRoute(document, head.host, head.method, head.path)
     if (match.kind === 'none') return err(failure('noRoute'))
     if (match.kind === 'method-not-allowed') return err(failure('methodNotAllowed'))
-    const { route } = match
+    if (head.bytes > document.callerLimits.headBytes) return err(failure('headTooLarge'))
+    const route = this.#splits.choose(match.route)
     return this.#context(head, route).map((context) => ({ head, document, route, context }))
   }
 
   #context(head: Head, route: Route): Result<CallContext, Failure> {
     const now = this.#clock.unix()
     const outer = head.context === undefined ? undefined : this.#codec.verify(head.context, now)
-    const deadline = Math.min(now + route.deadlineMs, outer?.deadline ?? Infinity)
+    const callerMs = head.callerMs === undefined ? Infinity : head.callerMs - CALLER_WAY_MS
+    const deadline = Math.min(now + route.deadlineMs, now + callerMs, outer?.deadline ?? Infinity)
     if (deadline <= now) return err(failure('deadlineNotRun'))
     const step = { service: route.service, method: head.method, path: head.path }
-    const deferrable = route.urgency === 'deferrable' || outer?.urgency === 'deferrable'
+    const deferrable = this.#ranks.isDeferrable(route) || outer?.urgency === 'deferrable'
     return extendSteps(outer?.steps ?? [], step).map((steps) => ({
       deadline,
       attempts: Math.min(route.attempts, Math.max(1, outer?.attempts ?? Infinity)),
@@ -298,11 +336,18 @@
   #probe(id: ServerId, limitMs: number): void {
     const pool = this.#pool(id)
     if (pool === undefined) return
-    probe(pool, limitMs, this.#clock.monotonic, (outcome, latency, load) => {
+    const path = this.#dialect.probePath ?? this.#healthPath(id)
+    probe(pool, { path, limitMs, dialect: this.#dialect }, this.#clock.monotonic, (outcome, latency, load) => {
       this.#driver.probed(id, outcome, latency, load)
     })
   }
 
+  #healthPath(id: ServerId): string {
+    const service = this.#servers.get(id)?.service
+    const known = service === undefined ? undefined : this.#options.document()?.services.get(service)
+    return known?.healthPath ?? '/health'
+  }
+
   #sweepAll(): void {
     this.#driver.sweep()
     for (const pool of this.#pools.values()) pool.sweep()
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -4,6 +4,7 @@
  */
 import type { Dispatcher } from 'undici'
 import type { Connection } from './connection'
+import type { Dialect } from './dialect'
 import { readResponseHead, type ResponseHead } from './head'
 
 export interface ExchangeRequest {
@@ -12,6 +13,8 @@
   /** Alternating names and values. */
   readonly fields: string[]
   readonly body: Buffer | AsyncGenerator<Buffer> | undefined
+  /** Id that the response must return, where the dialect has one. */
+  readonly attempt?: string | undefined
 }
 
 export interface ExchangeEvents {
@@ -32,6 +35,8 @@
   readonly #events: ExchangeEvents
   readonly #writtenBefore: number
   readonly #now: () => number
+  readonly #dialect: Dialect
+  #attempt: string | undefined
   #controller: Dispatcher.DispatchController | undefined
   #head: ResponseHead | undefined
   #finished = false
@@ -39,7 +44,8 @@
   progressAt: number
   paused = false
 
-  constructor(connection: Connection, events: ExchangeEvents, now: () => number) {
+  constructor(connection: Connection, events: ExchangeEvents, now: () => number, dialect: Dialect) {
+    this.#dialect = dialect
     this.connection = connection
     this.#events = events
     this.#now = now
@@ -57,6 +63,7 @@
 
   start(request: ExchangeRequest): void {
     const { method, target: path, fields: headers, body = null } = request
+    this.#attempt = request.attempt
     const options = { method, path, headers, body, idempotent: false, servername: NO_TLS_NAME }
     this.connection.dispatch(options as Dispatcher.DispatchOptions, this)
   }
@@ -68,8 +75,13 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     this.#progress()
     if (this.#finished || status < 200) return
-    this.#head = readResponseHead(status, controller.rawHeaders as Buffer[])
-    this.#events.head(this.#head)
+    const head = readResponseHead(status, controller.rawHeaders as Buffer[], this.#dialect)
+    if (!this.#belongs(head)) {
+      this.onResponseError()
+      return
+    }
+    this.#head = head
+    this.#events.head(head)
   }
 
   onResponseData(controller: Dispatcher.DispatchController, part: Buffer): void {
@@ -82,11 +94,19 @@
   onResponseEnd(): void {
     this.#progress()
     if (this.#finished) return
-    const undelimited = this.#head?.delimited === false
-    if (undelimited && this.connection.broken) {
-      this.onResponseError()
+    if (this.#head?.delimited !== false) {
+      this.#end()
       return
     }
+    // The library also calls a body complete that ends with a reset; whether it was one is known after this turn.
+    setImmediate(() => {
+      if (this.connection.broken || !this.connection.ended) this.onResponseError()
+      else this.#end()
+    })
+  }
+
+  #end(): void {
+    if (this.#finished) return
     this.#finished = true
     this.#events.ended()
   }
@@ -112,6 +132,15 @@
     this.connection.destroy()
   }
 
+  /** A late response to an earlier request, or bytes that a server did not sign, are no response to this request. */
+  #belongs({ status, attempt, signed, encoded, notRun }: ResponseHead): boolean {
+    if (this.#attempt !== undefined && attempt !== this.#attempt && !(notRun && attempt === undefined)) return false
+    const isSuccess = status >= 200 && status < 300
+    return (
+      !isSuccess || this.#dialect.signatureHeader === undefined || this.#attempt === undefined || (signed && !encoded)
+    )
+  }
+
   #progress(): void {
     this.progressAt = this.#now()
     this.connection.receivedAt = this.progressAt
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -6,13 +6,11 @@
 import { failure, type Failure } from '@bilberrystall/base'
 import type { Load } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
+import type { Dialect } from './dialect'
 
 export const SYSTEM_PREFIX = 'bilberrystall-'
 export const CONTEXT_HEADER = 'bilberrystall-context'
-export const DEADLINE_HEADER = 'bilberrystall-deadline-ms'
 export const QUEUE_LIMIT_HEADER = 'bilberrystall-queue-limit'
-export const NOT_RUN_HEADER = 'bilberrystall-not-run'
-export const LOAD_HEADER = 'bilberrystall-load'
 export const KEY_HEADER = 'idempotency-key'
 
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
@@ -41,10 +39,16 @@
   readonly bodyLength: number | undefined
   readonly key: string | undefined
   readonly context: string | undefined
+  /** Time in ms that the caller will wait, where it may say so. */
+  readonly callerMs: number | undefined
+  /** Id that the caller gave to this attempt. */
+  readonly attempt: string | undefined
+  /** Size of the head in bytes. */
+  readonly bytes: number
 }
 
 /** Checks what the HTTP parser of Node.js accepts although it is ambiguous or leads to another path at a server. */
-export function readHead(request: IncomingMessage): Result<Head, Failure> {
+export function readHead(request: IncomingMessage, dialect: Dialect): Result<Head, Failure> {
   const { method = '', url: target = '', headers, rawHeaders } = request
   if (hasRepeatedField(rawHeaders)) return malformed('a header field that must be single is repeated')
   if (!target.startsWith('/')) return malformed('the request target is not a path')
@@ -56,7 +60,30 @@
   const bodyLength = readBodyLength(request)
   if (bodyLength.isErr()) return err(bodyLength.error)
   const key = single(headers[KEY_HEADER])
-  return ok({ method, target, path, host, bodyLength: bodyLength.value, key, context: single(headers[CONTEXT_HEADER]) })
+  return ok({
+    method,
+    target,
+    path,
+    host,
+    bodyLength: bodyLength.value,
+    key,
+    context: single(headers[CONTEXT_HEADER]),
+    callerMs: dialect.callerStatesDeadline ? readTime(single(headers[dialect.deadlineHeader])) : undefined,
+    attempt: dialect.attemptHeader === undefined ? undefined : single(headers[dialect.attemptHeader]),
+    bytes: headBytes(request),
+  })
+}
+
+/** A time that is not a whole number of ms is ignored, as if the caller had stated none. */
+function readTime(text: string | undefined): number | undefined {
+  return text !== undefined && /^\d{1,9}$/.test(text) ? Number(text) : undefined
+}
+
+/** Request line and fields with their separators, as they were sent but for optional white space. */
+function headBytes({ method = '', url = '', rawHeaders }: IncomingMessage): number {
+  const SEPARATORS = 4
+  const fields = rawHeaders.reduce((sum, part) => sum + part.length, 0)
+  return method.length + url.length + ' HTTP/1.1'.length + SEPARATORS + fields + rawHeaders.length * 2
 }
 
 function readBodyLength({ headers }: IncomingMessage): Result<number | undefined, Failure> {
@@ -82,7 +109,7 @@
 }
 
 /** Header fields for the server, as alternating names and values. */
-export function requestFields(request: IncomingMessage, added: readonly string[]): string[] {
+export function requestFields(request: IncomingMessage, added: readonly string[], dialect: Dialect): string[] {
   const named = connectionOptions(request.headers.connection)
   const fields: string[] = []
   const raw = request.rawHeaders
@@ -90,7 +117,8 @@
     const name = raw[index] ?? ''
     const lower = name.toLowerCase()
     const dropped = HOP_BY_HOP.has(lower) || lower === 'content-length' || named?.has(lower) === true
-    if (!dropped && !lower.startsWith(SYSTEM_PREFIX)) fields.push(name, raw[index + 1] ?? '')
+    const steers = lower === dialect.deadlineHeader || lower === dialect.instanceHeader
+    if (!dropped && !steers && !lower.startsWith(SYSTEM_PREFIX)) fields.push(name, raw[index + 1] ?? '')
   }
   fields.push(...added)
   return fields
@@ -105,35 +133,44 @@
   readonly contentType: string | undefined
   /** Whether the end of the body is marked by more than the end of the connection. */
   readonly delimited: boolean
+  /** Stated length of the body in bytes. */
+  readonly length: number | undefined
+  /** Id of the attempt that the response belongs to, where servers return it. */
+  readonly attempt: string | undefined
+  readonly signed: boolean
+  /** Whether the body was encoded on its way, which no caller asked for. */
+  readonly encoded: boolean
 }
 
-export function readResponseHead(status: number, raw: readonly Buffer[]): ResponseHead {
+export function readResponseHead(status: number, raw: readonly Buffer[], dialect: Dialect): ResponseHead {
   const fields: string[] = []
   let notRun = false
   let load: Load | undefined
   let contentType: string | undefined
   let delimited = status === 204 || status === 304
   let named: ReadonlySet<string> | undefined
+  let length: number | undefined
+  let attempt: string | undefined
+  let signed = false
+  let encoded = false
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
     const value = raw[index + 1]?.toString('latin1') ?? ''
     const lower = name.toLowerCase()
-    if (lower === NOT_RUN_HEADER) notRun = value.trim() === '1'
-    else if (lower === LOAD_HEADER) load = parseLoad(value)
+    if (lower === dialect.notRunHeader) notRun = dialect.isNotRun(value)
+    else if (lower === dialect.loadHeader) load = dialect.readLoad(value)
+    else if (lower === dialect.attemptHeader) attempt = value
+    else if (lower === dialect.signatureHeader) signed = true
+    else if (lower === 'content-encoding') encoded = true
     else if (lower === 'connection') named = connectionOptions(value)
     else if (lower === 'content-type') contentType = value
     if (lower === 'content-length' || lower === 'transfer-encoding') delimited = true
-    if (!HOP_BY_HOP.has(lower) && !lower.startsWith(SYSTEM_PREFIX)) fields.push(name, value)
+    if (lower === 'content-length') length = Number(value)
+    const isOwn = lower === dialect.loadHeader || lower === dialect.notRunHeader || lower.startsWith(SYSTEM_PREFIX)
+    if (!HOP_BY_HOP.has(lower) && !isOwn) fields.push(name, value)
   }
   const returned = named === undefined ? fields : withoutNamed(fields, named)
-  return { status, fields: returned, notRun, load, contentType, delimited }
-}
-
-/** Reads `inflight=2;slots=3;queue=0`; a report that is not well formed is ignored. */
-export function parseLoad(text: string): Load | undefined {
-  const match = /^\s*inflight=(\d{1,9})\s*;\s*slots=(\d{1,9})\s*;\s*queue=(\d{1,9})\s*$/.exec(text)
-  if (match === null) return undefined
-  return { inflight: Number(match[1]), slots: Number(match[2]), queue: Number(match[3]) }
+  return { status, fields: returned, notRun, load, contentType, delimited, length, attempt, signed, encoded }
 }
 
 function withoutNamed(fields: readonly string[], named: ReadonlySet<string>): string[] {
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -1,14 +1,20 @@
 /** A probe measures a server with a request of its own on a path that every server answers. */
 import type { ExchangeOutcome, Load } from '@bilberrystall/routing'
+import type { Dialect } from './dialect'
 import { Exchange } from './exchange'
 import type { ServerPool } from './pool'
 
-export const PROBE_PATH = '/.bilberrystall/probe'
+export interface ProbeTarget {
+  readonly path: string
+  readonly limitMs: number
+  readonly dialect: Dialect
+}
 
 export type Probed = (outcome: ExchangeOutcome, latency: number, load: Load | undefined) => void
 
 /** Reports once, after `limitMs` at the latest; a probe that takes longer is cancelled at the server. */
-export function probe(pool: ServerPool, limitMs: number, now: () => number, probed: Probed): void {
+export function probe(pool: ServerPool, target: ProbeTarget, now: () => number, probed: Probed): void {
+  const { path, limitMs, dialect } = target
   const startedAt = now()
   let exchange: Exchange | undefined
   let reported = false
@@ -46,7 +52,8 @@
         },
       },
       now,
+      dialect,
     )
-    exchange.start({ method: 'GET', target: PROBE_PATH, fields: [], body: undefined })
+    exchange.start({ method: 'GET', target: path, fields: [], body: undefined })
   })
 }
--- /dev/null
+++ b/packages/entry/src/service-rank.ts
@@ -0,0 +1,22 @@
+/** Which routes are the most urgent ones of their service, by the priorities of the document in force. */
+import type { ServiceName } from '@bilberrystall/base'
+import type { Document, Route } from '@bilberrystall/document'
+
+export class ServiceRanks {
+  #highest = new Map<ServiceName, number>()
+
+  configure(document: Document): void {
+    this.#highest = new Map()
+    for (const route of document.routes) {
+      const parts = route.split.length === 0 ? [route.service] : route.split.map(({ service }) => service)
+      for (const service of parts) {
+        this.#highest.set(service, Math.min(route.priority, this.#highest.get(service) ?? Infinity))
+      }
+    }
+  }
+
+  /** Whether the calls of the route give way to those of another route of the same service. */
+  isDeferrable({ urgency, priority, service }: Route): boolean {
+    return urgency === 'deferrable' || priority > (this.#highest.get(service) ?? priority)
+  }
+}
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -117,6 +117,7 @@
     node: nodeId('entry-1'),
     nodeKey: 'node key',
     router: new Router({ random: seededRandom(1) }),
+    random: seededRandom(2),
     document: () => document,
     liveEntries: () => 1,
     ...options,
@@ -143,6 +144,7 @@
     slots: 64,
     state: 'ready',
     firstSeen: 0,
+    instance: `server-${index}`,
     address: { host: '127.0.0.1', port: server.port },
     connectionLimit: 64,
   })
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -3,9 +3,9 @@
  * states to its peers, by gossip, that its set is current, which renews all its records at once. A record therefore
  * costs traffic only when it changes, and a receiver that hears nothing lets it expire by its own clock.
  */
-import { failure, type Failure, type NodeId } from '@bilberrystall/base'
+import { failure, type Failure, type NodeId, type ServerId } from '@bilberrystall/base'
 import { err, ok, type Result } from 'neverthrow'
-import { LEAVING_RETENTION_MS, NODE_LEASE_MS, ORIGIN_LEASE_MS, ORIGIN_RETENTION_MS, SERVER_FRESH_MS } from './lease'
+import { DEFAULT_LEASE_TIMES, LEAVING_RETENTION_MS, NODE_LEASE_MS, ORIGIN_RETENTION_MS, type LeaseTimes } from './lease'
 import { Origin, type OriginDelta, type OriginVersion } from './origin'
 import { compareOrder, sameContent, serverKey, type Node, type Server } from './record'
 
@@ -21,8 +21,12 @@
   /** Start time of this process in Unix milliseconds. */
   readonly incarnation: number
   readonly now: number
+  readonly leases?: LeaseTimes
 }
 
+/** Departures remembered, far more than servers leave within the lease of one. */
+const DEPARTURES_KEPT = 4_000
+
 export class Directory {
   readonly #self: Origin
   readonly #origins = new Map<NodeId, Origin>()
@@ -33,9 +37,13 @@
   readonly #nodes = new Map<NodeId, Node>()
   /** Origins whose records count now. */
   readonly #fresh = new Set<Origin>()
+  readonly #leases: LeaseTimes
+  /** Start of the newest process of a server that departed: it and earlier ones count as draining. */
+  readonly #departed = new Map<ServerId, number>()
   #changes: Change[] = []
 
   constructor(options: DirectoryOptions) {
+    this.#leases = options.leases ?? DEFAULT_LEASE_TIMES
     this.#self = new Origin(options.self, options.incarnation, options.now)
     this.#origins.set(options.self, this.#self)
     this.#fresh.add(this.#self)
@@ -62,7 +70,9 @@
     this.#renewedAt.set(key, now)
     const own = this.#self.servers.get(key)
     // A record of another origin may hold a newer state than the own one, so both have to match.
-    const unchanged = [own?.value, known].every((record) => record !== undefined && sameContent(record, server))
+    const shown = this.#hasDeparted(server) ? { ...server, state: 'draining' as const } : server
+    const isSame = (record: Server | undefined, other: Server) => record !== undefined && sameContent(record, other)
+    const unchanged = isSame(own?.value, server) && isSame(known, shown)
     if (!unchanged) {
       this.#self.counter += 1
       this.#place(this.#self, server, this.#self.counter)
@@ -70,6 +80,20 @@
     return ok(this.#takeChanges())
   }
 
+  /** Control decided that the process of a server, and earlier ones, get no new call, whatever they announce. */
+  depart(server: ServerId, start: number): readonly Change[] {
+    const known = this.#departed.get(server)
+    if (known !== undefined && known >= start) return []
+    this.#departed.delete(server)
+    this.#departed.set(server, start)
+    if (this.#departed.size > DEPARTURES_KEPT) {
+      const [oldest] = this.#departed.keys()
+      if (oldest !== undefined) this.#departed.delete(oldest)
+    }
+    for (const [key, record] of [...this.#servers]) if (record.server === server) this.#reselect(key)
+    return this.#takeChanges()
+  }
+
   /** Sets this node's own record. */
   announceSelf(node: Node, now: number): readonly Change[] {
     this.#self.counter += 1
@@ -135,7 +159,7 @@
     for (const [key, renewedAt] of this.#renewedAt) {
       const record = this.#self.servers.get(key)
       const leaving = record?.value.state === 'draining' || record?.value.state === 'stopped'
-      if (now - renewedAt < (leaving ? LEAVING_RETENTION_MS : SERVER_FRESH_MS)) continue
+      if (now - renewedAt < (leaving ? LEAVING_RETENTION_MS : this.#leases.serverFreshMs)) continue
       this.#renewedAt.delete(key)
       this.#self.counter += 1
       this.#self.remove(key, this.#self.counter, now)
@@ -189,7 +213,7 @@
   /** Brings the view in line with which origins count now. */
   #refresh(now: number): void {
     for (const origin of this.#origins.values()) {
-      const fresh = origin === this.#self || now - origin.statementAt < ORIGIN_LEASE_MS
+      const fresh = origin === this.#self || now - origin.statementAt < this.#leases.originLeaseMs
       if (fresh !== this.#fresh.has(origin)) {
         if (fresh) this.#fresh.add(origin)
         else this.#fresh.delete(origin)
@@ -227,12 +251,18 @@
       if (before !== undefined) this.#changes.push({ kind: 'server-left', key, server: before })
       return
     }
-    this.#servers.set(key, newest)
-    if (before === undefined || !sameContent(before, newest)) {
-      this.#changes.push({ kind: 'server-changed', key, server: newest })
+    const shown = this.#hasDeparted(newest) ? { ...newest, state: 'draining' as const } : newest
+    this.#servers.set(key, shown)
+    if (before === undefined || !sameContent(before, shown)) {
+      this.#changes.push({ kind: 'server-changed', key, server: shown })
     }
   }
 
+  #hasDeparted({ server, start, state }: Server): boolean {
+    if (state !== 'starting' && state !== 'ready') return false
+    return start <= (this.#departed.get(server) ?? Number.NEGATIVE_INFINITY)
+  }
+
   #setNode(origin: Origin, now: number): void {
     const known = this.#nodes.get(origin.id)
     const record = origin.node?.value
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -1,5 +1,14 @@
 /** Records that servers and nodes announce, and the order of announcements of one server. */
-import type { Digest, Environment, FailureDomain, NodeId, Revision, ServerId, ServiceName } from '@bilberrystall/base'
+import type {
+  Digest,
+  Environment,
+  FailureDomain,
+  NodeId,
+  ReplicaId,
+  Revision,
+  ServerId,
+  ServiceName,
+} from '@bilberrystall/base'
 
 export type ServerState = 'starting' | 'ready' | 'draining' | 'stopped'
 
@@ -44,6 +53,8 @@
   readonly documents: readonly DocumentVersion[]
   /** Keys of servers that this node ejected as outliers. */
   readonly ejected: readonly string[]
+  /** Replica that this node, as a seed, chose to found the first replica set. */
+  readonly founder?: ReplicaId
 }
 
 /** Identifies a server across services and environments. */
--- a/packages/node/src/control-changes.ts
+++ b/packages/node/src/control-changes.ts
@@ -23,6 +23,7 @@
   type Command,
   type Submit,
 } from '@bilberrystall/control'
+import type { Status } from '@bilberrystall/consensus'
 import { DeliveryService, type RpcClients, type SubmitResponse } from '@bilberrystall/rpc'
 import type { Proposed, ReplicaHost } from './control-replica'
 import { nodeOf } from './control-transport'
@@ -30,10 +31,13 @@
 /** A change is in force within 11 s when a leader is lost; trying for 10 s covers the election of the next one. */
 const SUBMIT_LIMIT_MS = 10_000
 const ATTEMPT_LIMIT_MS = 6_000
-const RETRY_MS = 100
+const RETRY_MS = 50
 const LEADER_POLL_MS = 100
 const FAULT_TEXT_LIMIT = 300
 
+/** Commands that have the same effect when they are applied again. */
+const IDEMPOTENT: ReadonlySet<Command['kind']> = new Set(['submit', 'amend', 'promote', 'depart'])
+
 export type SubmitOutcome =
   | { readonly kind: 'change'; readonly result: ChangeResult; readonly repeated: boolean }
   | { readonly kind: 'recorded' }
@@ -44,8 +48,20 @@
 
 type Attempt = SubmitOutcome | { readonly kind: 'retry'; readonly sent: boolean; readonly leader: NodeId | undefined }
 
+/** What a node without a replica has in place of one. */
+export interface ProposalHost {
+  readonly propose: ReplicaHost['propose']
+  readonly status: () => Pick<Status, 'role' | 'leader' | 'replicas'>
+}
+
+/** Of a node without a replica, which forwards everything. */
+export const NO_REPLICA: ProposalHost = {
+  propose: () => Promise.resolve({ kind: 'failed', failure: failure('notLeader'), leader: undefined }),
+  status: () => ({ role: 'idle', leader: undefined, replicas: [] }),
+}
+
 export interface ChangesOptions {
-  readonly host: Pick<ReplicaHost, 'propose' | 'status'>
+  readonly host: ProposalHost
   readonly node: NodeId
   readonly clients: RpcClients
   readonly addressOf: (node: NodeId) => string | undefined
@@ -55,6 +71,10 @@
   /** Milliseconds since the Unix epoch. */
   readonly wallClock: () => number
   readonly limitMs?: number
+  /** How long one node is waited for. */
+  readonly attemptLimitMs?: number
+  /** Voters without which nothing is accepted, so that what was accepted outlives the losses to be borne. */
+  readonly leastVoters?: number
 }
 
 export class Changes {
@@ -78,8 +98,8 @@
         sent ||= attempt.sent
         hint = attempt.leader
       }
-      // Only changes are idempotent; another request sent again could be recorded twice.
-      const idempotent = command.kind === 'submit' || command.kind === 'promote'
+      // Another request sent again could be recorded twice.
+      const idempotent = IDEMPOTENT.has(command.kind)
       if (performance.now() > end || (sent && !idempotent)) break
       await sleep(RETRY_MS)
     }
@@ -106,8 +126,10 @@
 
   async #local(command: Command): Promise<Attempt> {
     const { host, wallClock } = this.#options
-    const { role, leader } = host.status()
+    const { role, leader, replicas } = host.status()
     if (role !== 'leader') return { kind: 'retry', sent: false, leader: leader && nodeOf(leader) }
+    const voters = replicas.filter((replica) => replica.role === 'voter').length
+    if (voters < (this.#options.leastVoters ?? 1)) return { kind: 'retry', sent: false, leader: undefined }
     const checked = command.kind === 'submit' ? this.#checked(command) : command
     return outcomeOf(await host.propose({ ...checked, at: wallClock() }))
   }
@@ -129,7 +151,7 @@
     const watch = this.#abortOnNewLeader()
     try {
       const request = { command: encodeCommand(command) }
-      const options = { timeoutMs: ATTEMPT_LIMIT_MS, signal: watch.signal }
+      const options = { timeoutMs: this.#options.attemptLimitMs ?? ATTEMPT_LIMIT_MS, signal: watch.signal }
       return readResponse(await clients.client(DeliveryService, address).submit(request, options))
     } catch (cause) {
       if (ConnectError.from(cause).code === Code.InvalidArgument) {
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -1,26 +1,29 @@
 /**
  * Serving side of document delivery and of forwarded requests. Every node answers `Fetch` from the documents it holds;
- * replicas also answer `Watch`, `Submit` and `Lease`.
+ * replicas also answer `Follow`, `Submit` and `Lease`.
  */
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
-import { environmentName, type Environment, type Failure } from '@bilberrystall/base'
-import { documentInForce } from '@bilberrystall/control'
+import { environmentName, type Failure } from '@bilberrystall/base'
+import { documentInForce, type ControlState } from '@bilberrystall/control'
 import { DeliveryService } from '@bilberrystall/rpc'
 import type { Result } from 'neverthrow'
 import { submitResponse, type Changes } from './control-changes'
 import type { DocumentKeeper, HeldDocument } from './control-documents'
+import type { FollowQuestion } from './control-follow'
 import type { LeaseServer } from './control-lease-server'
 import type { ReplicaHost } from './control-replica'
 
 const LONGEST_AGE_MS = 2 ** 32 - 1
 
+type FollowHost = Pick<ReplicaHost, 'read' | 'state' | 'isCurrent'>
+
 export interface DeliveryOptions {
   readonly keeper: DocumentKeeper
   readonly now: () => number
   /** Undefined on nodes without the control role. */
   readonly control:
     | {
-        readonly host: Pick<ReplicaHost, 'read' | 'state'>
+        readonly host: FollowHost
         readonly changes: Changes
         readonly leases: LeaseServer
       }
@@ -39,68 +42,41 @@
       const age = Math.min(LONGEST_AGE_MS, Math.ceil(now() - keeper.confirmedAt(environment)))
       return { document: documentMessage(document), confirmedAgeMs: age }
     },
-    watch: async function* (request, context) {
-      const { host } = required(control)
-      const environment = environmentName(request.environment)
-      const changes = new Changed(keeper, environment, context.signal)
-      try {
-        unwrap(await host.read())
-        let sent = Number(request.revision)
-        yield { revision: BigInt(documentInForce(host.state, environment)?.revision ?? 0) }
-        for (;;) {
-          const document = documentInForce(host.state, environment)
-          if (document !== undefined && document.revision > sent) {
-            sent = document.revision
-            yield { document: documentMessage({ environment, ...document }), revision: BigInt(document.revision) }
-          }
-          if (!(await changes.next(sent))) return
-        }
-      } finally {
-        changes.close()
-      }
-    },
+    follow: async (request) => answerFollow(required(control).host, request),
     submit: async (request) => submitResponse(unwrap(await required(control).changes.handle(request.command))),
     lease: async (request) => unwrap(await required(control).leases.lease(request)),
   })
 }
 
 export function documentMessage(document: HeldDocument) {
-  const { environment, revision, digest, text } = document
-  return { environment, revision: BigInt(revision), digest, text }
+  const { environment, revision, digest, text, version } = document
+  return { environment, revision: BigInt(revision), digest, text, version: BigInt(version) }
 }
 
-/** Waits for a newer document of one environment. */
-class Changed {
-  #newest = 0
-  #wake: (() => void) | undefined
-  #ended = false
-  readonly #unsubscribe: () => void
+/** Longest time since a replica knew its state to be complete for which it answers without asking a majority. */
+const CURRENT_WITHIN_MS = 400
 
-  constructor(keeper: DocumentKeeper, environment: Environment, signal: AbortSignal) {
-    this.#unsubscribe = keeper.subscribe((document) => {
-      if (document.environment !== environment) return
-      this.#newest = document.revision
-      this.#wake?.()
-    })
-    signal.addEventListener('abort', () => {
-      this.#ended = true
-      this.#wake?.()
-    })
-  }
-
-  /** Resolves with true once a revision above `sent` exists, with false when the watch ended. */
-  async next(sent: number): Promise<boolean> {
-    while (!this.#ended && this.#newest <= sent) {
-      await new Promise<void>((resolve) => {
-        this.#wake = resolve
-      })
-    }
-    return !this.#ended
+/** What the caller lacks of the state, or `Unavailable` when this replica may lack something itself. */
+export async function answerFollow(host: FollowHost, question: FollowQuestion) {
+  if (question.confirmed) unwrap(await host.read())
+  else if (!host.isCurrent(CURRENT_WITHIN_MS)) throw new ConnectError('this replica may be behind', Code.Unavailable)
+  const { state } = host
+  const environment = environmentName(question.environment)
+  const document = documentInForce(state, environment)
+  const isNewer = document !== undefined && document.revision > question.revision
+  return {
+    revision: BigInt(document?.revision ?? 0),
+    ...(isNewer ? { document: documentMessage({ environment, version: 0, ...document }) } : {}),
+    departures: departuresAfter(state, Number(question.departurePosition)),
+    departurePosition: BigInt(state.departurePosition),
   }
+}
 
-  close(): void {
-    this.#unsubscribe()
-  }
+function departuresAfter(state: ControlState, position: number) {
+  if (position >= state.departurePosition) return []
+  return [...state.departures.values()]
+    .filter((departure) => departure.position > position)
+    .map(({ server, start }) => ({ server, start: BigInt(start) }))
 }
 
 function required<Value>(control: Value | undefined): Value {
--- a/packages/node/src/control-documents.ts
+++ b/packages/node/src/control-documents.ts
@@ -12,6 +12,8 @@
   readonly revision: Revision
   readonly digest: Digest
   readonly text: string
+  /** Version chosen by the operator; 0 when the document carries none. */
+  readonly version: number
 }
 
 type Listener = (document: HeldDocument) => void
--- a/packages/node/src/control-duties.ts
+++ b/packages/node/src/control-duties.ts
@@ -15,6 +15,8 @@
 const JOIN_AFTER_MS = 2_000
 /** An entry leaves the roster after this time: a restart must not change the holders, and a majority does without it. */
 const LEAVE_AFTER_MS = 60_000
+/** Two losses at once are borne by five; more would slow every change. */
+const MOST_REPLICAS = 5
 /** A refused step is tried again for a second. */
 const STEP_ATTEMPTS = 20
 const STEP_RETRY_MS = 50
@@ -136,7 +138,7 @@
       return
     }
     const nodes = [...directory.nodes.values()].flatMap((node) => repairNode(node, replacing))
-    const target = replicas >= 5 ? 5 : 3
+    const target = replicas >= MOST_REPLICAS ? MOST_REPLICAS : 3
     const plan = planRepair({
       status,
       nodes,
--- /dev/null
+++ b/packages/node/src/control-follow.ts
@@ -0,0 +1,197 @@
+/**
+ * Keeps an entry in line with what control decided: the document in force and the servers that departed. It asks one
+ * replica at short intervals and another one as soon as that does not answer or is not current itself, so the age of
+ * what the entry knows is bounded while any current replica can be reached. At the start it also takes a document from
+ * another node when a majority confirmed it after this process started: an older confirmation may be older than a
+ * revision that was in force here before the restart.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import {
+  environmentName,
+  revision,
+  serverId,
+  type Digest,
+  type Environment,
+  type FailureDomain,
+  type NodeId,
+  type ServerId,
+} from '@bilberrystall/base'
+import { sha256 } from '@bilberrystall/control'
+import { DeliveryService, type DeliveredDocument, type FollowResponse, type RpcClients } from '@bilberrystall/rpc'
+import type { DocumentKeeper, HeldDocument } from './control-documents'
+
+/** Interval of the questions: a fifth of the 2 s within which a change and a departure are in force everywhere. */
+const FOLLOW_INTERVAL_MS = 400
+/** Time for an answer; a healthy replica answers in a few milliseconds. */
+const FOLLOW_LIMIT_MS = 350
+/** Pause before the next replica is asked after one did not answer. */
+const RETRY_MS = 20
+/** Time for which a replica that did not answer comes last. */
+const AVOID_MS = 3_000
+const START_INTERVAL_MS = 500
+const FETCH_LIMIT_MS = 2_000
+
+export interface Departed {
+  readonly server: ServerId
+  /** Start time of the server process in Unix milliseconds. */
+  readonly start: number
+}
+
+export interface FollowQuestion {
+  readonly environment: string
+  readonly revision: bigint
+  readonly departurePosition: bigint
+  readonly confirmed: boolean
+}
+
+export interface FollowerOptions {
+  readonly environment: Environment
+  readonly self: NodeId
+  readonly keeper: DocumentKeeper
+  readonly clients: RpcClients
+  readonly addressOf: (node: NodeId) => string | undefined
+  /** Live nodes that may hold a replica, with their failure domains. */
+  readonly controlNodes: () => readonly { readonly node: NodeId; readonly failureDomain: FailureDomain }[]
+  readonly failureDomain: FailureDomain
+  /** Other live entries of the environment. */
+  readonly otherEntries: () => readonly NodeId[]
+  readonly onDepartures: (departed: readonly Departed[]) => void
+  readonly now: () => number
+}
+
+export class ControlFollower {
+  readonly #options: FollowerOptions
+  readonly #abort = new AbortController()
+  readonly #fetching = new Set<NodeId>()
+  readonly #avoidUntil = new Map<NodeId, number>()
+  readonly #startedAt: number
+  #departurePosition = 0n
+  #round = 0
+
+  constructor(options: FollowerOptions) {
+    this.#options = options
+    this.#startedAt = options.now()
+  }
+
+  start(): void {
+    void this.#followForever()
+    void this.#askEntries()
+  }
+
+  stop(): void {
+    this.#abort.abort()
+  }
+
+  /** Fetches the document at or above the floor from a node that stated it. */
+  async fetch(node: NodeId): Promise<void> {
+    const { environment, keeper, clients, addressOf, now } = this.#options
+    const address = addressOf(node)
+    if (address === undefined || this.#fetching.has(node)) return
+    this.#fetching.add(node)
+    const sentAt = now()
+    try {
+      const request = { environment, minimumRevision: BigInt(keeper.floor(environment)) }
+      const options = { timeoutMs: FETCH_LIMIT_MS, signal: this.#abort.signal }
+      const response = await clients.client(DeliveryService, address).fetch(request, options)
+      const document = heldDocument(response.document)
+      if (document === undefined || keeper.offer(document).isErr()) return
+      const confirmedAt = sentAt - response.confirmedAgeMs
+      if (confirmedAt >= this.#startedAt) keeper.confirm(environment, document.revision, confirmedAt)
+    } catch {
+      // The node may have left or may not have the revision; later questions and gossip offer others.
+    } finally {
+      this.#fetching.delete(node)
+    }
+  }
+
+  /** Fetches from any control node, after a lease showed a newer revision than the replica delivered. */
+  async fetchFromControl(): Promise<void> {
+    const node = this.#nextReplica()
+    if (node !== undefined) await this.fetch(node)
+  }
+
+  async #followForever(): Promise<void> {
+    while (!this.#abort.signal.aborted) {
+      const node = this.#nextReplica()
+      const answered = node !== undefined && (await this.#follow(node))
+      await this.#pause(answered || node === undefined ? FOLLOW_INTERVAL_MS : RETRY_MS)
+    }
+  }
+
+  /** The nearest replica that answered last time: this node, then its failure domain, then the others. */
+  #nextReplica(): NodeId | undefined {
+    const { controlNodes, self, failureDomain, now } = this.#options
+    const at = now()
+    let best: NodeId | undefined
+    let bestRank = Number.POSITIVE_INFINITY
+    for (const candidate of controlNodes()) {
+      const avoided = Math.max(0, (this.#avoidUntil.get(candidate.node) ?? 0) - at)
+      const distance = candidate.node === self ? 0 : candidate.failureDomain === failureDomain ? 1 : 2
+      const rank = avoided * AVOID_MS + distance
+      if (rank >= bestRank) continue
+      best = candidate.node
+      bestRank = rank
+    }
+    return best
+  }
+
+  async #follow(node: NodeId): Promise<boolean> {
+    const { environment, keeper, clients, addressOf, now } = this.#options
+    const address = addressOf(node)
+    const sentAt = now()
+    try {
+      if (address === undefined) throw new Error('the address is not known')
+      const held = keeper.inForce(environment)?.revision
+      const request = {
+        environment,
+        revision: BigInt(held ?? 0),
+        departurePosition: this.#departurePosition,
+        // A restarted process must not begin with a state that is older than one it already used.
+        confirmed: held === undefined,
+      }
+      const options = { timeoutMs: FOLLOW_LIMIT_MS, signal: this.#abort.signal }
+      this.#take(await clients.client(DeliveryService, address).follow(request, options), sentAt)
+      return true
+    } catch {
+      // The replica left, is cut off or is not current; the next one is asked.
+      this.#avoidUntil.set(node, now() + AVOID_MS)
+      if (address !== undefined) clients.verify(address)
+      return false
+    }
+  }
+
+  #take(response: FollowResponse, sentAt: number): void {
+    const { environment, keeper, onDepartures } = this.#options
+    const document = heldDocument(response.document)
+    if (document !== undefined) keeper.offer(document)
+    if (response.revision > 0n) keeper.confirm(environment, revision(Number(response.revision)), sentAt)
+    if (response.departurePosition > this.#departurePosition) this.#departurePosition = response.departurePosition
+    if (response.departures.length === 0) return
+    onDepartures(response.departures.map(({ server, start }) => ({ server: serverId(server), start: Number(start) })))
+  }
+
+  async #askEntries(): Promise<void> {
+    const { environment, keeper, otherEntries } = this.#options
+    while (!this.#abort.signal.aborted && !keeper.isReady(environment)) {
+      const entries = otherEntries()
+      this.#round += 1
+      const node = entries[this.#round % Math.max(1, entries.length)]
+      if (node !== undefined) await this.fetch(node)
+      await this.#pause(START_INTERVAL_MS)
+    }
+  }
+
+  async #pause(duration: number): Promise<void> {
+    await sleep(duration, undefined, { signal: this.#abort.signal, ref: false }).catch(() => undefined)
+  }
+}
+
+/** Undefined when there is none or when its text does not match its digest. */
+export function heldDocument(message: DeliveredDocument | undefined): HeldDocument | undefined {
+  if (message === undefined) return undefined
+  const { digest, text } = message
+  if (sha256(text) !== digest) return undefined
+  const environment = environmentName(message.environment)
+  const version = Number(message.version)
+  return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text, version }
+}
--- a/packages/node/src/control-replica.ts
+++ b/packages/node/src/control-replica.ts
@@ -124,6 +124,16 @@
     return this.#replica.status()
   }
 
+  /** Whether the state held everything that was committed until at most `ageMs` ago. */
+  isCurrent(ageMs: number): boolean {
+    return !this.#stopped && this.#now() - this.#replica.status().currentAt <= ageMs
+  }
+
+  /** Starts a new cluster with this replica alone, unless it holds anything. */
+  found(): void {
+    this.#step({ kind: 'found' })
+  }
+
   start(): void {
     this.#timer = setInterval(() => {
       this.#step({ kind: 'tick' })
--- a/packages/node/src/control.ts
+++ b/packages/node/src/control.ts
@@ -14,6 +14,7 @@
 import type { RpcClients } from '@bilberrystall/rpc'
 import { Changes } from './control-changes'
 import { deliveryRoutes } from './control-delivery'
+import type { Departed } from './control-follow'
 import { openDisk, type OpenedDisk } from './control-disk'
 import type { DocumentKeeper } from './control-documents'
 import { LeaderDuties } from './control-duties'
@@ -31,6 +32,9 @@
 const CONFIRM_INTERVAL_MS = 4_000
 const CONFIRM_RETRY_MS = 200
 const TRANSFER_LIMIT_MS = 2_000
+const DUTIES_INTERVAL_MS = 1_000
+/** Duties run this often within the time after which a replica counts as lost, so that repair adds little to it. */
+const DUTIES_PER_LOSS = 8
 
 export interface ControlOptions {
   readonly node: NodeId
@@ -47,6 +51,8 @@
   readonly onFatal: (cause: Failure) => void
   /** An operator asked this node to drain. */
   readonly onDrain: () => void
+  /** Servers departed by decision of control. */
+  readonly onDepartures?: (departed: readonly Departed[]) => void
   readonly metrics?: Metrics
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
@@ -69,6 +75,7 @@
   #confirmTimer: NodeJS.Timeout | undefined
   #confirmedAt = Number.NEGATIVE_INFINITY
   #leads = false
+  #departurePosition = 0
   #stopped = false
 
   private constructor(options: ControlOptions, host: ReplicaHost, transport: ReplicaTransport, replica: ReplicaId) {
@@ -91,6 +98,7 @@
       controlNodes,
       checkDocument,
       wallClock,
+      leastVoters: settings.leastVoters,
       ...(options.submitLimitMs === undefined ? {} : { limitMs: options.submitLimitMs }),
     })
     this.#leases = new LeaseServer({ host, directory: cluster, now })
@@ -100,8 +108,8 @@
       replicas: settings.replicas,
       now,
       wallClock,
-      ...(options.lostAfterMs === undefined ? {} : { lostAfterMs: options.lostAfterMs }),
-      ...(options.dutiesIntervalMs === undefined ? {} : { intervalMs: options.dutiesIntervalMs }),
+      lostAfterMs: options.lostAfterMs ?? settings.lostAfterMs,
+      intervalMs: options.dutiesIntervalMs ?? Math.min(DUTIES_INTERVAL_MS, settings.lostAfterMs / DUTIES_PER_LOSS),
       onStep: (change) => {
         log.info('replicaSetChanged', { action: change.kind, replica: change.replica })
       },
@@ -154,6 +162,10 @@
     })
   }
 
+  get changes(): Changes {
+    return this.#changes
+  }
+
   /** Disk id that the node announces. */
   get disk(): string {
     return this.replica.slice(this.replica.lastIndexOf('/') + 1)
@@ -203,6 +215,7 @@
   applied(commands: readonly Command[]): void {
     const { node, start, onDrain } = this.#options
     this.#offerDocuments()
+    this.#tellDepartures()
     const drained = commands.some((command) => command.kind === 'node' && command.action === 'drain')
     if (drained && this.host.state.drains.some((drain) => drain.node === node && drain.at > start)) onDrain()
   }
@@ -221,6 +234,13 @@
     this.#metrics?.synced(duration)
   }
 
+  #tellDepartures(): void {
+    const { departures, departurePosition } = this.host.state
+    const newer = [...departures.values()].filter(({ position }) => position > this.#departurePosition)
+    this.#departurePosition = departurePosition
+    if (newer.length > 0) this.#options.onDepartures?.(newer)
+  }
+
   #offerDocuments(): void {
     const { keeper } = this.#options
     for (const environment of this.host.state.environments.keys()) this.#offer(keeper, environment)
@@ -229,8 +249,8 @@
   #offer(keeper: DocumentKeeper, environment: Environment): void {
     const document = documentInForce(this.host.state, environment)
     if (document === undefined) return
-    const { revision, digest, text } = document
-    const offered = keeper.offer({ environment, revision, digest, text })
+    const { revision, digest, text, version = 0 } = document
+    const offered = keeper.offer({ environment, revision, digest, text, version })
     if (offered.isErr() || this.#confirmedAt === Number.NEGATIVE_INFINITY) return
     keeper.confirm(environment, revision, this.#confirmedAt)
   }
--- a/packages/node/src/entry-feed.ts
+++ b/packages/node/src/entry-feed.ts
@@ -10,7 +10,7 @@
 import type { MeasuringTokens } from '@bilberrystall/routing'
 import type { DocumentKeeper, HeldDocument } from './control-documents'
 import { LeaseClient, type Lease, type MeasuringWish } from './control-lease'
-import { DocumentWatcher } from './control-watch'
+import { ControlFollower, type Departed } from './control-follow'
 import type { Frame } from './frame'
 
 /** Slot time that one probe may take; the router reserves the same. */
@@ -25,11 +25,12 @@
   readonly tokens: MeasuringTokens
   readonly onDocument: (document: Document) => void
   readonly onDrain: () => void
+  readonly onDepartures: (departed: readonly Departed[]) => void
 }
 
 export class EntryFeed {
   readonly #options: EntryFeedOptions
-  readonly #watcher: DocumentWatcher
+  readonly #follower: ControlFollower
   readonly #leases: LeaseClient
   #document: Document | undefined
 
@@ -39,12 +40,15 @@
     const { clients, directory, now } = frame
     const addressOf = (node: NodeId) => directory.nodes.get(node)?.address
     const controlNodes = () => this.#nodes((node) => node.roles.includes('control'))
-    this.#watcher = new DocumentWatcher({
+    this.#follower = new ControlFollower({
       environment,
+      self: frame.self,
+      failureDomain: frame.settings.failureDomain,
+      onDepartures: options.onDepartures,
       keeper,
       clients,
       addressOf,
-      controlNodes,
+      controlNodes: () => [...directory.nodes.values()].filter((node) => node.roles.includes('control')),
       otherEntries: () => this.#nodes((node) => node.environment === environment && node.node !== frame.self),
       now,
     })
@@ -86,12 +90,12 @@
   }
 
   start(): void {
-    this.#watcher.start()
+    this.#follower.start()
     this.#leases.start()
   }
 
   stop(): void {
-    this.#watcher.stop()
+    this.#follower.stop()
     this.#leases.stop()
   }
 
@@ -101,7 +105,7 @@
     for (const change of changes) {
       if (change.kind !== 'node-changed' || change.node.node === frame.self) continue
       const version = change.node.documents.find((document) => document.environment === environment)
-      if (version !== undefined && keeper.saw(version)) void this.#watcher.fetch(change.node.node)
+      if (version !== undefined && keeper.saw(version)) void this.#follower.fetch(change.node.node)
     }
   }
 
@@ -121,7 +125,7 @@
     }
     const lacks =
       lease.digest !== undefined && keeper.saw({ environment, revision: lease.revision, digest: lease.digest })
-    if (lacks) void this.#watcher.fetchFromControl()
+    if (lacks) void this.#follower.fetchFromControl()
     else if (lease.revision > 0) keeper.confirm(environment, lease.revision, lease.sentAt)
     if (lease.drain) onDrain()
   }
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,16 +1,18 @@
 /** Entry role of a node: keeps the HTTP entry and its router in line with the directory and the document in force. */
 import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
-import type { Document } from '@bilberrystall/document'
+import type { Document, Service } from '@bilberrystall/document'
 import { HolderTable } from '@bilberrystall/claims'
 import { ClaimGate, claimRoutes, Entry, RpcClaimTransport, SYSTEM_CLOCK } from '@bilberrystall/entry'
 import type { Change, Server } from '@bilberrystall/membership'
-import { Router, type Effect } from '@bilberrystall/routing'
+import { Router, type Effect, type RetryLimits } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Result } from 'neverthrow'
 import type { Counter } from 'prom-client'
+import type { Adapter } from './adapter'
 import type { Announcement } from './announcement'
+import type { Departed } from './control-follow'
 import type { DocumentKeeper } from './control-documents'
 import { EntryFeed } from './entry-feed'
 import type { Frame } from './frame'
@@ -19,11 +21,16 @@
 
 const MICROSECONDS_PER_MS = 1000
 const EJECTED_SHOWN = 100
+const MS_PER_SECOND = 1000
+/** Part of the retry allowance that is used, since the entries' views of their number differ while nodes come and go. */
+const USED_ALLOWANCE = 0.6
 
 export interface EntryRoleOptions {
   readonly frame: Frame
   readonly settings: EntrySettings
   readonly keeper: DocumentKeeper
+  readonly adapter: Adapter | undefined
+  readonly onDepartures: (departed: readonly Departed[]) => void
   /** An operator asked this node to drain. */
   readonly onDrain: () => void
 }
@@ -56,6 +63,7 @@
         this.#configure(document)
       },
       onDrain: options.onDrain,
+      onDepartures: options.onDepartures,
     })
     this.#holder = new HolderTable({ startedAt: frame.startedAt })
     this.#entry = new Entry({
@@ -67,6 +75,8 @@
       document: () => this.#feed.document(),
       liveEntries: () => this.#liveEntries(),
       claims: this.#claimGate(),
+      ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
+      random: frame.random,
       events: {
         ended: (result, latencyMs) => {
           this.#ended(result, latencyMs)
@@ -176,9 +186,19 @@
   #configure(document: Document): void {
     const now = this.#options.frame.now()
     for (const service of document.services.values()) {
-      const { concurrency, retryBudget } = service
-      this.#router.configure(service.name, { retries: { share: retryBudget }, concurrency }, now)
+      const { concurrency } = service
+      this.#router.configure(service.name, { retries: this.#retries(service), concurrency }, now)
     }
+    this.#entry.configure(document)
+  }
+
+  /** The platform's allowance counts for all entries together; this one takes its part of what is not proportional. */
+  #retries({ retryBudget }: Service): RetryLimits {
+    const allowance = this.#options.adapter?.retries
+    if (allowance === undefined) return { share: retryBudget }
+    const spare = (allowance.spare * USED_ALLOWANCE) / this.#liveEntries()
+    const minimum = (spare * MS_PER_SECOND) / allowance.windowMs
+    return { share: allowance.share * USED_ALLOWANCE, minimum, burst: Math.max(1, spare) }
   }
 
   #serverChanged(key: string, server: Server): void {
@@ -199,12 +219,17 @@
       state: server.state,
       firstSeen: at,
       address: splitAddress(server.address),
-      connectionLimit: server.connectionLimit,
+      instance: server.server,
+      connectionLimit: this.#connectionLimit(server),
     })
     const code: CodeName = server.state === 'draining' ? 'serverLeft' : 'serverJoined'
     frame.log.info(code, { server: key, state: server.state })
   }
 
+  #connectionLimit({ service, connectionLimit }: Server): number {
+    return Math.min(connectionLimit, this.#feed.document()?.services.get(service)?.connectionLimit ?? Infinity)
+  }
+
   #serverLeft(key: string, server: Server): void {
     if (!this.#firstSeen.delete(key)) return
     this.#entry.removeServer(serverId(key))
--- a/packages/node/src/gossip-codec.ts
+++ b/packages/node/src/gossip-codec.ts
@@ -1,5 +1,14 @@
 /** Converts directory records to and from the messages of the gossip service. */
-import { digestOf, environmentName, failureDomain, nodeId, revision, serverId, serviceName } from '@bilberrystall/base'
+import {
+  digestOf,
+  environmentName,
+  failureDomain,
+  nodeId,
+  replicaId,
+  revision,
+  serverId,
+  serviceName,
+} from '@bilberrystall/base'
 import type {
   Node,
   NodeState,
@@ -117,6 +126,7 @@
         digest: digestOf(document.digest),
       })),
       ejected: message.ejected,
+      ...(message.founder === '' ? {} : { founder: replicaId(message.founder) }),
     },
     counter: Number(message.counter),
   }
--- a/packages/node/src/gossip.ts
+++ b/packages/node/src/gossip.ts
@@ -28,7 +28,8 @@
   readonly self: string
   /** RPC address of this node. */
   readonly address: string
-  readonly seeds: readonly string[]
+  /** RPC addresses of nodes to join; they may change while the process runs. */
+  readonly seeds: () => readonly string[]
   readonly random: Random
   readonly now: () => number
   readonly onChanges: (changes: readonly Change[]) => void
@@ -90,7 +91,8 @@
   }
 
   #choosePeer(): string | undefined {
-    const { seeds, address, random } = this.#options
+    const { address, random } = this.#options
+    const seeds = this.#options.seeds()
     const peers = this.#peers()
     this.#rounds += 1
     const others = seeds.filter((seed) => seed !== address)
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,17 +10,32 @@
   seededRandom,
   type CodeName,
   type Failure,
+  type FailureDomain,
   type NodeId,
 } from '@bilberrystall/base'
-import { Directory, serverKey, type Change, type Node } from '@bilberrystall/membership'
+import {
+  DEFAULT_LEASE_TIMES,
+  Directory,
+  serverKey,
+  slowLeaseTimes,
+  type Change,
+  type Node,
+} from '@bilberrystall/membership'
+import { parseDocument } from '@bilberrystall/document'
 import { RpcClients, RpcServer, Traffic } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
-import { Control } from './control'
+import type { Adapter, Gateway } from './adapter'
+import { Control, controlNodesOf } from './control'
+import { Changes, NO_REPLICA } from './control-changes'
+import { replicaOf } from './control-disk'
+import type { Departed } from './control-follow'
 import { deliveryRoutes } from './control-delivery'
 import { DocumentKeeper } from './control-documents'
 import { EntryRole } from './entry-role'
+import { Founding } from './founding'
 import type { Frame } from './frame'
+import { NodeGateway } from './gateway'
 import { Gossip } from './gossip'
 import { healthOf } from './health'
 import { listen, splitAddress, type Listener } from './listener'
@@ -31,9 +46,13 @@
 
 const EXPIRY_INTERVAL_MS = 100
 const SEED_RANGE = 2 ** 32
+/** Platforms wait a second for an answer; what arrives later only costs. */
+const GATEWAY_LIMIT_MS = 950
+const GATEWAY_ATTEMPT_MS = 600
 
 export interface NodeOptions {
   readonly log?: Log
+  readonly adapter?: Adapter
   /** The node cannot go on, or an operator asked it to leave; the process is to stop it. */
   readonly onEnd?: (code: CodeName) => void
 }
@@ -48,6 +67,9 @@
   readonly #joined = new Set<NodeId>()
   readonly #onEnd: (code: CodeName) => void
   readonly #listeners: Listener[] = []
+  readonly #adapter: Adapter | undefined
+  readonly #startedAt = performance.now()
+  #seeds: readonly string[]
   #record: Node
   #rpc: RpcServer | undefined
   #control: Control | undefined
@@ -57,7 +79,9 @@
 
   private constructor(settings: Settings, options: NodeOptions) {
     this.#settings = settings
+    this.#seeds = settings.seeds
     this.#onEnd = options.onEnd ?? (() => undefined)
+    this.#adapter = options.adapter
     this.#record = ownRecord(settings)
     this.#frame = this.#createFrame(options.log ?? createLog({ node: settings.node }))
   }
@@ -71,6 +95,10 @@
     return err(started.error)
   }
 
+  get log(): Log {
+    return this.#frame.log
+  }
+
   /**
    * Graceful shutdown: the health page says leaving for the balancer's grace, calls in flight finish, leadership moves,
    * then listeners close. Repeated calls share one shutdown.
@@ -80,6 +108,14 @@
     return this.#stopping
   }
 
+  /** Takes over what may change while the process runs, the seeds; everything else needs a restart. */
+  reload(settings: Settings): void {
+    const { log } = this.#frame
+    const restart = JSON.stringify({ ...settings, seeds: [] }) !== JSON.stringify({ ...this.#settings, seeds: [] })
+    this.#seeds = settings.seeds
+    log.info('settingsReloaded', { seeds: settings.seeds, restart })
+  }
+
   async #start(): Promise<Result<void, Failure>> {
     const opened = await this.#openRoles()
     if (opened.isErr()) return opened
@@ -91,9 +127,12 @@
     this.#frame.gossip.start()
     this.#control?.start()
     this.#entry?.start()
+    const founding = this.#createFounding()
     this.#expiry = setInterval(() => {
       this.expire()
+      founding?.tick(performance.now() - this.#startedAt)
     }, EXPIRY_INTERVAL_MS)
+    if (this.#settings.nodeKey === '') this.#frame.log.warn('keysOff')
     this.#frame.log.info('nodeStarted', { roles: this.#settings.roles })
     return ok()
   }
@@ -113,6 +152,10 @@
         frame: this.#frame,
         settings: entry,
         keeper: this.#keeper,
+        adapter: this.#adapter,
+        onDepartures: (departed) => {
+          this.#departed(departed)
+        },
         onDrain: () => {
           this.#onEnd('nodeLeaving')
         },
@@ -136,6 +179,9 @@
       onDrain: () => {
         this.#onEnd('nodeLeaving')
       },
+      onDepartures: (departed) => {
+        this.#departed(departed)
+      },
     })
     if (opened.isErr()) return err(opened.error)
     this.#control = opened.value
@@ -172,14 +218,79 @@
     const listening = await listen(status, this.#settings.statusListen)
     if (listening.isErr()) return err(listening.error)
     this.#listeners.push(listening.value)
-    if (this.#control !== undefined && this.#settings.control !== undefined) {
-      const operators = await listen(this.#control.operatorApp(), this.#settings.control.listen)
+    const adapted = await this.#listenForPlatform()
+    if (adapted.isErr()) return adapted
+    const operatorListen = this.#settings.control?.listen
+    if (this.#control !== undefined && operatorListen !== undefined) {
+      const operators = await listen(this.#control.operatorApp(), operatorListen)
       if (operators.isErr()) return err(operators.error)
       this.#listeners.push(operators.value)
     }
     return this.#entry === undefined ? ok() : this.#entry.listen()
   }
 
+  async #listenForPlatform(): Promise<Result<void, Failure>> {
+    for (const { address, app } of this.#adapter?.listeners(this.#createGateway()) ?? []) {
+      const listening = await listen(app, address)
+      if (listening.isErr()) return err(listening.error)
+      this.#listeners.push(listening.value)
+    }
+    return ok()
+  }
+
+  #createGateway(): Gateway {
+    const { directory, clients, self, now } = this.#frame
+    const { entry, failureDomain } = this.#settings
+    const controlNodes = () => nearestFirst(controlNodesOf(directory), directory, self, failureDomain)
+    const changes =
+      this.#control?.changes ??
+      new Changes({
+        host: NO_REPLICA,
+        node: self,
+        clients,
+        addressOf: (node) => directory.nodes.get(node)?.address,
+        controlNodes,
+        checkDocument: parseDocument,
+        wallClock: () => Date.now(),
+        limitMs: GATEWAY_LIMIT_MS,
+        attemptLimitMs: GATEWAY_ATTEMPT_MS,
+      })
+    return new NodeGateway({
+      environment: entry?.environment ?? environmentName(''),
+      directory,
+      changes,
+      clients,
+      controlNodes,
+      health: () => this.#health(),
+      announced: (server) => this.#serverAnnounced({ server, load: undefined }),
+      departed: (server, start) => {
+        this.#departed([{ server, start }])
+      },
+      now,
+    })
+  }
+
+  #createFounding(): Founding | undefined {
+    const { node, address, seeds, firstStart } = this.#settings
+    const { disk } = this.#record
+    if (!firstStart) return undefined
+    return new Founding({
+      self: node,
+      address,
+      seeds,
+      replica: disk === '' ? undefined : replicaOf(node, disk),
+      nodes: () => this.#frame.directory.nodes.values(),
+      choose: (founder) => {
+        this.#announce({ founder })
+      },
+      found: () => this.#control?.host.found(),
+    })
+  }
+
+  #departed(departed: readonly Departed[]): void {
+    for (const { server, start } of departed) this.#changed(this.#frame.directory.depart(server, start))
+  }
+
   #serverAnnounced(announcement: Announcement): Result<void, Failure> {
     const { environment } = announcement.server
     if (environment !== this.#settings.entry?.environment) {
@@ -252,18 +363,20 @@
   }
 
   #createFrame(log: Log): Frame {
-    const { node, address, seeds, nodeKey } = this.#settings
+    const { node, address, nodeKey } = this.#settings
     const startedAt = Date.now()
     const now = () => performance.now()
     const random = seededRandom(randomInt(SEED_RANGE))
-    const directory = new Directory({ self: node, incarnation: startedAt, now: now() })
+    const renewalMs = this.#settings.entry?.renewalMs
+    const leases = renewalMs === undefined ? DEFAULT_LEASE_TIMES : slowLeaseTimes(renewalMs)
+    const directory = new Directory({ self: node, incarnation: startedAt, now: now(), leases })
     const clients = new RpcClients({ nodeKey, traffic: this.#traffic })
     const gossip = new Gossip({
       directory,
       clients,
       self: node,
       address,
-      seeds,
+      seeds: () => this.#seeds,
       random,
       now,
       onChanges: (changes) => {
@@ -296,6 +409,20 @@
   return RunningNode.start(settings, options)
 }
 
+/** This node, then those of its failure domain, then the others. */
+function nearestFirst(
+  nodes: readonly NodeId[],
+  directory: Directory,
+  self: NodeId,
+  domain: FailureDomain,
+): readonly NodeId[] {
+  const distance = (node: NodeId) => {
+    if (node === self) return 0
+    return directory.nodes.get(node)?.failureDomain === domain ? 1 : 2
+  }
+  return nodes.toSorted((left, right) => distance(left) - distance(right))
+}
+
 function ownRecord(settings: Settings): Node {
   return {
     node: settings.node,
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -18,28 +18,39 @@
 import { z } from 'zod'
 
 const LEAST_SECRET_LENGTH = 16
+const DEFAULT_REPLICAS = 3
 
 export interface EntrySettings {
   readonly environment: Environment
   /** Address for callers. */
   readonly listen: string
-  readonly serverKey: string
+  /** Undefined where servers need no key. */
+  readonly serverKey: string | undefined
   /** How long the health page says leaving before connections are refused. */
   readonly balancerGraceMs: number
   /** How long calls in flight may take at a planned stop. */
   readonly stopLimitMs: number
+  /**
+   * Interval at which servers renew their announcements, where control decides their departures; undefined where
+   * departures follow from short leases.
+   */
+  readonly renewalMs: number | undefined
 }
 
 export interface ControlSettings {
-  /** Address for operators. */
-  readonly listen: string
+  /** Address for operators; undefined where they reach control through an adapter. */
+  readonly listen: string | undefined
   readonly dataFolder: string
   /** SHA-256 of each operator's key by the operator's name. */
   readonly operatorKeys: ReadonlyMap<string, string>
-  /** Start a new cluster when the data folder is empty. */
+  /** Whether a replica with an empty data folder starts a new cluster by itself. */
   readonly bootstrap: boolean
   /** Replicas that self-repair keeps. */
   readonly replicas: number
+  /** Voters without which control accepts nothing. */
+  readonly leastVoters: number
+  /** Time without contact after which a replica is replaced. */
+  readonly lostAfterMs: number
 }
 
 export interface Settings {
@@ -51,11 +62,16 @@
   readonly rpcListen: string
   /** Address for announcements of servers, health and metrics. */
   readonly statusListen: string
+  /** Whether this process takes part in the first start of the whole system. */
+  readonly firstStart: boolean
   readonly failureDomain: FailureDomain
   readonly region: string
   /** RPC addresses of nodes to join. */
   readonly seeds: readonly string[]
+  /** Empty where nodes need no key. */
   readonly nodeKey: string
+  /** Settings of the adapter to the operator's platform; undefined without one. */
+  readonly platform: Readonly<Record<string, string>> | undefined
   readonly entry: EntrySettings | undefined
   readonly control: ControlSettings | undefined
 }
@@ -70,24 +86,32 @@
     'failure-domain': field.name,
     region: field.name.default('default'),
     seeds: field.list.pipe(z.array(field.address)).default([]),
-    'node-key-file': z.string().min(1),
+    // For platforms that list the seeds by another listener of theirs.
+    'seeds-port': field.integer(1, 65_535).optional(),
+    // The seeds choose the replica that starts the cluster.
+    'first-start': field.flag.default(false),
+    'node-key-file': z.string().min(1).optional(),
   }),
+  platform: z.record(z.string(), z.string()).optional(),
   entry: z
     .strictObject({
       environment: field.name,
       listen: field.address,
-      'server-key-file': z.string().min(1),
+      'server-key-file': z.string().min(1).optional(),
+      renewal: field.duration(100, 60_000).optional(),
       'balancer-grace': field.duration(0, 60_000).default(3000),
       'stop-limit': field.duration(100, 600_000).default(30_000),
     })
     .optional(),
   control: z
     .strictObject({
-      listen: field.address,
+      listen: field.address.optional(),
       'data-folder': z.string().min(1),
-      'operator-keys-file': z.string().min(1),
+      'operator-keys-file': z.string().min(1).optional(),
       bootstrap: field.flag.default(false),
-      replicas: field.integer(1, 5).default(3),
+      replicas: field.integer(1, 5).optional(),
+      losses: field.integer(0, 2).optional(),
+      'lost-after': field.duration(500, 3_600_000).default(60_000),
     })
     .optional(),
 })
@@ -106,13 +130,14 @@
 }
 
 function withSecrets(raw: RawSettings, folder: string): Result<Settings, Failure> {
-  const { node, entry, control } = raw
+  const { node, entry, control, platform } = raw
   const missing = node.roles.filter((role) => raw[role] === undefined)
   if (missing.length > 0) {
     const faults = missing.map((role) => ({ section: role, key: '', reason: `is required by role ${role}` }))
     return err(failure('settingsInvalid', formatFaults(faults)))
   }
-  const nodeKey = readSecret(folder, node['node-key-file'])
+  const keyFile = node['node-key-file']
+  const nodeKey = keyFile === undefined ? ok('') : readSecret(folder, keyFile)
   if (nodeKey.isErr()) return err(nodeKey.error)
   const entrySettings = node.roles.includes('entry') && entry !== undefined ? readEntry(entry, folder) : ok(undefined)
   if (entrySettings.isErr()) return err(entrySettings.error)
@@ -127,33 +152,49 @@
     statusListen: node['status-listen'],
     failureDomain: failureDomain(node['failure-domain']),
     region: node.region,
-    seeds: node.seeds,
+    firstStart: node['first-start'],
+    seeds: node.seeds.map((seed) => withPort(seed, node['seeds-port'])),
     nodeKey: nodeKey.value,
+    platform,
     entry: entrySettings.value,
     control: controlSettings.value,
   })
 }
 
 function readEntry(raw: NonNullable<RawSettings['entry']>, folder: string): Result<EntrySettings, Failure> {
-  return readSecret(folder, raw['server-key-file']).map((serverKey) => ({
+  const keyFile = raw['server-key-file']
+  const key: Result<string | undefined, Failure> = keyFile === undefined ? ok(undefined) : readSecret(folder, keyFile)
+  return key.map((serverKey) => ({
     environment: environmentName(raw.environment),
     listen: raw.listen,
     serverKey,
     balancerGraceMs: raw['balancer-grace'],
     stopLimitMs: raw['stop-limit'],
+    renewalMs: raw.renewal,
   }))
 }
 
 function readControl(raw: NonNullable<RawSettings['control']>, folder: string): Result<ControlSettings, Failure> {
-  return readOperatorKeys(folder, raw['operator-keys-file']).map((operatorKeys) => ({
+  const keysFile = raw['operator-keys-file']
+  const keys = keysFile === undefined ? ok(new Map<string, string>()) : readOperatorKeys(folder, keysFile)
+  const { losses } = raw
+  const replicas = raw.replicas ?? (losses === undefined ? DEFAULT_REPLICAS : 2 * losses + 1)
+  return keys.map((operatorKeys) => ({
     listen: raw.listen,
     dataFolder: resolve(folder, raw['data-folder']),
     operatorKeys,
     bootstrap: raw.bootstrap,
-    replicas: raw.replicas,
+    replicas,
+    // Without a stated number of losses a single replica is enough, as in a first try.
+    leastVoters: losses === undefined ? 1 : replicas,
+    lostAfterMs: raw['lost-after'],
   }))
 }
 
+function withPort(address: string, port: number | undefined): string {
+  return port === undefined ? address : `${address.slice(0, address.lastIndexOf(':'))}:${port}`
+}
+
 function readSecret(folder: string, file: string): Result<string, Failure> {
   return readText(resolve(folder, file)).andThen((text) => {
     const secret = text.trim()
--- a/packages/node/src/status-listener.ts
+++ b/packages/node/src/status-listener.ts
@@ -19,7 +19,7 @@
 export interface StatusListenerOptions {
   readonly health: () => Health
   readonly metrics: () => Promise<string>
-  /** Undefined on nodes without the entry role, which take no announcements. */
+  /** Undefined on nodes that take no announcements here: those without the entry role or without a server key. */
   readonly serverKey: string | undefined
   readonly announce: (announcement: Announcement) => Result<unknown, Failure>
 }
--- a/packages/node/test/control-duties.test.ts
+++ b/packages/node/test/control-duties.test.ts
@@ -98,6 +98,7 @@
       replicas: this.replicas,
       replicasCommitted: true,
       lease: true,
+      currentAt: 0,
       followers: learners.map((learner) => {
         return { ...learner, state: 'replicate', match: logIndex(1), lastContact: this.time, caughtUp: true }
       }),
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -35,6 +35,8 @@
   readonly slots: number
   /** Calls that wait for a slot. */
   readonly queue: number
+  /** Time that work takes at the server right now, relative to the usual time. */
+  readonly slowness?: number
 }
 
 export type ServerState = 'starting' | 'ready' | 'draining'
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -15,6 +15,7 @@
 const IDLE_SESSION_MS = 60_000
 
 export interface RpcClientsOptions {
+  /** Empty where nodes need no key. */
   readonly nodeKey: string
   readonly traffic: Traffic
   /** Timeout of a unary call that names none. */
@@ -120,9 +121,10 @@
         },
       },
     )
-    const authorization = bearer(this.#options.nodeKey)
+    const { nodeKey } = this.#options
+    const authorization = bearer(nodeKey)
     const withNodeKey: Interceptor = (next) => (request) => {
-      request.header.set('authorization', authorization)
+      if (nodeKey !== '') request.header.set('authorization', authorization)
       return next(request)
     }
     const transport = createConnectTransport({
--- a/packages/rpc/src/server.ts
+++ b/packages/rpc/src/server.ts
@@ -14,6 +14,7 @@
 export interface RpcServerOptions {
   readonly host: string
   readonly port: number
+  /** Empty where nodes need no key. */
   readonly nodeKey: string
   readonly routes: (router: ConnectRouter) => void
   readonly traffic: Traffic
@@ -42,7 +43,10 @@
       routes: options.routes,
       interceptors: [
         (next) => (request) => {
-          if (!sameSecret(request.header.get('authorization') ?? '', bearer(options.nodeKey))) {
+          if (
+            options.nodeKey !== '' &&
+            !sameSecret(request.header.get('authorization') ?? '', bearer(options.nodeKey))
+          ) {
             throw new ConnectError('node key is missing or wrong', Code.Unauthenticated)
           }
           return next(request)
