Ask three servers for their load before a call is sent

Cause: on the platform 25 to 35 in 100 servers work seven times slower at any moment, and which ones changes every half second. Ruled out: gossip of observations (older than the change of speed), probes in the background (each entry would need several a second to every server for the same freshness), estimates with more weight on the last report. The connection that answered carries the call, so it is known to work.

--- a/packages/bench/src/routing/router-policy.ts
+++ b/packages/bench/src/routing/router-policy.ts
@@ -123,6 +123,8 @@
         seat.router.started(effect.call, this.#now)
         return
       }
+      case 'inquire':
+        throw new Error('the compared routers ask no servers')
       case 'shed': {
         const call = required(seat.calls.get(effect.call))
         seat.calls.delete(effect.call)
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -35,6 +35,8 @@
   readonly server: ServerId
   readonly repeatable: boolean
   readonly silenceMs: number
+  /** A connection that just proved to work; absent: one of the pool. */
+  readonly connection: Connection | undefined
   readonly environment: CallEnvironment
   readonly body: RequestBody
   readonly request: () => Omit<ExchangeRequest, 'body'>
@@ -73,7 +75,9 @@
       this.#connectFailed()
       return
     }
-    this.#pool.acquire(!this.#options.repeatable, this.#acquired)
+    const { connection, repeatable } = this.#options
+    if (connection === undefined) this.#pool.acquire(!repeatable, this.#acquired)
+    else this.#send(connection)
   }
 
   /** Ends the attempt without an event for the call. */
--- a/packages/entry/src/call-environment.ts
+++ b/packages/entry/src/call-environment.ts
@@ -17,6 +17,8 @@
   readonly claims: ClaimGate | undefined
   readonly pool: (server: ServerId) => ServerPool | undefined
   readonly draining: () => boolean
+  /** Path at which the server reports its health. */
+  readonly healthPath: (server: ServerId) => string
   /** Another process has the address of the server. */
   readonly misdirected: (server: ServerId) => void
   /** Id by which the process of a server is named in requests. */
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -9,6 +9,7 @@
 import type { CallId } from '@bilberrystall/routing'
 import { Attempt, type AttemptEnd } from './attempt'
 import type { CallEnvironment } from './call-environment'
+import { Inquiry } from './inquiry'
 import { KeyedCall } from './keyed-call'
 import { CONTEXT_HEADER, QUEUE_LIMIT_HEADER, requestFields, type Head, type ResponseHead } from './head'
 import type { CallContext } from './context'
@@ -44,6 +45,7 @@
   readonly #reply: Reply
   readonly #keyed: KeyedCall
   readonly #tried: ServerId[] = []
+  #inquiry: Inquiry | undefined
   /** Monotonic ms. */
   readonly #deadline: number
   readonly #timer: NodeJS.Timeout
@@ -131,6 +133,7 @@
       service: route.service,
       urgency: context.urgency,
       deadline: this.#deadline,
+      ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
       repeatable: route.repeatable,
       // Only a call that can be sent again may be offered to a full server for refusal.
       resendable: this.#body.whole !== undefined && this.#attemptsLeft > 1,
@@ -141,17 +144,28 @@
   /** The router gave the call up. */
   shed(code: CodeName): void {
     this.#queued = false
+    this.#endInquiry()
     this.#fail(code)
   }
 
+  /** The router asks servers before it chooses one. */
+  inquire(servers: readonly ServerId[]): void {
+    this.#inquiry ??= new Inquiry(this.id, this.#environment)
+    for (const server of servers) this.#inquiry.ask(server)
+  }
+
   /** The router chose a server. */
   dispatched(server: ServerId, queueLimit: number | undefined): void {
     const { route, head, request } = this.#options
     this.#queued = false
+    const connection = this.#inquiry?.take(server)
+    this.#endInquiry()
     if (this.#done) {
       this.#environment.driver.cancelled(this.id)
       return
     }
+    // Named now: when the server leaves before the request is sent, another process may get its address.
+    const instance = this.#environment.instance(server)
     this.#attemptsLeft -= 1
     this.#tried.push(server)
     const silenceMs = Math.min(this.#environment.limits.silenceMs, this.#remaining() / 4)
@@ -160,12 +174,13 @@
       server,
       repeatable: route.repeatable,
       silenceMs,
+      connection,
       environment: this.#environment,
       body: this.#body,
       request: () => ({
         method: head.method,
         target: head.target,
-        fields: requestFields(request, this.#addedFields(server, queueLimit), this.#environment.dialect),
+        fields: requestFields(request, this.#addedFields(instance, queueLimit), this.#environment.dialect),
         attempt: head.attempt,
       }),
       events: {
@@ -186,16 +201,15 @@
     this.#attempt.start()
   }
 
-  #addedFields(server: ServerId, queueLimit: number | undefined): string[] {
+  #addedFields(instance: string | undefined, queueLimit: number | undefined): string[] {
     const { context } = this.#options
-    const { dialect, codec, instance } = this.#environment
+    const { dialect, codec } = this.#environment
     const fields = [dialect.deadlineHeader, String(Math.max(1, Math.floor(this.#remaining())))]
     if (dialect.carriesContext) {
       fields.push(CONTEXT_HEADER, codec.sign({ ...context, attempts: this.#attemptsLeft }))
       if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
     }
-    const named = instance(server)
-    if (dialect.instanceHeader !== undefined && named !== undefined) fields.push(dialect.instanceHeader, named)
+    if (dialect.instanceHeader !== undefined) fields.push(dialect.instanceHeader, instance ?? '')
     const { bodyLength } = this.#options.head
     // The library states the length of a gathered body itself.
     if (this.#body.whole === undefined && bodyLength !== undefined) fields.push('content-length', String(bodyLength))
@@ -273,7 +287,13 @@
     return claimsNotRun && this.#unknown !== undefined ? this.#unknown : cause
   }
 
+  #endInquiry(): void {
+    this.#inquiry?.close()
+    this.#inquiry = undefined
+  }
+
   #finish(result: CodeName | 'complete'): void {
+    this.#endInquiry()
     this.#done = true
     clearTimeout(this.#timer)
     this.#environment.ended(this, result)
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -19,6 +19,8 @@
   readonly attemptHeader: string | undefined
   /** Request header that names the server process; another one at the same address answers 421 and runs nothing. */
   readonly instanceHeader: string | undefined
+  /** Response header in which a server process names itself; undefined where servers do not. */
+  readonly instanceAnswerHeader: string | undefined
   /** Response header that every success of a server carries; undefined where servers mark nothing. */
   readonly signatureHeader: string | undefined
   /** Whether servers pass on the context of a call and know a limit on their queue. */
@@ -49,6 +51,7 @@
   readLoad: parseLoad,
   attemptHeader: undefined,
   instanceHeader: undefined,
+  instanceAnswerHeader: undefined,
   signatureHeader: undefined,
   carriesContext: true,
   probePath: PROBE_PATH,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -238,6 +238,7 @@
         this.removeServer(server)
       },
       instance: (server) => this.#servers.get(server)?.instance,
+      healthPath: (server) => this.#healthPath(server),
       driver: this.#driver,
       claims: this.#options.claims,
       pool: (server) => this.#pool(server),
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -134,7 +134,7 @@
 
   /** A late response to an earlier request, or bytes that a server did not sign, are no response to this request. */
   #belongs({ status, attempt, signed, encoded, notRun }: ResponseHead): boolean {
-    if (this.#attempt !== undefined && attempt !== this.#attempt && !(notRun && attempt === undefined)) return false
+    if (attempt !== this.#attempt && !(notRun && attempt === undefined)) return false
     const isSuccess = status >= 200 && status < 300
     return (
       !isSuccess || this.#dialect.signatureHeader === undefined || this.#attempt === undefined || (signed && !encoded)
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -137,6 +137,8 @@
   readonly length: number | undefined
   /** Id of the attempt that the response belongs to, where servers return it. */
   readonly attempt: string | undefined
+  /** Id by which the server process names itself. */
+  readonly instance: string | undefined
   readonly signed: boolean
   /** Whether the body was encoded on its way, which no caller asked for. */
   readonly encoded: boolean
@@ -152,6 +154,7 @@
   let length: number | undefined
   let attempt: string | undefined
   let signed = false
+  let instance: string | undefined
   let encoded = false
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
@@ -161,6 +164,7 @@
     else if (lower === dialect.loadHeader) load = dialect.readLoad(value)
     else if (lower === dialect.attemptHeader) attempt = value
     else if (lower === dialect.signatureHeader) signed = true
+    else if (lower === dialect.instanceAnswerHeader) instance = value
     else if (lower === 'content-encoding') encoded = true
     else if (lower === 'connection') named = connectionOptions(value)
     else if (lower === 'content-type') contentType = value
@@ -170,7 +174,7 @@
     if (!HOP_BY_HOP.has(lower) && !isOwn) fields.push(name, value)
   }
   const returned = named === undefined ? fields : withoutNamed(fields, named)
-  return { status, fields: returned, notRun, load, contentType, delimited, length, attempt, signed, encoded }
+  return { status, fields: returned, notRun, load, contentType, delimited, length, attempt, signed, encoded, instance }
 }
 
 function withoutNamed(fields: readonly string[], named: ReadonlySet<string>): string[] {
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -6,6 +6,7 @@
   type CallId,
   type Effect,
   type ExchangeOutcome,
+  type InquiryResult,
   type Load,
   type Router,
 } from '@bilberrystall/routing'
@@ -16,6 +17,7 @@
 export interface RoutedCall {
   /** Called at short intervals. */
   readonly sweep: (now: number) => void
+  readonly inquire: (servers: readonly ServerId[]) => void
   readonly dispatched: (server: ServerId, queueLimit: number | undefined) => void
   readonly shed: (code: CodeName) => void
 }
@@ -74,6 +76,10 @@
     this.apply(this.#options.router.finished(call, outcome, latency, load, this.#now()))
   }
 
+  answered(call: CallId, server: ServerId, result: InquiryResult): void {
+    this.apply(this.#options.router.answered(call, server, result, this.#now()))
+  }
+
   cancelled(call: CallId): void {
     this.apply(this.#options.router.cancelled(call, this.#now()))
   }
@@ -106,6 +112,12 @@
         else call.dispatched(effect.server, effect.queueLimit)
         return
       }
+      case 'inquire': {
+        const call = this.#calls.get(effect.call)
+        if (call === undefined) this.cancelled(effect.call)
+        else call.inquire(effect.servers)
+        return
+      }
       case 'shed':
         this.#calls.get(effect.call)?.shed(effect.code)
         return
--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -51,8 +51,15 @@
   readonly windowMs: number
 }
 
+/** Questions for its load that all entries together may ask one server, as the platform states it. */
+export interface InquiryAllowance {
+  readonly perServerPerSecond: number
+}
+
 export interface Adapter {
   readonly dialect: Dialect
   readonly retries: RetryAllowance | undefined
+  /** Undefined where servers do not report their load. */
+  readonly inquiries: InquiryAllowance | undefined
   readonly listeners: (gateway: Gateway) => readonly AdapterListener[]
 }
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -10,7 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Result } from 'neverthrow'
 import type { Counter } from 'prom-client'
-import type { Adapter } from './adapter'
+import type { Adapter, InquiryAllowance } from './adapter'
 import type { Announcement } from './announcement'
 import type { Departed } from './control-follow'
 import type { DocumentKeeper } from './control-documents'
@@ -53,7 +53,11 @@
     const { host, port } = splitAddress(settings.listen)
     this.#calls = frame.metrics.counter('calls_total', 'Calls by result', ['result'])
     this.#latency = frame.metrics.latency('call', 'Latency of calls at the entry')
-    this.#router = new Router({ random: frame.random })
+    const allowance = options.adapter?.inquiries
+    this.#router = new Router({
+      random: frame.random,
+      ...(allowance === undefined ? {} : { inquiries: this.#inquiries(allowance) }),
+    })
     this.#feed = new EntryFeed({
       frame,
       environment: settings.environment,
@@ -192,6 +196,14 @@
     this.#entry.configure(document)
   }
 
+  #inquiries({ perServerPerSecond }: InquiryAllowance) {
+    const { frame } = this.#options
+    return {
+      domain: frame.settings.failureDomain,
+      perServerPerSecond: () => (perServerPerSecond * USED_ALLOWANCE) / this.#liveEntries(),
+    }
+  }
+
   /** The platform's allowance counts for all entries together; this one takes its part of what is not proportional. */
   #retries({ retryBudget }: Service): RetryLimits {
     const allowance = this.#options.adapter?.retries
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -17,6 +17,8 @@
   readonly urgency: Urgency
   /** Absolute time in ms after which a response has no value. */
   readonly deadline: number
+  /** Time in ms from its arrival within which a response has its full value. */
+  readonly target?: number
   /** Whether the call may run more than once. */
   readonly repeatable: boolean
   /**
@@ -81,6 +83,8 @@
 /** Instructions to the shell, to be carried out in order. */
 export type Effect =
   | Dispatch
+  /** Ask the servers for their load and report each answer with `answered`. */
+  | { readonly kind: 'inquire'; readonly call: CallId; readonly servers: readonly ServerId[] }
   | { readonly kind: 'shed'; readonly call: CallId; readonly code: CodeName }
   | Probe
   | { readonly kind: 'ejected'; readonly server: ServerId; readonly reason: EjectReason }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** Server selection, load estimates, outliers, queues, admission, retry budgets and the measuring budget ledger. */
 export * from './call'
+export type { InquiryResult } from './inquiry'
 export * from './ledger'
 export * from './retry-budget'
 export * from './router'
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -5,6 +5,7 @@
 import type { CodeName, Random } from '@bilberrystall/base'
 import type { Call, Effect, Load } from './call'
 import { CallQueue, type Waiting } from './call-queue'
+import type { InquiryHost } from './inquiry'
 import { RetryBudget, type RetryLimits } from './retry-budget'
 import { chooseServer, isUsable, type Choice, type Surroundings } from './selection'
 import type { ServerRecord } from './server-record'
@@ -30,6 +31,11 @@
   /** Most calls in flight. */
   readonly concurrency: number
   readonly launch: (flight: Flight, effects: Effect[]) => void
+  /** Whether servers know a limit on their queue, beyond which they refuse a call. */
+  readonly bounces: boolean
+  /** Asks servers before the call is sent; false when none may be asked. */
+  readonly inquire: (call: Call, host: InquiryHost, now: number, effects: Effect[]) => boolean
+  readonly queued: (call: Call, waiting: Waiting) => void
   /** A call ends here without a server. */
   readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
 }
@@ -71,6 +77,18 @@
   readonly #urgent = new CallQueue()
   readonly #deferrable = new CallQueue()
   readonly #options: PoolOptions
+  readonly #inquiryHost: InquiryHost = {
+    records: this.records,
+    send: (call, record, now, effects) => {
+      this.#launch(call, record, false, now, effects)
+    },
+    refuse: (call, effects) => {
+      this.#options.shed(call, 'overloaded', effects)
+    },
+    proceed: (call, now, effects) => {
+      this.#submitByEstimate(call, now, effects)
+    },
+  }
   #queueLimit: number
   #concurrency: number
   #lastUrgentAt = Number.NEGATIVE_INFINITY
@@ -108,7 +126,7 @@
     this.#concurrency = concurrency
   }
 
-  submit(call: Call, now: number, effects: Effect[]): Waiting | undefined {
+  submit(call: Call, now: number, effects: Effect[]): void {
     if (now - this.#refreshedAt > REFRESH_INTERVAL) this.refresh(now)
     if (!isRetry(call)) this.budget.credit(now)
     if (call.urgency === 'urgent') this.#lastUrgentAt = now
@@ -116,19 +134,25 @@
     const refusal = this.#refusal(call, now)
     if (refusal !== undefined) {
       this.#options.shed(call, refusal, effects)
-      return undefined
+      return
     }
     const trial = this.inFlight < this.#concurrency ? this.#trialFor(call, now) : undefined
     if (trial !== undefined) {
       this.#launch(call, trial, true, now, effects)
-      return undefined
+      return
     }
+    const mayAsk = this.waiting === 0 && this.inFlight < this.#concurrency
+    if (mayAsk && this.#options.inquire(call, this.#inquiryHost, now, effects)) return
+    this.#submitByEstimate(call, now, effects)
+  }
+
+  #submitByEstimate(call: Call, now: number, effects: Effect[]): void {
     const queue = this.#queueOf(call)
     const isFirst = queue.size === 0 && (call.urgency === 'urgent' || this.#urgent.size === 0)
-    if (isFirst && this.#place(call, now, now, effects)) return undefined
+    if (isFirst && this.#place(call, now, now, effects)) return
     const waiting: Waiting = { call, since: now, order: this.#order++, place: -1 }
     queue.add(waiting)
-    return waiting
+    this.#options.queued(call, waiting)
   }
 
   remove(waiting: Waiting): void {
@@ -245,7 +269,7 @@
 
   /** Takes the token for the retry in advance, so that a call that was shed can always be sent elsewhere. */
   #reserveBounce(call: Call, record: ServerRecord, now: number): boolean {
-    if (call.resendable === false || isRetry(call)) return false
+    if (!this.#options.bounces || call.resendable === false || isRetry(call)) return false
     // Without another server the refused call would have nowhere to go.
     if (!this.records.some((other) => other !== record && isUsable(other, now))) return false
     return this.budget.available(now) >= this.#options.tuning.spareTokens && this.budget.take(now)
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -9,6 +9,7 @@
 import type { Random, ServerId, ServiceName } from '@bilberrystall/base'
 import type { Call, CallId, Effect, EjectReason, ExchangeOutcome, Load, Observation, Server } from './call'
 import type { Waiting } from './call-queue'
+import { Inquiries, type InquiriesOptions, type InquiryResult } from './inquiry'
 import { eject, mayEject, outlierReason, TRIALS } from './health'
 import { Pool, REFRESH_INTERVAL, type Flight } from './pool'
 import type { RetryLimits } from './retry-budget'
@@ -25,6 +26,8 @@
   /** Slot time in ms reserved for one probe, default 12 (a probe takes about 6). */
   readonly probeLimit?: number
   readonly tuning?: Partial<Tuning>
+  /** Lets calls ask servers for their load before they are sent; absent: they are sent by estimates alone. */
+  readonly inquiries?: Omit<InquiriesOptions, 'random'>
 }
 
 export interface ServiceLimits {
@@ -56,6 +59,7 @@
   readonly #records = new Map<ServerId, ServerRecord>()
   readonly #flights = new Map<CallId, Flight>()
   readonly #queued = new Map<CallId, Queued>()
+  readonly #inquiries: Inquiries | undefined
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
@@ -66,6 +70,8 @@
     this.#roundTrip = options.roundTrip ?? 2
     this.#probeLimit = options.probeLimit ?? 12
     this.#tuning = { ...DEFAULT_TUNING, ...options.tuning }
+    const { inquiries, random } = options
+    this.#inquiries = inquiries === undefined ? undefined : new Inquiries({ ...inquiries, random })
   }
 
   /** Applies the limits of the document to a service. */
@@ -111,8 +117,7 @@
   submit(call: Call, now: number): readonly Effect[] {
     const effects: Effect[] = []
     const pool = this.#pool(call.service, now)
-    const waiting = pool.submit(call, now, effects)
-    if (waiting !== undefined) this.#queued.set(call.id, { pool, waiting })
+    pool.submit(call, now, effects)
     this.#schedule(now)
     return effects
   }
@@ -146,8 +151,18 @@
     return effects
   }
 
+  /** A server answered the question of an `inquire` effect, or did not. */
+  answered(call: CallId, server: ServerId, result: InquiryResult, now: number): readonly Effect[] {
+    // An answer that comes after its call was sent still tells about the server.
+    if (result.kind === 'load') this.#records.get(server)?.noteSpeed(result.load, now)
+    const effects = this.#inquiries?.answered(call, server, result, now) ?? NO_EFFECTS
+    this.#schedule(now)
+    return effects
+  }
+
   /** The caller no longer waits: removes the call from its queue or frees its place at the server. */
   cancelled(call: CallId, now: number): readonly Effect[] {
+    if (this.#inquiries?.cancel(call) === true) return NO_EFFECTS
     const queued = this.#queued.get(call)
     if (queued !== undefined) {
       this.#queued.delete(call)
@@ -217,6 +232,7 @@
       for (const pool of this.#pools.values()) this.#refresh(pool, now, effects)
       this.#hasEjected = this.#anyEjected()
     }
+    this.#inquiries?.tick(now, effects)
     this.#drainAt = Number.POSITIVE_INFINITY
     for (const pool of this.#pools.values()) if (pool.waiting > 0) this.#settle(pool, now, effects)
     this.#schedule(now)
@@ -225,7 +241,7 @@
 
   /** Time in ms at which `tick` is next needed, infinite when no call waits and nothing is due. */
   nextWake(): number {
-    return Math.min(this.#drainAt, this.#refreshAt)
+    return Math.min(this.#drainAt, this.#refreshAt, this.#inquiries?.nextWake() ?? Number.POSITIVE_INFINITY)
   }
 
   #anyEjected(): boolean {
@@ -250,6 +266,12 @@
           const dispatch = { kind: 'dispatch', call: flight.call.id, server: flight.record.server.id } as const
           effects.push(flight.mayBounce ? { ...dispatch, queueLimit: 0 } : dispatch)
         },
+        // A server that was asked before has said how long its queue is.
+        bounces: this.#inquiries === undefined,
+        inquire: (call, host, at, effects) => this.#inquiries?.start(call, host, at, effects) === true,
+        queued: (call, waiting) => {
+          this.#queued.set(call.id, { pool, waiting })
+        },
         shed: (call, code, effects) => {
           this.#queued.delete(call.id)
           effects.push({ kind: 'shed', call: call.id, code })
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -26,6 +26,8 @@
 const ERROR_STEP = 0.3
 /** Share of its slots that a server which was just first seen is used with. */
 const RAMP_START = 0.2
+/** Slowness of a server that refuses questions. */
+const REFUSED_SLOWNESS = 5
 /** Ramp in ms of a server that started, and of one that comes back after an ejection. */
 const START_RAMP = 5000
 const RESTORE_RAMP = 2000
@@ -58,6 +60,11 @@
   /** 95th percentile of the latencies of own calls in ms. */
   ownHigh: number | undefined
   suspectedByPeerAt = Number.NEGATIVE_INFINITY
+  /** Time that work takes at the server relative to the usual time, as last reported, and when that was. */
+  slowness = 1
+  speedSeenAt = Number.NEGATIVE_INFINITY
+  #questions = Number.NaN
+  #questionsAt = 0
   readonly #sentAt: number[] = []
   #evidence = 0
   #rampLength = START_RAMP
@@ -177,6 +184,29 @@
     return average + (this.#others - average) * weight
   }
 
+  noteSpeed({ slowness = 1 }: Load, now: number): void {
+    this.slowness = slowness
+    this.speedSeenAt = now
+  }
+
+  /** The server refused a question: it is as good as slow until it says otherwise. */
+  noteRefusal(now: number): void {
+    this.slowness = REFUSED_SLOWNESS
+    this.speedSeenAt = now
+  }
+
+  /** Whether one more question fits the rate, in questions per ms; `most` questions may be saved up. */
+  mayAsk(rate: number, most: number, now: number): boolean {
+    const saved = Number.isNaN(this.#questions) ? most : this.#questions + (now - this.#questionsAt) * rate
+    this.#questions = Math.min(most, saved)
+    this.#questionsAt = now
+    return this.#questions >= 1
+  }
+
+  countQuestion(): void {
+    this.#questions -= 1
+  }
+
   addResult(isFailure: boolean): void {
     this.consecutiveFailures = isFailure ? this.consecutiveFailures + 1 : 0
     this.failureRate += ((isFailure ? 1 : 0) - this.failureRate) * ERROR_STEP
