Run a second try beside the first one in place of cutting it

Cause: a repeatable call that had no answer after a quarter of its time was cut and sent again. Ruled out: a longer limit (late calls stay late), cutting only when a free server was found (loses the work all the same). The second try starts at half of the target time, only at a server that says it is free and fast.

--- a/packages/entry/src/call-environment.ts
+++ b/packages/entry/src/call-environment.ts
@@ -17,6 +17,8 @@
   readonly claims: ClaimGate | undefined
   readonly pool: (server: ServerId) => ServerPool | undefined
   readonly draining: () => boolean
+  /** Whether calls ask servers for their load before they are sent. */
+  readonly asksServers: boolean
   /** Path at which the server reports its health. */
   readonly healthPath: (server: ServerId) => string
   /** Another process has the address of the server. */
@@ -26,5 +28,5 @@
   /** The result of the call is certain. */
   readonly ended: (call: Call, result: CodeName | 'complete') => void
   /** The response was handed to the operating system, or its connection closed. */
-  readonly closed: () => void
+  readonly closed: (call: Call) => void
 }
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -6,16 +6,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { failure, resultCode, type CodeName, type ServerId } from '@bilberrystall/base'
 import type { Document, Route } from '@bilberrystall/document'
-import type { CallId } from '@bilberrystall/routing'
-import { Attempt, type AttemptEnd } from './attempt'
+import type { AttemptEnd } from './attempt'
 import type { CallEnvironment } from './call-environment'
-import { Inquiry } from './inquiry'
 import { KeyedCall } from './keyed-call'
 import { CONTEXT_HEADER, QUEUE_LIMIT_HEADER, requestFields, type Head, type ResponseHead } from './head'
 import type { CallContext } from './context'
 import { Reply } from './reply'
 import { RequestBody } from './request-body'
-import type { RoutedCall } from './router-driver'
+import { Try } from './try'
 
 /** Statuses by which a server may say that it did not run the request, and the caller would take it so. */
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -23,6 +21,9 @@
 /** Time after which a refused call may find a free server: the length of a usual call. */
 const RETURN_AFTER_MS = 100
 
+/** Share of the target time after which a second try begins. */
+const HEDGE_SHARE = 0.5
+
 export interface CallOptions {
   readonly request: IncomingMessage
   readonly response: ServerResponse
@@ -35,8 +36,7 @@
   readonly context: CallContext
 }
 
-export class Call implements RoutedCall {
-  readonly id: CallId
+export class Call {
   /** Monotonic ms. */
   readonly acceptedAt: number
   readonly #options: CallOptions
@@ -45,13 +45,13 @@
   readonly #reply: Reply
   readonly #keyed: KeyedCall
   readonly #tried: ServerId[] = []
-  #inquiry: Inquiry | undefined
   /** Monotonic ms. */
   readonly #deadline: number
   readonly #timer: NodeJS.Timeout
   #attemptsLeft: number
-  #attempt: Attempt | undefined
-  #queued = false
+  /** Tries under way; a second one only for a call that may run more than once. */
+  readonly #tries = new Set<Try>()
+  #hedgeTimer: NodeJS.Timeout | undefined
   #done = false
   /** Code of the first attempt whose end is unknown. */
   #unknown: CodeName | undefined
@@ -59,7 +59,6 @@
   constructor(options: CallOptions, environment: CallEnvironment) {
     this.#options = options
     this.#environment = environment
-    this.id = environment.driver.register(this)
     this.acceptedAt = environment.clock.monotonic()
     const { request, response, head, route, context } = options
     const { limits, clock } = environment
@@ -83,8 +82,7 @@
     )
     response.once('close', () => {
       this.#callerGone()
-      environment.driver.closed(this.id)
-      environment.closed()
+      environment.closed(this)
     })
   }
 
@@ -102,10 +100,14 @@
     const { limits } = this.#environment
     const stalled = this.#body.waitingSince !== undefined && now - this.#body.waitingSince > limits.bodyStallMs
     if (stalled) {
-      this.#fail(this.#attempt?.sent === true ? 'bodyCutShort' : 'bodyIncomplete')
+      this.#fail(this.#sent ? 'bodyCutShort' : 'bodyIncomplete')
       return
     }
-    this.#attempt?.sweep(now)
+    for (const current of this.#tries) current.sweep(now)
+  }
+
+  get #sent(): boolean {
+    return [...this.#tries].some(({ sent }) => sent)
   }
 
   #claim(): void {
@@ -125,66 +127,33 @@
     })
   }
 
-  #submit(): void {
-    const { route, context } = this.#options
-    this.#queued = true
-    this.#environment.driver.submit({
-      id: this.id,
-      service: route.service,
-      urgency: context.urgency,
-      deadline: this.#deadline,
-      ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
-      repeatable: route.repeatable,
-      // Only a call that can be sent again may be offered to a full server for refusal.
-      resendable: this.#body.whole !== undefined && this.#attemptsLeft > 1,
-      tried: [...this.#tried],
-    })
-  }
-
-  /** The router gave the call up. */
-  shed(code: CodeName): void {
-    this.#queued = false
-    this.#endInquiry()
-    this.#fail(code)
-  }
-
-  /** The router asks servers before it chooses one. */
-  inquire(servers: readonly ServerId[]): void {
-    this.#inquiry ??= new Inquiry(this.id, this.#environment)
-    for (const server of servers) this.#inquiry.ask(server)
-  }
-
-  /** The router chose a server. */
-  dispatched(server: ServerId, queueLimit: number | undefined): void {
-    const { route, head, request } = this.#options
-    this.#queued = false
-    const connection = this.#inquiry?.take(server)
-    this.#endInquiry()
-    if (this.#done) {
-      this.#environment.driver.cancelled(this.id)
-      return
-    }
-    // Named now: when the server leaves before the request is sent, another process may get its address.
-    const instance = this.#environment.instance(server)
-    this.#attemptsLeft -= 1
-    this.#tried.push(server)
-    const silenceMs = Math.min(this.#environment.limits.silenceMs, this.#remaining() / 4)
-    this.#attempt = new Attempt({
-      call: this.id,
-      server,
-      repeatable: route.repeatable,
-      silenceMs,
-      connection,
+  /** `isHedge`: only a server that is free and fast right now is of use. */
+  #submit(isHedge = false): void {
+    const { route, context, head, request } = this.#options
+    const current: Try = new Try({
       environment: this.#environment,
       body: this.#body,
-      request: () => ({
+      silenceMs: Math.min(this.#environment.limits.silenceMs, this.#remaining() / 4),
+      routed: {
+        service: route.service,
+        urgency: context.urgency,
+        deadline: this.#deadline,
+        ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
+        repeatable: route.repeatable,
+        // Only a call that can be sent again may be offered to a full server for refusal.
+        resendable: this.#body.whole !== undefined && this.#attemptsLeft > 1,
+        onlyIfFree: isHedge,
+        tried: [...this.#tried],
+      },
+      request: (instance, queueLimit) => ({
         method: head.method,
         target: head.target,
         fields: requestFields(request, this.#addedFields(instance, queueLimit), this.#environment.dialect),
         attempt: head.attempt,
       }),
       events: {
-        head: (responseHead) => this.#onHead(responseHead),
+        chosen: (server) => this.#chosen(server, isHedge),
+        head: (responseHead) => this.#onHead(responseHead, current),
         data: (part, drained) => {
           this.#keyed.observe(part)
           return this.#reply.data(part, drained)
@@ -193,12 +162,42 @@
           this.#complete(responseHead)
         },
         failed: (end) => {
+          this.#tries.delete(current)
           this.#onFailure(end)
         },
-        silent: () => this.#canSwitch(),
+        shed: (code) => {
+          this.#tries.delete(current)
+          // The other try still runs.
+          if (this.#tries.size === 0) this.#fail(code)
+        },
+        silent: () => this.#canSwitch(current),
       },
     })
-    this.#attempt.start()
+    this.#tries.add(current)
+    current.start()
+  }
+
+  #chosen(server: ServerId, isHedge: boolean): boolean {
+    if (this.#done) return false
+    if (isHedge && !this.#mayRetry()) return false
+    this.#attemptsLeft -= 1
+    this.#tried.push(server)
+    if (!isHedge) this.#armHedge()
+    return true
+  }
+
+  /**
+   * A call that may run more than once gets a second try when half of its target time has passed at a server: that server
+   * has become slow. The first try goes on, because its server may be fast again before the other one is done.
+   */
+  #armHedge(): void {
+    const { route } = this.#options
+    clearTimeout(this.#hedgeTimer)
+    if (!this.#environment.asksServers || !route.repeatable || route.targetMs === undefined) return
+    this.#hedgeTimer = setTimeout(() => {
+      const canHelp = this.#tries.size === 1 && !this.#reply.begun && this.#reply.isEmpty
+      if (!this.#done && canHelp && this.#attemptsLeft > 0 && this.#body.whole !== undefined) this.#submit(true)
+    }, route.targetMs * HEDGE_SHARE)
   }
 
   #addedFields(instance: string | undefined, queueLimit: number | undefined): string[] {
@@ -217,8 +216,9 @@
   }
 
   /** Returns whether the response is passed on; otherwise it is discarded and the attempt ends as shed. */
-  #onHead(head: ResponseHead): boolean {
+  #onHead(head: ResponseHead, from: Try): boolean {
     if (head.notRun && PROMISES_NOT_RUN.has(head.status)) return false
+    for (const other of this.#tries) if (other !== from) this.#cancel(other, 'callerCancelled')
     this.#keyed.responded(head)
     this.#reply.head(head)
     return true
@@ -231,12 +231,13 @@
   }
 
   #onFailure(end: AttemptEnd): void {
-    this.#attempt = undefined
     const { code } = end
     if (this.#done) return
     const outcome = resultCode(code).outcome
     if (outcome === 'unknown') this.#unknown ??= code
     const repeatable = outcome === 'not-run' || this.#options.route.repeatable
+    // The other try still runs.
+    if (this.#tries.size > 0) return
     if (end.retry && !this.#reply.begun && repeatable && (end.allowed || this.#mayRetry())) {
       this.#reply.reset()
       this.#submit()
@@ -245,9 +246,13 @@
     this.#fail(code)
   }
 
-  /** A repeatable call on a silent connection moves to another server while it still can. */
-  #canSwitch(): boolean {
-    return this.#options.route.repeatable && !this.#reply.begun && this.#mayRetry()
+  /**
+   * A repeatable call on a silent connection moves to another server while it still can. Where a second try runs beside
+   * the first one, only a connection that is known to be silent is given up.
+   */
+  #canSwitch(current: Try): boolean {
+    const isSure = !this.#environment.asksServers || current.silent
+    return isSure && this.#options.route.repeatable && !this.#reply.begun && this.#mayRetry()
   }
 
   #mayRetry(): boolean {
@@ -257,9 +262,8 @@
 
   #expire(): void {
     if (this.#done) return
-    const attempt = this.#attempt
-    const silent = attempt?.silent === true
-    this.#fail(attempt?.sent === true ? (silent ? 'connectionSilent' : 'deadlineUnknown') : 'deadlineNotRun')
+    const silent = [...this.#tries].some((current) => current.silent)
+    this.#fail(this.#sent ? (silent ? 'connectionSilent' : 'deadlineUnknown') : 'deadlineNotRun')
   }
 
   #callerGone(): void {
@@ -270,11 +274,8 @@
   /** Ends the call with a failure; a response that has begun is aborted, which the caller sees as cut short. */
   #fail(cause: CodeName, fields?: Readonly<Record<string, string>>, members?: object): void {
     if (this.#done) return
-    if (this.#attempt?.sent === true)
-      this.#unknown ??= resultCode(cause).outcome === 'unknown' ? cause : 'connectionLost'
-    this.#attempt?.cancel(cause)
-    this.#attempt = undefined
-    if (this.#queued) this.#environment.driver.cancelled(this.id)
+    if (this.#sent) this.#unknown ??= resultCode(cause).outcome === 'unknown' ? cause : 'connectionLost'
+    for (const current of this.#tries) this.#cancel(current, cause)
     const code = this.#truthful(cause)
     this.#finish(code)
     this.#keyed.settle(this.#unknown === undefined ? 'not-run' : 'unknown')
@@ -287,15 +288,15 @@
     return claimsNotRun && this.#unknown !== undefined ? this.#unknown : cause
   }
 
-  #endInquiry(): void {
-    this.#inquiry?.close()
-    this.#inquiry = undefined
+  #cancel(current: Try, cause: CodeName): void {
+    this.#tries.delete(current)
+    current.cancel(cause)
   }
 
   #finish(result: CodeName | 'complete'): void {
-    this.#endInquiry()
     this.#done = true
     clearTimeout(this.#timer)
+    clearTimeout(this.#hedgeTimer)
     this.#environment.ended(this, result)
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -89,6 +89,7 @@
   readonly #environment: CallEnvironment
   readonly #pools = new Map<ServerId, ServerPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
+  readonly #calls = new Set<Call>()
   /** Number of responses in progress per connection of a caller; pipelined requests have several. */
   readonly #busy = new WeakMap<Socket, number>()
   readonly #own: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -122,7 +123,7 @@
   }
 
   get callsInFlight(): number {
-    return this.#driver.size
+    return this.#calls.size
   }
 
   /** Fails with `address-in-use`. */
@@ -246,7 +247,9 @@
       ended: (call, result) => {
         this.#options.events?.ended?.(result, this.#clock.monotonic() - call.acceptedAt)
       },
-      closed: () => {
+      asksServers: this.#options.router.asksServers,
+      closed: (call) => {
+        this.#calls.delete(call)
         if (this.callsInFlight === 0) this.#idle?.()
       },
     }
@@ -276,10 +279,12 @@
       this.#options.events?.ended?.(prepared.error.code, 0)
       return
     }
-    new Call(
+    const call = new Call(
       { request, response, isLast: () => this.#busy.get(socket) === 1, ...prepared.value },
       this.#environment,
-    ).begin()
+    )
+    this.#calls.add(call)
+    call.begin()
   }
 
   #prepare(head: Head): Result<{ head: Head; document: Document; route: Route; context: CallContext }, Failure> {
@@ -350,7 +355,8 @@
   }
 
   #sweepAll(): void {
-    this.#driver.sweep()
+    const now = this.#clock.monotonic()
+    for (const call of this.#calls) call.sweep(now)
     for (const pool of this.#pools.values()) pool.sweep()
   }
 }
--- a/packages/entry/src/reply.ts
+++ b/packages/entry/src/reply.ts
@@ -30,6 +30,11 @@
     return this.#response.headersSent
   }
 
+  /** Whether nothing of a response has arrived. */
+  get isEmpty(): boolean {
+    return this.#head === undefined
+  }
+
   get finished(): boolean {
     return this.#response.writableEnded
   }
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -15,8 +15,6 @@
 
 /** A call that waits in the router or is at a server. */
 export interface RoutedCall {
-  /** Called at short intervals. */
-  readonly sweep: (now: number) => void
   readonly inquire: (servers: readonly ServerId[]) => void
   readonly dispatched: (server: ServerId, queueLimit: number | undefined) => void
   readonly shed: (code: CodeName) => void
@@ -48,18 +46,6 @@
     return callId(this.#calls.add(routed))
   }
 
-  /** Calls registered and not closed. */
-  get size(): number {
-    return this.#calls.size
-  }
-
-  sweep(): void {
-    const now = this.#now()
-    this.#calls.forEach((call) => {
-      call.sweep(now)
-    })
-  }
-
   closed(call: CallId): void {
     this.#calls.remove(call)
   }
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -26,6 +26,8 @@
    * no attempt left, never asks a full server to refuse it.
    */
   readonly resendable?: boolean
+  /** Whether the call is of use only at a server that is free and fast right now; otherwise it is shed at once. */
+  readonly onlyIfFree?: boolean
   /** Servers that must not be chosen: the call was sent to them before. */
   readonly tried?: readonly ServerId[]
 }
--- a/packages/routing/src/inquiry.ts
+++ b/packages/routing/src/inquiry.ts
@@ -175,6 +175,11 @@
     }
     if (inquiry.asked.size < MOST_ASKED && this.#ask(inquiry, now, effects)) return
     const { call, host } = inquiry
+    if (call.onlyIfFree === true) {
+      this.#inquiries.delete(call.id)
+      host.refuse(call, effects)
+      return
+    }
     const patience = (call.target ?? call.deadline - inquiry.since) * PATIENCE
     if (best !== undefined && !best.isFull && (best.cost <= 2 || now - inquiry.since >= patience)) {
       this.#send(inquiry, best.record, now, effects)
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -143,7 +143,8 @@
     }
     const mayAsk = this.waiting === 0 && this.inFlight < this.#concurrency
     if (mayAsk && this.#options.inquire(call, this.#inquiryHost, now, effects)) return
-    this.#submitByEstimate(call, now, effects)
+    if (call.onlyIfFree === true) this.#options.shed(call, 'overloaded', effects)
+    else this.#submitByEstimate(call, now, effects)
   }
 
   #submitByEstimate(call: Call, now: number, effects: Effect[]): void {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -74,6 +74,11 @@
     this.#inquiries = inquiries === undefined ? undefined : new Inquiries({ ...inquiries, random })
   }
 
+  /** Whether calls ask servers for their load before they are sent. */
+  get asksServers(): boolean {
+    return this.#inquiries !== undefined
+  }
+
   /** Applies the limits of the document to a service. */
   configure(service: ServiceName, limits: ServiceLimits, now: number): void {
     this.#limits.set(service, limits)
