--- a/packages/routing/src/inquiry.ts
+++ b/packages/routing/src/inquiry.ts
@@ -29,8 +29,8 @@
 const SPEED_HALF_LIFE = 250
 /** Expected slowness of a server that nothing is known of. */
 const UNKNOWN_SLOWNESS = 1.5
-/** Preference for servers of the own failure domain: their answers come sooner and cost no traffic between domains. */
-const OTHER_DOMAIN_COST = 0.15
+/** Preference for asking servers of the own failure domain first: what they send costs no traffic between domains. */
+const OTHER_DOMAIN_COST = 1
 /** A server that is this far on its ramp, relative to the others, counts as warm. */
 const WARM_SHARE = 0.6
 const COLD_COST = 1.6
