--- /dev/null
+++ b/packages/control/test/numbered-change.test.ts
@@ -0,0 +1,126 @@
+import { environmentName, revision, serverId } from '@bilberrystall/base'
+import { renderSections, type Sections } from '@bilberrystall/document'
+import { expect, test } from 'vitest'
+import {
+  applyCommand,
+  DEPARTURES_KEPT,
+  documentInForce,
+  emptyState,
+  restore,
+  sha256,
+  snapshot,
+  type Amend,
+  type ChangeApplied,
+  type ControlState,
+  type Submit,
+} from '../src/index'
+
+const PRODUCTION = environmentName('production')
+const ORIGIN = { at: 1, requester: 'platform', source: '10.0.0.1', environment: PRODUCTION, baseRevision: revision(0) }
+
+function text(routes: Sections['route'] = {}): string {
+  return renderSections({ document: { title: 'test' }, service: { slots: {}, bookings: {} }, route: routes })
+}
+
+function replace(version: number, base: number, content = text()): Submit {
+  const changeId = sha256(JSON.stringify([version, base, content]))
+  return {
+    kind: 'submit',
+    ...ORIGIN,
+    changeId,
+    numbering: { version, base },
+    content: { validity: 'valid', text: content },
+  }
+}
+
+function amend(version: number, base: number, routes: Sections['route'], removed: string[] = []): Amend {
+  const changed = renderSections({ route: routes ?? {} })
+  const changeId = sha256(JSON.stringify([version, base, changed, removed]))
+  return {
+    kind: 'amend',
+    ...ORIGIN,
+    changeId,
+    numbering: { version, base },
+    changed,
+    removed: { service: [], route: removed },
+  }
+}
+
+function apply(state: ControlState, command: Submit | Amend): ChangeApplied {
+  const { result } = applyCommand(state, command)
+  if (result.kind !== 'change') throw new Error(result.kind)
+  return result
+}
+
+const code = ({ result }: ChangeApplied) => (result.kind === 'accepted' ? 'accepted' : result.code)
+
+test('versions may skip numbers, and of two changes on one version the first wins', () => {
+  const state = emptyState()
+  expect(code(apply(state, replace(7, 0)))).toBe('accepted')
+  expect(code(apply(state, replace(9, 7)))).toBe('accepted')
+  expect(code(apply(state, replace(10, 7)))).toBe('revisionConflict')
+  expect(documentInForce(state, PRODUCTION)).toMatchObject({ version: 9, revision: 2 })
+})
+
+test('two operators with one version number for different changes do not both win', () => {
+  const state = emptyState()
+  apply(state, replace(7, 0))
+  expect(code(apply(state, replace(8, 7, text({ a: { service: 'slots' } }))))).toBe('accepted')
+  expect(code(apply(state, replace(8, 7, text({ b: { service: 'slots' } }))))).toBe('revisionConflict')
+})
+
+test('a version that is not above the one in force is refused', () => {
+  const state = emptyState()
+  apply(state, replace(7, 0))
+  expect(code(apply(state, replace(7, 7, text({ a: { service: 'slots' } }))))).toBe('versionNotAbove')
+})
+
+test('an accepted change is acknowledged again after others, a snapshot and a restore', () => {
+  const state = emptyState()
+  const first = apply(state, replace(7, 0))
+  apply(state, replace(9, 7))
+  const restored = restore(snapshot(state))._unsafeUnwrap()
+  expect(apply(restored, replace(7, 0))).toEqual({ ...first, repeated: true })
+  expect(documentInForce(restored, PRODUCTION)?.version).toBe(9)
+})
+
+test('a change that came before its base is accepted once the base is in force', () => {
+  const state = emptyState()
+  apply(state, replace(5, 0))
+  const early = amend(9, 7, { a: { service: 'slots' } })
+  expect(code(apply(state, early))).toBe('revisionConflict')
+  apply(state, replace(7, 5))
+  expect(code(apply(state, early))).toBe('accepted')
+})
+
+test('a partial change replaces, adds and removes by name and keeps the rest', () => {
+  const state = emptyState()
+  apply(state, replace(1, 0, text({ a: { service: 'slots', path: '/a/' }, b: { service: 'slots', path: '/b/' } })))
+  apply(state, amend(2, 1, { a: { service: 'bookings', path: '/a/' }, c: { service: 'slots', path: '/c/' } }, ['b']))
+  expect(documentInForce(state, PRODUCTION)?.text).toBe(
+    text({ a: { service: 'bookings', path: '/a/' }, c: { service: 'slots', path: '/c/' } }),
+  )
+})
+
+test('a partial change that leaves an invalid document changes nothing', () => {
+  const state = emptyState()
+  apply(state, replace(1, 0))
+  expect(code(apply(state, amend(2, 1, { a: { service: 'nobody' } })))).toBe('documentInvalid')
+  expect(documentInForce(state, PRODUCTION)?.version).toBe(1)
+})
+
+test('departures keep their position, survive a snapshot and are bounded', () => {
+  const state = emptyState()
+  const depart = (name: string, start: number) =>
+    applyCommand(state, { kind: 'depart', at: 1, requester: 'r', source: 's', server: serverId(name), start })
+  depart('s1', 5)
+  depart('s1', 5)
+  depart('s1', 4)
+  expect([...state.departures.values()]).toEqual([{ position: 1, server: 's1', start: 5 }])
+  depart('s1', 6)
+  const restored = restore(snapshot(state))._unsafeUnwrap()
+  expect([...restored.departures.values()]).toEqual([{ position: 2, server: 's1', start: 6 }])
+  expect(restored.departurePosition).toBe(2)
+  for (let index = 0; index < DEPARTURES_KEPT + 5; index += 1) depart(`other-${index}`, 1)
+  expect(state.departures.size).toBe(DEPARTURES_KEPT)
+})
--- a/packages/document/src/sections.ts
+++ b/packages/document/src/sections.ts
@@ -2,7 +2,7 @@
  * Documents as sections of keys and values, for writing a document and for changing named sections of one without
  * sending the rest. The same input always gives the same text, so replicas that amend a document agree on its digest.
  */
-import { parse, stringify } from 'ini'
+import { parse, safe } from 'ini'
 
 /** Keys and values of one section, as they stand in the text. */
 export type Section = Readonly<Record<string, string>>
@@ -20,8 +20,19 @@
   readonly route: readonly string[]
 }
 
-export function renderSections(sections: Sections): string {
-  return stringify(sections, { whitespace: true })
+/** The library leaves out sections without keys, which stand for something here: all defaults. */
+export function renderSections({ document, service = {}, route = {} }: Sections): string {
+  const parts = [
+    ...(document === undefined ? [] : [renderSection('document', document)]),
+    ...Object.entries(service).map(([name, section]) => renderSection(`service.${name}`, section)),
+    ...Object.entries(route).map(([name, section]) => renderSection(`route.${name}`, section)),
+  ]
+  return parts.join('\n')
+}
+
+function renderSection(name: string, section: Section): string {
+  const lines = Object.entries(section).map(([key, value]) => `${key} = ${safe(value)}\n`)
+  return `[${name}]\n${lines.join('')}`
 }
 
 /** Replaces or adds the sections of `changed` as a whole, then leaves out those of `removed`. */
--- /dev/null
+++ b/packages/node/test/founding.test.ts
@@ -0,0 +1,128 @@
+import {
+  environmentName,
+  failureDomain,
+  nodeId,
+  randomBelow,
+  replicaId,
+  seededRandom,
+  type ReplicaId,
+} from '@bilberrystall/base'
+import type { Node } from '@bilberrystall/membership'
+import { expect, test } from 'vitest'
+import { Founding } from '../src/founding'
+
+const TICK_MS = 100
+
+interface Member {
+  record: Node
+  readonly startedAt: number
+  readonly founding: Founding
+  alive: boolean
+  founded: boolean
+}
+
+/** Nodes that see each other's records some time after they were stated, as gossip delivers them. */
+class System {
+  readonly members: Member[] = []
+  readonly #seen = new Map<string, { at: number; record: Node }[]>()
+  now = 0
+
+  add(name: string, seeds: readonly string[], disk: boolean, startedAt: number, delayMs: number): void {
+    const address = `${name}:1`
+    const replica = disk ? replicaId(`${name}/disk`) : undefined
+    const record: Node = {
+      node: nodeId(name),
+      roles: disk ? ['entry', 'control'] : ['entry'],
+      address,
+      failureDomain: failureDomain('fd'),
+      region: 'r',
+      environment: environmentName('production'),
+      state: 'serving',
+      disk: disk ? 'disk' : '',
+      documents: [],
+      ejected: [],
+    }
+    const member: Member = {
+      record,
+      startedAt,
+      alive: true,
+      founded: false,
+      founding: new Founding({
+        self: nodeId(name),
+        address,
+        seeds,
+        replica,
+        nodes: () => this.#view(name, delayMs),
+        choose: (founder: ReplicaId) => {
+          this.#state(name, { ...member.record, founder })
+          member.record = { ...member.record, founder }
+        },
+        found: () => {
+          member.founded = true
+        },
+      }),
+    }
+    this.members.push(member)
+    this.#seen.set(name, [{ at: startedAt, record }])
+  }
+
+  run(until: number): void {
+    for (; this.now <= until; this.now += TICK_MS) {
+      for (const { alive, startedAt, founding } of this.members) {
+        if (alive && this.now >= startedAt) founding.tick(this.now - startedAt)
+      }
+    }
+  }
+
+  #state(name: string, record: Node): void {
+    this.#seen.get(name)?.push({ at: this.now, record })
+  }
+
+  #view(self: string, delayMs: number): Node[] {
+    return [...this.#seen].flatMap(([name, states]) => {
+      const delay = name === self ? 0 : delayMs
+      const known = states.filter(({ at }) => at + delay <= this.now).at(-1)
+      return known === undefined ? [] : [known.record]
+    })
+  }
+}
+
+const founders = (system: System) => system.members.filter(({ founded }) => founded).length
+
+test('exactly one replica starts the cluster, also when the seeds have no disk', () => {
+  const seeds = ['n5:1', 'n6:1', 'n7:1']
+  const system = new System()
+  for (let index = 0; index < 9; index += 1) system.add(`n${index}`, seeds, index < 4, index * 30, 250)
+  system.run(5_000)
+  expect(founders(system)).toBe(1)
+})
+
+test('never do two replicas start a cluster, whatever dies in the first seconds', () => {
+  for (let seed = 0; seed < 300; seed += 1) {
+    const random = seededRandom(seed)
+    const count = 3 + randomBelow(random, 9)
+    const all = Array.from({ length: count }, (_, index) => `n${index}:1`)
+    const seeds = all.toSorted(() => randomBelow(random, 3) - 1).slice(0, 3)
+    const system = new System()
+    for (let index = 0; index < count; index += 1) {
+      const hasDisk = index === 0 || randomBelow(random, 2) === 0
+      system.add(`n${index}`, seeds, hasDisk, randomBelow(random, 300), randomBelow(random, 2_500))
+    }
+    for (let moment = 0; moment < 4_000; moment += 200) {
+      system.run(moment)
+      const victim = system.members[randomBelow(random, count)]
+      if (victim !== undefined && randomBelow(random, 8) === 0) victim.alive = false
+    }
+    system.run(8_000)
+    expect(founders(system), `seed ${seed}`).toBeLessThanOrEqual(1)
+  }
+})
+
+test('one seed that is lost before it chose does not keep the cluster from starting', () => {
+  const seeds = ['n2:1', 'n3:1', 'n4:1']
+  const system = new System()
+  for (let index = 0; index < 5; index += 1) system.add(`n${index}`, seeds, true, 0, 250)
+  system.members[2]!.alive = false
+  system.run(5_000)
+  expect(founders(system)).toBe(1)
+})
