--- a/packages/routing/src/inquiry.ts
+++ b/packages/routing/src/inquiry.ts
@@ -11,20 +11,20 @@
 /** Servers asked at a time. Two find a fast one too rarely when a third of them is slow; more cost slot time. */
 const ASKED_AT_ONCE = 3
 /** Servers asked at most for one decision. */
-const MOST_ASKED = 9
+const MOST_ASKED = 6
 /** Cost up to which the first answer is taken without waiting for the others: a free slot of a server at usual speed. */
 const GOOD_COST = 1.2
 /** Time in ms for the answers of one round; a healthy server answers within a round trip and its cost of a probe. */
 const ROUND_LIMIT = 15
 /** Pause in ms before servers are asked again when none was good. */
-const PAUSE = 15
+const PAUSE = 25
 /** Share of the target time for which a call waits for a better server: waiting longer is better spent at a server. */
 const PATIENCE = 1 / 8
 /** Weight of the last slots of a server: some slow down when they are nearly full. */
 const CROWDED_SHARE = 0.8
 const CROWDED_COST = 0.5
-/** A queue of this many rounds is taken for full: servers refuse or reset what does not fit. */
-const FULL_ROUNDS = 1.5
+/** Calls that may wait at a server: more of them only time out there, or are refused or reset. */
+const MOST_WAITING = 1
 /** Time in ms after which what a server said about its speed is worth half. */
 const SPEED_HALF_LIFE = 250
 /** Expected slowness of a server that nothing is known of. */
@@ -38,7 +38,7 @@
 const JITTER = 0.4
 const MS_PER_SECOND = 1000
 /** Questions to one server that may be saved up. */
-const SAVED_QUESTIONS = 4
+const SAVED_QUESTIONS = 20
 /** Services whose servers do not report their load are not asked for this time in ms. */
 const SILENT_SERVICE_PAUSE = 30_000
 const SILENT_ANSWERS = 5
@@ -266,5 +266,5 @@
   const busy = inflight + queue
   const rounds = Math.max(0, busy + 1 - slots) / slots
   const crowding = (busy + 1) / slots > CROWDED_SHARE ? CROWDED_COST : 0
-  return { cost: slowness * (1 + rounds + crowding) * cold, isFull: rounds >= FULL_ROUNDS }
+  return { cost: slowness * (1 + rounds + crowding) * cold, isFull: busy >= slots + MOST_WAITING }
 }
