--- /dev/null
+++ b/packages/entry/test/dialect.test.ts
@@ -0,0 +1,166 @@
+/** The call path with a dialect in which servers return the id of an attempt, sign their successes and name themselves. */
+import { failureDomain, seededRandom } from '@bilberrystall/base'
+import { parseDocument } from '@bilberrystall/document'
+import { Router } from '@bilberrystall/routing'
+import { expect, test } from 'vitest'
+import { OWN_DIALECT, type Dialect, type EntryOptions } from '../src/index'
+import { answer, call, standIn, startEntry, type Received, type StandIn } from './harness'
+
+const DIALECT: Dialect = {
+  ...OWN_DIALECT,
+  deadlineHeader: 'x-left',
+  callerStatesDeadline: true,
+  notRunHeader: 'x-not-run',
+  isNotRun: () => true,
+  loadHeader: 'x-load',
+  attemptHeader: 'x-attempt',
+  instanceHeader: 'x-instance',
+  instanceAnswerHeader: 'x-self',
+  signatureHeader: 'x-signature',
+  carriesContext: false,
+  probePath: undefined,
+  retryAfter: (waitMs) => (waitMs / 1000).toFixed(3),
+}
+
+const DOCUMENT = parseDocument(`
+[document]
+title = test
+[service.booking]
+health-path = /well
+[route.read]
+service = booking
+path = /read
+repeatable = yes
+target = 200ms
+deadline = 2s
+[route.write]
+service = booking
+path = /write
+methods = POST
+deadline = 1s
+`)._unsafeUnwrap()
+
+const header = ({ head }: Received, name: string) => new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]
+const isProbe = ({ head }: Received) => head.startsWith('GET /well')
+const FREE = 'x-load: inflight=0;slots=3;queue=0'
+
+function complete(received: Received, body = 'done', head: readonly string[] = [FREE]): void {
+  answer(received, body, [`x-attempt: ${header(received, 'x-attempt') ?? ''}`, 'x-signature: s', ...head])
+}
+
+function probeAnswer(received: Received, load = FREE): void {
+  answer(received, '', [load, `x-self: ${header(received, 'x-instance') ?? ''}`])
+}
+
+function start(servers: readonly StandIn[], options: Partial<EntryOptions> = {}) {
+  const inquiries = { perServerPerSecond: () => 1000, domain: failureDomain('domain-1') }
+  const router = new Router({ random: seededRandom(3), inquiries })
+  return startEntry(servers, { dialect: DIALECT, router, document: () => DOCUMENT, ...options })
+}
+
+const headers = { 'x-attempt': 'a1', 'x-left': '1500' }
+const runs = (servers: readonly StandIn[]) =>
+  servers.flatMap(({ received }) => received.filter((item) => !isProbe(item)))
+
+test('a call goes to the server that says it is free, over the connection that answered', async () => {
+  const busy = await standIn((received) => {
+    if (isProbe(received)) probeAnswer(received, 'x-load: inflight=3;slots=3;queue=4')
+    else complete(received)
+  })
+  const free = await standIn((received) => {
+    if (isProbe(received)) probeAnswer(received)
+    else complete(received)
+  })
+  const { origin } = await start([busy, free])
+  expect(await call(`${origin}/read`, { headers })).toMatchObject({ status: 200, text: 'done' })
+  expect(runs([busy])).toEqual([])
+  const [request] = runs([free])
+  expect(request?.turn).toBeGreaterThan(0)
+  expect(request && header(request, 'x-instance')).toBe('server-1')
+  expect(Number(request && header(request, 'x-left'))).toBeLessThanOrEqual(1480)
+})
+
+test('a late response to another request is not taken for the answer to an unsafe one', async () => {
+  const server = await standIn((received) => {
+    if (isProbe(received)) probeAnswer(received)
+    else answer(received, 'of another', ['x-attempt: a0', 'x-signature: s'])
+  })
+  const { origin } = await start([server])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'x', headers })
+  expect(result).toMatchObject({ status: 502, outcome: 'unknown' })
+  expect(runs([server])).toHaveLength(1)
+})
+
+test('stray bytes on a connection are found by the question and cost the call nothing', async () => {
+  const server = await standIn((received) => {
+    if (!isProbe(received)) complete(received)
+    else if (received.turn === 0 && server.sockets.length === 1) {
+      answer(received, 'late', ['x-attempt: a0', 'x-signature: s'])
+    } else probeAnswer(received)
+  })
+  const { origin } = await start([server])
+  await call(`${origin}/write`, { method: 'POST', body: 'x', headers }).catch(() => undefined)
+  const result = await call(`${origin}/write`, {
+    method: 'POST',
+    body: 'x',
+    headers: { ...headers, 'x-attempt': 'a2' },
+  })
+  expect(result).toMatchObject({ status: 200, text: 'done' })
+})
+
+test.each([
+  ['without a signature', []],
+  ['with an encoded body', ['x-signature: s', 'content-encoding: gzip']],
+])('a success %s is no success', async (_, fields) => {
+  const server = await standIn((received) => {
+    if (isProbe(received)) probeAnswer(received)
+    else answer(received, 'done', [`x-attempt: ${header(received, 'x-attempt') ?? ''}`, ...fields])
+  })
+  const { origin } = await start([server])
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'x', headers })
+  expect(result).toMatchObject({ status: 502, outcome: 'unknown' })
+})
+
+test('a server that another process has replaced gets nothing, and the call goes elsewhere', async () => {
+  const other = await standIn((received) => {
+    answer(received, '', [FREE, 'x-self: stranger'])
+  })
+  const server = await standIn((received) => {
+    if (isProbe(received)) probeAnswer(received)
+    else complete(received)
+  })
+  const { origin } = await start([other, server])
+  expect(await call(`${origin}/read`, { headers })).toMatchObject({ status: 200 })
+  expect(runs([other])).toEqual([])
+})
+
+test('an unsafe call never gets a second try beside the first', async () => {
+  const silent = (received: Received) => {
+    if (isProbe(received)) probeAnswer(received)
+  }
+  const servers = [await standIn(silent), await standIn(silent)]
+  const { origin } = await start(servers)
+  const result = await call(`${origin}/write`, { method: 'POST', body: 'x', headers })
+  expect(result).toMatchObject({ status: 504, outcome: 'unknown' })
+  expect(runs(servers)).toHaveLength(1)
+})
+
+test('a repeatable call gets the answer of a second server while the first one is slow', async () => {
+  let first: Received | undefined
+  const script = (received: Received) => {
+    if (isProbe(received)) probeAnswer(received)
+    else if (first === undefined) first = received
+    else complete(received, 'second')
+  }
+  const servers = [await standIn(script), await standIn(script)]
+  const { origin } = await start(servers)
+  expect(await call(`${origin}/read`, { headers })).toMatchObject({ status: 200, text: 'second' })
+  await expect.poll(() => first?.socket.destroyed).toBe(true)
+})
+
+test('a refusal names the time to come back in fractions of a second', async () => {
+  const { origin } = await start([])
+  const result = await call(`${origin}/read`, { headers })
+  expect(result.status).toBe(503)
+  expect(Number(result.headers['retry-after'])).toBe(0.5)
+})
