Log each call that failed with its attempt, route, servers and end, within a bounded number of lines

Cause: after a complaint nothing led from the id of an attempt to what the entry had done; counters only say how many. Ruled out: a line for every call (its cost grows with the traffic). The bound is 20 lines a second with 60 saved up; what is left out is counted in log_lines_omitted_total.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -126,6 +126,7 @@
   replicaSetChanged: code(163, 'replica-set-changed', 0, 'The set of control replicas changed.'),
   controlUnreachable: code(164, 'control-unreachable', 0, 'No confirmed answer from control.'),
   settingsReloaded: code(167, 'settings-reloaded', 0, 'The settings file was read again.'),
+  callFailed: code(168, 'call-failed', 0, 'A call did not end with a complete response of a server.'),
   keysOff: code(166, 'keys-off', 0, 'No keys are set: whoever reaches the listeners is trusted.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -38,6 +38,16 @@
   readonly context: CallContext
 }
 
+/** What a log line about a call says. */
+export interface EndedCall {
+  readonly route: string
+  readonly service: string
+  /** Id that the caller gave to the attempt. */
+  readonly attempt: string | undefined
+  /** Servers that the call was sent to, in order. */
+  readonly servers: readonly ServerId[]
+}
+
 export class Call {
   /** Monotonic ms. */
   readonly acceptedAt: number
@@ -88,6 +98,11 @@
     })
   }
 
+  describe(): EndedCall {
+    const { route, head } = this.#options
+    return { route: route.name, service: route.service, attempt: head.attempt, servers: this.#tried }
+  }
+
   begin(): void {
     this.#body.gather((gathered) => {
       if (this.#done) return
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -20,7 +20,7 @@
 import type { Effect, Router, Server } from '@bilberrystall/routing'
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import { Call } from './call'
+import { Call, type EndedCall } from './call'
 import type { CallEnvironment } from './call-environment'
 import type { ClaimGate } from './claim-gate'
 import type { Address } from './connection'
@@ -53,7 +53,7 @@
 
 export interface EntryEvents {
   /** A call ended. */
-  readonly ended?: (result: CodeName | 'complete', latencyMs: number) => void
+  readonly ended?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
   /** A server was ejected or restored. */
   readonly changed?: (effect: Extract<Effect, { kind: 'ejected' | 'restored' }>) => void
   /** Connections to a server were retired because they were silent. */
@@ -247,7 +247,8 @@
       pool: (server) => this.#pool(server),
       draining: () => this.#draining,
       ended: (call, result) => {
-        this.#options.events?.ended?.(result, this.#clock.monotonic() - call.acceptedAt)
+        const latencyMs = this.#clock.monotonic() - call.acceptedAt
+        this.#options.events?.ended?.(result, latencyMs, result === 'complete' ? undefined : call.describe())
       },
       asksServers: this.#options.router.asksServers,
       closed: (call) => {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP entry: the call path between callers and servers. */
+export type { EndedCall } from './call'
 export * from './claim-gate'
 export * from './claim-rpc'
 export type { Address } from './connection'
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -2,7 +2,7 @@
 import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
 import type { Document, Service } from '@bilberrystall/document'
 import { HolderTable } from '@bilberrystall/claims'
-import { ClaimGate, claimRoutes, Entry, RpcClaimTransport, SYSTEM_CLOCK } from '@bilberrystall/entry'
+import { ClaimGate, claimRoutes, Entry, RpcClaimTransport, SYSTEM_CLOCK, type EndedCall } from '@bilberrystall/entry'
 import type { Change, Server } from '@bilberrystall/membership'
 import { Router, type Effect, type RetryLimits } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
@@ -15,6 +15,7 @@
 import type { Departed } from './control-follow'
 import type { DocumentKeeper } from './control-documents'
 import { EntryFeed } from './entry-feed'
+import { FailureLog } from './failure-log'
 import type { Frame } from './frame'
 import { splitAddress } from './listener'
 import type { EntrySettings } from './settings'
@@ -43,6 +44,7 @@
   readonly #options: EntryRoleOptions
   readonly #calls: Counter<'result'>
   readonly #latency: Histogram
+  readonly #failures: FailureLog
   readonly #ejected = new Set<string>()
   /** When each start of a server was first seen, so that a restarted one begins cold. */
   readonly #firstSeen = new Map<string, { readonly start: number; readonly at: number }>()
@@ -53,6 +55,14 @@
     const { host, port } = splitAddress(settings.listen)
     this.#calls = frame.metrics.counter('calls_total', 'Calls by result', ['result'])
     this.#latency = frame.metrics.latency('call', 'Latency of calls at the entry')
+    const omitted = frame.metrics.counter('log_lines_omitted_total', 'Log lines about failed calls that were left out')
+    this.#failures = new FailureLog({
+      log: frame.log,
+      now: frame.now,
+      onOmitted: () => {
+        omitted.inc()
+      },
+    })
     const allowance = options.adapter?.inquiries
     this.#router = new Router({
       random: frame.random,
@@ -82,8 +92,8 @@
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: frame.random,
       events: {
-        ended: (result, latencyMs) => {
-          this.#ended(result, latencyMs)
+        ended: (result, latencyMs, call) => {
+          this.#ended(result, latencyMs, call)
         },
         changed: (effect) => {
           this.#outlierChanged(effect)
@@ -256,8 +266,9 @@
     }
   }
 
-  #ended(result: string, latencyMs: number): void {
+  #ended(result: CodeName | 'complete', latencyMs: number, call: EndedCall | undefined): void {
     this.#calls.inc({ result })
+    if (call !== undefined && result !== 'complete') this.#failures.write(result, latencyMs, call)
     this.#latency.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)))
   }
 
--- /dev/null
+++ b/packages/node/test/failure-log.test.ts
@@ -0,0 +1,37 @@
+import { serverId, type CodeName } from '@bilberrystall/base'
+import { expect, test } from 'vitest'
+import { FailureLog } from '../src/failure-log'
+
+const CALL = { route: 'r-1', service: 'slots', attempt: 'a1', servers: [serverId('s1')] }
+
+function setup() {
+  const lines: [CodeName, object][] = []
+  let omitted = 0
+  let now = 0
+  const info = (code: CodeName, fields: object = {}) => lines.push([code, fields])
+  const log = { info, warn: () => undefined, error: () => undefined }
+  const failures = new FailureLog({
+    log,
+    now: () => now,
+    onOmitted: () => {
+      omitted += 1
+    },
+  })
+  return { lines, failures, omitted: () => omitted, wait: (ms: number) => (now += ms) }
+}
+
+test('a line names the attempt, its end and the servers that it was sent to', () => {
+  const { lines, failures } = setup()
+  failures.write('connectionLost', 12.4, CALL)
+  expect(lines).toEqual([['callFailed', { result: 'connectionLost', ...CALL, ms: 12 }]])
+})
+
+test('in an overload the lines are bounded and the rest is counted', () => {
+  const { lines, failures, omitted, wait } = setup()
+  for (let count = 0; count < 500; count += 1) failures.write('overloaded', 1, CALL)
+  expect(lines.length + omitted()).toBe(500)
+  expect(lines).toHaveLength(60)
+  wait(1000)
+  for (let count = 0; count < 500; count += 1) failures.write('overloaded', 1, CALL)
+  expect(lines).toHaveLength(80)
+})
