--- a/packages/entry/src/slots.ts
+++ b/packages/entry/src/slots.ts
@@ -12,10 +12,6 @@
   readonly #ids: number[] = []
   readonly #free: number[] = []
 
-  get size(): number {
-    return this.#items.length - this.#free.length
-  }
-
   /** Returns an id that is never used again. */
   add(item: Item): number {
     const slot = this.#free.pop() ?? this.#items.length
@@ -36,10 +32,4 @@
     this.#items[slot] = undefined
     this.#free.push(slot)
   }
-
-  forEach(visit: (item: Item) => void): void {
-    for (const item of this.#items) {
-      if (item !== undefined) visit(item)
-    }
-  }
 }
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -32,7 +32,6 @@
   readonly health: () => Health
   readonly announced: (server: Server) => Result<void, Failure>
   readonly departed: (server: ServerId, start: number) => void
-  readonly now: () => number
 }
 
 export class NodeGateway implements Gateway {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,7 +10,6 @@
   seededRandom,
   type CodeName,
   type Failure,
-  type FailureDomain,
   type NodeId,
 } from '@bilberrystall/base'
 import {
@@ -21,34 +20,27 @@
   type Change,
   type Node,
 } from '@bilberrystall/membership'
-import { parseDocument } from '@bilberrystall/document'
 import { RpcClients, RpcServer, Traffic } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
-import type { Adapter, Gateway } from './adapter'
-import { Control, controlNodesOf } from './control'
-import { Changes, NO_REPLICA } from './control-changes'
-import { replicaOf } from './control-disk'
+import type { Adapter } from './adapter'
+import { Control } from './control'
 import type { Departed } from './control-follow'
 import { deliveryRoutes } from './control-delivery'
 import { DocumentKeeper } from './control-documents'
 import { EntryRole } from './entry-role'
-import { Founding } from './founding'
 import type { Frame } from './frame'
-import { NodeGateway } from './gateway'
 import { Gossip } from './gossip'
 import { healthOf } from './health'
 import { listen, splitAddress, type Listener } from './listener'
 import { createLog, type Log } from './log'
+import { foundingOf, listenForPlatform } from './platform-role'
 import { Metrics } from './metrics'
 import type { Settings } from './settings'
 import { statusApp, type Health } from './status-listener'
 
 const EXPIRY_INTERVAL_MS = 100
 const SEED_RANGE = 2 ** 32
-/** Platforms wait a second for an answer; what arrives later only costs. */
-const GATEWAY_LIMIT_MS = 950
-const GATEWAY_ATTEMPT_MS = 600
 
 export interface NodeOptions {
   readonly log?: Log
@@ -127,7 +119,7 @@
     this.#frame.gossip.start()
     this.#control?.start()
     this.#entry?.start()
-    const founding = this.#createFounding()
+    const founding = foundingOf(this.#frame, this.#control)
     this.#expiry = setInterval(() => {
       this.expire()
       founding?.tick(performance.now() - this.#startedAt)
@@ -230,60 +222,18 @@
   }
 
   async #listenForPlatform(): Promise<Result<void, Failure>> {
-    for (const { address, app } of this.#adapter?.listeners(this.#createGateway()) ?? []) {
-      const listening = await listen(app, address)
-      if (listening.isErr()) return err(listening.error)
-      this.#listeners.push(listening.value)
-    }
-    return ok()
-  }
-
-  #createGateway(): Gateway {
-    const { directory, clients, self, now } = this.#frame
-    const { entry, failureDomain } = this.#settings
-    const controlNodes = () => nearestFirst(controlNodesOf(directory), directory, self, failureDomain)
-    const changes =
-      this.#control?.changes ??
-      new Changes({
-        host: NO_REPLICA,
-        node: self,
-        clients,
-        addressOf: (node) => directory.nodes.get(node)?.address,
-        controlNodes,
-        checkDocument: parseDocument,
-        wallClock: () => Date.now(),
-        limitMs: GATEWAY_LIMIT_MS,
-        attemptLimitMs: GATEWAY_ATTEMPT_MS,
-      })
-    return new NodeGateway({
-      environment: entry?.environment ?? environmentName(''),
-      directory,
-      changes,
-      clients,
-      controlNodes,
+    if (this.#adapter === undefined) return ok()
+    const listening = await listenForPlatform(this.#adapter, {
+      frame: this.#frame,
+      control: this.#control,
       health: () => this.#health(),
       announced: (server) => this.#serverAnnounced({ server, load: undefined }),
-      departed: (server, start) => {
-        this.#departed([{ server, start }])
+      departed: (departed) => {
+        this.#departed(departed)
       },
-      now,
     })
-  }
-
-  #createFounding(): Founding | undefined {
-    const { node, address, seeds, firstStart } = this.#settings
-    const { disk } = this.#record
-    if (!firstStart) return undefined
-    return new Founding({
-      self: node,
-      address,
-      seeds,
-      replica: disk === '' ? undefined : replicaOf(node, disk),
-      nodes: () => this.#frame.directory.nodes.values(),
-      choose: (founder) => {
-        this.#announce({ founder })
-      },
-      found: () => this.#control?.host.found(),
+    return listening.map((listeners) => {
+      this.#listeners.push(...listeners)
     })
   }
 
@@ -409,20 +359,6 @@
   return RunningNode.start(settings, options)
 }
 
-/** This node, then those of its failure domain, then the others. */
-function nearestFirst(
-  nodes: readonly NodeId[],
-  directory: Directory,
-  self: NodeId,
-  domain: FailureDomain,
-): readonly NodeId[] {
-  const distance = (node: NodeId) => {
-    if (node === self) return 0
-    return directory.nodes.get(node)?.failureDomain === domain ? 1 : 2
-  }
-  return nodes.toSorted((left, right) => distance(left) - distance(right))
-}
-
 function ownRecord(settings: Settings): Node {
   return {
     node: settings.node,
--- a/scripts/build-service.ts
+++ b/scripts/build-service.ts
@@ -5,29 +5,20 @@
  */
 import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
-import { build, type BuildOptions } from 'esbuild'
+import { build } from 'esbuild'
+import { BUNDLE } from './bundle'
 
 const OUTPUT = 'target/bilberrystall.cjs'
 const DEPLOY_FILE = 'deploy/system.toml'
 
-const common: BuildOptions = {
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  // UMD builds of some libraries look up modules at run time; their ESM builds do not.
-  mainFields: ['module', 'main'],
-  legalComments: 'none',
-}
-
 await build({
-  ...common,
+  ...BUNDLE,
   entryPoints: ['packages/cli/src/main.ts'],
   outfile: 'target/program.cjs',
   minifyWhitespace: true,
   minifySyntax: true,
 })
-await build({ ...common, entryPoints: ['packages/cli/src/launcher.ts'], outfile: OUTPUT })
+await build({ ...BUNDLE, entryPoints: ['packages/cli/src/launcher.ts'], outfile: OUTPUT })
 execFileSync(process.execPath, [...flags(), OUTPUT, '--version'], {
   stdio: 'inherit',
   env: { ...process.env, BILBERRYSTALL_WRITE_CODE_CACHE: 'yes' },
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -5,6 +5,7 @@
 import { execFileSync } from 'node:child_process'
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
 import { build } from 'esbuild'
+import { BUNDLE } from './bundle'
 import { inject } from 'postject'
 import { readFile } from 'node:fs/promises'
 
@@ -15,13 +16,7 @@
 await build({
   entryPoints: ['packages/cli/src/main.ts'],
   outfile: 'dist/bilberrystall.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  // UMD builds of some libraries look up modules at run time; their ESM builds do not.
-  mainFields: ['module', 'main'],
-  legalComments: 'none',
+  ...BUNDLE,
   sourcemap: false,
 })
 writeFileSync(
