--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -34,7 +34,15 @@
   readonly api: Listener
 }
 
-type MemberOptions = Partial<ControlOptions> & { readonly bootstrap?: boolean; readonly folder?: string }
+type MemberOptions = Partial<ControlOptions> & {
+  readonly bootstrap?: boolean
+  readonly folder?: string
+  readonly leastVoters?: number
+}
+
+function createFolder(): Promise<string> {
+  return mkdtemp(join(tmpdir(), 'bilberrystall-control-'))
+}
 
 export class TestCluster {
   readonly members = new Map<string, Member>()
@@ -44,14 +52,14 @@
   readonly #folders: string[] = []
 
   async start(name: string, options: MemberOptions = {}): Promise<Member> {
-    const { bootstrap = false, folder = await mkdtemp(join(tmpdir(), 'bilberrystall-control-')), ...rest } = options
+    const { bootstrap = false, leastVoters = 1, folder = await createFolder(), ...rest } = options
     this.#folders.push(folder)
     const traffic = new Traffic()
     const clients = new RpcClients({ nodeKey: NODE_KEY, traffic })
     const keeper = new DocumentKeeper()
     const digest = createHash('sha256').update(OPERATOR_KEY).digest('hex')
     const operatorKeys = new Map([['asha', digest]])
-    const policy = { bootstrap, replicas: 3, leastVoters: 1, lostAfterMs: 60_000 }
+    const policy = { bootstrap, replicas: 3, leastVoters, lostAfterMs: 60_000 }
     const opened = await Control.open({
       node: nodeId(name),
       settings: { listen: '127.0.0.1:0', dataFolder: folder, operatorKeys, ...policy },
--- /dev/null
+++ b/packages/node/test/control-follow.test.ts
@@ -0,0 +1,91 @@
+/** Guards the bound on what an entry may not know yet: departures and documents, while replicas are lost or behind. */
+import { environmentName, failureDomain, nodeId, serverId } from '@bilberrystall/base'
+import { RpcClients, Traffic } from '@bilberrystall/rpc'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { answerFollow } from '../src/control-delivery'
+import { ControlFollower, DocumentKeeper, type Departed } from '../src/index'
+import { NODE_KEY, TRIAL, TestCluster, call, submitBody, until } from './control-cluster'
+
+/** Bound within which an acknowledged departure holds on every entry that reaches a current replica. */
+const DEPARTURE_BOUND_MS = 2_000
+
+let cluster: TestCluster
+const stops: (() => unknown)[] = []
+
+beforeEach(() => {
+  cluster = new TestCluster()
+})
+
+afterEach(async () => {
+  for (const stop of stops.splice(0)) await stop()
+  await cluster.close()
+})
+
+function follow() {
+  const clients = new RpcClients({ nodeKey: NODE_KEY, traffic: new Traffic() })
+  const keeper = new DocumentKeeper()
+  const departed: Departed[] = []
+  const follower = new ControlFollower({
+    environment: TRIAL,
+    self: nodeId('entry'),
+    keeper,
+    clients,
+    addressOf: (node) => cluster.nodes.get(node)?.address,
+    controlNodes: () => [...cluster.nodes.values()],
+    failureDomain: failureDomain('north'),
+    otherEntries: () => [],
+    onDepartures: (news) => departed.push(...news),
+    now: () => performance.now(),
+  })
+  follower.start()
+  stops.push(() => {
+    follower.stop()
+    clients.close()
+  })
+  return { keeper, departed }
+}
+
+const depart = (name: string, start: number) => ({
+  kind: 'depart' as const,
+  at: 0,
+  requester: 'platform',
+  source: 'server',
+  server: serverId(name),
+  start,
+})
+
+test('an entry learns of a departure within the bound, also when the replica that it asked is lost', async () => {
+  const leader = await cluster.start('a', { bootstrap: true })
+  await until(() => cluster.leader())
+  await cluster.start('b')
+  await cluster.start('c')
+  await until(() =>
+    leader.control.host.status().replicas.filter(({ role }) => role === 'voter').length === 3 ? true : undefined,
+  )
+  await call(leader, '/v1/changes', submitBody('c1', 0))
+  const entry = follow()
+  await until(() => entry.keeper.inForce(TRIAL))
+  const lost = [...cluster.members.values()].find(({ name }) => name !== cluster.leader()?.name)
+  if (lost !== undefined) await cluster.kill(lost)
+  const acting = cluster.leader()
+  expect((await acting?.control.changes.submit(depart('s1', 7)))?.kind).toBe('recorded')
+  const acknowledgedAt = performance.now()
+  await until(() => entry.departed.find(({ server }) => server === 's1'))
+  expect(entry.departed).toEqual([{ server: 's1', start: 7 }])
+  expect(performance.now() - acknowledgedAt).toBeLessThan(DEPARTURE_BOUND_MS)
+})
+
+test('a replica that may be behind does not answer, so that the entry asks another one', async () => {
+  const question = { environment: environmentName('trial'), revision: 0n, departurePosition: 0n, confirmed: false }
+  const { host } = (await cluster.start('a', { bootstrap: true })).control
+  await until(() => cluster.leader())
+  expect(await answerFollow(host, question)).toMatchObject({ revision: 0n })
+  const behind = { read: host.read.bind(host), state: host.state, isCurrent: () => false }
+  await expect(answerFollow(behind, question)).rejects.toThrow('may be behind')
+})
+
+test('control accepts nothing with fewer voters than the losses to be borne need', async () => {
+  const only = await cluster.start('a', { bootstrap: true, leastVoters: 3, submitLimitMs: 300 })
+  await until(() => cluster.leader())
+  expect((await only.control.changes.submit(depart('s1', 7))).kind).toBe('failed')
+})
