Keep signals handled until the process has stopped

A machine that had got SIGTERM got SIGHUP 0.7 s later; the handlers of both signals had been removed by then, and the default action ended the process with calls in flight. Ruled out: the time limits of the stop (the process ended 0.69 s after SIGTERM, the grace is 6 s). Conclusion: SIGTERM is handled for good, and SIGHUP does nothing once the node stops.

--- a/packages/cli/src/run-command.ts
+++ b/packages/cli/src/run-command.ts
@@ -58,7 +58,8 @@
     end = resolve
   })
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.once(signal, () => {
+    // Not once: without a handler a repeated signal would end the process in the middle of its shutdown.
+    process.on(signal, () => {
       end('nodeLeaving')
     })
   }
--- a/packages/cli/src/settings-watch.ts
+++ b/packages/cli/src/settings-watch.ts
@@ -19,6 +19,7 @@
   readonly #options: SettingsWatchOptions
   #timer: NodeJS.Timeout | undefined
   #modifiedAt: number
+  #isStopped = false
 
   constructor(options: SettingsWatchOptions) {
     this.#options = options
@@ -32,12 +33,14 @@
     }, LOOK_INTERVAL_MS)
   }
 
+  /** Changes are no longer taken over. The signal stays handled: by default it would end a process that shuts down. */
   stop(): void {
     clearInterval(this.#timer)
-    process.off('SIGHUP', this.#reload)
+    this.#isStopped = true
   }
 
   readonly #reload = (): void => {
+    if (this.#isStopped) return
     const { file, changed, refused } = this.#options
     this.#modifiedAt = this.#lastModified()
     readSettings(file).match(changed, refused)
