--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -69,6 +69,8 @@
   readonly read: number
   readonly deadline: number
   index: LogIndex | undefined
+  /** Leader that was asked last. */
+  asked: ReplicaId | undefined
 }
 
 export interface IncomingSnapshot {
@@ -102,6 +104,8 @@
   applied: LogIndex
   /** Newest snapshot on the own disk. Its data is not kept in memory. */
   snapshot: SnapshotPosition | undefined
+  /** Size of the newest snapshot on the own disk. */
+  snapshotBytes: number
   /** Highest index known to match the log of the leader of this term. */
   matched: LogIndex = logIndex(0)
   /** Probe of the last append whose response waits for a sync. */
@@ -132,6 +136,7 @@
     this.term = stored.ballot?.term ?? term(0)
     this.votedFor = stored.ballot?.votedFor
     this.snapshot = snapshot === undefined ? undefined : positionOf(snapshot)
+    this.snapshotBytes = snapshot?.data.byteLength ?? 0
     this.commit = snapshot?.index ?? logIndex(0)
     this.applied = this.commit
     this.log = restoredLog(stored)
--- a/packages/consensus/src/options.ts
+++ b/packages/consensus/src/options.ts
@@ -45,6 +45,10 @@
   readonly logEntries: number
   /** Log size that triggers a snapshot, in bytes. */
   readonly logBytes: number
+  /** Fewest entries applied since the last snapshot that lead to the next one: a restart applies them all again. */
+  readonly replayEntries: number
+  /** Each part of the last snapshot of this many bytes adds one to them, so that large snapshots stay rare. */
+  readonly replayBytes: number
   /** Entries kept after a snapshot so that a follower slightly behind needs no snapshot. */
   readonly keptEntries: number
   /** Most bytes of the entries kept after a snapshot. */
@@ -75,6 +79,8 @@
   uncommittedBytes: 2 * 1024 * 1024,
   logEntries: 1_000,
   logBytes: 4 * 1024 * 1024,
+  replayEntries: 16,
+  replayBytes: 16 * 1024,
   keptEntries: 200,
   keptBytes: 1024 * 1024,
   chunkBytes: 64 * 1024,
--- a/packages/consensus/src/reads.ts
+++ b/packages/consensus/src/reads.ts
@@ -1,6 +1,7 @@
 /**
  * Confirmed reads. A leader confirms a read when, after the read arrived, a majority still answered in its term and an
  * entry of its term is committed. Replicas that do not lead ask the leader and wait until they have applied its index.
+ * A member that knows no leader keeps the read until one is elected: after a loss of power every entry waits for it.
  */
 import { logIndex, type LogIndex, type ReplicaId } from '@bilberrystall/base'
 import type { Core, Leadership, LocalRead, WaitingRead } from './core'
@@ -16,7 +17,7 @@
   }
   const lead = core.lead
   if (lead === undefined) {
-    askLeader(core, input.read)
+    keepForLeader(core, input)
     return
   }
   if (input.mode === 'lease' && knowsCommit(core) && holdsLease(core, lead)) {
@@ -26,18 +27,32 @@
   waitForRound(core, lead, input.read, undefined)
 }
 
-function askLeader(core: Core, read: number): void {
-  if (core.leader === undefined) {
+function keepForLeader(core: Core, { read, mode }: ReadInput): void {
+  // A replica outside the set may never hear of a leader.
+  const mayWait = mode === 'quorum' && core.sets.roleOf(core.replica) !== undefined
+  if (core.leader === undefined && !mayWait) {
     core.failRead(read, 'notLeader')
     return
   }
-  const number = nextNumber(core)
-  core.localReads.set(number, { read, deadline: core.now + core.limits.readTimeout, index: undefined })
-  core.send({ kind: 'read-request', ...core.envelope(core.leader), read: number })
+  const deadline = core.now + core.limits.readTimeout
+  core.localReads.set(nextNumber(core), { read, deadline, index: undefined, asked: undefined })
+}
+
+/** Asks a leader that was not asked yet, or starts a round when this replica has become the leader. */
+function askLeader(core: Core, number: number, waiting: LocalRead): void {
+  const { lead, leader } = core
+  if (lead !== undefined) {
+    core.localReads.delete(number)
+    waitForRound(core, lead, waiting.read, undefined)
+  } else if (leader !== undefined && leader !== waiting.asked) {
+    waiting.asked = leader
+    core.send({ kind: 'read-request', ...core.envelope(leader), read: number })
+  }
 }
 
 function waitForApply(core: Core, read: number, index: LogIndex): void {
-  core.localReads.set(nextNumber(core), { read, deadline: core.now + core.limits.readTimeout, index })
+  const deadline = core.now + core.limits.readTimeout
+  core.localReads.set(nextNumber(core), { read, deadline, index, asked: undefined })
 }
 
 function nextNumber(core: Core): number {
@@ -93,6 +108,7 @@
 
 /** Confirms rounds, reports reads whose index is applied, and fails those that waited too long. */
 export function advanceReads(core: Core): void {
+  for (const [number, read] of core.localReads) if (read.index === undefined) askLeader(core, number, read)
   if (core.waitingReads.length > 0 && core.lead !== undefined) confirmReads(core, core.lead)
   for (const [number, read] of core.localReads) {
     if (finishLocalRead(core, read)) core.localReads.delete(number)
--- a/packages/consensus/src/snapshots.ts
+++ b/packages/consensus/src/snapshots.ts
@@ -11,8 +11,9 @@
 
 const NO_DATA = new Uint8Array(0)
 
-/** Asks the host for a snapshot once the log has reached one of its limits. */
+/** Asks the host for a snapshot once the log, or the part of it that a restart applies again, has reached a limit. */
 export function shortenLog(core: Core): void {
+  if (core.applied - (core.snapshot?.index ?? 0) >= replayLimit(core)) requestSnapshot(core)
   if (!isLogLong(core)) return
   const covered = core.applied - (core.snapshot?.index ?? 0)
   // Entries that are not applied yet cannot be dropped; waiting for some avoids a snapshot per applied entry.
@@ -28,6 +29,10 @@
   core.emit({ kind: 'take-snapshot', position: { index, term: entryTerm, replicas: core.sets.at(index) } })
 }
 
+function replayLimit(core: Core): number {
+  return core.limits.replayEntries + Math.floor(core.snapshotBytes / core.limits.replayBytes)
+}
+
 function isLogLong(core: Core): boolean {
   return core.log.length >= core.limits.logEntries || core.log.bytes >= core.limits.logBytes
 }
@@ -37,7 +42,7 @@
   if (snapshot.index > core.applied || core.log.termAt(snapshot.index) !== snapshot.term) return
   serveWaiting(core, snapshot)
   if (snapshot.index <= (core.snapshot?.index ?? 0)) return
-  core.snapshot = positionOf(snapshot)
+  keepPosition(core, snapshot)
   const through = compactionPoint(core, snapshot)
   if (through <= core.log.baseIndex) return
   core.log.compact(logIndex(through))
@@ -45,6 +50,11 @@
   core.disk.record({ kind: 'compact', through: logIndex(through) })
 }
 
+function keepPosition(core: Core, snapshot: Snapshot): void {
+  core.snapshot = positionOf(snapshot)
+  core.snapshotBytes = snapshot.data.byteLength
+}
+
 /** Keeps the entries before the snapshot that fit the limits for followers slightly behind. */
 function compactionPoint(core: Core, snapshot: Snapshot): number {
   let through: number = snapshot.index
@@ -187,7 +197,7 @@
 
 /** The snapshot is on disk: the state machine may use it and the leader may count on it. */
 export function snapshotInstalled(core: Core, snapshot: Snapshot): void {
-  if (snapshot.index > (core.snapshot?.index ?? 0)) core.snapshot = positionOf(snapshot)
+  if (snapshot.index > (core.snapshot?.index ?? 0)) keepPosition(core, snapshot)
   if (snapshot.index <= core.applied) return
   core.applied = snapshot.index
   core.emit({ kind: 'restore', snapshot })
--- a/packages/consensus/test/membership.test.ts
+++ b/packages/consensus/test/membership.test.ts
@@ -193,6 +193,22 @@
     }
   })
 
+  it('follow each other closely, so that a restart applies few entries, and less closely when they are large', () => {
+    const driver = new Driver({ bootstrap: true })
+    driver.run({ kind: 'tick' })
+    const taken: number[] = []
+    let size = 0
+    for (let proposal = 1; proposal <= 100; proposal += 1) {
+      for (const output of driver.run({ kind: 'propose', proposal, command })) {
+        if (output.kind !== 'take-snapshot') continue
+        taken.push(output.position.index)
+        if (taken.length === 3) size = 64 * 1024
+        driver.run({ kind: 'snapshot-taken', snapshot: { ...output.position, data: new Uint8Array(size) } })
+      }
+    }
+    expect(taken).toEqual([16, 32, 48, 68, 88])
+  })
+
   it('carry the set at their position, not a later one that is not committed', () => {
     const driver = new Driver({ stored: storedOf(THREE), limits: { logEntries: 4, keptEntries: 1 } })
     driver.lead()
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -48,6 +48,50 @@
   })
 })
 
+describe('reads without a known leader', () => {
+  const read = { kind: 'read', read: 1, mode: 'quorum' } as const
+
+  it('wait for the leader that is elected next and are asked of it once', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    expect(driver.run(read)).toEqual([])
+    const elected = driver.run(driver.append({ term: term(2), previousIndex: logIndex(1), previousTerm: term(1) }))
+    const asked = messagesOf(elected, 'read-request')
+    expect(asked).toMatchObject([{ to: B }])
+    expect(messagesOf(driver.tick(50), 'read-request')).toEqual([])
+    const answer = { from: B, term: term(2), read: asked[0]?.read ?? 0, confirmed: true, index: logIndex(0) }
+    expect(kinds(driver.receive('read-response', answer))).toEqual(['read-ready'])
+  })
+
+  it('are asked again of the next leader', () => {
+    const driver = new Driver({ stored: storedOf(THREE) })
+    driver.run(read)
+    const place = { previousIndex: logIndex(1), previousTerm: term(1) }
+    driver.run(driver.append({ term: term(2), ...place }))
+    const next = driver.run(driver.append({ term: term(3), from: C, ...place }))
+    expect(messagesOf(next, 'read-request')).toMatchObject([{ to: C }])
+  })
+
+  it('are confirmed by this replica when it wins the election', () => {
+    const driver = new Driver({ stored: storedOf(THREE), limits: { readTimeout: 5_000 } })
+    driver.run(read)
+    driver.lead()
+    const { lastIndex } = driver.replica.status()
+    driver.acknowledge(B, lastIndex)
+    expect(kinds(driver.acknowledge(B, lastIndex, 1))).toContain('read-ready')
+  })
+
+  it('fail after the time limit of reads', () => {
+    const driver = new Driver({ stored: storedOf(THREE), limits: { readTimeout: 1_000 } })
+    driver.run(read)
+    expect(kinds(driver.tick(999))).not.toContain('read-failed')
+    expect(kinds(driver.tick(2))).toContain('read-failed')
+  })
+
+  it('fail at once outside every set, where no leader may ever be heard of', () => {
+    expect(kinds(new Driver().run(read))).toEqual(['read-failed'])
+  })
+})
+
 describe('elections', () => {
   const request = { from: C, term: term(2), lastIndex: logIndex(9), lastTerm: term(1) }
 
--- a/packages/node/src/control-follow.ts
+++ b/packages/node/src/control-follow.ts
@@ -24,6 +24,8 @@
 const FOLLOW_INTERVAL_MS = 400
 /** Time for an answer; a healthy replica answers in a few milliseconds. */
 const FOLLOW_LIMIT_MS = 350
+/** Interval at which an entry without a document looks for a replica: it refuses every call until it has found one. */
+const SEEK_INTERVAL_MS = 50
 /** Pause before the next replica is asked after one did not answer. */
 const RETRY_MS = 20
 /** Time for which a replica that did not answer comes last. */
@@ -114,10 +116,17 @@
     while (!this.#abort.signal.aborted) {
       const node = this.#nextReplica()
       const answered = node !== undefined && (await this.#follow(node))
-      await this.#pause(answered || node === undefined ? FOLLOW_INTERVAL_MS : RETRY_MS)
+      await this.#pause(this.#pauseAfter(node, answered))
     }
   }
 
+  #pauseAfter(asked: NodeId | undefined, answered: boolean): number {
+    if (answered) return FOLLOW_INTERVAL_MS
+    const { environment, keeper } = this.#options
+    if (asked === undefined) return keeper.isReady(environment) ? FOLLOW_INTERVAL_MS : SEEK_INTERVAL_MS
+    return RETRY_MS
+  }
+
   /** The nearest replica that answered last time: this node, then its failure domain, then the others. */
   #nextReplica(): NodeId | undefined {
     const { controlNodes, self, failureDomain, now } = this.#options
