Verify connections between nodes when a call meets its time limit, instead of by pings at an interval

Every open session was pinged once a second in both directions: with 46 nodes that converse with each other 4,140 messages a second, more than all calls together.

A call that meets its time limit now has its session verified; streams between replicas, which have no answers, are verified once a second while they are used. Two tests freeze established connections; without the pings and without this change both fail.

--- a/packages/node/src/control-follow.ts
+++ b/packages/node/src/control-follow.ts
@@ -164,7 +164,6 @@
     } catch {
       // The replica left, is cut off or is not current; the next one is asked.
       this.#avoidUntil.set(node, now() + AVOID_MS)
-      if (address !== undefined) clients.verify(address)
       return false
     }
   }
--- a/packages/node/src/control-transport.ts
+++ b/packages/node/src/control-transport.ts
@@ -10,6 +10,11 @@
 import { decodeMessage, encodeMessage, type StreamIds } from './control-wire'
 
 const QUEUE_LIMIT = 256
+/**
+ * Interval at which the connection of a stream in use is verified: within a replica's time to be replaced, and rare beside
+ * the heartbeats.
+ */
+const VERIFY_INTERVAL_MS = 1_000
 /** Pause before a broken stream is opened again; shorter than two heartbeats. */
 const REOPEN_MS = 150
 
@@ -29,6 +34,8 @@
   readonly #streams = new Map<ReplicaId, OutgoingStream>()
   readonly #addresses = new Map<NodeId, string>()
   readonly #reopenAt = new Map<ReplicaId, number>()
+  /** Monotonic time of the last check of the connection to an address: messages that are lost bring no error. */
+  readonly #verifiedAt = new Map<string, number>()
   #stopped = false
 
   constructor(options: TransportOptions) {
@@ -59,6 +66,7 @@
     }
     stream ??= this.#open(message.to, address)
     stream?.push(message)
+    this.#verify(address)
   }
 
   stop(): void {
@@ -67,6 +75,13 @@
     this.#streams.clear()
   }
 
+  #verify(address: string): void {
+    const now = performance.now()
+    if (now - (this.#verifiedAt.get(address) ?? Number.NEGATIVE_INFINITY) < VERIFY_INTERVAL_MS) return
+    this.#verifiedAt.set(address, now)
+    this.#options.clients.verify(address)
+  }
+
   /** The last known address is kept: a replica whose node lease lapsed may still answer. */
   #addressOf(node: NodeId): string | undefined {
     const address = this.#options.addressOf(node) ?? this.#addresses.get(node)
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -81,7 +81,6 @@
         return ok(heldDocument(response.document))
       } catch {
         // A replica that is cut off cannot confirm; the next one is asked.
-        clients.verify(address)
       }
     }
     return err(failure('noQuorum'))
--- /dev/null
+++ b/packages/node/test/silent-connection.test.ts
@@ -0,0 +1,80 @@
+/** Guards against connections between nodes that go silent for good while new ones work, without pings at intervals. */
+import { nodeId, replicaId, term } from '@bilberrystall/base'
+import { GossipService, RpcClients, RpcServer, Traffic } from '@bilberrystall/rpc'
+import { FaultProxy } from '@bilberrystall/testkit'
+import { ConnectError, type ConnectRouter } from '@connectrpc/connect'
+import { afterEach, expect, test } from 'vitest'
+import { ReplicaTransport } from '../src/control-transport'
+import { NODE_KEY, until } from './control-cluster'
+
+const stops: (() => unknown)[] = []
+
+afterEach(async () => {
+  for (const stop of stops.splice(0).reverse()) await stop()
+})
+
+function clients(): RpcClients {
+  const opened = new RpcClients({ nodeKey: NODE_KEY, traffic: new Traffic() })
+  stops.push(() => {
+    opened.close()
+  })
+  return opened
+}
+
+async function serveBehindProxy(routes: (router: ConnectRouter) => void): Promise<FaultProxy> {
+  const served = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic: new Traffic(), routes })
+  const server = served._unsafeUnwrap()
+  stops.push(() => server.close())
+  const proxy = await new FaultProxy({ target: `127.0.0.1:${server.port}` }).start()
+  stops.push(() => proxy.stop())
+  return proxy
+}
+
+test('a call that meets its time limit leads to a new connection', async () => {
+  const proxy = await serveBehindProxy((router) => {
+    router.service(GossipService, { exchange: () => ({}) })
+  })
+  const gossip = clients().client(GossipService, proxy.address)
+  const ask = () => gossip.exchange({}, { timeoutMs: 200 })
+  await ask()
+  proxy.freeze({ kind: 'established' })
+  await expect(ask()).rejects.toThrow(ConnectError)
+  let answered: unknown
+  for (let tries = 0; answered === undefined && tries < 20; tries += 1) answered = await ask().catch(() => undefined)
+  expect(answered).toBeDefined()
+})
+
+test('messages between replicas, which have no answer, reach the other side again over a new connection', async () => {
+  const received: number[] = []
+  const serving = new ReplicaTransport({
+    clients: clients(),
+    addressOf: () => undefined,
+    onMessage: (message) => received.push(message.term),
+  })
+  const proxy = await serveBehindProxy((router) => {
+    serving.routes(router)
+  })
+  const transport = new ReplicaTransport({
+    clients: clients(),
+    addressOf: () => proxy.address,
+    onMessage: () => undefined,
+  })
+  stops.push(() => {
+    transport.stop()
+  })
+  let sent = 0
+  const send = () => {
+    sent += 1
+    const to = replicaId(`${nodeId('b')}/disk`)
+    transport.send({ kind: 'vote-response', from: replicaId('a/disk'), to, term: term(sent), granted: true })
+    return received.at(-1)
+  }
+  await until(send)
+  proxy.freeze({ kind: 'established' })
+  const frozenAt = sent
+  const heard = await until(() => {
+    const newest = send()
+    return newest !== undefined && newest > frozenAt + 1 ? newest : undefined
+  })
+  expect(heard).toBeGreaterThan(frozenAt)
+})
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -1,16 +1,17 @@
 /**
- * Client side of the protocol between the system's own processes. One HTTP/2 session per peer address is kept and
- * verified by pings, so that a silent connection is found and replaced.
+ * Client side of the protocol between the system's own processes. One HTTP/2 session per peer address is kept. A call
+ * that meets its time limit has the session verified by a ping, so that a silent connection is found and replaced;
+ * pings at an interval would cost each node more wake-ups than everything else as soon as dozens of nodes converse.
  */
 import type { ClientHttp2Stream, Http2Session } from 'node:http2'
 import { connect } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
-import { createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
+import { Code, ConnectError, createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import { bearer } from './node-key'
 import type { Traffic } from './traffic'
 
-const PING_INTERVAL_MS = 1000
+/** Time for the answer to a ping: a hundred round trips between failure domains of a region. */
 const PING_TIMEOUT_MS = 1000
 const IDLE_SESSION_MS = 60_000
 
@@ -79,7 +80,7 @@
     return createClient(service, this.#peer(address).transport)
   }
 
-  /** Replaces the session to a peer that did not answer in time if it is silent. */
+  /** Replaces the session to a peer if it is silent; calls with a time limit do so on their own. */
   verify(address: string): void {
     this.#peers.get(address)?.manager.replaceIfSilent()
   }
@@ -106,12 +107,7 @@
     const baseUrl = `http://${address}`
     const manager = new GuardedSessionManager(
       baseUrl,
-      {
-        pingIntervalMs: PING_INTERVAL_MS,
-        pingTimeoutMs: PING_TIMEOUT_MS,
-        pingIdleConnection: false,
-        idleConnectionTimeoutMs: IDLE_SESSION_MS,
-      },
+      { idleConnectionTimeoutMs: IDLE_SESSION_MS },
       {
         createConnection: (authority) => {
           const socket = connect({ host: authority.hostname.replace(/^\[|\]$/g, ''), port: Number(authority.port) })
@@ -127,11 +123,19 @@
       if (nodeKey !== '') request.header.set('authorization', authorization)
       return next(request)
     }
+    const verifying: Interceptor = (next) => async (request) => {
+      try {
+        return await next(request)
+      } catch (cause) {
+        if (ConnectError.from(cause).code === Code.DeadlineExceeded) manager.replaceIfSilent()
+        throw cause
+      }
+    }
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
       sessionManager: manager,
-      interceptors: [withNodeKey],
+      interceptors: [withNodeKey, verifying],
       defaultTimeoutMs: this.#options.timeoutMs ?? 1000,
       useBinaryFormat: true,
     })
