Spend less at rest and per call: timers while calls run, gossip every 0.4 s, open connections preferred

The check for stalled calls runs only while calls are in flight, idle connections are checked once a second, slow leases every 0.25 s; where departures come from control, nodes gossip every 0.4 s instead of 0.25 s; a call asks servers first to which a connection is open.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -39,6 +39,8 @@
 const OWN_PREFIX = '/.bilberrystall/'
 /** Kept back from the time that a caller states, for the way of the answer to it. */
 const CALLER_WAY_MS = 20
+/** Interval of the check for idle connections: small beside the seconds after which they are closed. */
+const IDLE_SWEEP_MS = 1_000
 /** Time after which an entry that just started has found control. */
 const READY_AFTER_MS = 1_000
 
@@ -95,7 +97,9 @@
   /** Number of responses in progress per connection of a caller; pipelined requests have several. */
   readonly #busy = new WeakMap<Socket, number>()
   readonly #own: (request: IncomingMessage, response: ServerResponse) => unknown
-  #sweep: NodeJS.Timeout | undefined
+  #poolSweep: NodeJS.Timeout | undefined
+  /** Armed only while calls are in flight. */
+  #callSweep: NodeJS.Timeout | undefined
   #draining = false
   #idle: (() => void) | undefined
 
@@ -131,12 +135,12 @@
   /** Fails with `address-in-use`. */
   start(): Promise<Result<void, Failure>> {
     const { host, port } = this.#options
-    this.#sweep = setInterval(() => {
-      this.#sweepAll()
-    }, this.#limits.sweepMs)
+    this.#poolSweep = setInterval(() => {
+      for (const pool of this.#pools.values()) pool.sweep()
+    }, IDLE_SWEEP_MS)
     return new Promise((resolve) => {
       this.#http.once('error', (cause) => {
-        clearInterval(this.#sweep)
+        clearInterval(this.#poolSweep)
         resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
       })
       this.#http.listen(port, host, () => {
@@ -200,7 +204,8 @@
   /** Ends everything at once; calls still in flight are cut. Call `drain` first. */
   async stop(): Promise<void> {
     this.leave()
-    clearInterval(this.#sweep)
+    clearInterval(this.#poolSweep)
+    clearTimeout(this.#callSweep)
     this.#http.close()
     this.#http.closeAllConnections()
     for (const server of [...this.#pools.keys()]) this.#closePool(server)
@@ -289,6 +294,7 @@
       this.#environment,
     )
     this.#calls.add(call)
+    this.#armCallSweep()
     call.begin()
   }
 
@@ -359,9 +365,12 @@
     return known?.healthPath ?? '/health'
   }
 
-  #sweepAll(): void {
-    const now = this.#clock.monotonic()
-    for (const call of this.#calls) call.sweep(now)
-    for (const pool of this.#pools.values()) pool.sweep()
+  #armCallSweep(): void {
+    this.#callSweep ??= setTimeout(() => {
+      this.#callSweep = undefined
+      const now = this.#clock.monotonic()
+      for (const call of this.#calls) call.sweep(now)
+      if (this.#calls.size > 0) this.#armCallSweep()
+    }, this.#limits.sweepMs)
   }
 }
--- a/packages/entry/src/limits.ts
+++ b/packages/entry/src/limits.ts
@@ -17,7 +17,7 @@
   readonly idleCloseMs: number
   /** A connection without progress for this time, or a quarter of the deadline if less, is suspected. */
   readonly silenceMs: number
-  /** Interval of the check for stalled bodies, silent and idle connections. */
+  /** Interval of the check for stalled bodies and silent connections while calls are in flight. */
   readonly sweepMs: number
 }
 
--- a/packages/node/src/gossip.ts
+++ b/packages/node/src/gossip.ts
@@ -15,6 +15,8 @@
 import { GossipStreams, type Answer } from './gossip-stream'
 
 const EXCHANGE_INTERVAL_MS = 250
+/** Where departures come from control, gossip only has to keep the leases of nodes, 5 s, and to tell of new servers. */
+const SLOW_EXCHANGE_INTERVAL_MS = 400
 /** A node that has just started asks more often, because it serves nobody until it has found control. */
 const JOINING_MS = 2_000
 const JOINING_INTERVAL_MS = 80
@@ -35,6 +37,8 @@
   readonly seeds: () => readonly string[]
   readonly random: Random
   readonly now: () => number
+  /** Whether departures of servers come from control, so that gossip need not be fast. */
+  readonly isSlow?: boolean
   readonly onChanges: (changes: readonly Change[]) => void
 }
 
@@ -64,11 +68,12 @@
 
   start(): void {
     const startedAt = this.#options.now()
+    const interval = this.#options.isSlow === true ? SLOW_EXCHANGE_INTERVAL_MS : EXCHANGE_INTERVAL_MS
     const round = () => {
       const peer = this.#choosePeer()
       if (peer !== undefined) void this.#exchange(peer)
       const isJoining = this.#options.now() - startedAt < JOINING_MS
-      this.#timer = setTimeout(round, isJoining ? JOINING_INTERVAL_MS : EXCHANGE_INTERVAL_MS)
+      this.#timer = setTimeout(round, isJoining ? JOINING_INTERVAL_MS : interval)
     }
     round()
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -39,7 +39,9 @@
 import type { Settings } from './settings'
 import { statusApp, type Health } from './status-listener'
 
+/** Lateness of an expired lease: a small part of the shortest lease, 1.3 s, and of the slow ones, 12 s and 5 s. */
 const EXPIRY_INTERVAL_MS = 100
+const SLOW_EXPIRY_INTERVAL_MS = 250
 const SEED_RANGE = 2 ** 32
 
 export interface NodeOptions {
@@ -120,10 +122,13 @@
     this.#control?.start()
     this.#entry?.start()
     const founding = foundingOf(this.#frame, this.#control)
-    this.#expiry = setInterval(() => {
-      this.expire()
-      founding?.tick(performance.now() - this.#startedAt)
-    }, EXPIRY_INTERVAL_MS)
+    this.#expiry = setInterval(
+      () => {
+        this.expire()
+        founding?.tick(performance.now() - this.#startedAt)
+      },
+      this.#settings.entry?.renewalMs === undefined ? EXPIRY_INTERVAL_MS : SLOW_EXPIRY_INTERVAL_MS,
+    )
     if (this.#settings.nodeKey === '') this.#frame.log.warn('keysOff')
     this.#frame.log.info('nodeStarted', { roles: this.#settings.roles })
     return ok()
@@ -329,6 +334,7 @@
       seeds: () => this.#seeds,
       random,
       now,
+      isSlow: renewalMs !== undefined,
       onChanges: (changes) => {
         this.#changed(changes)
       },
--- a/packages/routing/src/inquiry.ts
+++ b/packages/routing/src/inquiry.ts
@@ -31,6 +31,10 @@
 const UNKNOWN_SLOWNESS = 1.5
 /** Preference for asking servers of the own failure domain first: what they send costs no traffic between domains. */
 const OTHER_DOMAIN_COST = 1
+/** Preference for servers to which a connection is open: a new one costs the server slot time and this entry a round trip. */
+const NO_CONNECTION_COST = 0.5
+/** Time in ms after its last answer for which a server is taken to have an open connection. */
+const CONNECTION_KEPT = 4_000
 /** A server that is this far on its ramp, relative to the others, counts as warm. */
 const WARM_SHARE = 0.6
 const COLD_COST = 1.6
@@ -244,7 +248,8 @@
     const occupancy = record.own / record.server.slots
     const distance = record.server.domain === this.#options.domain ? 0 : OTHER_DOMAIN_COST
     const jitter = (randomBelow(this.#options.random, JITTER_STEPS) / JITTER_STEPS) * JITTER
-    return slowness * coldCost(host, record, now) + occupancy + distance + jitter
+    const connection = now - record.answeredAt < CONNECTION_KEPT ? 0 : NO_CONNECTION_COST
+    return slowness * coldCost(host, record, now) + occupancy + distance + connection + jitter
   }
 }
 
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -63,6 +63,8 @@
   /** Time that work takes at the server relative to the usual time, as last reported, and when that was. */
   slowness = 1
   speedSeenAt = Number.NEGATIVE_INFINITY
+  /** Time of the last answer of the server to this entry: a connection to it is open for some seconds after. */
+  answeredAt = Number.NEGATIVE_INFINITY
   #questions = Number.NaN
   #questionsAt = 0
   readonly #sentAt: number[] = []
@@ -185,6 +187,7 @@
   }
 
   noteSpeed({ slowness = 1 }: Load, now: number): void {
+    this.answeredAt = now
     this.slowness = slowness
     this.speedSeenAt = now
   }
