--- a/packages/document/src/document.ts
+++ b/packages/document/src/document.ts
@@ -153,6 +153,13 @@
   return digestOf(createHash('sha256').update(text).digest('hex'))
 }
 
+const SMALL_DOCUMENT = '[document]\ntitle = start\n[service.a]\n[route.a]\nservice = a\npath = /\n'
+
+/** Compiles the schemas by parsing a small document, so that the first real one does not wait for it. */
+export function prepareParser(): void {
+  parseDocument(SMALL_DOCUMENT)
+}
+
 function crossFaults(raw: RawDocument): Fault[] {
   const faults: Fault[] = []
   const places = new Map<string, string>()
--- a/packages/node/src/control-follow.ts
+++ b/packages/node/src/control-follow.ts
@@ -26,6 +26,11 @@
 const FOLLOW_LIMIT_MS = 350
 /** Interval at which an entry without a document looks for a replica: it refuses every call until it has found one. */
 const SEEK_INTERVAL_MS = 50
+/**
+ * Replicas that an entry without a document asks at once: one of them may be cut off or busy with its own start. More
+ * would send a large document over thin links too often.
+ */
+const SEEK_REPLICAS = 2
 /** Pause before the next replica is asked after one did not answer. */
 const RETRY_MS = 20
 /** Time for which a replica that did not answer comes last. */
@@ -108,40 +113,34 @@
 
   /** Fetches from any control node, after a lease showed a newer revision than the replica delivered. */
   async fetchFromControl(): Promise<void> {
-    const node = this.#nextReplica()
+    const [node] = this.#nextReplicas(1)
     if (node !== undefined) await this.fetch(node)
   }
 
   async #followForever(): Promise<void> {
     while (!this.#abort.signal.aborted) {
-      const node = this.#nextReplica()
-      const answered = node !== undefined && (await this.#follow(node))
-      await this.#pause(this.#pauseAfter(node, answered))
+      const isReady = this.#options.keeper.isReady(this.#options.environment)
+      const nodes = this.#nextReplicas(isReady ? 1 : SEEK_REPLICAS)
+      const answered = await anyTrue(nodes.map((node) => this.#follow(node)))
+      if (answered) await this.#pause(FOLLOW_INTERVAL_MS)
+      else if (nodes.length > 0) await this.#pause(RETRY_MS)
+      else await this.#pause(isReady ? FOLLOW_INTERVAL_MS : SEEK_INTERVAL_MS)
     }
   }
 
-  #pauseAfter(asked: NodeId | undefined, answered: boolean): number {
-    if (answered) return FOLLOW_INTERVAL_MS
-    const { environment, keeper } = this.#options
-    if (asked === undefined) return keeper.isReady(environment) ? FOLLOW_INTERVAL_MS : SEEK_INTERVAL_MS
-    return RETRY_MS
-  }
-
-  /** The nearest replica that answered last time: this node, then its failure domain, then the others. */
-  #nextReplica(): NodeId | undefined {
+  /** The nearest replicas that answered last time: this node, then its failure domain, then the others. */
+  #nextReplicas(count: number): readonly NodeId[] {
     const { controlNodes, self, failureDomain, now } = this.#options
     const at = now()
-    let best: NodeId | undefined
-    let bestRank = Number.POSITIVE_INFINITY
-    for (const candidate of controlNodes()) {
-      const avoided = Math.max(0, (this.#avoidUntil.get(candidate.node) ?? 0) - at)
-      const distance = candidate.node === self ? 0 : candidate.failureDomain === failureDomain ? 1 : 2
-      const rank = avoided * AVOID_MS + distance
-      if (rank >= bestRank) continue
-      best = candidate.node
-      bestRank = rank
-    }
-    return best
+    return controlNodes()
+      .map((candidate) => {
+        const avoided = Math.max(0, (this.#avoidUntil.get(candidate.node) ?? 0) - at)
+        const distance = candidate.node === self ? 0 : candidate.failureDomain === failureDomain ? 1 : 2
+        return { node: candidate.node, rank: avoided * AVOID_MS + distance }
+      })
+      .toSorted((left, right) => left.rank - right.rank)
+      .slice(0, count)
+      .map(({ node }) => node)
   }
 
   async #follow(node: NodeId): Promise<boolean> {
@@ -194,6 +193,20 @@
   }
 }
 
+/** True as soon as one of the answers is; false once all are false. */
+async function anyTrue(answers: readonly Promise<boolean>[]): Promise<boolean> {
+  return new Promise((resolve) => {
+    for (const answer of answers) {
+      void answer.then((isTrue) => {
+        if (isTrue) resolve(true)
+      })
+    }
+    void Promise.all(answers).then(() => {
+      resolve(false)
+    })
+  })
+}
+
 /** Undefined when there is none or when its text does not match its digest. */
 export function heldDocument(message: DeliveredDocument | undefined): HeldDocument | undefined {
   if (message === undefined) return undefined
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,6 +1,6 @@
 /** Entry role of a node: keeps the HTTP entry and its router in line with the directory and the document in force. */
 import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
-import type { Document, Service } from '@bilberrystall/document'
+import { prepareParser, type Document, type Service } from '@bilberrystall/document'
 import { HolderTable } from '@bilberrystall/claims'
 import { ClaimGate, claimRoutes, Entry, RpcClaimTransport, SYSTEM_CLOCK, type EndedCall } from '@bilberrystall/entry'
 import type { Change, Server } from '@bilberrystall/membership'
@@ -131,6 +131,8 @@
 
   start(): void {
     this.#feed.start()
+    // While the first answers of other nodes are on their way the process would be idle.
+    setImmediate(prepareParser)
   }
 
   /** Planned stop: after the balancer's grace no connection is accepted; false when calls outlived the limit. */
--- a/packages/node/test/control-follow.test.ts
+++ b/packages/node/test/control-follow.test.ts
@@ -1,4 +1,5 @@
 /** Guards the bound on what an entry may not know yet: departures and documents, while replicas are lost or behind. */
+import { createServer, type AddressInfo } from 'node:net'
 import { environmentName, failureDomain, nodeId, serverId } from '@bilberrystall/base'
 import { RpcClients, Traffic } from '@bilberrystall/rpc'
 import { afterEach, beforeEach, expect, test } from 'vitest'
@@ -9,6 +10,9 @@
 /** Bound within which an acknowledged departure holds on every entry that reaches a current replica. */
 const DEPARTURE_BOUND_MS = 2_000
 
+/** Time for which one silent replica is waited for; an entry that starts must not lose it. */
+const SILENT_REPLICA_MS = 350
+
 let cluster: TestCluster
 const stops: (() => unknown)[] = []
 
@@ -75,6 +79,25 @@
   expect(performance.now() - acknowledgedAt).toBeLessThan(DEPARTURE_BOUND_MS)
 })
 
+test('an entry without a document gets it while one of the replicas is silent', async () => {
+  const leader = await cluster.start('b', { bootstrap: true })
+  await until(() => cluster.leader())
+  await call(leader, '/v1/changes', submitBody('c1', 0))
+  // Accepts connections and never answers, like a process that is frozen; its place in the list is the first.
+  const silent = createServer()
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
+  const place = { ...cluster.nodes.get(nodeId('b'))!, node: nodeId('a') }
+  const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
+  const live = [...cluster.nodes]
+  cluster.nodes.clear()
+  for (const [name, node] of [[nodeId('a'), { ...place, address }] as const, ...live]) cluster.nodes.set(name, node)
+  stops.push(() => silent.close())
+  const startedAt = performance.now()
+  const entry = follow()
+  await until(() => entry.keeper.inForce(TRIAL))
+  expect(performance.now() - startedAt).toBeLessThan(SILENT_REPLICA_MS)
+})
+
 test('a replica that may be behind does not answer, so that the entry asks another one', async () => {
   const question = { environment: environmentName('trial'), revision: 0n, departurePosition: 0n, confirmed: false }
   const { host } = (await cluster.start('a', { bootstrap: true })).control
