--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -2,6 +2,7 @@
 import { RESULT_CODES } from '@bilberrystall/base'
 import { Builtins, Cli, type BaseContext } from 'clipanion'
 import { Codes } from './codes-command'
+import { Explain } from './explain-command'
 import {
   DocumentCheck,
   DocumentHistory,
@@ -34,6 +35,7 @@
   NodeDrain,
   NodeReplace,
   Codes,
+  Explain,
 ]
 
 export const VERSION = '0.1.0'
--- /dev/null
+++ b/packages/cli/src/explain-command.ts
@@ -0,0 +1,59 @@
+/** Explains a failed call from log files by the id that the caller gave to its attempt. */
+import { failure } from '@bilberrystall/base'
+import { Command, Option } from 'clipanion'
+import { err, ok } from 'neverthrow'
+import { OutputCommand, readText } from './command-base'
+import { explainAttempt, readLog, type ExplainedCall, type LogLine } from './explanation'
+
+export class Explain extends OutputCommand {
+  static override paths = [['explain']]
+  static override usage = Command.Usage({
+    category: 'Reference',
+    description: 'explain a failed call from the log files of several nodes',
+    details:
+      'Prints the line about the call, what its node believed then, and what nodes saw of the servers it was sent to.',
+    examples: [['Explain an attempt', '$0 explain 9c41d07be2a35f68 entry-1.log entry-2.log control-1.log']],
+  })
+
+  attempt = Option.String({ name: 'attempt' })
+  files = Option.Rest({ name: 'file', required: 1 })
+
+  override async execute(): Promise<number> {
+    const lines: LogLine[] = []
+    let skipped = 0
+    for (const file of this.files) {
+      const text = await readText(file)
+      if (text.isErr()) return this.fail(text.error)
+      const read = readLog(text.value)
+      lines.push(...read.lines)
+      skipped += read.skipped
+    }
+    if (skipped > 0) this.note(`${skipped} lines are no log lines of this program and were skipped`)
+    const calls = explainAttempt(lines, this.attempt)
+    const found = calls.length > 0 ? ok(calls) : err(failure('notFound', `no line about attempt ${this.attempt}`))
+    return this.finish(found, (explained) => explained.map(textOf).join('\n'))
+  }
+}
+
+function textOf({ call, beliefs, servers }: ExplainedCall): string {
+  return [
+    `attempt ${call.attempt ?? ''} at ${call.node}: ${call.result ?? ''} after ${call.ms ?? 0} ms`,
+    `  ${lineText(call)}`,
+    '  believed by the node:',
+    ...sectionOf(beliefs),
+    '  about the servers that it was sent to:',
+    ...sectionOf(servers),
+    '',
+  ].join('\n')
+}
+
+function sectionOf(lines: readonly LogLine[]): readonly string[] {
+  return lines.length === 0 ? ['    nothing logged'] : lines.map((line) => `    ${lineText(line)}`)
+}
+
+function lineText({ time, node, event, code: _, level: __, ...rest }: LogLine): string {
+  const fields = Object.entries(rest).map(
+    ([key, value]) => `${key}=${Array.isArray(value) ? value.join(',') : String(value)}`,
+  )
+  return [time, node, event, ...fields].join(' ')
+}
--- /dev/null
+++ b/packages/cli/test/explain.test.ts
@@ -0,0 +1,68 @@
+/** Guards the way from the id of a failed call to its cause, also through damaged and foreign log files. */
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { RESULT_CODES } from '@bilberrystall/base'
+import { Harness } from '@bilberrystall/testkit'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { cli } from './operator-stub'
+
+let harness: Harness
+
+beforeEach(async () => {
+  harness = await Harness.create()
+})
+
+afterEach(() => harness.end())
+
+const line = (second: number, node: string, event: string, fields: object = {}): string =>
+  JSON.stringify({ time: `2026-03-17T22:28:${second}.000Z`, level: 'info', code: 0, event, node, ...fields })
+
+const ENTRY_1 = [
+  line(10, 'entry-1', 'node-started', { roles: ['entry'] }),
+  line(11, 'entry-1', 'document-in-force', { environment: 'production', revision: 12 }),
+  line(20, 'entry-1', 'document-in-force', { environment: 'production', revision: 13 }),
+  line(21, 'entry-1', 'server-joined', { server: 'production/booking/b1', state: 'ready' }),
+  line(22, 'entry-1', 'server-joined', { server: 'production/booking/b2', state: 'ready' }),
+  line(30, 'entry-1', 'call-failed', {
+    result: 'connectionLost',
+    attempt: '9c41',
+    route: 'book',
+    service: 'booking',
+    servers: ['production/booking/b1'],
+    ms: 1500,
+  }),
+  line(33, 'entry-1', 'document-in-force', { environment: 'production', revision: 14 }),
+]
+const ENTRY_2 = [
+  line(31, 'entry-2', 'server-ejected', { server: 'production/booking/b1', reason: 'failing' }),
+  line(50, 'entry-2', 'server-left', { server: 'production/booking/b1', state: 'ready' }),
+]
+
+async function logFile(name: string, lines: readonly string[]): Promise<string> {
+  const path = join(harness.folder, name)
+  await writeFile(path, `${lines.join('\n')}\n`)
+  return path
+}
+
+test('the life of a failed call is put together from the logs of several nodes', async () => {
+  const files = [await logFile('entry-2.log', ENTRY_2), await logFile('entry-1.log', ENTRY_1)]
+  const explained = await cli('explain', '9c41', ...files)
+  expect(explained.status).toBe(0)
+  await expect(explained.stdout).toMatchFileSnapshot('golden/explain.txt')
+})
+
+test('cut, damaged and foreign lines are skipped and counted, and prefixes of log collectors are ignored', async () => {
+  const foreign = ['{"time":"2026-03', 'started', '{"time":"yesterday","event":"x","node":"n"}', '[1]']
+  const prefixed = ENTRY_1.map((text) => `  36.16 entry-1 ${text}`)
+  const explained = await cli('explain', '9c41', await logFile('mixed.log', [...foreign, ...prefixed]))
+  expect(explained.stderr).toContain('4 lines are no log lines')
+  expect(explained.stdout).toContain('connectionLost after 1500 ms')
+  expect(explained.stdout).toContain('revision=13')
+  expect(explained.stdout).not.toContain('revision=14')
+})
+
+test('an attempt that no file names, and a file that cannot be read, have their own exit states', async () => {
+  const file = await logFile('entry-1.log', ENTRY_1)
+  expect((await cli('explain', 'other', file)).status).toBe(RESULT_CODES.notFound.number)
+  expect((await cli('explain', '9c41', join(harness.folder, 'none'))).status).toBe(RESULT_CODES.fileUnreadable.number)
+})
