Let a candidate wait for its own vote on a slow disk

One showed term 4 where a single replica should lead in term 2: the election timeout after a start, 50 to 300 ms, ran out while the own vote was not yet synced, and the candidate began the next election with the next vote. On a disk whose syncs take longer than that no election would ever end.

A candidate whose vote is not synced begins no other election.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -6,6 +6,8 @@
 
 export function tickElection(core: Core): void {
   if (core.mode === 'leader' || core.now < core.electionDeadline) return
+  // Another election would begin with another vote that is not synced: on a slow disk none would ever end.
+  if (core.mode === 'candidate' && !core.disk.ballotSynced) return
   if (!core.isVoter()) {
     core.leader = undefined
     core.resetElection()
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -22,6 +22,17 @@
     expect(kinds(outputs)).toEqual(['persist', 'accepted', 'apply'])
   })
 
+  it('a candidate whose disk is slow waits for its own vote instead of beginning one election after the other', () => {
+    const driver = new Driver({ bootstrap: true, limits: { startSilence: 0, firstElection: 250 } })
+    driver.step({ kind: 'tick' })
+    for (let tick = 0; tick < 40; tick += 1) {
+      driver.now += 50
+      driver.step({ kind: 'tick' })
+    }
+    driver.sync()
+    expect(driver.replica.status()).toMatchObject({ role: 'leader', term: 2 })
+  })
+
   it('bootstrap is ignored where state is stored', () => {
     const driver = new Driver({ bootstrap: true, stored: storedOf(THREE) })
     expect(driver.replica.status().replicas).toEqual(THREE)
