Start a node whose disk is full, and open its replica once there is room

Callers saw: a control node whose disk was full and whose process restarted ended again and again, with its entry. The replica id stays unannounced meanwhile, so it neither votes nor counts. Routes of control are looked up at each request.

--- a/packages/node/src/cluster-bootstrap.ts
+++ b/packages/node/src/cluster-bootstrap.ts
@@ -19,8 +19,8 @@
   readonly address: string
   /** RPC addresses of the seeds, in the same order on every node. */
   readonly seeds: readonly string[]
-  /** Replica of this node; undefined without the control role. */
-  readonly replica: ReplicaId | undefined
+  /** Returns the replica of this node, or undefined while it has none. */
+  readonly replica: () => ReplicaId | undefined
   readonly nodes: () => Iterable<Node>
   /** Publishes the vote of this node. */
   readonly publishVote: (founder: ReplicaId) => void
@@ -40,7 +40,8 @@
   /** Must be called at short intervals with the process uptime in milliseconds. */
   tick(uptimeMs: number): void {
     if (this.#done) return
-    const { address, seeds, publishVote, replica, bootstrapCluster } = this.#options
+    const { address, seeds, publishVote, bootstrapCluster } = this.#options
+    const replica = this.#options.replica()
     const seedIndex = seeds.indexOf(address)
     if (seedIndex >= 0 && this.#vote === undefined && uptimeMs >= DISCOVERY_MS + seedIndex * VOTE_INTERVAL_MS) {
       this.#vote = this.#observedVote() ?? this.#candidate()
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -20,8 +20,8 @@
 export interface DeliveryOptions {
   readonly documentStore: DocumentStore
   readonly now: () => number
-  /** Undefined on nodes without the control role. */
-  readonly control:
+  /** Returns undefined on nodes without the control role, and while the replica of a node cannot be opened. */
+  readonly control: () =>
     | {
         readonly host: FollowHost
         readonly changes: ChangeSubmitter
@@ -42,10 +42,10 @@
       const age = Math.min(MAX_AGE_MS, Math.ceil(now() - documentStore.confirmedAt(environment)))
       return { document: encodeDocument(document), confirmedAgeMs: age }
     },
-    follow: async (request) => handleFollow(requireControlRole(control).host, request),
+    follow: async (request) => handleFollow(requireControlRole(control()).host, request),
     submit: async (request) =>
-      encodeSubmitResponse(unwrapOrThrow(await requireControlRole(control).changes.handle(request.command))),
-    lease: async (request) => unwrapOrThrow(await requireControlRole(control).leases.lease(request)),
+      encodeSubmitResponse(unwrapOrThrow(await requireControlRole(control()).changes.handle(request.command))),
+    lease: async (request) => unwrapOrThrow(await requireControlRole(control()).leases.lease(request)),
   })
 }
 
@@ -84,7 +84,7 @@
 }
 
 function requireControlRole<Value>(control: Value | undefined): Value {
-  if (control === undefined) throw new ConnectError('this node has no control role', Code.Unimplemented)
+  if (control === undefined) throw new ConnectError('this node has no open replica', Code.Unimplemented)
   return control
 }
 
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -13,7 +13,7 @@
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
 import { ChangeSubmitter } from './change-submitter'
-import { deliveryRoutes } from './control-delivery'
+import { deliveryRoutes, type DeliveryOptions } from './control-delivery'
 import type { DepartedServer } from './control-follower'
 import { openReplicaStorage, type OpenedReplicaStorage } from './replica-storage'
 import type { DocumentStore } from './document-store'
@@ -22,7 +22,7 @@
 import { controlMetrics, type ControlMetrics } from './control-metrics'
 import { operatorApp } from './control-operator'
 import { ReplicaHost } from './control-replica'
-import { ReplicaTransport } from './control-transport'
+import { consensusRoutes, ReplicaTransport } from './control-transport'
 import type { ClusterView } from './control-views'
 import type { Log } from './log'
 import type { Metrics } from './metrics'
@@ -147,9 +147,6 @@
     const transport = new ReplicaTransport({
       clients,
       addressOf: (other) => cluster.nodes.get(other)?.address,
-      onMessage: (message) => {
-        lateBound.control?.host.receive(message)
-      },
     })
     const host = ReplicaHost.create({
       ...opened,
@@ -189,11 +186,8 @@
     return this.#confirmedAt
   }
 
-  routes(router: ConnectRouter): void {
-    this.#transport.routes(router)
-    const { host } = this
-    const control = { host, changes: this.#changes, leases: this.#leases }
-    deliveryRoutes(router, { documentStore: this.#options.documentStore, now: () => performance.now(), control })
+  get leases(): LeaseServer {
+    return this.#leases
   }
 
   operatorApp(): Hono {
@@ -307,6 +301,17 @@
   }
 }
 
+export interface ControlRoutesOptions extends DeliveryOptions {
+  /** Returns undefined while the node has no open replica, for example because its disk is full. */
+  readonly control: () => ControlRole | undefined
+}
+
+/** Routes of the control role. They may be registered before the replica is open. */
+export function controlRoutes(router: ConnectRouter, options: ControlRoutesOptions): void {
+  consensusRoutes(router, (message) => options.control()?.host.receive(message))
+  deliveryRoutes(router, options)
+}
+
 export function controlNodesOf(cluster: ClusterView): readonly NodeId[] {
   return [...cluster.nodes.values()].filter((node) => node.roles.includes('control')).map(({ node }) => node)
 }
--- a/packages/node/src/control-transport.ts
+++ b/packages/node/src/control-transport.ts
@@ -22,7 +22,20 @@
   readonly clients: RpcClients
   /** RPC address of a node. */
   readonly addressOf: (node: NodeId) => string | undefined
-  readonly onMessage: (message: Message) => void
+}
+
+/** Passes the messages of other replicas to `receive`. */
+export function consensusRoutes(router: ConnectRouter, receive: (message: Message) => void): void {
+  router.service(ConsensusService, {
+    deliver: async (requests) => {
+      const ids: StreamIds = { from: '', to: '' }
+      for await (const request of requests) {
+        const message = decodeMessage(request, ids)
+        if (message !== undefined) receive(message)
+      }
+      return {}
+    },
+  })
 }
 
 export function nodeIdOf(replica: ReplicaId): NodeId {
@@ -42,19 +55,6 @@
     this.#options = options
   }
 
-  routes(router: ConnectRouter): void {
-    router.service(ConsensusService, {
-      deliver: async (requests) => {
-        const ids: StreamIds = { from: '', to: '' }
-        for await (const request of requests) {
-          const message = decodeMessage(request, ids)
-          if (message !== undefined && !this.#stopped) this.#options.onMessage(message)
-        }
-        return {}
-      },
-    })
-  }
-
   send(message: Message): void {
     if (this.#stopped) return
     const address = this.#addressOf(nodeIdOf(message.to))
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -27,7 +27,7 @@
   readonly self: NodeId
   readonly environment: Environment
   readonly directory: Directory
-  readonly changes: ChangeSubmitter
+  readonly changes: () => ChangeSubmitter
   readonly clients: RpcClients
   /** Live control nodes, nearest first. */
   readonly controlNodes: () => readonly NodeId[]
@@ -67,7 +67,7 @@
   readonly depart = async (server: ServerId, start: number | undefined): Promise<Result<void, Failure>> => {
     const processStart = start ?? this.#newestStart(server)
     const origin = { at: 0, requester: REQUESTER, source: 'server' }
-    const outcome = await this.#options.changes.submit({ kind: 'depart', ...origin, server, start: processStart })
+    const outcome = await this.#options.changes().submit({ kind: 'depart', ...origin, server, start: processStart })
     if (outcome.kind === 'failed') return err(outcome.failure)
     if (outcome.kind !== 'recorded') return err(failure('noQuorum'))
     this.#options.onDeparted(server, processStart)
@@ -75,7 +75,7 @@
   }
 
   readonly change = (change: VersionedChange, source: string): Promise<SubmitOutcome> =>
-    this.#options.changes.submit(toCommand(change, this.#options.environment, source))
+    this.#options.changes().submit(toCommand(change, this.#options.environment, source))
 
   readonly readDocument = async (): Promise<Result<PublishedDocument | undefined, Failure>> => {
     const { environment, clients, controlNodes, directory } = this.#options
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -24,9 +24,10 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
 import type { Adapter } from './adapter'
-import { ControlRole } from './control-role'
+import { ControlOpener } from './control-opener'
+import { ControlRole, controlRoutes } from './control-role'
 import type { DepartedServer } from './control-follower'
-import { deliveryRoutes } from './control-delivery'
+import type { FileSystem } from '@bilberrystall/storage'
 import { DocumentStore } from './document-store'
 import { EntryRole } from './entry-role'
 import type { NodeContext } from './node-context'
@@ -37,7 +38,7 @@
 import { createClusterBootstrap, openPlatformListeners } from './platform-role'
 import { Metrics } from './metrics'
 import { closeParts, finishWork, type NodeParts } from './node-shutdown'
-import type { Settings } from './settings'
+import type { ControlSettings, Settings } from './settings'
 import { statusApp, type Health } from './status-listener'
 
 /** Maximum delay of lease expiry: a small fraction of the shortest lease, 1.3 s, and of the slow ones, 12 s and 5 s. */
@@ -48,6 +49,8 @@
 export interface NodeOptions {
   readonly log?: Log
   readonly adapter?: Adapter
+  /** File system of the data folder. */
+  readonly fileSystem?: FileSystem
   /** Called on a fatal error or when an operator asked the node to leave; the process must then stop the node. */
   readonly onStopRequired?: (code: CodeName) => void
 }
@@ -63,10 +66,13 @@
   readonly #onStopRequired: (code: CodeName) => void
   readonly #listeners: Listener[] = []
   readonly #adapter: Adapter | undefined
+  readonly #fileSystem: FileSystem | undefined
   readonly #startedAt = performance.now()
   #seeds: readonly string[]
   #nodeRecord: Node
   #rpc: RpcServer | undefined
+  #controlOpener: ControlOpener | undefined
+  /** Undefined without the control role, and while its replica cannot be opened because the disk is full. */
   #control: ControlRole | undefined
   #entry: EntryRole | undefined
   #expiryTimer: NodeJS.Timeout | undefined
@@ -77,6 +83,7 @@
     this.#seeds = settings.seeds
     this.#onStopRequired = options.onStopRequired ?? (() => undefined)
     this.#adapter = options.adapter
+    this.#fileSystem = options.fileSystem
     this.#nodeRecord = createNodeRecord(settings)
     this.#context = this.#createContext(options.log ?? createLog({ node: settings.node }))
   }
@@ -122,7 +129,7 @@
     this.#context.gossip.start()
     this.#control?.start()
     this.#entry?.start()
-    const clusterBootstrap = createClusterBootstrap(this.#context, this.#control)
+    const clusterBootstrap = createClusterBootstrap(this.#context, () => this.#control)
     this.#expiryTimer = setInterval(
       () => {
         this.expire()
@@ -160,9 +167,32 @@
       })
     }
     if (control === undefined) return ok()
-    const opened = await ControlRole.open({
+    const opener = new ControlOpener({
+      open: () => this.#openControl(control),
+      onFull: (cause) => {
+        this.#context.log.warn('diskFull', { message: cause.message })
+      },
+      onOpened: (opened) => {
+        void this.#startLateControl(opened)
+      },
+      onFailed: (cause) => {
+        this.#failFatally(cause)
+      },
+    })
+    this.#controlOpener = opener
+    this.#metrics.gauge('control_waits_for_room', 'Whether the replica cannot be opened because the disk is full', () =>
+      Number(opener.isWaiting),
+    )
+    const opened = await opener.open()
+    if (opened.isErr()) return err(opened.error)
+    if (opened.value !== undefined) this.#attachControl(opened.value)
+    return ok()
+  }
+
+  #openControl(settings: ControlSettings): Promise<Result<ControlRole, Failure>> {
+    return ControlRole.open({
       node: this.#settings.node,
-      settings: control,
+      settings,
       clients: this.#context.clients,
       cluster: this.#context.directory,
       documentStore: this.#documentStore,
@@ -171,8 +201,7 @@
       random: this.#context.random,
       start: this.#context.startedAt,
       onFatal: (cause) => {
-        this.#context.log.error(cause.code, { message: cause.message })
-        this.#onStopRequired(cause.code)
+        this.#failFatally(cause)
       },
       onDrain: () => {
         this.#onStopRequired('nodeLeaving')
@@ -180,11 +209,27 @@
       onDepartures: (departed) => {
         this.#applyDepartures(departed)
       },
+      ...(this.#fileSystem === undefined ? {} : { fileSystem: this.#fileSystem }),
     })
-    if (opened.isErr()) return err(opened.error)
-    this.#control = opened.value
-    this.#announce({ disk: opened.value.disk })
-    return ok()
+  }
+
+  #attachControl(control: ControlRole): void {
+    this.#control = control
+    this.#announce({ disk: control.disk })
+  }
+
+  /** Starts a replica that could be opened only after the start of the node. */
+  async #startLateControl(control: ControlRole): Promise<void> {
+    this.#context.log.info('diskHasRoom', { node: this.#settings.node })
+    this.#attachControl(control)
+    control.start()
+    const listening = await this.#openOperatorListener()
+    if (listening.isErr()) this.#failFatally(listening.error)
+  }
+
+  #failFatally(cause: Failure): void {
+    this.#context.log.error(cause.code, { message: cause.message })
+    this.#onStopRequired(cause.code)
   }
 
   async #openRpcServer(): Promise<Result<void, Failure>> {
@@ -197,8 +242,11 @@
       routes: (router) => {
         this.#context.gossip.routes(router)
         this.#entry?.routes(router)
-        if (this.#control !== undefined) this.#control.routes(router)
-        else deliveryRoutes(router, { documentStore: this.#documentStore, now: this.#context.now, control: undefined })
+        controlRoutes(router, {
+          documentStore: this.#documentStore,
+          now: this.#context.now,
+          control: () => this.#control,
+        })
       },
     })
     return rpc.map((server) => {
@@ -218,20 +266,25 @@
     this.#listeners.push(listening.value)
     const adapted = await this.#openPlatformListeners()
     if (adapted.isErr()) return adapted
-    const operatorListen = this.#settings.control?.listen
-    if (this.#control !== undefined && operatorListen !== undefined) {
-      const operators = await listen(this.#control.operatorApp(), operatorListen)
-      if (operators.isErr()) return err(operators.error)
-      this.#listeners.push(operators.value)
-    }
+    const operators = await this.#openOperatorListener()
+    if (operators.isErr()) return operators
     return this.#entry === undefined ? ok() : this.#entry.listen()
   }
 
+  async #openOperatorListener(): Promise<Result<void, Failure>> {
+    const address = this.#settings.control?.listen
+    if (this.#control === undefined || address === undefined) return ok()
+    const operators = await listen(this.#control.operatorApp(), address)
+    return operators.map((listener) => {
+      this.#listeners.push(listener)
+    })
+  }
+
   async #openPlatformListeners(): Promise<Result<void, Failure>> {
     if (this.#adapter === undefined) return ok()
     const listening = await openPlatformListeners(this.#adapter, {
       context: this.#context,
-      control: this.#control,
+      control: () => this.#control,
       health: () => this.#health(),
       onAnnounced: (server) => this.#serverAnnounced({ server, load: undefined }),
       onDeparted: (departed) => {
@@ -287,6 +340,7 @@
   async #close(): Promise<void> {
     clearInterval(this.#expiryTimer)
     this.#context.gossip.stop()
+    await this.#controlOpener?.stop()
     await closeParts(this.#parts(), this.#context.log)
     this.#context.clients.close()
   }
--- a/packages/node/src/platform-role.ts
+++ b/packages/node/src/platform-role.ts
@@ -19,8 +19,8 @@
 
 export interface PlatformRoleOptions {
   readonly context: NodeContext
-  /** Undefined on nodes without a replica. */
-  readonly control: ControlRole | undefined
+  /** Returns undefined while the node has no replica. */
+  readonly control: () => ControlRole | undefined
   readonly health: () => Health
   readonly onAnnounced: (server: Server) => Result<void, Failure>
   readonly onDeparted: (departed: readonly DepartedServer[]) => void
@@ -46,23 +46,22 @@
 function createGateway({ context, control, health, onAnnounced, onDeparted }: PlatformRoleOptions): Gateway {
   const { directory, clients, self, settings } = context
   const controlNodes = () => sortByDistance(controlNodesOf(directory), directory, self, settings.failureDomain)
-  const createForwardingSubmitter = () =>
-    new ChangeSubmitter({
-      host: NON_LEADER_HOST,
-      node: self,
-      clients,
-      addressOf: (node) => directory.nodes.get(node)?.address,
-      controlNodes,
-      checkDocument: parseDocument,
-      wallClock: context.wallClock,
-      timeoutMs: GATEWAY_TIMEOUT_MS,
-      attemptTimeoutMs: GATEWAY_ATTEMPT_TIMEOUT_MS,
-    })
+  const forwardingSubmitter = new ChangeSubmitter({
+    host: NON_LEADER_HOST,
+    node: self,
+    clients,
+    addressOf: (node) => directory.nodes.get(node)?.address,
+    controlNodes,
+    checkDocument: parseDocument,
+    wallClock: context.wallClock,
+    timeoutMs: GATEWAY_TIMEOUT_MS,
+    attemptTimeoutMs: GATEWAY_ATTEMPT_TIMEOUT_MS,
+  })
   return new NodeGateway({
     self,
     environment: settings.entry?.environment ?? environmentName(''),
     directory,
-    changes: control?.changes ?? createForwardingSubmitter(),
+    changes: () => control()?.changes ?? forwardingSubmitter,
     clients,
     controlNodes,
     health,
@@ -76,7 +75,7 @@
 /** Returns the bootstrap of a first start; undefined on every later start. */
 export function createClusterBootstrap(
   context: NodeContext,
-  control: ControlRole | undefined,
+  control: () => ControlRole | undefined,
 ): ClusterBootstrap | undefined {
   const { address, seeds, firstStart } = context.settings
   if (!firstStart) return undefined
@@ -84,12 +83,12 @@
     self: context.self,
     address,
     seeds,
-    replica: control?.replica,
+    replica: () => control()?.replica,
     nodes: () => context.directory.nodes.values(),
     publishVote: (founder) => {
       context.announce({ founder })
     },
-    bootstrapCluster: () => control?.host.bootstrapCluster(),
+    bootstrapCluster: () => control()?.host.bootstrapCluster(),
   })
 }
 
--- a/packages/node/test/cluster-bootstrap.test.ts
+++ b/packages/node/test/cluster-bootstrap.test.ts
@@ -51,7 +51,7 @@
         self: nodeId(name),
         address,
         seeds,
-        replica,
+        replica: () => replica,
         nodes: () => this.#view(name, delayMs),
         publishVote: (founder: ReplicaId) => {
           this.#publish(name, { ...member.record, founder })
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -3,6 +3,7 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import type { ConnectRouter } from '@connectrpc/connect'
 import {
   environmentName,
   failureDomain,
@@ -15,6 +16,7 @@
 import type { Node, Server } from '@bilberrystall/membership'
 import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { ControlRole, DocumentStore, type ControlRoleOptions } from '../src/index'
+import { controlRoutes } from '../src/control-role'
 import { listen, type Listener } from '../src/listener'
 
 export const NODE_KEY = 'node key of the test'
@@ -75,7 +77,9 @@
       ...rest,
     })
     const control = opened._unsafeUnwrap()
-    const routes = control.routes.bind(control)
+    const routes = (router: ConnectRouter) => {
+      controlRoutes(router, { documentStore, now: () => performance.now(), control: () => control })
+    }
     const rpc = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
     const api = await listen(control.operatorApp(), '127.0.0.1:0')
     const listening = { rpc: rpc._unsafeUnwrap(), api: api._unsafeUnwrap() }
--- a/packages/node/test/control-entry.test.ts
+++ b/packages/node/test/control-entry.test.ts
@@ -54,7 +54,7 @@
   const tokenDemands = () => [{ service: 'booking', wantedMs: 10_000, unitMs: 5 }]
   const client = new LeaseClient({ ...peers, node, start: 0, tokenDemands, onLease: (lease) => leases.push(lease) })
   const routes: Parameters<typeof RpcServer.listen>[0]['routes'] = (router) => {
-    deliveryRoutes(router, { documentStore, now, control: undefined })
+    deliveryRoutes(router, { documentStore, now, control: () => undefined })
   }
   const listening = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
   const rpc = listening._unsafeUnwrap()
--- a/packages/node/test/silent-connection.test.ts
+++ b/packages/node/test/silent-connection.test.ts
@@ -7,7 +7,7 @@
 import { FaultProxy } from '@bilberrystall/testkit'
 import { ConnectError, type ConnectRouter } from '@connectrpc/connect'
 import { afterEach, expect, test } from 'vitest'
-import { ReplicaTransport } from '../src/control-transport'
+import { consensusRoutes, ReplicaTransport } from '../src/control-transport'
 import { NODE_KEY, waitUntil } from './control-cluster'
 
 const cleanups: (() => unknown)[] = []
@@ -56,18 +56,12 @@
 
 test('replica messages, which have no responses, are delivered again over a new connection', async () => {
   const received: number[] = []
-  const serving = new ReplicaTransport({
-    clients: clients(),
-    addressOf: () => undefined,
-    onMessage: (message) => received.push(message.term),
-  })
   const proxy = await serveBehindProxy((router) => {
-    serving.routes(router)
+    consensusRoutes(router, (message) => received.push(message.term))
   })
   const transport = new ReplicaTransport({
     clients: clients(),
     addressOf: () => proxy.address,
-    onMessage: () => undefined,
   })
   cleanups.push(() => {
     transport.stop()
--- a/packages/storage/src/full-disk-retry.ts
+++ b/packages/storage/src/full-disk-retry.ts
@@ -1,6 +1,7 @@
 /**
  * Repeats writes that a full disk refuses until there is room. A refused write has stored nothing that counts: all of
- * its bytes are written again at the same position, or the temporary file is written anew.
+ * its bytes are written again at the same position, or the temporary file is written anew. While a log is opened, a
+ * refused write fails, so that the caller decides whether to wait.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { storageFailure } from './file-system'
@@ -11,18 +12,23 @@
   readonly #onFull: (isFull: boolean) => void
   /** Number of writes that wait for room. */
   #waiting = 0
-  #isStopped = false
+  #isActive = false
 
   constructor(onFull: (isFull: boolean) => void = () => undefined) {
     this.#onFull = onFull
   }
 
-  /** Runs `write` until it succeeds. Throws its error if that is not a full disk, or after `stop`. */
+  /** Makes refused writes wait for room. */
+  start(): void {
+    this.#isActive = true
+  }
+
+  /** Runs `write` until it succeeds. Throws its error if that is not a full disk, before `start` and after `stop`. */
   async run<Value>(write: () => Promise<Value>): Promise<Value> {
     try {
       return await write()
     } catch (cause) {
-      if (!isFullDisk(cause)) throw cause
+      if (!this.#isActive || !isFullDisk(cause)) throw cause
     }
     this.#changeWaiting(1)
     try {
@@ -34,7 +40,7 @@
 
   /** Makes writes that wait for room fail. */
   stop(): void {
-    this.#isStopped = true
+    this.#isActive = false
   }
 
   async #repeat<Value>(write: () => Promise<Value>): Promise<Value> {
@@ -43,7 +49,7 @@
       try {
         return await write()
       } catch (cause) {
-        if (this.#isStopped || !isFullDisk(cause)) throw cause
+        if (!this.#isActive || !isFullDisk(cause)) throw cause
       }
     }
   }
--- a/packages/storage/src/log.ts
+++ b/packages/storage/src/log.ts
@@ -81,8 +81,8 @@
 }
 
 /**
- * Opens the log and recovers its content. Errors: `folder-in-use`, `folder-unusable`, `log-damaged`,
- * `snapshot-damaged`, `format-unknown`, `sync-failed`, `disk-full`.
+ * Opens the log and recovers its content, which writes to the disk. Errors: `folder-in-use`, `folder-unusable`,
+ * `log-damaged`, `snapshot-damaged`, `format-unknown`, `sync-failed`; `disk-full`, after which it may be opened again.
  */
 export async function openLog(options: LogOptions): Promise<Result<OpenedLog, Failure>> {
   const { folder, fileSystem = localFileSystem } = options
@@ -128,7 +128,15 @@
       snapshotIndex: snapshot.value?.index ?? LOG_START.index,
       retry,
     })
-    if (entries.value === undefined && snapshot.value !== undefined) await log.reset(snapshot.value)
+    if (entries.value === undefined && snapshot.value !== undefined) {
+      try {
+        await log.reset(snapshot.value)
+      } catch (cause) {
+        await file.close().catch(() => undefined)
+        throw cause
+      }
+    }
+    retry.start()
     const stored = { diskId, ballot: replay.ballot, snapshot: snapshot.value, entries: entries.value ?? [] }
     return ok({ log, stored })
   } catch (cause) {
