Keep a node running when its log lines cannot be written

Callers saw: every node whose standard error goes to a full disk ends by itself, and again after each restart. Cause: a refused write raises 'error' on the stream; no listener was there, so it became an uncaught exception. Same class as the crash loop of the control log: a resource that is refused for a while ends the process. Refused lines are counted, and line 172 'log-lines-lost' gives the number once lines can be written again. Before: the process of log-output.test.ts ended with an error. After: it runs on. Ruled out: process.stderr stays broken after one refused write (Node.js resets it, checked on /dev/full).

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -138,6 +138,7 @@
   callFailed: code(168, 'call-failed', 0, 'A call did not end with a complete response of a server.'),
   keysOff: code(166, 'keys-off', 0, 'No keys are set: whoever reaches the listeners is trusted.'),
   diskHasRoom: code(171, 'disk-has-room', 0, 'The disk accepts writes again.'),
+  logLinesLost: code(172, 'log-lines-lost', 0, 'Log lines could not be written; the line counts them.'),
   stopStepSlow: code(169, 'stop-step-slow', 0, 'A step of the shutdown takes over a second.'),
   stopStepIncomplete: code(170, 'stop-step-incomplete', 0, 'A step of the shutdown failed or reached its limit.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
--- a/packages/node/src/log.ts
+++ b/packages/node/src/log.ts
@@ -4,6 +4,7 @@
  */
 import { resultCode, type CodeName } from '@bilberrystall/base'
 import { createConsola, LogLevels, type ConsolaInstance, type LogObject } from 'consola'
+import { LogOutput, type LineWriter } from './log-output'
 
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[]>>
 
@@ -20,7 +21,10 @@
 
 export function createLog(options: LogOptions): Log {
   const terminal = options.terminal ?? process.stderr.isTTY
-  const output = terminal ? createConsola({ level: LogLevels.info, stdout: process.stderr }) : jsonConsola()
+  const logOutput = new LogOutput(writeToStderr, (lostLines) => {
+    write('warn', 'logLinesLost', { count: lostLines })
+  })
+  const output = terminal ? createConsola({ level: LogLevels.info, stdout: process.stderr }) : jsonConsola(logOutput)
   const write = (level: 'info' | 'warn' | 'error', code: CodeName, fields: LogFields) => {
     const entry = resultCode(code)
     output[level]({ message: entry.name, code: entry.number, node: options.node, fields })
@@ -38,11 +42,23 @@
   }
 }
 
-function jsonConsola(): ConsolaInstance {
-  return createConsola({ level: LogLevels.info, reporters: [{ log: writeJson }] })
+function jsonConsola(output: LogOutput): ConsolaInstance {
+  const log = (entry: LogObject): void => {
+    output.write(`${formatLine(entry)}\n`)
+  }
+  return createConsola({ level: LogLevels.info, reporters: [{ log }] })
+}
+
+let ignoresErrors = false
+
+const writeToStderr: LineWriter = (text, done) => {
+  // Without a listener the error of a refused write would end the process.
+  if (!ignoresErrors) process.stderr.on('error', () => undefined)
+  ignoresErrors = true
+  process.stderr.write(text, done)
 }
 
-function writeJson(entry: LogObject): void {
+function formatLine(entry: LogObject): string {
   const { code, node, fields } = entry as LogObject & Record<string, unknown>
   const line = {
     time: entry.date.toISOString(),
@@ -52,5 +68,5 @@
     node,
     ...(fields as object),
   }
-  process.stderr.write(`${JSON.stringify(line)}\n`)
+  return JSON.stringify(line)
 }
