Share the rate limits that servers name among the entries

Callers saw nothing yet; servers in need got more calls than the rate they had named (LIMIT, users' issue). Cause: the dialect had no word of the header, so a limited server was chosen like any other. Class: a limit that applies to the sum over all entries, of which no entry knows the others' part. Answers to load queries name the limit as well, from the first to the last second. Each entry derives from the live entries and the sorted servers of the service which few entries share a server's limit. Each of them sends at an interval of its own, so in any window they send the rate and at most two calls each beyond it, without a message. Hedges, retries and trial calls pass the same check. Others learn the end of a limit from load queries; without such queries they send a call now and then. A call that would wait for the limits until it is late is refused on arrival. Weighed: an equal part for every entry (breaks the bound for more entries than about twice the rate, and leaves entries with few calls unused parts); gossip of limits (not needed, queries tell it sooner); a lease of each call (a message a call). Before: the new test of dialect.test.ts failed on the former sources, five calls reached a server that takes 0.5 a second.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -129,6 +129,8 @@
   serverLeft: code(157, 'server-left', 0, 'A server is draining, stopped or expired.'),
   serverEjected: code(158, 'server-ejected', 0, 'A server receives no calls because it is an outlier.'),
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
+  serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
+  serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
   silentRetired: code(160, 'silent-retired', 0, 'Silent connections were retired.'),
   nodeJoined: code(161, 'node-joined', 0, 'A node joined.'),
   nodeLost: code(162, 'node-lost', 0, 'A node left or its lease expired.'),
--- a/packages/bench/src/routing/router-policy.ts
+++ b/packages/bench/src/routing/router-policy.ts
@@ -143,6 +143,8 @@
         return
       case 'ejected':
       case 'restored':
+      case 'limited':
+      case 'unlimited':
         return
     }
   }
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -7,13 +7,10 @@
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange, type ExchangeRequest } from './exchange'
-import type { ResponseHead } from './head'
+import { MISDIRECTED, type ResponseHead } from './head'
 import type { AcquireCallback, ConnectionPool } from './connection-pool'
 import type { RequestBody } from './request-body'
 
-/** 421 Misdirected Request: another process than the one named in the request received it. */
-const MISDIRECTED = 421
-
 export interface AttemptFailure {
   readonly code: CodeName
   /** Whether this failure permits another attempt. */
@@ -139,6 +136,7 @@
         head: (head) => {
           this.#respondedAt = dependencies.clock.monotonic()
           this.#pool?.onProgress(connection)
+          dependencies.driver.responded(this.#options.server, head)
           this.#discardResponse = !events.head(head)
         },
         data: (part) =>
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -15,6 +15,11 @@
   /** Response header with the load of the server. */
   readonly loadHeader: string
   readonly readLoad: (value: string) => Load | undefined
+  /**
+   * Response header of a server in need with the requests per second that it accepts from all entries together;
+   * undefined if not supported.
+   */
+  readonly rateLimitHeader: string | undefined
   /** Header with the id that callers give to each attempt and that servers return; undefined if not supported. */
   readonly attemptHeader: string | undefined
   /**
@@ -42,6 +47,11 @@
   return { inflight: Number(match[1]), slots: Number(match[2]), queue: Number(match[3]) }
 }
 
+/** Parses requests per second as a decimal number; a malformed or negative value is ignored. */
+export function parseRateLimit(text: string): number | undefined {
+  return /^\s*\d{1,9}(?:\.\d{1,9})?\s*$/.test(text) ? Number(text) : undefined
+}
+
 export const PROBE_PATH = '/.bilberrystall/probe'
 
 export const DEFAULT_DIALECT: Dialect = {
@@ -51,6 +61,7 @@
   isNotRun: (value) => value.trim() === '1',
   loadHeader: 'bilberrystall-load',
   readLoad: parseLoad,
+  rateLimitHeader: 'bilberrystall-rate-limit',
   attemptHeader: undefined,
   instanceHeader: undefined,
   instanceResponseHeader: undefined,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -19,7 +19,7 @@
 } from '@bilberrystall/base'
 import { createKey } from '@bilberrystall/claims'
 import { matchRoute, type Document, type Route } from '@bilberrystall/document'
-import type { Effect, Router, Server } from '@bilberrystall/routing'
+import type { Router, Server, ServerChange } from '@bilberrystall/routing'
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import { Call, type EndedCall } from './call'
@@ -62,8 +62,8 @@
 export interface EntryEvents {
   /** A call ended; `call` is present unless the result is `complete` or the call was rejected before routing. */
   readonly callEnded?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
-  /** A server was ejected or restored. */
-  readonly serverChanged?: (effect: Extract<Effect, { kind: 'ejected' | 'restored' }>) => void
+  /** The use of a server changed. */
+  readonly serverChanged?: (change: ServerChange) => void
   /** Connections to a server were retired because they made no progress. */
   readonly silentRetired?: (server: ServerId, count: number) => void
 }
@@ -121,7 +121,7 @@
       probe: (server, timeoutMs) => {
         this.#probe(server, timeoutMs)
       },
-      serverChanged: (effect) => options.events?.serverChanged?.(effect),
+      serverChanged: (change) => options.events?.serverChanged?.(change),
     })
     this.#callDependencies = this.#createCallDependencies()
     this.#handleInternal = getRequestListener(this.#createInternalApp().fetch)
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -6,9 +6,11 @@
 import { failure, type Failure } from '@bilberrystall/base'
 import type { Load } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
-import type { Dialect } from './dialect'
+import { parseRateLimit, type Dialect } from './dialect'
 
 export const SYSTEM_PREFIX = 'bilberrystall-'
+/** 421 Misdirected Request: another process than the one named in the request received it. */
+export const MISDIRECTED = 421
 export const CONTEXT_HEADER = 'bilberrystall-context'
 export const QUEUE_LIMIT_HEADER = 'bilberrystall-queue-limit'
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key'
@@ -140,6 +142,8 @@
   readonly fields: readonly string[]
   readonly notRun: boolean
   readonly load: Load | undefined
+  /** Requests per second that the server accepts from all entries together; undefined without a limit. */
+  readonly rateLimit: number | undefined
   readonly contentType: string | undefined
   /** Whether the body is delimited by its length or by chunks, not only by the close of the connection. */
   readonly delimited: boolean
@@ -158,6 +162,7 @@
   const fields: string[] = []
   let notRun = false
   let load: Load | undefined
+  let rateLimit: number | undefined
   let contentType: string | undefined
   let delimited = status === 204 || status === 304
   let hopByHop: ReadonlySet<string> | undefined
@@ -172,6 +177,7 @@
     const lower = name.toLowerCase()
     if (lower === dialect.notRunHeader) notRun = dialect.isNotRun(value)
     else if (lower === dialect.loadHeader) load = dialect.readLoad(value)
+    else if (lower === dialect.rateLimitHeader) rateLimit = parseRateLimit(value)
     else if (lower === dialect.attemptHeader) attemptId = value
     else if (lower === dialect.signatureHeader) signed = true
     else if (lower === dialect.instanceResponseHeader) instance = value
@@ -180,7 +186,9 @@
     else if (lower === 'content-type') contentType = value
     if (lower === 'content-length' || lower === 'transfer-encoding') delimited = true
     if (lower === 'content-length') length = Number(value)
-    const isInternal = lower === dialect.loadHeader || lower === dialect.notRunHeader || lower.startsWith(SYSTEM_PREFIX)
+    const isForEntry =
+      lower === dialect.loadHeader || lower === dialect.notRunHeader || lower === dialect.rateLimitHeader
+    const isInternal = isForEntry || lower.startsWith(SYSTEM_PREFIX)
     if (!HOP_BY_HOP.has(lower) && !isInternal) fields.push(name, value)
   }
   const returned = hopByHop === undefined ? fields : withoutFields(fields, hopByHop)
@@ -189,6 +197,7 @@
     fields: returned,
     notRun,
     load,
+    rateLimit,
     contentType,
     delimited,
     length,
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -91,6 +91,7 @@
     const { driver, instance, onMisdirected } = this.#dependencies
     const isOtherProcess = head?.instance !== undefined && head.instance !== instance(server)
     if (isOtherProcess) onMisdirected(server)
+    else if (head !== undefined) driver.responded(server, head)
     if (isOtherProcess || head?.notRun === true) {
       pool.release(connection)
       this.#reportRefused(server)
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -9,8 +9,10 @@
   type LoadQueryResult,
   type Load,
   type Router,
+  type ServerChange,
 } from '@bilberrystall/routing'
 
+import { MISDIRECTED, type ResponseHead } from './head'
 import { SlotMap } from './slot-map'
 
 /** A call that is queued in the router or in progress at a server. */
@@ -24,8 +26,8 @@
   readonly router: Router
   readonly now: () => number
   readonly probe: (server: ServerId, timeoutMs: number) => void
-  /** A server was ejected or restored. */
-  readonly serverChanged: (effect: Extract<Effect, { kind: 'ejected' | 'restored' }>) => void
+  /** The use of a server changed. */
+  readonly serverChanged: (change: ServerChange) => void
 }
 
 /** Resolution of timers: shorter delays only cause extra wake-ups. */
@@ -62,6 +64,12 @@
     this.apply(this.#options.router.finished(call, outcome, latency, load, this.#now()))
   }
 
+  /** Takes the rate limit from a response. A refusal without one does not say that the limit has ended. */
+  responded(server: ServerId, { status, notRun, rateLimit }: ResponseHead): void {
+    if (status === MISDIRECTED || (notRun && rateLimit === undefined)) return
+    this.apply(this.#options.router.rateLimitReported(server, rateLimit, this.#now()))
+  }
+
   answered(call: CallId, server: ServerId, result: LoadQueryResult): void {
     this.apply(this.#options.router.answered(call, server, result, this.#now()))
   }
@@ -112,6 +120,8 @@
         return
       case 'ejected':
       case 'restored':
+      case 'limited':
+      case 'unlimited':
         this.#options.serverChanged(effect)
     }
   }
--- a/packages/entry/test/dialect.test.ts
+++ b/packages/entry/test/dialect.test.ts
@@ -189,3 +189,20 @@
   expect(result.status).toBe(503)
   expect(Number(result.headers['retry-after'])).toBe(0.5)
 })
+
+test('a server that names a rate limit receives no call beyond it, and further calls are refused as not run', async () => {
+  const limit = 'x-limit: 0.5'
+  const server = await startFakeServer((received) => {
+    if (isProbe(received)) respondToProbe(received, `${FREE_LOAD}\r\n${limit}`)
+    else complete(received, 'done', [FREE_LOAD, limit])
+  })
+  const dialect = { ...DIALECT, rateLimitHeader: 'x-limit' }
+  const { origin } = await start([server], { dialect })
+  const first = await sendCall(`${origin}/read`, { headers })
+  expect(first).toMatchObject({ status: 200 })
+  expect(first.headers).not.toHaveProperty('x-limit')
+  for (let index = 0; index < 5; index += 1) {
+    expect(await sendCall(`${origin}/read`, { headers })).toMatchObject({ status: 503, outcome: 'not-run' })
+  }
+  expect(callsAt([server])).toHaveLength(1)
+})
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,5 +1,5 @@
 /** Entry role of a node: updates the HTTP entry and its router from the directory and the document in force. */
-import { serverId, type CodeName, type Failure } from '@bilberrystall/base'
+import { serverId, type CodeName, type Failure, type NodeId } from '@bilberrystall/base'
 import { warmUpParser, type Document, type Service } from '@bilberrystall/document'
 import { ClaimTable } from '@bilberrystall/claims'
 import {
@@ -11,7 +11,7 @@
   type EndedCall,
 } from '@bilberrystall/entry'
 import type { DirectoryChange, Server } from '@bilberrystall/membership'
-import { Router, type Effect, type RetryLimits } from '@bilberrystall/routing'
+import { Router, type RetryLimits, type ServerChange } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -53,8 +53,10 @@
   readonly #latency: Histogram
   readonly #failures: FailureLog
   readonly #ejected = new Set<string>()
-  /** Undefined after a change of the known nodes. */
-  #entryCount: number | undefined
+  /** Servers that name a rate limit. */
+  readonly #limited = new Set<string>()
+  /** Ids of the live entries, sorted; undefined after a change of the known nodes. */
+  #entries: readonly NodeId[] | undefined
   /** Time at which each server process was first seen, so that a restarted server is ramped up again. */
   readonly #firstSeen = new Map<string, { readonly start: number; readonly at: number }>()
 
@@ -78,6 +80,7 @@
     const allowance = options.adapter?.loadQueries
     this.#router = new Router({
       random: context.random,
+      limitSharing: { entry: context.self, entries: () => this.#liveEntries() },
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
     this.#controlClient = new ControlClient({
@@ -99,7 +102,7 @@
       nodeKey: context.settings.nodeKey,
       router: this.#router,
       document: () => this.#controlClient.document(),
-      liveEntries: () => this.#liveEntries(),
+      liveEntries: () => this.#liveEntries().length,
       claims: this.#createClaimCoordinator(),
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
@@ -107,8 +110,8 @@
         callEnded: (result, latencyMs, call) => {
           this.#callEnded(result, latencyMs, call)
         },
-        serverChanged: (effect) => {
-          this.#outlierChanged(effect)
+        serverChanged: (change) => {
+          this.#useChanged(change)
         },
         silentRetired: (server, count) => {
           context.log.warn('silentRetired', { server, count })
@@ -118,6 +121,7 @@
     context.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.#entry.callsInFlight)
     context.metrics.gauge('claimed_keys', 'Idempotency keys stored by this holder', () => this.#claimTable.size)
     context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
+    context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
     context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
   }
 
@@ -176,19 +180,19 @@
     return new ClaimCoordinator({ environment: settings.environment, transport, roster, clock: SYSTEM_CLOCK })
   }
 
-  /** Number of live entries of the environment, including this one. Counted again only after nodes changed. */
-  #liveEntries(): number {
-    this.#entryCount ??= this.#countEntries()
-    return this.#entryCount
+  /** Sorted ids of the live entries of the environment, including this one. Collected again only after nodes changed. */
+  #liveEntries(): readonly NodeId[] {
+    this.#entries ??= this.#collectEntries()
+    return this.#entries
   }
 
-  #countEntries(): number {
+  #collectEntries(): readonly NodeId[] {
     const { context, settings } = this.#options
-    let count = 0
-    for (const node of context.directory.nodes.values()) {
-      if (node.roles.includes('entry') && node.environment === settings.environment) count += 1
-    }
-    return Math.max(1, count)
+    const others = [...context.directory.nodes.values()].filter(
+      ({ node, roles, environment }) =>
+        node !== context.self && roles.includes('entry') && environment === settings.environment,
+    )
+    return [context.self, ...others.map(({ node }) => node)].sort()
   }
 
   applyChanges(changes: readonly DirectoryChange[]): void {
@@ -202,11 +206,11 @@
           this.#serverLeft(change.key, change.server)
           break
         case 'node-changed':
-          this.#entryCount = undefined
+          this.#entries = undefined
           this.#observePeer(change.node.node, change.node.ejected)
           break
         case 'node-lost':
-          this.#entryCount = undefined
+          this.#entries = undefined
           break
       }
     }
@@ -235,7 +239,7 @@
     return {
       entry: context.self,
       domain: context.settings.failureDomain,
-      perServerPerSecond: () => (perServerPerSecond * ALLOWANCE_FRACTION) / this.#liveEntries(),
+      perServerPerSecond: () => (perServerPerSecond * ALLOWANCE_FRACTION) / this.#liveEntries().length,
     }
   }
 
@@ -243,7 +247,7 @@
   #retries({ retryBudget }: Service): RetryLimits {
     const allowance = this.#options.adapter?.retries
     if (allowance === undefined) return { share: retryBudget }
-    const fixedRetries = (allowance.extraRetries * ALLOWANCE_FRACTION) / this.#liveEntries()
+    const fixedRetries = (allowance.extraRetries * ALLOWANCE_FRACTION) / this.#liveEntries().length
     const minimum = (fixedRetries * MS_PER_SECOND) / allowance.windowMs
     return { share: allowance.share * ALLOWANCE_FRACTION, minimum, burst: Math.max(1, fixedRetries) }
   }
@@ -279,6 +283,7 @@
 
   #serverLeft(key: string, server: Server): void {
     if (!this.#firstSeen.delete(key)) return
+    this.#limited.delete(key)
     this.#entry.removeServer(serverId(key))
     this.#options.context.log.info('serverLeft', { server: key, state: server.state })
   }
@@ -298,15 +303,31 @@
     this.#latency.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)))
   }
 
-  #outlierChanged(effect: Extract<Effect, { kind: 'ejected' | 'restored' }>): void {
-    const { context } = this.#options
-    if (effect.kind === 'ejected') {
-      this.#ejected.add(effect.server)
-      context.log.warn('serverEjected', { server: effect.server, reason: effect.reason })
-    } else {
-      this.#ejected.delete(effect.server)
-      context.log.info('serverRestored', { server: effect.server })
+  #useChanged(change: ServerChange): void {
+    const { log } = this.#options.context
+    const { server } = change
+    switch (change.kind) {
+      case 'ejected':
+        this.#ejected.add(server)
+        log.warn('serverEjected', { server, reason: change.reason })
+        this.#announceEjected()
+        return
+      case 'restored':
+        this.#ejected.delete(server)
+        log.info('serverRestored', { server })
+        this.#announceEjected()
+        return
+      case 'limited':
+        this.#limited.add(server)
+        log.info('serverLimited', { server, rate: change.rate })
+        return
+      case 'unlimited':
+        this.#limited.delete(server)
+        log.info('serverUnlimited', { server })
     }
-    context.announce({ ejected: [...this.#ejected].slice(0, MAX_EJECTED_ANNOUNCED) })
+  }
+
+  #announceEjected(): void {
+    this.#options.context.announce({ ejected: [...this.#ejected].slice(0, MAX_EJECTED_ANNOUNCED) })
   }
 }
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -91,6 +91,13 @@
   | Probe
   | { readonly kind: 'ejected'; readonly server: ServerId; readonly reason: EjectReason }
   | { readonly kind: 'restored'; readonly server: ServerId }
+  /** The server has begun to name a rate limit, in calls per second from all entries. */
+  | { readonly kind: 'limited'; readonly server: ServerId; readonly rate: number }
+  /** The server no longer names a rate limit. */
+  | { readonly kind: 'unlimited'; readonly server: ServerId }
+
+/** A change in how the calls of this entry use a server. */
+export type ServerChange = Extract<Effect, { kind: 'ejected' | 'restored' | 'limited' | 'unlimited' }>
 
 /** Send the call to the server, then call `started` and `finished`. */
 export interface Dispatch {
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -5,7 +5,7 @@
  */
 import { randomInt, type RandomSource, type ServerId } from '@bilberrystall/base'
 import type { Call, CallId, Effect, Load } from './call'
-import { isUsable } from './selection'
+import { isHealthy, isUsable } from './selection'
 import type { ServerRecord } from './server-record'
 
 /**
@@ -36,6 +36,8 @@
 const SLOWNESS_HALF_LIFE_MS = 250
 /** Slowness assumed for a server without a report. */
 const UNKNOWN_SLOWNESS = 1.5
+/** Cost advantage of a server whose rate limit allows a call now: what is not used of a limit is lost. */
+const RATE_LIMIT_BONUS = 1
 /** Extra cost of a server in another failure domain, which avoids traffic between domains. */
 const OTHER_DOMAIN_COST = 1
 /** Extra cost of a server without an open connection. A new one costs it slot time and the entry a round trip. */
@@ -68,6 +70,8 @@
   readonly records: readonly ServerRecord[]
   /** Servers that this entry queries first. */
   readonly subset: () => readonly ServerRecord[]
+  /** Whether a server of the service may have a rate limit. */
+  readonly hasRateLimits: () => boolean
   /** Largest ramp of any server of the service. */
   readonly maxRamp: () => number
   /** Sends the call to the server. */
@@ -186,14 +190,14 @@
   }
 
   #advance(query: LoadQuery, now: number, effects: Effect[]): void {
-    const best = bestAnswer(query)
+    const best = bestAnswer(query, now)
     if (best !== undefined && best.cost <= ACCEPTED_COST) this.#send(query, best.record, now, effects)
     else if (query.pending.size === 0 && !query.isPaused) this.#decide(query, now, effects)
   }
 
   /** Ends a round: takes a good answer, queries further servers, pauses, takes the best answer, or gives up. */
   #decide(query: LoadQuery, now: number, effects: Effect[]): void {
-    const best = bestAnswer(query)
+    const best = bestAnswer(query, now)
     if (best !== undefined && best.cost <= ACCEPTED_COST) {
       this.#send(query, best.record, now, effects)
       return
@@ -237,7 +241,8 @@
   }
 
   #startRound(query: LoadQuery, now: number, effects: Effect[]): boolean {
-    const servers = this.#candidates(query, now)
+    const callable = this.#candidates(query, now)
+    const servers = [...callable, ...this.#limitsToRefresh(query, callable.length, now)]
     if (servers.length === 0) return false
     for (const { server } of servers) query.queried.add(server.id)
     query.pending = new Map(servers.map((record) => [record.server.id, record]))
@@ -250,7 +255,7 @@
   #candidates(query: LoadQuery, now: number): readonly ServerRecord[] {
     const { host, queried } = query
     const subset = host.subset()
-    const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
+    const rate = this.#queryRate(host, subset, now)
     if (subset.length === host.records.length) return this.#rank(query, subset, rate, now)
     const share = (rate * SUBSET_ALLOWANCE_SHARE * host.records.length) / Math.max(1, subset.length)
     const members = queried.size === 0 ? this.#rank(query, subset, share, now) : []
@@ -259,6 +264,17 @@
     return [...members, ...others.filter((record) => !members.includes(record))].slice(0, SERVERS_PER_ROUND)
   }
 
+  /**
+   * Load queries per ms that this entry may send to one server. Servers that their rate limit keeps from calls are not
+   * queried, so the others may be queried more often.
+   */
+  #queryRate(host: LoadQueryHost, subset: readonly ServerRecord[], now: number): number {
+    const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
+    if (!host.hasRateLimits()) return rate
+    const callable = subset.filter((record) => record.isWithinRateLimit(now)).length
+    return (rate * subset.length) / Math.max(1, callable)
+  }
+
   /** Returns the usable servers of lowest expected cost and takes a query token of each. */
   #rank(
     { call, host, queried }: LoadQuery,
@@ -278,6 +294,20 @@
     return ranked.map(({ record }) => record)
   }
 
+  /** Returns servers whose rate limit keeps calls away but may have ended: one, or several if no other is callable. */
+  #limitsToRefresh({ host, queried }: LoadQuery, callable: number, now: number): readonly ServerRecord[] {
+    if (!host.hasRateLimits()) return []
+    const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
+    const servers = host
+      .subset()
+      .filter((record) => record.rateLimit?.isStale(now) === true && !record.isWithinRateLimit(now))
+      .filter((record) => isHealthy(record, now) && !queried.has(record.server.id))
+      .filter((record) => record.mayQuery(rate, QUERY_BURST, now))
+      .slice(0, callable === 0 ? SERVERS_PER_ROUND : 1)
+    for (const server of servers) server.takeQueryToken()
+    return servers
+  }
+
   /** Returns a run of neighbouring servers at a random place, so that a query costs the same in a large service. */
   #sample(records: readonly ServerRecord[]): readonly ServerRecord[] {
     if (records.length <= SAMPLE_SIZE) return records
@@ -295,7 +325,8 @@
     const domainCost = record.server.domain === this.#options.domain ? 0 : OTHER_DOMAIN_COST
     const jitter = (randomInt(this.#options.random, JITTER_STEPS) / JITTER_STEPS) * MAX_JITTER
     const connectionCost = now - record.lastAnswerAt < KEEP_ALIVE_MS ? 0 : NO_CONNECTION_COST
-    return slowness * coldCostFactor(host, record, now) + occupancyCost + domainCost + connectionCost + jitter
+    const bonus = record.rateLimit === undefined ? 0 : RATE_LIMIT_BONUS
+    return slowness * coldCostFactor(host, record, now) + occupancyCost + domainCost + connectionCost + jitter - bonus
   }
 }
 
@@ -304,9 +335,13 @@
   return record.ramp(now) < host.maxRamp() * WARM_RAMP_SHARE ? COLD_COST_FACTOR : 1
 }
 
-function bestAnswer({ answers }: LoadQuery): Answer | undefined {
+/** Answers of servers whose rate limit allows no call now do not count. */
+function bestAnswer({ answers }: LoadQuery, now: number): Answer | undefined {
   let best: Answer | undefined
-  for (const answer of answers) if (best === undefined || answer.cost < best.cost) best = answer
+  for (const answer of answers) {
+    if (!answer.record.isWithinRateLimit(now)) continue
+    if (best === undefined || answer.cost < best.cost) best = answer
+  }
   return best
 }
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -13,6 +13,7 @@
 import { eject, mayEject, outlierReason, TRIAL_CALLS } from './health'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
 import type { RetryLimits } from './retry-budget'
+import type { LimitSharing } from './rate-limit'
 import { ServerRecord } from './server-record'
 import type { SubsetOptions } from './server-subset'
 import { MeasuringTokens } from './tokens'
@@ -27,6 +28,8 @@
   /** Slot time in ms reserved for one probe, default 12 (a probe takes about 6). */
   readonly probeTimeout?: number
   readonly tuning?: Partial<Tuning>
+  /** Live entries, with which this one shares the rate limits of servers. Absent: it is the only one. */
+  readonly limitSharing?: LimitSharing
   /** Options for querying the load of servers before a call is sent. Absent: servers are chosen by estimates alone. */
   readonly loadQueries?: Omit<LoadQueriesOptions, 'random'>
 }
@@ -62,6 +65,7 @@
   readonly #queued = new Map<CallId, QueuedInPool>()
   readonly #loadQueries: LoadQueries | undefined
   readonly #subset: SubsetOptions
+  readonly #limitSharing: LimitSharing
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
@@ -74,6 +78,7 @@
     this.#tuning = { ...DEFAULT_TUNING, ...options.tuning }
     const { loadQueries, random } = options
     this.#loadQueries = loadQueries === undefined ? undefined : new LoadQueries({ ...loadQueries, random })
+    this.#limitSharing = options.limitSharing ?? { entry: '', entries: () => [''] }
     this.#subset = { entry: loadQueries?.entry ?? '', domain: loadQueries?.domain ?? '' }
   }
 
@@ -159,6 +164,17 @@
     return effects
   }
 
+  /** Called with the rate limit that a response of a server names, undefined if it names none. */
+  rateLimitReported(server: ServerId, rate: number | undefined, now: number): readonly Effect[] {
+    const record = this.#records.get(server)
+    if (record === undefined || (rate === undefined && record.rateLimit === undefined)) return NO_EFFECTS
+    const pool = this.#pool(record.server.service, now)
+    if (!pool.rateLimits.report(record, rate, now)) return NO_EFFECTS
+    const effects: Effect[] = [rate === undefined ? { kind: 'unlimited', server } : { kind: 'limited', server, rate }]
+    this.#drain(pool, now, effects)
+    return effects
+  }
+
   /** Called with the result of a load query that an effect requested. */
   answered(call: CallId, server: ServerId, result: LoadQueryResult, now: number): readonly Effect[] {
     // An answer that arrives after the call was sent is still recorded for the server.
@@ -280,6 +296,8 @@
         },
         // With load queries, the server has already reported its queue.
         limitsServerQueue: this.#loadQueries === undefined,
+        limitSharing: this.#limitSharing,
+        queriesLoad: this.queriesLoad,
         subset: this.#subset,
         queryLoad: (call, host, at, effects) => this.#loadQueries?.start(call, host, at, effects) === true,
         queued: (call, queuedCall) => {
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -66,6 +66,11 @@
 }
 
 export function isUsable(record: ServerRecord, now: number): boolean {
+  return isHealthy(record, now) && record.isWithinRateLimit(now)
+}
+
+/** Whether the server may be used, apart from its rate limit. */
+export function isHealthy(record: ServerRecord, now: number): boolean {
   return record.health.kind === 'healthy' && record.server.state === 'ready' && now >= record.pausedUntil
 }
 
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -3,6 +3,7 @@
  * latency of its own calls, and failures. Updates take constant time, except those of the list of calls in flight.
  */
 import type { Load, Server } from './call'
+import type { RateLimit } from './rate-limit'
 
 /** Factor by which the weight of older latencies decays at each completed call. */
 const LATENCY_DECAY = 0.8
@@ -63,6 +64,10 @@
   /** 95th percentile of the latencies of own calls in ms. */
   p95Latency: number | undefined
   suspectedByPeerAt = Number.NEGATIVE_INFINITY
+  /** Limit that the server named in its last response; undefined if it named none. */
+  rateLimit: RateLimit | undefined
+  /** Time at which this entry last sent a call to the server. */
+  lastCallAt = Number.NEGATIVE_INFINITY
   /** Last reported ratio of the time that work takes at the server to the usual time. */
   slowness = 1
   slownessReportedAt = Number.NEGATIVE_INFINITY
@@ -98,7 +103,14 @@
     return this.#latencyCount > 0 ? this.#latencySum / this.#latencyCount : undefined
   }
 
+  /** Whether the rate limit of the server allows a call now. */
+  isWithinRateLimit(now: number): boolean {
+    return this.rateLimit === undefined || now >= this.rateLimit.nextCallAt
+  }
+
   addInFlight(now: number): void {
+    this.rateLimit?.called(now)
+    this.lastCallAt = now
     this.ownInFlight += 1
     this.#sentAt.push(now)
   }
@@ -233,6 +245,7 @@
   /** Handles a restart of the server process: its known latency and failures no longer apply. */
   restart(firstSeen: number): void {
     this.restore(firstSeen)
+    this.rateLimit = undefined
     this.#rampLength = START_RAMP_MS
   }
 
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -8,7 +8,9 @@
 import type { LoadQueryHost } from './load-query'
 import { RetryBudget, type RetryLimits } from './retry-budget'
 import { chooseServer, isUsable, type Choice, type ServiceStats } from './selection'
+import type { LimitSharing } from './rate-limit'
 import type { ServerRecord } from './server-record'
+import { ServiceRateLimits } from './service-rate-limits'
 import { chooseSubset, type SubsetOptions } from './server-subset'
 import type { Tuning } from './tuning'
 
@@ -35,6 +37,10 @@
   readonly dispatch: (inFlightCall: InFlightCall, effects: Effect[]) => void
   /** Whether calls are sent with a limit on the queue of the server, beyond which the server sheds them. */
   readonly limitsServerQueue: boolean
+  /** How this entry shares the rate limits of servers with other entries. */
+  readonly limitSharing: LimitSharing
+  /** Whether calls query the load of servers before they are sent. */
+  readonly queriesLoad: boolean
   /** Identifies this entry for the subset of servers that it queries. */
   readonly subset: SubsetOptions
   /** Queries the load of servers before the call is sent; false if none may be queried. */
@@ -82,12 +88,14 @@
   /** Whether a server may be on trial. Avoids a search on every call. */
   hasTrial = false
   readonly stats: ServiceStats
+  readonly rateLimits: ServiceRateLimits
   readonly #urgent = new CallQueue()
   readonly #deferrable = new CallQueue()
   readonly #options: ServicePoolOptions
   readonly #loadQueryHost: LoadQueryHost = {
     records: this.#records,
     subset: () => this.#currentSubset(),
+    hasRateLimits: () => this.rateLimits.hasLimits,
     maxRamp: () => this.stats.maxRamp,
     send: (call, record, now, effects) => {
       this.#dispatch(call, record, false, now, effects)
@@ -116,6 +124,11 @@
     this.#queueLimit = options.queue
     this.#concurrency = options.concurrency
     this.budget = new RetryBudget(options.retries, now)
+    this.rateLimits = new ServiceRateLimits({
+      records: this.#records,
+      sharing: options.limitSharing,
+      learnsByQueries: options.queriesLoad,
+    })
     this.stats = {
       random: options.random,
       typicalLatency: INITIAL_LATENCY_MS,
@@ -145,6 +158,7 @@
   add(record: ServerRecord, now: number): void {
     this.#records.push(record)
     this.#subset = undefined
+    this.rateLimits.serversChanged()
     this.refresh(now)
   }
 
@@ -152,6 +166,7 @@
     record.isRemoved = true
     this.#records.splice(this.#records.indexOf(record), 1)
     this.#subset = undefined
+    this.rateLimits.serversChanged()
   }
 
   /** Called when the state or the failure domain of a server may have changed. */
@@ -181,6 +196,10 @@
   }
 
   #submitByEstimate(call: Call, now: number, effects: Effect[]): void {
+    if (this.#exceedsRateLimits(call, now)) {
+      this.#options.shed(call, 'overloaded', effects)
+      return
+    }
     const queue = this.#queueOf(call)
     const isFirst = queue.size === 0 && (call.urgency === 'urgent' || this.#urgent.size === 0)
     if (isFirst && this.#tryDispatch(call, now, now, effects)) return
@@ -223,6 +242,7 @@
   /** Recomputes the statistics of the service. Latencies are medians over the servers, which tolerate outliers. */
   refresh(now: number): void {
     this.#refreshedAt = now
+    this.rateLimits.refresh(now)
     this.hasTrial = this.#records.some((record) => record.health.kind === 'trial')
     const latencies: number[] = []
     const p95Latencies: number[] = []
@@ -256,10 +276,24 @@
     if (now >= call.deadline) return 'deadlineNotRun'
     if (!this.#hasCandidate(call) && (isRetry(call) || !this.#mayHaveServer(now))) return 'noServer'
     if (this.waiting >= this.#queueLimit) return 'overloaded'
-    const callsAhead = call.urgency === 'urgent' ? this.#urgent.size : this.waiting
-    const wait = callsAhead * this.#drainInterval
-    const exceedsDeadline = wait > (call.deadline - now) * PREDICTION_TOLERANCE
-    return exceedsDeadline ? 'overloaded' : undefined
+    const wait = this.#callsAhead(call) * this.#drainInterval
+    if (wait > (call.deadline - now) * PREDICTION_TOLERANCE) return 'overloaded'
+    // A limit that was named some time ago may have ended, which a load query of this call can tell.
+    const mayHaveEnded = this.#options.queriesLoad && this.rateLimits.hasStale(now)
+    return !mayHaveEnded && this.#exceedsRateLimits(call, now) ? 'overloaded' : undefined
+  }
+
+  #callsAhead(call: Call): number {
+    return call.urgency === 'urgent' ? this.#urgent.size : this.waiting
+  }
+
+  /**
+   * Whether the call would wait for the rate limits until its response is late. It is refused then, so that its caller
+   * can try another entry.
+   */
+  #exceedsRateLimits(call: Call, now: number): boolean {
+    const timeLeft = (call.target ?? call.deadline - now) - this.stats.typicalLatency
+    return this.rateLimits.wait(this.#callsAhead(call), now) > Math.max(0, timeLeft)
   }
 
   /** Whether a server is ready, or may be ready again soon. */
@@ -280,7 +314,11 @@
     if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < RECENT_CALL_MS) return undefined
     return this.#records.find(
       (record) =>
-        record.health.kind === 'trial' && record.ownInFlight === 0 && !record.isProbing && isCandidate(record, call),
+        record.health.kind === 'trial' &&
+        record.ownInFlight === 0 &&
+        !record.isProbing &&
+        record.isWithinRateLimit(now) &&
+        isCandidate(record, call),
     )
   }
 
@@ -359,6 +397,7 @@
 
 function isCandidate(record: ServerRecord, call: Call): boolean {
   if (record.server.state !== 'ready' || call.triedServers?.includes(record.server.id) === true) return false
+  if (record.rateLimit?.interval === Number.POSITIVE_INFINITY) return false
   // A retry would wait for an ejected server until its deadline and then fail.
   return !isRetry(call) || record.health.kind !== 'ejected'
 }
