--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -94,7 +94,7 @@
 
   logDamaged: code(90, 'log-damaged', 0, 'The log has a damaged record before its end.'),
   syncFailed: code(91, 'sync-failed', 0, 'Data could not be synced to disk.'),
-  diskFull: code(92, 'disk-full', 0, 'The disk is full; a replica that runs waits for room.'),
+  diskFull: code(92, 'disk-full', 0, 'The disk is full; the replica waits for room.'),
   snapshotDamaged: code(93, 'snapshot-damaged', 0, 'The snapshot does not match its checksum.'),
   folderInUse: code(94, 'folder-in-use', 0, 'Another process uses the data folder.'),
   folderUnusable: code(95, 'folder-unusable', 0, 'The data folder cannot be read or written.'),
