Let entries without load queries learn that a server takes calls again

Found by reading the change: without load queries, a server that named a rate of 0 would never have been called again. Such entries now send at least 0.05 calls per second together. Also awaits the start of a replica that opens late, so that a stop during it closes its listener.

--- a/packages/node/src/control-opener.ts
+++ b/packages/node/src/control-opener.ts
@@ -13,7 +13,7 @@
   /** Called if the first attempt finds the disk full. */
   readonly onFull: (cause: Failure) => void
   /** Called when a later attempt has succeeded. */
-  readonly onOpened: (control: ControlRole) => void
+  readonly onOpened: (control: ControlRole) => Promise<void>
   /** Called when a later attempt has failed for another reason than a full disk. */
   readonly onFailed: (cause: Failure) => void
 }
@@ -68,7 +68,7 @@
       return
     }
     this.#isWaiting = false
-    if (opened.isOk()) this.#options.onOpened(opened.value)
+    if (opened.isOk()) await this.#options.onOpened(opened.value)
     else this.#options.onFailed(opened.error)
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -172,9 +172,7 @@
       onFull: (cause) => {
         this.#context.log.warn('diskFull', { message: cause.message })
       },
-      onOpened: (opened) => {
-        void this.#startLateControl(opened)
-      },
+      onOpened: (opened) => this.#startLateControl(opened),
       onFailed: (cause) => {
         this.#failFatally(cause)
       },
--- a/packages/routing/src/rate-limit.ts
+++ b/packages/routing/src/rate-limit.ts
@@ -2,7 +2,7 @@
  * Rate limits that servers in need name in their responses, in calls per second from all entries together. Entries
  * share a limit without messages. Each derives from the live entries and the servers of the service, which all of them
  * know, the same few entries that may send to a limited server. Each of those sends at a fixed interval, so the entries
- * together send at the named rate, and in any time at most one call of each beyond that.
+ * together send at the named rate, and in any time at most two calls of each beyond that.
  */
 
 const MS_PER_SECOND = 1000
@@ -15,6 +15,8 @@
 const STALE_AFTER_MS = 1000
 /** Share of the rate that entries without a part of the limit use to learn whether it still holds. */
 const TEST_SHARE = 0.2
+/** Such calls per second of all entries at servers that take hardly any. */
+const MIN_TEST_RATE = 0.05
 const MIN_TEST_INTERVAL_MS = 5000
 
 export interface LimitedServer {
@@ -38,15 +40,15 @@
  */
 export function callInterval(server: LimitedServer, sharing: LimitSharing, learnsByQueries: boolean): number {
   const { rate, position, serverCount } = server
-  if (rate <= 0) return Number.POSITIVE_INFINITY
   const entries = sharing.entries()
   const count = Math.max(1, entries.length)
   const sharers = countSharers(rate, count, serverCount)
   const first = Math.floor((position * count) / serverCount)
   const distance = (Math.max(0, entries.indexOf(sharing.entry)) - first + count) % count
-  if (distance < sharers) return (sharers * MS_PER_SECOND) / rate
+  if (rate > 0 && distance < sharers) return (sharers * MS_PER_SECOND) / rate
   if (learnsByQueries) return Number.POSITIVE_INFINITY
-  return Math.max(MIN_TEST_INTERVAL_MS, (count * MS_PER_SECOND) / (rate * TEST_SHARE))
+  const testRate = Math.max(rate * TEST_SHARE, MIN_TEST_RATE)
+  return Math.max(MIN_TEST_INTERVAL_MS, (count * MS_PER_SECOND) / testRate)
 }
 
 function countSharers(rate: number, entries: number, servers: number): number {
--- a/packages/routing/test/rate-limit.test.ts
+++ b/packages/routing/test/rate-limit.test.ts
@@ -201,6 +201,14 @@
   expect(shed.filter(({ arrivedAt }) => arrivedAt >= 12_000)).toEqual([])
 })
 
+test('an entry that queries no load sends a call now and then to learn whether a limit has ended', () => {
+  const entries = ['entry-0', 'entry-1', 'entry-2', 'entry-3']
+  const intervals = [0, 0.1, 1].map((rate) =>
+    callInterval({ rate, position: 0, serverCount: 4 }, { entry: 'entry-3', entries: () => entries }, false),
+  )
+  expect(intervals).toEqual([80_000, 80_000, 20_000])
+})
+
 test('the parts of all entries add up to the rate, and each entry has a part if a service limits all servers', () => {
   const entries = Array.from({ length: 11 }, (_, index) => `entry-${String(index).padStart(2, '0')}`)
   const servers = Array.from({ length: 8 }, (_, position) => ({ rate: 2.5, position, serverCount: 8 }))
