Log which request a call was, and what became of a server whose connection broke

The lines of failed calls could not tell which calls were the same request, nor an ended server from a reset, a lost response or a partition. Lines of failed calls name the request by a digest of its method, host, path, query, caller and body. After a connection broke during a call, the entry opens another one: lost-call-checked names the server, the request and whether the server runs, has ended or cannot be reached; the metric lost_calls_total counts the same. No decision uses either yet.

--- a/packages/base/src/id.ts
+++ b/packages/base/src/id.ts
@@ -12,6 +12,8 @@
 /** Node name and disk id: a replica whose disk was replaced or emptied is a new replica. */
 export type ReplicaId = Branded<string, 'ReplicaId'>
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>
+/** Identifies requests that are the same to a server: equal method, host, path, query, caller and body. */
+export type RequestId = Branded<string, 'RequestId'>
 export type AttemptId = Branded<string, 'AttemptId'>
 /** SHA-256 in lower-case hexadecimal. */
 export type Digest = Branded<string, 'Digest'>
@@ -27,6 +29,7 @@
 export const changeId = (value: string): ChangeId => value as ChangeId
 export const replicaId = (value: string): ReplicaId => value as ReplicaId
 export const idempotencyKey = (value: string): IdempotencyKey => value as IdempotencyKey
+export const requestId = (value: string): RequestId => value as RequestId
 export const attemptId = (value: string): AttemptId => value as AttemptId
 export const toDigest = (value: string): Digest => value as Digest
 export const revision = (value: number): Revision => value as Revision
--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -131,6 +131,7 @@
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
   serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
+  lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
   silentRetired: code(160, 'silent-retired', 0, 'Silent connections were retired.'),
   nodeJoined: code(161, 'node-joined', 0, 'A node joined.'),
   nodeLost: code(162, 'node-lost', 0, 'A node left or its lease expired.'),
--- a/packages/bench/src/overhead/entry-main.ts
+++ b/packages/bench/src/overhead/entry-main.ts
@@ -50,6 +50,7 @@
   state: 'ready',
   firstSeen: 0,
   instance: 'calendar-1',
+  start: 1,
   address: { host: '127.0.0.1', port: Number(process.argv[2]) },
   connectionLimit: 256,
 })
--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -74,7 +74,7 @@
 export function explainAttempt(lines: readonly LogLine[], attempt: string): readonly ExplainedCall[] {
   const sortedLines = lines.toSorted((left, right) => Date.parse(left.time) - Date.parse(right.time))
   return sortedLines
-    .filter((line) => line.attempt === attempt)
+    .filter((line) => line.event === 'call-failed' && line.attempt === attempt)
     .map((call) => ({ call, beliefs: nodeStateBefore(sortedLines, call), servers: serverEventsOf(sortedLines, call) }))
 }
 
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -13,6 +13,7 @@
 
 export interface AttemptFailure {
   readonly code: CodeName
+  readonly server: ServerId
   /** Whether this failure permits another attempt. */
   readonly canRetry: boolean
   /** Whether the retry has already been charged to the retry budget. */
@@ -111,7 +112,7 @@
     const outcome = this.silent ? 'unattributed' : 'timeout'
     this.#exchange?.cancel()
     this.#finish(connected === true ? outcome : 'lost')
-    this.#options.events.failed({ code: 'connectionSilent', canRetry: true, budgetCharged: true })
+    this.#fail('connectionSilent', { budgetCharged: true })
   }
 
   readonly #onAcquired: AcquireCallback = (result: Result<Connection, Failure>) => {
@@ -125,7 +126,7 @@
 
   #onConnectFailed(): void {
     this.#finish('connect-failed')
-    this.#options.events.failed({ code: 'connectFailed', canRetry: true, budgetCharged: false })
+    this.#fail('connectFailed')
   }
 
   #send(connection: Connection): void {
@@ -176,38 +177,39 @@
 
   /** Handles a response with which the server reports that it did not run the request. */
   #onNotRun(head: ResponseHead | undefined): void {
-    const { dependencies, server, events } = this.#options
+    const { dependencies, server } = this.#options
     if (head?.status === MISDIRECTED) {
       this.#finish('unattributed')
       dependencies.onMisdirected(server)
     } else {
       this.#finish('shed', head)
     }
-    events.failed({ code: 'serverShed', canRetry: true, budgetCharged: false })
+    this.#fail('serverShed')
   }
 
   #onExchangeFailed(sent: boolean): void {
-    const { body, events } = this.#options
+    const { body } = this.#options
     const head = this.#exchange?.head
     if (body.failureCode !== undefined) {
       this.#finish('unattributed')
-      events.failed({ code: body.failureCode, canRetry: false, budgetCharged: false })
+      this.#fail(body.failureCode, { canRetry: false })
     } else if (this.#discardResponse) {
       this.#onNotRun(head)
     } else if (!sent) {
       // The server may have just closed an idle connection, which says nothing about its health.
       this.#finish('unattributed')
-      events.failed({ code: 'connectFailed', canRetry: true, budgetCharged: false })
+      this.#fail('connectFailed')
     } else {
       this.#finish('lost')
-      events.failed({
-        code: head === undefined ? 'connectionLost' : 'responseTruncated',
-        canRetry: true,
-        budgetCharged: false,
-      })
+      this.#fail(head === undefined ? 'connectionLost' : 'responseTruncated')
     }
   }
 
+  #fail(code: CodeName, { canRetry = true, budgetCharged = false } = {}): void {
+    const { events, server } = this.#options
+    events.failed({ code, server, canRetry, budgetCharged })
+  }
+
   #finish(outcome: ExchangeOutcome, head?: ResponseHead): void {
     if (this.#finished) return
     this.#finished = true
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -1,5 +1,5 @@
 /** Dependencies of a call that the entry provides. */
-import type { CodeName, ServerId } from '@bilberrystall/base'
+import type { AttemptId, CodeName, RequestId, ServerId } from '@bilberrystall/base'
 import type { Call } from './call'
 import type { ClaimCoordinator } from './claim-coordinator'
 import type { ContextCodec } from './context'
@@ -8,6 +8,13 @@
 import type { ConnectionPool } from './connection-pool'
 import type { RouterDriver } from './router-driver'
 
+/** A connection to a server broke while a call was in progress there. */
+export interface LostCall {
+  readonly request: RequestId
+  readonly attempt: AttemptId | undefined
+  readonly server: ServerId
+}
+
 export interface CallDependencies {
   readonly clock: Clock
   readonly limits: Limits
@@ -25,6 +32,7 @@
   readonly onMisdirected: (server: ServerId) => void
   /** Returns the id of the server process, sent in the instance header of requests. */
   readonly instance: (server: ServerId) => string | undefined
+  readonly onLost: (lost: LostCall) => void
   /** Reports that the result of a call is final. */
   readonly onEnded: (call: Call, result: CodeName | 'complete') => void
   /** Reports that the response was handed to the operating system or its connection was closed. */
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -4,7 +4,7 @@
  * attempt with an unknown outcome, a later failure never reports the call as not run.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { failure, resultCode, type CodeName, type ServerId } from '@bilberrystall/base'
+import { failure, resultCode, type AttemptId, type CodeName, type RequestId, type ServerId } from '@bilberrystall/base'
 import type { Document, Route } from '@bilberrystall/document'
 import type { AttemptFailure } from './attempt'
 import type { CallDependencies } from './call-dependencies'
@@ -13,6 +13,7 @@
 import type { CallContext } from './context'
 import { CallerResponse } from './caller-response'
 import { RequestBody } from './request-body'
+import { identifyRequest } from './request-identity'
 import { RoutedAttempt } from './routed-attempt'
 
 /** Statuses with which a server may report that it did not run the request; callers read them the same way. */
@@ -43,7 +44,8 @@
   readonly route: string
   readonly service: string
   /** Attempt id sent by the caller. */
-  readonly attempt: string | undefined
+  readonly attempt: AttemptId | undefined
+  readonly request: RequestId
   /** Servers to which the call was sent, in order. */
   readonly servers: readonly ServerId[]
 }
@@ -67,6 +69,7 @@
   #done = false
   /** Result code of the first attempt with an unknown outcome. */
   #unknownCode: CodeName | undefined
+  #identity: RequestId | undefined
 
   constructor(options: CallOptions, dependencies: CallDependencies) {
     this.#options = options
@@ -103,7 +106,19 @@
 
   describe(): EndedCall {
     const { route, head } = this.#options
-    return { route: route.name, service: route.service, attempt: head.attemptId, servers: this.#triedServers }
+    return {
+      route: route.name,
+      service: route.service,
+      attempt: head.attemptId,
+      request: this.#requestId,
+      servers: this.#triedServers,
+    }
+  }
+
+  get #requestId(): RequestId {
+    const { head, request } = this.#options
+    this.#identity ??= identifyRequest(head, request.headers.authorization, this.#body.identity)
+    return this.#identity
   }
 
   start(): void {
@@ -253,6 +268,10 @@
   #onFailure(attemptFailure: AttemptFailure): void {
     const { code } = attemptFailure
     if (this.#done) return
+    if (code === 'connectionLost' || code === 'responseTruncated') {
+      const { attemptId: attempt } = this.#options.head
+      this.#dependencies.onLost({ request: this.#requestId, attempt, server: attemptFailure.server })
+    }
     const outcome = resultCode(code).outcome
     if (outcome === 'unknown') this.#unknownCode ??= code
     const repeatable = outcome === 'not-run' || this.#options.route.repeatable
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -23,7 +23,7 @@
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import { Call, type EndedCall } from './call'
-import type { CallDependencies } from './call-dependencies'
+import type { CallDependencies, LostCall } from './call-dependencies'
 import type { ClaimCoordinator } from './claim-coordinator'
 import type { Address } from './connection'
 import { DEFAULT_DIALECT, type Dialect } from './dialect'
@@ -35,6 +35,7 @@
 import { CallerResponse } from './caller-response'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
+import { checkServer, type ServerCheck } from './server-check'
 import { TrafficSplitter } from './traffic-splitter'
 import { RoutePriorities } from './route-priorities'
 
@@ -57,6 +58,8 @@
   readonly connectionLimit: number
   /** Id of the server process, sent in the instance header of requests. */
   readonly instance: string
+  /** Start of the server process in Unix ms. */
+  readonly start: number
 }
 
 export interface EntryEvents {
@@ -64,6 +67,8 @@
   readonly callEnded?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
   /** The use of a server changed. */
   readonly serverChanged?: (change: ServerChange) => void
+  /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
+  readonly callLost?: (lost: LostCall, start: number, check: ServerCheck) => void
   /** Connections to a server were retired because they made no progress. */
   readonly silentRetired?: (server: ServerId, count: number) => void
 }
@@ -100,6 +105,8 @@
   readonly #pools = new Map<ServerId, ConnectionPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
+  /** Checks in progress, shared by all calls that a server loses at the same time. */
+  readonly #serverChecks = new Map<ServerId, Promise<ServerCheck>>()
   /** Number of responses in progress per caller connection; more than one when requests are pipelined. */
   readonly #responsesInProgress = new WeakMap<Socket, number>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -269,6 +276,7 @@
         this.#options.events?.callEnded?.(result, latencyMs, result === 'complete' ? undefined : call.describe())
       },
       queriesLoad: this.#options.router.queriesLoad,
+      onLost: (lost) => void this.#reportLost(lost),
       onClosed: (call) => {
         this.#calls.delete(call)
       },
@@ -362,6 +370,21 @@
     return pool
   }
 
+  async #reportLost(lost: LostCall): Promise<void> {
+    const server = this.#servers.get(lost.server)
+    if (server === undefined) return
+    const check = await this.#checkServer(server)
+    this.#options.events?.callLost?.(lost, server.start, check)
+  }
+
+  #checkServer({ id, address }: EntryServer): Promise<ServerCheck> {
+    const running = this.#serverChecks.get(id)
+    if (running !== undefined) return running
+    const check = checkServer(address, this.#limits.connectMs).finally(() => this.#serverChecks.delete(id))
+    this.#serverChecks.set(id, check)
+    return check
+  }
+
   #connectionShare(id: ServerId): number {
     const limit = this.#servers.get(id)?.connectionLimit ?? 1
     return Math.max(1, Math.floor(limit / Math.max(1, this.#options.liveEntries())))
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -3,7 +3,7 @@
  * servers. Hop-by-hop fields and internal fields of the system are not copied.
  */
 import type { IncomingMessage } from 'node:http'
-import { failure, type Failure } from '@bilberrystall/base'
+import { attemptId, failure, type AttemptId, type Failure } from '@bilberrystall/base'
 import type { Load } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
 import { parseRateLimit, type Dialect } from './dialect'
@@ -49,7 +49,7 @@
   /** Timeout in ms sent by the caller, if the dialect accepts one. */
   readonly callerTimeoutMs: number | undefined
   /** Attempt id sent by the caller, if the dialect has one. */
-  readonly attemptId: string | undefined
+  readonly attemptId: AttemptId | undefined
   /** Size of the head in bytes. */
   readonly bytes: number
 }
@@ -81,11 +81,16 @@
     callerTimeoutMs: dialect.acceptsCallerDeadline
       ? parseTimeMs(firstValue(headers[dialect.deadlineHeader]))
       : undefined,
-    attemptId: dialect.attemptHeader === undefined ? undefined : firstValue(headers[dialect.attemptHeader]),
+    attemptId: parseAttemptId(dialect.attemptHeader === undefined ? undefined : headers[dialect.attemptHeader]),
     bytes: headBytes(request),
   })
 }
 
+function parseAttemptId(value: string | string[] | undefined): AttemptId | undefined {
+  const text = firstValue(value)
+  return text === undefined ? undefined : attemptId(text)
+}
+
 /** Parses whole milliseconds. Other values are ignored, as if the header were absent. */
 function parseTimeMs(text: string | undefined): number | undefined {
   return text !== undefined && /^\d{1,9}$/.test(text) ? Number(text) : undefined
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry: an HTTP reverse proxy between callers and servers. */
 export type { EndedCall } from './call'
+export type { LostCall } from './call-dependencies'
 export * from './claim-coordinator'
 export * from './claim-rpc'
 export type { Address } from './connection'
@@ -7,3 +8,4 @@
 export * from './entry'
 export { DEFAULT_DIALECT, PROBE_PATH, parseLoad, type Dialect } from './dialect'
 export * from './limits'
+export type { ServerCheck } from './server-check'
--- a/packages/entry/src/request-body.ts
+++ b/packages/entry/src/request-body.ts
@@ -3,6 +3,7 @@
  * complete and can be sent again, and a slow sender does not occupy a server. A longer body is streamed, starting with
  * the buffered part.
  */
+import { createHash } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
 import type { CodeName } from '@bilberrystall/base'
 
@@ -23,6 +24,8 @@
   #bytes = 0
   #ended = false
   #streaming = false
+  /** SHA-256 of the part that was buffered before streaming. */
+  #prefixDigest: Buffer | undefined
   /** Time in ms at which the entry began to wait for data from the caller; undefined while it does not wait. */
   waitingSince: number | undefined
   /** Time in ms at which the server last accepted a chunk of a streamed body. */
@@ -42,6 +45,18 @@
     return this.#parts[0]
   }
 
+  /** Bytes that identify the body: its content, or a digest of its first part and its length if it is streamed. */
+  get identity(): Buffer {
+    return this.buffered ?? Buffer.from(`${this.#digestOfParts().toString('hex')} ${this.#options.length ?? ''}`)
+  }
+
+  #digestOfParts(): Buffer {
+    if (this.#prefixDigest !== undefined) return this.#prefixDigest
+    const hash = createHash('sha256')
+    for (const part of this.#parts) hash.update(part)
+    return hash.digest()
+  }
+
   /** Whether the whole body has been received. */
   get received(): boolean {
     return this.#ended || this.#options.request.complete
@@ -82,6 +97,7 @@
 
   /** Streams the body once: the buffered part, then the rest as fast as the server accepts it. */
   async *stream(): AsyncGenerator<Buffer> {
+    this.#prefixDigest = this.#digestOfParts()
     this.#streaming = true
     yield* this.#parts.splice(0)
     if (this.#ended) return
--- a/packages/entry/test/connection.test.ts
+++ b/packages/entry/test/connection.test.ts
@@ -46,7 +46,10 @@
     else respond(received, 'done')
   }
   const servers = [await startFakeServer(handler), await startFakeServer(handler)]
-  const { origin, entry } = await startEntry([...servers, { port: 1, received: [], sockets: [] }])
+  const { origin, entry } = await startEntry([
+    ...servers,
+    { port: 1, received: [], sockets: [], crash: () => undefined },
+  ])
   const outcomes: (string | undefined)[] = []
   for (let number = 0; number < 260; number += 1) {
     const pending = sendCall(`${origin}/brief`, { method: 'POST', body: String(number) })
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -24,6 +24,8 @@
   readonly received: ReceivedRequest[]
   /** Sockets accepted so far. */
   readonly sockets: Socket[]
+  /** Ends the server as the end of its process would: resets all connections and refuses new ones. */
+  readonly crash: () => void
 }
 
 export function respond(
@@ -60,11 +62,12 @@
     })
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  onTestFinished(() => {
+  const crash = () => {
     server.close()
-    for (const socket of sockets) socket.destroy()
-  })
-  return { port: (server.address() as AddressInfo).port, received, sockets }
+    for (const socket of sockets) socket.resetAndDestroy()
+  }
+  onTestFinished(crash)
+  return { port: (server.address() as AddressInfo).port, received, sockets, crash }
 }
 
 function endOfRequest(text: string): number | undefined {
@@ -150,6 +153,7 @@
     state: 'ready',
     firstSeen: 0,
     instance: `server-${index}`,
+    start: 1,
     address: { host: '127.0.0.1', port: server.port },
     connectionLimit: 64,
   })
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -52,6 +52,7 @@
   readonly #calls: Counter<'result'>
   readonly #latency: Histogram
   readonly #failures: FailureLog
+  readonly #lostCalls: Counter<'check'>
   readonly #ejected = new Set<string>()
   /** Servers that name a rate limit. */
   readonly #limited = new Set<string>()
@@ -66,6 +67,11 @@
     const { host, port } = splitAddress(settings.listen)
     this.#calls = context.metrics.counter('calls_total', 'Calls by result', ['result'])
     this.#latency = context.metrics.latency('call', 'Latency of calls at the entry')
+    this.#lostCalls = context.metrics.counter(
+      'lost_calls_total',
+      'Calls whose connection to the server broke, by the state of the server right after',
+      ['check'],
+    )
     const omitted = context.metrics.counter(
       'log_lines_omitted_total',
       'Log lines of failed calls omitted by the rate limit',
@@ -113,6 +119,10 @@
         serverChanged: (change) => {
           this.#useChanged(change)
         },
+        callLost: (lost, _start, check) => {
+          this.#lostCalls.inc({ check })
+          this.#failures.writeLost(lost, check)
+        },
         silentRetired: (server, count) => {
           context.log.warn('silentRetired', { server, count })
         },
@@ -271,6 +281,7 @@
       firstSeen: at,
       address: splitAddress(server.address),
       instance: server.server,
+      start: server.start,
       connectionLimit: this.#connectionLimit(server),
     })
     const code: CodeName = server.state === 'draining' ? 'serverLeft' : 'serverJoined'
--- a/packages/node/src/failure-log.ts
+++ b/packages/node/src/failure-log.ts
@@ -3,8 +3,8 @@
  * overload the first lines are sufficient; a metric counts the omitted ones.
  */
 import type { CodeName } from '@bilberrystall/base'
-import type { EndedCall } from '@bilberrystall/entry'
-import type { Log } from './log'
+import type { EndedCall, LostCall, ServerCheck } from '@bilberrystall/entry'
+import type { Log, LogFields } from './log'
 
 const LINES_PER_SECOND = 20
 const BURST_LINES = 60
@@ -28,14 +28,21 @@
     this.#refilledAt = options.now()
   }
 
-  write(result: CodeName, latencyMs: number, { route, service, attempt, servers }: EndedCall): void {
-    const { log, onOmitted } = this.#options
-    if (!this.#tryTakeToken()) {
-      onOmitted()
-      return
-    }
+  write(result: CodeName, latencyMs: number, { route, service, attempt, request, servers }: EndedCall): void {
+    const id = attempt === undefined ? {} : { attempt }
+    this.#write('callFailed', { result, ...id, request, route, service, servers, ms: Math.round(latencyMs) })
+  }
+
+  /** Writes what the check of a server found after its connection broke during a call. */
+  writeLost({ request, attempt, server }: LostCall, check: ServerCheck): void {
     const id = attempt === undefined ? {} : { attempt }
-    log.info('callFailed', { result, ...id, route, service, servers, ms: Math.round(latencyMs) })
+    this.#write('lostCallChecked', { server, check, request, ...id })
+  }
+
+  #write(code: CodeName, fields: LogFields): void {
+    const { log, onOmitted } = this.#options
+    if (this.#tryTakeToken()) log.info(code, fields)
+    else onOmitted()
   }
 
   #tryTakeToken(): boolean {
--- a/packages/node/test/failure-log.test.ts
+++ b/packages/node/test/failure-log.test.ts
@@ -1,8 +1,14 @@
-import { serverId, type CodeName } from '@bilberrystall/base'
+import { attemptId, requestId, serverId, type CodeName } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
 import { FailureLog } from '../src/failure-log'
 
-const CALL = { route: 'r-1', service: 'slots', attempt: 'a1', servers: [serverId('s1')] }
+const CALL = {
+  route: 'r-1',
+  service: 'slots',
+  attempt: attemptId('a1'),
+  request: requestId('q1'),
+  servers: [serverId('s1')],
+}
 
 function setup() {
   const lines: [CodeName, object][] = []
