--- a/packages/testkit/src/behaviour.ts
+++ b/packages/testkit/src/behaviour.ts
@@ -31,6 +31,8 @@
   readonly responsesToTruncate: number
   /** Number of upcoming requests that run, but whose connection is reset instead of a response being sent. */
   readonly responsesToReset: number
+  /** Path of requests that end the process of the server when they run; empty disables it. */
+  readonly crashPath: string
   /** Delay in ms between the end of the execution and the response; it does not occupy a slot. */
   readonly responseDelayMs: number
 }
@@ -47,6 +49,7 @@
   coldStartFactor: 5,
   responsesToTruncate: 0,
   responsesToReset: 0,
+  crashPath: '',
   responseDelayMs: 0,
 }
 
--- a/packages/testkit/src/fake-server.ts
+++ b/packages/testkit/src/fake-server.ts
@@ -186,6 +186,7 @@
       return false
     }
     this.#record.addExecution(call.id, call.key)
+    if (call.url.pathname === this.#behaviour.crashPath) process.kill(process.pid, 'SIGKILL')
     try {
       await sleep(this.#serviceMs(call.url), undefined, { signal: call.signal })
       this.#record.completed += 1
