Withhold requests that crash the servers that run them

Cause: a broken connection was taken for a fault of the server alone, so entries sent the request to a second server and accepted it again from each caller; nothing connected the ends with the request. Change: confirmed ends of servers are crash reports that nodes exchange by gossip; a request at three of them is refused as not run for 10 minutes, is not hedged or retried from the first on, and is cleared by a run that completes. Operators list and release requests. Before: crashing-request.test.ts failed (outcome unknown instead of not-run).

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -44,6 +44,13 @@
   serverShed: call(21, 'server-shed', 503, 'not-run', 'The server refused the request without running it.'),
   connectFailed: call(22, 'connect-failed', 503, 'not-run', 'No connection to a server could be opened.'),
   notReady: call(23, 'not-ready', 503, 'not-run', 'The entry has no confirmed document yet.'),
+  requestQuarantined: call(
+    25,
+    'request-quarantined',
+    503,
+    'not-run',
+    'The request crashed servers and is withheld from them for a time.',
+  ),
   bodyIncomplete: call(24, 'body-incomplete', 400, 'not-run', 'The request body ended early or too slowly; not sent.'),
 
   connectionLost: call(30, 'connection-lost', 502, 'unknown', 'The connection broke after the request was sent.'),
@@ -131,6 +138,8 @@
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
   serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
+  quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
+  quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
   silentRetired: code(160, 'silent-retired', 0, 'Silent connections were retired.'),
   nodeJoined: code(161, 'node-joined', 0, 'A node joined.'),
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -14,6 +14,7 @@
 import { New } from './new-command'
 import { Run } from './run-command'
 import { SettingsCheck } from './settings-commands'
+import { QuarantineList, QuarantineRelease } from './quarantine-commands'
 import { Audit, NodeDrain, NodeReplace, Nodes, Servers, Status } from './node-commands'
 
 const COMMANDS = [
@@ -34,6 +35,8 @@
   Status,
   NodeDrain,
   NodeReplace,
+  QuarantineList,
+  QuarantineRelease,
   Codes,
   Explain,
 ]
--- a/packages/cli/src/operator-api.ts
+++ b/packages/cli/src/operator-api.ts
@@ -53,6 +53,11 @@
 
 export const nodesSchema = z.looseObject({ nodes: z.array(z.looseObject({ node: z.string() })) })
 export const serversSchema = z.looseObject({ servers: z.array(z.looseObject({ server: z.string() })) })
+export const quarantineSchema = z.looseObject({
+  requests: z.array(
+    z.looseObject({ request: z.string(), until: z.number(), lastCrash: z.number(), servers: z.array(z.string()) }),
+  ),
+})
 export const objectSchema = z.looseObject({})
 
 export type Change =
--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -42,6 +42,8 @@
       return recordRefusedRequest(state, command)
     case 'node':
       return recordNodeRequest(state, command)
+    case 'release':
+      return recordRelease(state, command)
     case 'replica-step':
       state.replicaIntent = command
       return { kind: 'recorded' }
@@ -98,6 +100,20 @@
   return { kind: 'recorded' }
 }
 
+/** The release itself takes effect on the nodes; the log keeps who asked for it. */
+function recordRelease(state: ControlState, command: Extract<Command, { kind: 'release' }>): CommandResult {
+  const { requester, source, request } = command
+  state.audit.append({
+    at: state.clock,
+    operation: 'release-request',
+    requester,
+    source,
+    target: request,
+    result: 'ok',
+  })
+  return { kind: 'recorded' }
+}
+
 /**
  * Applies a committed replica set. The recorded steps are derived from the difference of the sets, so a step is
  * recorded exactly if it took effect. The reason comes from the preceding `replica-step` command.
--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -39,6 +39,7 @@
   | 'refuse'
   | 'drain-node'
   | 'replace-node'
+  | 'release-request'
   | `replica-${'add-learner' | 'promote' | 'remove'}`
 
 /** A request to be recorded in the audit log. */
@@ -50,7 +51,7 @@
   readonly source: string
   readonly changeId?: string
   readonly environment?: string
-  /** Node or replica that the operation acts on. */
+  /** Node, replica or request that the operation acts on. */
   readonly target?: string
   readonly digest?: string
   /** Revision in force in the environment after the request. */
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -15,6 +15,7 @@
   type FailureDomain,
   type NodeId,
   type ReplicaId,
+  type RequestId,
   type Revision,
   type ServerId,
 } from '@bilberrystall/base'
@@ -25,6 +26,7 @@
 export const MAX_REPORTED_FAULTS = 50
 const MAX_ROSTER_ENTRIES = 1_000
 const ENVIRONMENT_PATTERN = /^[a-z][a-z0-9-]{0,39}$/
+const REQUEST_ID_PATTERN = /^[A-Za-z0-9_-]{16}$/
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 
 const timeSchema = z.number().int().nonnegative()
@@ -47,6 +49,10 @@
 const codeSchema = z.custom<CodeName>((value) => typeof value === 'string' && value in RESULT_CODES)
 const serverIdSchema = z.custom<ServerId>((value) => nameSchema.safeParse(value).success)
 const nodeIdSchema = z.custom<NodeId>((value) => nameSchema.safeParse(value).success)
+export const requestIdSchema = z.custom<RequestId>(
+  (value) => typeof value === 'string' && REQUEST_ID_PATTERN.test(value),
+  'must be the id of a request: 16 letters, digits, hyphens or underscores',
+)
 const failureDomainSchema = z.custom<FailureDomain>((value) => nameSchema.safeParse(value).success)
 const replicaIdSchema = z.custom<ReplicaId>((value) => nameSchema.safeParse(value).success)
 const faultSchema = z.object({ section: shortTextSchema, key: shortTextSchema, reason: shortTextSchema })
@@ -100,6 +106,7 @@
     digest: digestSchema.optional(),
   }),
   z.object({ kind: z.literal('node'), ...originFields, action: z.enum(['drain', 'replace']), node: nodeIdSchema }),
+  z.object({ kind: z.literal('release'), ...originFields, request: requestIdSchema }),
   z.object({
     kind: z.literal('roster-propose'),
     at: timeSchema,
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { failure, resultCode, type AttemptId, type CodeName, type RequestId, type ServerId } from '@bilberrystall/base'
 import type { Document, Route } from '@bilberrystall/document'
+import type { RequestStanding } from '@bilberrystall/quarantine'
 import type { AttemptFailure } from './attempt'
 import type { CallDependencies } from './call-dependencies'
 import { IdempotencyHandler } from './idempotency-handler'
@@ -19,6 +20,8 @@
 /** Statuses with which a server may report that it did not run the request; callers read them the same way. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
+const SERVER_ERROR = 500
+
 /** Default `retry-after`: a server is likely to be free after the duration of a typical call. */
 const DEFAULT_RETRY_AFTER_MS = 100
 /** `retry-after` of refusals that last longer: until servers have announced themselves or a new one has started. */
@@ -125,7 +128,7 @@
     this.#body.buffer((bufferResult) => {
       if (this.#done) return
       if (bufferResult.kind === 'failed') this.#fail(bufferResult.code)
-      else this.#claimKey()
+      else if (!this.#failIfQuarantined()) this.#claimKey()
     })
   }
 
@@ -214,6 +217,7 @@
 
   #onServerChosen(server: ServerId, isHedge: boolean): boolean {
     if (this.#done) return false
+    if (this.#failIfQuarantined()) return false
     if (isHedge && !this.#mayRetry()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
@@ -231,7 +235,8 @@
     if (!this.#dependencies.queriesLoad || !route.repeatable || route.targetMs === undefined) return
     this.#hedgeTimer = setTimeout(() => {
       const canHelp = this.#attempts.size === 1 && !this.#callerResponse.hasStarted && this.#callerResponse.isEmpty
-      if (!this.#done && canHelp && this.#attemptsLeft > 0 && this.#body.buffered !== undefined) this.#submit(true)
+      const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#standing.kind === 'clear'
+      if (!this.#done && canHelp && canSend) this.#submit(true)
     }, route.targetMs * HEDGE_DELAY_FACTOR)
   }
 
@@ -260,6 +265,8 @@
   }
 
   #onComplete(head: ResponseHead): void {
+    const { gate } = this.#dependencies
+    if (gate.isActive() && !head.notRun && head.status < SERVER_ERROR) gate.completed(this.#requestId)
     this.#finish('complete')
     this.#idempotency.settle(head.notRun ? 'not-run' : 'complete')
     this.#callerResponse.end()
@@ -274,7 +281,9 @@
     }
     const outcome = resultCode(code).outcome
     if (outcome === 'unknown') this.#unknownCode ??= code
-    const repeatable = outcome === 'not-run' || this.#options.route.repeatable
+    // A request that other servers did not survive may be the cause of this loss as well.
+    const mayRepeat = this.#options.route.repeatable && this.#standing.kind === 'clear'
+    const repeatable = outcome === 'not-run' || mayRepeat
     // The other attempt is still in progress.
     if (this.#attempts.size > 0) return
     if (
@@ -332,6 +341,20 @@
     return isNotRun && this.#unknownCode !== undefined ? this.#unknownCode : cause
   }
 
+  get #standing(): RequestStanding {
+    const { gate } = this.#dependencies
+    return gate.isActive() ? gate.standing(this.#requestId) : { kind: 'clear' }
+  }
+
+  #failIfQuarantined(): boolean {
+    const standing = this.#standing
+    if (standing.kind !== 'quarantined') return false
+    const { dialect, clock } = this.#dependencies
+    const retryAfter = dialect.retryAfter(Math.max(0, standing.until - clock.unix()))
+    this.#fail('requestQuarantined', { 'retry-after': retryAfter })
+    return true
+  }
+
   #cancel(attempt: RoutedAttempt, cause: CodeName): void {
     this.#attempts.delete(attempt)
     attempt.cancel(cause)
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -33,6 +33,7 @@
 import { respondToParseError } from './parse-error'
 import { ConnectionPool } from './connection-pool'
 import { CallerResponse } from './caller-response'
+import { OPEN_GATE, type RequestGate } from './request-gate'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
 import { checkServer, type ServerCheck } from './server-check'
@@ -86,6 +87,8 @@
   /** Returns the number of live entries, including this one. */
   readonly liveEntries: () => number
   readonly claims?: ClaimCoordinator
+  /** Withholds requests from servers that they would crash. */
+  readonly gate?: RequestGate
   readonly events?: EntryEvents
   readonly limits?: Partial<Limits>
   readonly clock?: Clock
@@ -276,6 +279,7 @@
         this.#options.events?.callEnded?.(result, latencyMs, result === 'complete' ? undefined : call.describe())
       },
       queriesLoad: this.#options.router.queriesLoad,
+      gate: this.#options.gate ?? OPEN_GATE,
       onLost: (lost) => void this.#reportLost(lost),
       onClosed: (call) => {
         this.#calls.delete(call)
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -9,6 +9,7 @@
   ServerId,
   ServiceName,
 } from '@bilberrystall/base'
+import type { Clearance, CrashReport } from '@bilberrystall/quarantine'
 
 export type ServerState = 'starting' | 'ready' | 'draining' | 'stopped'
 
@@ -55,6 +56,10 @@
   readonly ejected: readonly string[]
   /** Replica that this node, as a seed, chose to bootstrap the cluster. */
   readonly founder?: ReplicaId
+  /** Ends of servers while they ran a request, as seen by this node or kept for others. */
+  readonly crashReports?: readonly CrashReport[]
+  /** Requests about which earlier crash reports no longer count. */
+  readonly clearances?: readonly Clearance[]
 }
 
 /** Returns a key that identifies a server across services and environments. */
--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -24,6 +24,7 @@
   changeIdSchema,
   digestSchema,
   environmentSchema,
+  requestIdSchema,
   revisionSchema,
   sha256,
   type AcceptedDocument,
@@ -35,7 +36,8 @@
 import { secretsEqual } from '@bilberrystall/rpc'
 import type { ChangeSubmitter, SubmitOutcome } from './change-submitter'
 import type { ReplicaHost } from './control-replica'
-import { environmentView, nodeViews, serverViews, statusView, type ClusterView } from './control-views'
+import { environmentView, nodeViews, quarantineViews, serverViews, statusView, type ClusterView } from './control-views'
+import type { QuarantineExchange } from './quarantine-exchange'
 import { problemResponse } from './status-listener'
 
 /** JSON escapes can double the length of a document or more; a longer body certainly exceeds the document limit. */
@@ -48,6 +50,7 @@
   readonly host: Pick<ReplicaHost, 'read' | 'state' | 'status'>
   readonly changes: Pick<ChangeSubmitter, 'submit'>
   readonly cluster: ClusterView
+  readonly quarantine: Pick<QuarantineExchange, 'quarantined' | 'release'>
   /** SHA-256 digest of each operator's key, by operator name. */
   readonly operatorKeys: ReadonlyMap<string, string>
   /** Counts each request by its result. */
@@ -128,6 +131,8 @@
   app.get('/v1/audit', (context) => withLinearizableRead(options, () => handleAudit(options, context)))
   app.get('/v1/status', (context) => context.json(statusView(host, cluster)))
   app.get('/v1/nodes', (context) => context.json({ nodes: nodeViews(host, cluster) }))
+  app.get('/v1/quarantine', (context) => context.json({ requests: quarantineViews(options.quarantine.quarantined) }))
+  app.post('/v1/quarantine/:request/release', (context) => handleRelease(options, context))
   app.get('/v1/servers', (context) => context.json({ servers: serverViews(cluster) }))
   app.notFound(() => problemResponse(failure('notFound')))
   app.onError((cause) => problemResponse(failure('internal', cause.message)))
@@ -228,6 +233,23 @@
   return context.json({ node, action })
 }
 
+async function handleRelease(
+  options: OperatorOptions,
+  context: Context<OperatorEnv, '/v1/quarantine/:request/release'>,
+): Promise<Response> {
+  const parsed = requestIdSchema.safeParse(context.req.param('request'))
+  if (!parsed.success) return rejectAndRecord(options, requestOrigin(context), 'requestInvalid')
+  const request = parsed.data
+  if (!options.quarantine.quarantined.some((entry) => entry.request === request)) {
+    return rejectAndRecord(options, requestOrigin(context), 'notFound', `request ${request} is not quarantined`)
+  }
+  const outcome = await options.changes.submit({ kind: 'release', ...requestOrigin(context), request })
+  if (outcome.kind !== 'recorded') return outcomeResponse(options, outcome)
+  options.quarantine.release(request)
+  options.onRequest('ok')
+  return context.json({ request })
+}
+
 async function handleAudit(options: OperatorOptions, context: Context<OperatorEnv>): Promise<Response> {
   const parsed = auditQuerySchema.safeParse(context.req.query())
   if (!parsed.success) return problemResponse(failure('requestInvalid', z.prettifyError(parsed.error)))
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -20,7 +20,7 @@
 import { LeaderTasks } from './leader-tasks'
 import { LeaseServer } from './control-lease-server'
 import { controlMetrics, type ControlMetrics } from './control-metrics'
-import { operatorApp } from './control-operator'
+import { operatorApp, type OperatorOptions } from './control-operator'
 import { ReplicaHost } from './control-replica'
 import { consensusRoutes, ReplicaTransport } from './control-transport'
 import type { ClusterView } from './control-views'
@@ -190,11 +190,11 @@
     return this.#leases
   }
 
-  operatorApp(): Hono {
+  operatorApp(quarantine: OperatorOptions['quarantine']): Hono {
     const { cluster, settings } = this.#options
     const { operatorKeys } = settings
     const onRequest = (code: CodeName) => this.#metrics?.countRequest(code)
-    const app = operatorApp({ host: this.host, changes: this.#changes, cluster, operatorKeys, onRequest })
+    const app = operatorApp({ host: this.host, changes: this.#changes, cluster, quarantine, operatorKeys, onRequest })
     return app as unknown as Hono
   }
 
--- a/packages/node/src/control-views.ts
+++ b/packages/node/src/control-views.ts
@@ -2,6 +2,7 @@
 import type { Environment, NodeId, Revision } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
 import type { Node, Server } from '@bilberrystall/membership'
+import type { QuarantinedRequest } from '@bilberrystall/quarantine'
 import type { ReplicaHost } from './control-replica'
 import { nodeIdOf } from './control-transport'
 
@@ -84,7 +85,7 @@
   const { replicas, leader } = host.status()
   const leaderNode = leader === undefined ? undefined : nodeIdOf(leader)
   return [...cluster.nodes.values()].sort(compareByNode).map((node) => {
-    const { ejected, documents, disk, ...rest } = node
+    const { ejected, documents, disk, ...rest } = withoutCrashReports(node)
     const member = replicas.find((replica) => replica.node === node.node)
     const replica = leaderNode === node.node ? 'leader' : (member?.role ?? 'none')
     const held = Object.fromEntries(documents.map((document) => [document.environment, document.revision]))
@@ -92,6 +93,20 @@
   })
 }
 
+/** The list of quarantined requests shows them. */
+function withoutCrashReports(node: Node): Omit<Node, 'crashReports' | 'clearances'> {
+  const rest: { -readonly [Key in keyof Node]: Node[Key] } = { ...node }
+  delete rest.crashReports
+  delete rest.clearances
+  return rest
+}
+
+export function quarantineViews(quarantined: readonly QuarantinedRequest[]) {
+  return quarantined.map(({ request, until, crashes }) => {
+    return { request, until, servers: crashes.map(({ process }) => process), lastCrash: crashes.at(-1)?.at ?? 0 }
+  })
+}
+
 export function serverViews(cluster: ClusterView) {
   const nodes = [...cluster.nodes.values()]
   return [...cluster.servers].sort(compareByKey).map(([key, server]) => {
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -25,6 +25,7 @@
 import { FailureLog } from './failure-log'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
+import type { QuarantineExchange } from './quarantine-exchange'
 import type { EntrySettings } from './settings'
 
 const MICROSECONDS_PER_MS = 1000
@@ -38,6 +39,7 @@
   readonly settings: EntrySettings
   readonly documentStore: DocumentStore
   readonly adapter: Adapter | undefined
+  readonly quarantine: QuarantineExchange
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
   /** Called when an operator asked this node to drain. */
   readonly onDrain: () => void
@@ -112,6 +114,7 @@
       claims: this.#createClaimCoordinator(),
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
+      gate: options.quarantine.gate,
       events: {
         callEnded: (result, latencyMs, call) => {
           this.#callEnded(result, latencyMs, call)
@@ -119,9 +122,10 @@
         serverChanged: (change) => {
           this.#useChanged(change)
         },
-        callLost: (lost, _start, check) => {
+        callLost: (lost, start, check) => {
           this.#lostCalls.inc({ check })
           this.#failures.writeLost(lost, check)
+          if (check === 'ended') options.quarantine.crashed(lost, start)
         },
         silentRetired: (server, count) => {
           context.log.warn('silentRetired', { server, count })
--- a/packages/node/src/gossip-codec.ts
+++ b/packages/node/src/gossip-codec.ts
@@ -5,6 +5,7 @@
   failureDomain,
   nodeId,
   replicaId,
+  requestId,
   revision,
   serverId,
   serviceName,
@@ -19,6 +20,7 @@
   Server,
   ServerState,
 } from '@bilberrystall/membership'
+import type { ProcessId } from '@bilberrystall/quarantine'
 import {
   NodeRecordSchema,
   OriginDeltaSchema,
@@ -105,6 +107,8 @@
     roles: [...value.roles],
     ejected: [...value.ejected],
     documents: value.documents.map((document) => ({ ...document, revision: BigInt(document.revision) })),
+    crashReports: (value.crashReports ?? []).map((report) => ({ ...report, at: BigInt(report.at) })),
+    clearances: (value.clearances ?? []).map((clearance) => ({ ...clearance, at: BigInt(clearance.at) })),
     counter: BigInt(counter),
   })
 }
@@ -126,6 +130,12 @@
         digest: toDigest(document.digest),
       })),
       ejected: message.ejected,
+      crashReports: message.crashReports.map(({ request, process, at }) => ({
+        request: requestId(request),
+        process: process as ProcessId,
+        at: Number(at),
+      })),
+      clearances: message.clearances.map(({ request, at }) => ({ request: requestId(request), at: Number(at) })),
       ...(message.founder === '' ? {} : { founder: replicaId(message.founder) }),
     },
     counter: Number(message.counter),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,15 +3,7 @@
  * Roles on the same node share the directory, the RPC server and the status listener.
  */
 import { randomInt } from 'node:crypto'
-import {
-  environmentName,
-  failure,
-  resultCode,
-  seededRandom,
-  type CodeName,
-  type Failure,
-  type NodeId,
-} from '@bilberrystall/base'
+import { failure, resultCode, seededRandom, type CodeName, type Failure, type NodeId } from '@bilberrystall/base'
 import {
   DEFAULT_LEASE_TIMES,
   Directory,
@@ -31,12 +23,14 @@
 import { DocumentStore } from './document-store'
 import { EntryRole } from './entry-role'
 import type { NodeContext } from './node-context'
+import { createNodeRecord } from './node-record'
 import { Gossip } from './gossip'
 import { computeHealth } from './health'
 import { listen, splitAddress, type Listener } from './listener'
 import { createLog, type Log } from './log'
 import { createClusterBootstrap, openPlatformListeners } from './platform-role'
 import { Metrics } from './metrics'
+import { createQuarantineExchange, type QuarantineExchange } from './quarantine-exchange'
 import { closeParts, finishWork, type NodeParts } from './node-shutdown'
 import type { ControlSettings, Settings } from './settings'
 import { statusApp, type Health } from './status-listener'
@@ -58,6 +52,7 @@
 export class RunningNode {
   readonly #settings: Settings
   readonly #context: NodeContext
+  readonly #quarantine: QuarantineExchange
   readonly #documentStore = new DocumentStore()
   readonly #metrics = new Metrics()
   readonly #traffic = new TrafficCounter()
@@ -86,6 +81,7 @@
     this.#fileSystem = options.fileSystem
     this.#nodeRecord = createNodeRecord(settings)
     this.#context = this.#createContext(options.log ?? createLog({ node: settings.node }))
+    this.#quarantine = createQuarantineExchange(this.#context)
   }
 
   /** Errors: those of opening the data folder, and `address-in-use`. */
@@ -145,6 +141,7 @@
   /** Expires leases. Timers that are delayed by a process freeze must not keep a lost server in use. */
   expire(): void {
     this.#applyChanges(this.#context.directory.expire(this.#context.now()))
+    this.#quarantine.expire()
   }
 
   async #openRoles(): Promise<Result<void, Failure>> {
@@ -158,6 +155,7 @@
         settings: entry,
         documentStore: this.#documentStore,
         adapter: this.#adapter,
+        quarantine: this.#quarantine,
         onDepartures: (departed) => {
           this.#applyDepartures(departed)
         },
@@ -272,7 +270,7 @@
   async #openOperatorListener(): Promise<Result<void, Failure>> {
     const address = this.#settings.control?.listen
     if (this.#control === undefined || address === undefined) return ok()
-    const operators = await listen(this.#control.operatorApp(), address)
+    const operators = await listen(this.#control.operatorApp(this.#quarantine), address)
     return operators.map((listener) => {
       this.#listeners.push(listener)
     })
@@ -338,6 +336,7 @@
   async #close(): Promise<void> {
     clearInterval(this.#expiryTimer)
     this.#context.gossip.stop()
+    this.#quarantine.stop()
     await this.#controlOpener?.stop()
     await closeParts(this.#parts(), this.#context.log)
     this.#context.clients.close()
@@ -367,6 +366,7 @@
       log.warn('nodeLost', { node: change.node.node })
     }
     if (change.kind !== 'node-changed' || change.node.node === self) return
+    this.#quarantine.nodeChanged(change.node)
     if (this.#joined.has(change.node.node)) return
     this.#joined.add(change.node.node)
     log.info('nodeJoined', { node: change.node.node, roles: change.node.roles })
@@ -425,18 +425,3 @@
 export function startNode(settings: Settings, options: NodeOptions = {}): Promise<Result<RunningNode, Failure>> {
   return RunningNode.start(settings, options)
 }
-
-function createNodeRecord(settings: Settings): Node {
-  return {
-    node: settings.node,
-    roles: settings.roles,
-    address: settings.address,
-    failureDomain: settings.failureDomain,
-    region: settings.region,
-    environment: settings.entry?.environment ?? environmentName(''),
-    state: 'starting',
-    disk: '',
-    documents: [],
-    ejected: [],
-  }
-}
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -81,7 +81,7 @@
       controlRoutes(router, { documentStore, now: () => performance.now(), control: () => control })
     }
     const rpc = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
-    const api = await listen(control.operatorApp(), '127.0.0.1:0')
+    const api = await listen(control.operatorApp({ quarantined: [], release: () => false }), '127.0.0.1:0')
     const listening = { rpc: rpc._unsafeUnwrap(), api: api._unsafeUnwrap() }
     const member = { name, folder, control, documentStore, clients, traffic, ...listening }
     this.members.set(name, member)
--- a/packages/testkit/test/session/crashing-request.test.ts
+++ b/packages/testkit/test/session/crashing-request.test.ts
@@ -1,6 +1,13 @@
 /** Guards against a request that ends one server after another because callers and entries send it again. */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Harness, INSPECTION_HOST, sendCall, type Call, type FakeServerProcess } from '@bilberrystall/testkit'
+import {
+  Harness,
+  INSPECTION_HOST,
+  sendCall,
+  type Call,
+  type Cluster,
+  type FakeServerProcess,
+} from '@bilberrystall/testkit'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { entryNode, ONE_CONTROL, startCluster } from './fixture'
 
@@ -22,8 +29,7 @@
 
 const countEnded = (servers: readonly FakeServerProcess[]) => servers.filter(({ process }) => !process.isRunning).length
 
-test('a request that has ended three servers reaches no other one, also through an entry that started later', async () => {
-  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2), entryNode(3)])
+async function startCrashingServers(cluster: Cluster): Promise<FakeServerProcess[]> {
   const servers = await Promise.all(
     Array.from({ length: SERVERS }, (_, index) => {
       const behaviour = { crashPath: CRASHING.path }
@@ -31,11 +37,22 @@
     }),
   )
   await cluster.waitUntilServersKnown(SERVERS)
-  const entries = cluster.entries
+  return servers
+}
+
+/** Sends the request through one entry after the other until it has ended as many servers as the limit. */
+async function crashServers({ entries }: Cluster, servers: readonly FakeServerProcess[]): Promise<void> {
   for (let index = 0; countEnded(servers) < CRASH_LIMIT; index += 1) {
     await sendCall(entries[index % entries.length]?.addresses.callers ?? '', CRASHING)
   }
   await sleep(LEARNING_MS)
+}
+
+test('a request that has ended three servers reaches no other one, also through an entry that started later', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2), entryNode(3)])
+  const { entries } = cluster
+  const servers = await startCrashingServers(cluster)
+  await crashServers(cluster, servers)
   const ended = countEnded(servers)
   const restarted = cluster.node('entry-2')
   await restarted.kill()
@@ -47,3 +64,21 @@
   }
   expect(countEnded(servers)).toBe(ended)
 })
+
+test('an operator lists a withheld request and releases it on all entries', async () => {
+  const cluster = await startCluster(harness, [ONE_CONTROL, entryNode(1), entryNode(2)])
+  const servers = await startCrashingServers(cluster)
+  await crashServers(cluster, servers)
+  const remaining = servers.filter(({ process }) => process.isRunning)
+  for (const server of remaining) await server.change({ behaviour: { crashPath: '' } })
+  const { requests } = (await cluster.runJsonCommand('quarantine')) as { requests: { request: string }[] }
+  expect(requests).toHaveLength(1)
+  await cluster.runJsonCommand('quarantine', 'release', requests[0]?.request ?? '')
+  for (const entry of cluster.entries) {
+    await cluster.waitUntil('the request completes again', async () => {
+      return (await sendCall(entry.addresses.callers, CRASHING)).outcome === 'complete'
+    })
+  }
+  const { records } = (await cluster.runJsonCommand('audit')) as { records: { operation: string }[] }
+  expect(records.filter(({ operation }) => operation === 'release-request')).toHaveLength(1)
+})
