Detect and log that an entry reaches no server

Callers of entries that were partitioned from all servers were refused for the whole partition (docs/incidents/entries-cut-off-from-servers.md). The logs named single servers that failed and could not tell a partition from failing servers, nor when it ended. After three failures in a row at different servers without a response on a newer connection, the entry probes three other servers on new connections; servers-unreachable and servers-reachable, and the gauge servers_unreachable, tell the result. No decision uses it yet.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -141,6 +141,8 @@
   quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
   quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
+  serversUnreachable: code(178, 'servers-unreachable', 0, 'This entry reaches no server.'),
+  serversReachable: code(179, 'servers-reachable', 0, 'This entry reaches servers again.'),
   silentRetired: code(160, 'silent-retired', 0, 'Silent connections were retired.'),
   nodeJoined: code(161, 'node-joined', 0, 'A node joined.'),
   nodeLost: code(162, 'node-lost', 0, 'A node left or its lease expired.'),
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -108,7 +108,9 @@
     const connected = await this.#pool?.suspect(silentSince)
     const progressed = this.#exchange !== undefined && this.#exchange.progressAt > silentSince
     if (progressed) this.#suspected = false
-    if (this.#finished || progressed || !this.#options.events.silent()) return
+    if (this.#finished || progressed) return
+    this.#options.dependencies.reachability.failed(this.#options.server)
+    if (!this.#options.events.silent()) return
     const outcome = this.silent ? 'unattributed' : 'timeout'
     this.#exchange?.cancel()
     this.#finish(connected === true ? outcome : 'lost')
@@ -125,6 +127,7 @@
   }
 
   #onConnectFailed(): void {
+    this.#options.dependencies.reachability.failed(this.#options.server)
     this.#finish('connect-failed')
     this.#fail('connectFailed')
   }
@@ -137,6 +140,7 @@
         head: (head) => {
           this.#respondedAt = dependencies.clock.monotonic()
           this.#pool?.onProgress(connection)
+          dependencies.reachability.responded(connection.openedAt)
           dependencies.driver.responded(this.#options.server, head)
           this.#discardResponse = !events.head(head)
         },
@@ -200,6 +204,7 @@
       this.#finish('unattributed')
       this.#fail('connectFailed')
     } else {
+      if (head === undefined) this.#options.dependencies.reachability.failed(this.#options.server)
       this.#finish('lost')
       this.#fail(head === undefined ? 'connectionLost' : 'responseTruncated')
     }
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -6,6 +6,7 @@
 import type { Dialect } from './dialect'
 import type { Clock, Limits } from './limits'
 import type { ConnectionPool } from './connection-pool'
+import type { ReachabilityMonitor } from './reachability-monitor'
 import type { RequestGate } from './request-gate'
 import type { RouterDriver } from './router-driver'
 
@@ -34,6 +35,7 @@
   /** Returns the id of the server process, sent in the instance header of requests. */
   readonly instance: (server: ServerId) => string | undefined
   readonly gate: RequestGate
+  readonly reachability: ReachabilityMonitor
   readonly onLost: (lost: LostCall) => void
   /** Reports that the result of a call is final. */
   readonly onEnded: (call: Call, result: CodeName | 'complete') => void
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -33,6 +33,7 @@
 import { respondToParseError } from './parse-error'
 import { ConnectionPool } from './connection-pool'
 import { CallerResponse } from './caller-response'
+import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
 import { OPEN_GATE, type RequestGate } from './request-gate'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
@@ -68,6 +69,8 @@
   readonly callEnded?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
   /** The use of a server changed. */
   readonly serverChanged?: (change: ServerChange) => void
+  /** This entry lost its way to all servers, or reaches one again. */
+  readonly reachabilityChanged?: (isCutOff: boolean) => void
   /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
   readonly callLost?: (lost: LostCall, start: number, check: ServerCheck) => void
   /** Connections to a server were retired because they made no progress. */
@@ -105,6 +108,7 @@
   readonly #trafficSplitter: TrafficSplitter
   readonly #routePriorities = new RoutePriorities()
   readonly #callDependencies: CallDependencies
+  readonly #reachability: ReachabilityMonitor
   readonly #pools = new Map<ServerId, ConnectionPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
@@ -133,6 +137,14 @@
       },
       serverChanged: (change) => options.events?.serverChanged?.(change),
     })
+    this.#reachability = new ReachabilityMonitor({
+      servers: () => this.#readyServers(),
+      serverCount: () => this.#servers.size,
+      random: options.random,
+      now: this.#clock.monotonic,
+      dialect: this.#dialect,
+      onChange: (isCutOff) => options.events?.reachabilityChanged?.(isCutOff),
+    })
     this.#callDependencies = this.#createCallDependencies()
     this.#handleInternal = getRequestListener(this.#createInternalApp().fetch)
     this.#http = this.#createServer()
@@ -229,6 +241,7 @@
     this.startDraining()
     clearInterval(this.#poolSweep)
     clearTimeout(this.#callSweep)
+    this.#reachability.stop()
     this.#http.close()
     this.#http.closeAllConnections()
     for (const server of [...this.#pools.keys()]) this.#closePool(server)
@@ -280,6 +293,7 @@
       },
       queriesLoad: this.#options.router.queriesLoad,
       gate: this.#options.gate ?? OPEN_GATE,
+      reachability: this.#reachability,
       onLost: (lost) => void this.#reportLost(lost),
       onClosed: (call) => {
         this.#calls.delete(call)
@@ -374,6 +388,12 @@
     return pool
   }
 
+  #readyServers(): readonly ProbedServer[] {
+    return [...this.#servers.values()]
+      .filter(({ state }) => state === 'ready')
+      .map(({ id, address }) => ({ id, address, path: this.#healthPath(id) }))
+  }
+
   async #reportLost(lost: LostCall): Promise<void> {
     const server = this.#servers.get(lost.server)
     if (server === undefined) return
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -36,7 +36,7 @@
     }
     // A query may be sent again, so it may use a connection that has been idle; the answer shows that it works.
     pool.acquire(false, (result) => {
-      if (result.isErr()) this.#reportRefused(server)
+      if (result.isErr()) this.#reportUnanswered(server)
       else if (this.#closed) pool.release(result.value)
       else this.#send(server, pool, result.value)
     })
@@ -57,16 +57,17 @@
   }
 
   #send(server: ServerId, pool: ConnectionPool, connection: Connection): void {
-    const { clock, dialect, healthPath, instance } = this.#dependencies
+    const { clock, dialect, healthPath, instance, reachability } = this.#dependencies
     const timer = setTimeout(() => {
       exchange.cancel()
-      this.#reportRefused(server)
+      this.#reportUnanswered(server)
     }, LOAD_QUERY_TIMEOUT_MS)
     const exchange = new Exchange(
       connection,
       {
         head: () => {
           pool.onProgress(connection)
+          reachability.responded(connection.openedAt)
         },
         data: () => true,
         ended: () => {
@@ -75,7 +76,7 @@
         },
         failed: () => {
           clearTimeout(timer)
-          this.#reportRefused(server)
+          this.#reportUnanswered(server)
         },
       },
       clock.monotonic,
@@ -103,6 +104,11 @@
     driver.answered(this.#call, server, load === undefined ? { kind: 'no-load' } : { kind: 'load', load })
   }
 
+  #reportUnanswered(server: ServerId): void {
+    this.#dependencies.reachability.failed(server)
+    this.#reportRefused(server)
+  }
+
   #reportRefused(server: ServerId): void {
     this.#dependencies.driver.answered(this.#call, server, { kind: 'refused' })
   }
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -56,6 +56,7 @@
   readonly #failures: FailureLog
   readonly #lostCalls: Counter<'check'>
   readonly #ejected = new Set<string>()
+  #isCutOff = false
   /** Servers that name a rate limit. */
   readonly #limited = new Set<string>()
   /** Ids of the live entries, sorted; undefined after a change of the known nodes. */
@@ -122,6 +123,11 @@
         serverChanged: (change) => {
           this.#useChanged(change)
         },
+        reachabilityChanged: (isCutOff) => {
+          if (isCutOff) context.log.warn('serversUnreachable')
+          else context.log.info('serversReachable')
+          this.#isCutOff = isCutOff
+        },
         callLost: (lost, start, check) => {
           this.#lostCalls.inc({ check })
           this.#failures.writeLost(lost, check)
@@ -133,6 +139,7 @@
       },
     })
     context.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.#entry.callsInFlight)
+    context.metrics.gauge('servers_unreachable', 'Whether this entry reaches no server', () => Number(this.#isCutOff))
     context.metrics.gauge('claimed_keys', 'Idempotency keys stored by this holder', () => this.#claimTable.size)
     context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
     context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
