Pass calls on to other entries while an entry reaches no server

Cause: an entry could run a call only on a connection of its own. Ruled out with the new lines (servers-unreachable): a path that is found too late, and ejections that outlast the partition. Change: an entry that is cut off passes calls on over a listener between entries; the result of the call, its Retry-After, the time left, the revision of the document and the attempts travel with it; nothing is passed on twice. Cut-off entries leave the divisor of shared limits.

--- a/packages/cli/src/example.ts
+++ b/packages/cli/src/example.ts
@@ -8,6 +8,8 @@
   readonly roles?: 'entry' | 'control' | 'entry, control'
   readonly environment?: string
   readonly callers?: string
+  /** Address to listen on for calls of other entries that reach no server. */
+  readonly relayListen?: string
   readonly address?: string
   /** Address to listen on for other nodes if it differs from the advertised address. */
   readonly rpcListen?: string
@@ -49,7 +51,7 @@
 environment = ${options.environment ?? 'trial'}
 ; for callers
 listen = ${options.callers ?? '127.0.0.1:8000'}
-server-key-file = server.key
+${options.relayListen === undefined ? '' : `relay-listen = ${options.relayListen}\n`}server-key-file = server.key
 ; how long the health page says leaving before connections are refused
 balancer-grace = ${options.balancerGrace ?? '3s'}
 stop-limit = 30s
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -7,6 +7,7 @@
 import type { Clock, Limits } from './limits'
 import type { ConnectionPool } from './connection-pool'
 import type { ReachabilityMonitor } from './reachability-monitor'
+import type { RelayPeers } from './relay-peers'
 import type { RequestGate } from './request-gate'
 import type { RouterDriver } from './router-driver'
 
@@ -36,6 +37,11 @@
   readonly instance: (server: ServerId) => string | undefined
   readonly gate: RequestGate
   readonly reachability: ReachabilityMonitor
+  readonly relayPeers: RelayPeers
+  /** Returns the number of the document in force, which grows with each change. */
+  readonly revision: () => number
+  /** Reports that a call is passed on to another entry. */
+  readonly onRelayed: () => void
   readonly onLost: (lost: LostCall) => void
   /** Reports that the result of a call is final. */
   readonly onEnded: (call: Call, result: CodeName | 'complete') => void
--- /dev/null
+++ b/packages/entry/src/call-preparation.ts
@@ -0,0 +1,93 @@
+/** Matches the head of a request against the document in force and derives the context of the call. */
+import { failure, type Failure, type RandomSource } from '@bilberrystall/base'
+import { matchRoute, type Document, type Route } from '@bilberrystall/document'
+import { err, ok, type Result } from 'neverthrow'
+import { appendHop, type CallContext, type ContextCodec } from './context'
+import type { RequestHead } from './head'
+import type { Clock } from './limits'
+import { decodeRelayRequest } from './relay-protocol'
+import { RoutePriorities } from './route-priorities'
+import { TrafficSplitter } from './traffic-splitter'
+
+/** Subtracted from the timeout that a caller sends, to leave time for the response to reach it. */
+const RESPONSE_ALLOWANCE_MS = 20
+
+export interface CallPreparationOptions {
+  readonly document: () => Document | undefined
+  /** Number of the document in force, which grows with each change. */
+  readonly revision: () => number
+  readonly codec: ContextCodec
+  readonly clock: Clock
+  readonly random: RandomSource
+}
+
+export interface PreparedCall {
+  readonly head: RequestHead
+  readonly document: Document
+  readonly route: Route
+  readonly context: CallContext
+}
+
+export class CallPreparation {
+  readonly #options: CallPreparationOptions
+  readonly #trafficSplitter: TrafficSplitter
+  readonly #routePriorities = new RoutePriorities()
+
+  constructor(options: CallPreparationOptions) {
+    this.#options = options
+    this.#trafficSplitter = new TrafficSplitter(options.random)
+  }
+
+  configure(document: Document): void {
+    this.#routePriorities.configure(document)
+    this.#trafficSplitter.configure(document)
+  }
+
+  /** Prepares a call of a caller. */
+  prepare(head: RequestHead): Result<PreparedCall, Failure> {
+    return this.#match(head).andThen((matched) =>
+      this.#createContext(head, matched.route).map((context) => ({ head, ...matched, context })),
+    )
+  }
+
+  /** Prepares a call that another entry passed on. */
+  prepareRelayed(head: RequestHead): Result<PreparedCall, Failure> {
+    const { codec, clock, revision } = this.#options
+    const now = clock.unix()
+    return decodeRelayRequest(head.relay, codec, now).andThen(({ context, leftMs, minRevision }) => {
+      if (revision() < minRevision) return err(failure('notReady', `revision ${minRevision} is not in force here`))
+      return this.#match(head).map((matched) => {
+        const deadline = now + Math.min(matched.route.deadlineMs, leftMs - RESPONSE_ALLOWANCE_MS)
+        const attempts = Math.min(matched.route.attempts, Math.max(1, context.attempts))
+        return { head, ...matched, context: { ...context, attempts, deadline } }
+      })
+    })
+  }
+
+  #match(head: RequestHead): Result<{ readonly document: Document; readonly route: Route }, Failure> {
+    const document = this.#options.document()
+    if (document === undefined) return err(failure('notReady'))
+    const match = matchRoute(document, head.host, head.method, head.path)
+    if (match.kind === 'none') return err(failure('noRoute'))
+    if (match.kind === 'method-not-allowed') return err(failure('methodNotAllowed'))
+    if (head.bytes > document.callerLimits.headBytes) return err(failure('headTooLarge'))
+    return ok({ document, route: this.#trafficSplitter.selectService(match.route) })
+  }
+
+  #createContext(head: RequestHead, route: Route): Result<CallContext, Failure> {
+    const { codec, clock } = this.#options
+    const now = clock.unix()
+    const parent = head.context === undefined ? undefined : codec.verify(head.context, now)
+    const callerTimeoutMs = head.callerTimeoutMs === undefined ? Infinity : head.callerTimeoutMs - RESPONSE_ALLOWANCE_MS
+    const deadline = Math.min(now + route.deadlineMs, now + callerTimeoutMs, parent?.deadline ?? Infinity)
+    if (deadline <= now) return err(failure('deadlineNotRun'))
+    const hop = { service: route.service, method: head.method, path: head.path }
+    const deferrable = this.#routePriorities.isDeferrable(route) || parent?.urgency === 'deferrable'
+    return appendHop(parent?.hops ?? [], hop).map((hops) => ({
+      deadline,
+      attempts: Math.min(route.attempts, Math.max(1, parent?.attempts ?? Infinity)),
+      urgency: deferrable ? 'deferrable' : 'urgent',
+      hops,
+    }))
+  }
+}
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -4,15 +4,28 @@
  * attempt with an unknown outcome, a later failure never reports the call as not run.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { failure, resultCode, type AttemptId, type CodeName, type RequestId, type ServerId } from '@bilberrystall/base'
+import {
+  failure,
+  resultCode,
+  type AttemptId,
+  type CodeName,
+  type NodeId,
+  type RequestId,
+  type ServerId,
+} from '@bilberrystall/base'
 import type { Document, Route } from '@bilberrystall/document'
 import type { RequestStanding } from '@bilberrystall/quarantine'
 import type { AttemptFailure } from './attempt'
+import type { CallAttempt } from './call-attempt'
 import type { CallDependencies } from './call-dependencies'
 import { IdempotencyHandler } from './idempotency-handler'
-import { CONTEXT_HEADER, QUEUE_LIMIT_HEADER, forwardedFields, type RequestHead, type ResponseHead } from './head'
+import { requestForEntry, requestForServer, type RequestSource } from './call-request'
+import type { RequestHead, ResponseHead } from './head'
 import type { CallContext } from './context'
 import { CallerResponse } from './caller-response'
+import { RelayAttempt, type RelayFailure } from './relay-attempt'
+import type { RelayPeer } from './relay-peers'
+import { relayResponseFields } from './relay-response'
 import { RequestBody } from './request-body'
 import { identifyRequest } from './request-identity'
 import { RoutedAttempt } from './routed-attempt'
@@ -21,6 +34,10 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 const SERVER_ERROR = 500
+/** Entries that a call is passed on to, one after the other, before it fails. */
+const MAX_RELAY_PEERS = 3
+/** Failures of another entry that say nothing about the servers as seen by a third one. */
+const OTHER_PEER_CODES: ReadonlySet<CodeName> = new Set(['connectFailed', 'noServer', 'notReady', 'entryLeaving'])
 
 /** Default `retry-after`: a server is likely to be free after the duration of a typical call. */
 const DEFAULT_RETRY_AFTER_MS = 100
@@ -40,6 +57,8 @@
   readonly route: Route
   /** Context of this call, including its own hop. */
   readonly context: CallContext
+  /** Whether another entry passed the call on, which has claimed its idempotency key. */
+  readonly isRelayed: boolean
 }
 
 /** Data of an ended call for the log. */
@@ -67,7 +86,10 @@
   readonly #timer: NodeJS.Timeout
   #attemptsLeft: number
   /** Attempts in progress; a second one only for a repeatable call. */
-  readonly #attempts = new Set<RoutedAttempt>()
+  readonly #attempts = new Set<CallAttempt>()
+  readonly #triedPeers: NodeId[] = []
+  /** Attempts after which it is unknown whether the server ran the call. */
+  #unknownAttempts = 0
   #hedgeTimer: NodeJS.Timeout | undefined
   #done = false
   /** Result code of the first attempt with an unknown outcome. */
@@ -90,10 +112,11 @@
       bufferBytes: limits.bufferBytes,
       now: clock.monotonic,
     })
-    this.#callerResponse = new CallerResponse(
+    this.#callerResponse = new CallerResponse({
       response,
-      () => (dependencies.isDraining() && options.isLast()) || !this.#body.received,
-    )
+      shouldClose: () => (dependencies.isDraining() && options.isLast()) || !this.#body.received,
+      ...(options.isRelayed ? { added: (result) => relayResponseFields(result, head, dependencies) } : {}),
+    })
     this.#idempotency = new IdempotencyHandler({ head, route, document: options.document, dependencies })
     this.#timer = setTimeout(
       () => {
@@ -148,7 +171,24 @@
     return [...this.#attempts].some(({ sent }) => sent)
   }
 
+  /**
+   * This entry has lost its way to the servers. A call that no server has got is passed on to another entry; a repeatable
+   * one that was sent is passed on as well, and its attempt continues in case the response still arrives.
+   */
+  onCutOff(): void {
+    if (this.#done || this.#callerResponse.hasStarted || !this.#callerResponse.isEmpty) return
+    const [attempt] = this.#attempts
+    if (attempt === undefined || this.#attempts.size > 1 || !this.#mayRelay()) return
+    if (!attempt.sent) this.#cancel(attempt, 'callerCancelled')
+    else if (!this.#options.route.repeatable || this.#standing.kind !== 'clear' || !this.#mayRetry()) return
+    this.#submit()
+  }
+
   #claimKey(): void {
+    if (this.#options.isRelayed) {
+      this.#submit()
+      return
+    }
     this.#idempotency.claim(this.#body, this.#remaining(), {
       run: () => {
         if (this.#done) this.#idempotency.settle('not-run')
@@ -165,9 +205,81 @@
     })
   }
 
+  /** Whether the call can be passed on to another entry, because this one reaches no server. */
+  #mayRelay(): boolean {
+    const { reachability, relayPeers } = this.#dependencies
+    if (this.#options.isRelayed || !reachability.isCutOff || this.#triedPeers.length >= MAX_RELAY_PEERS) return false
+    return this.#body.canSend && relayPeers.choose(this.#triedPeers) !== undefined
+  }
+
+  #submit(): void {
+    const { relayPeers } = this.#dependencies
+    const peer = this.#mayRelay() ? relayPeers.choose(this.#triedPeers) : undefined
+    if (peer === undefined) this.#submitToRouter(false)
+    else this.#relay(peer)
+  }
+
+  #relay(peer: RelayPeer): void {
+    const { route, context } = this.#options
+    const { relayPeers } = this.#dependencies
+    this.#triedPeers.push(peer.node)
+    const attempt: RelayAttempt = new RelayAttempt({
+      peer,
+      peers: relayPeers,
+      repeatable: route.repeatable,
+      dependencies: this.#dependencies,
+      body: this.#body,
+      request: () => {
+        const attempts = Math.max(1, context.attempts - this.#unknownAttempts)
+        return requestForEntry(this.#requestSource, { attempts, remainingMs: this.#remaining() })
+      },
+      events: {
+        head: (responseHead) => this.#onHead(responseHead, attempt),
+        data: (part, drained) => {
+          this.#idempotency.onResponseData(part)
+          return this.#callerResponse.data(part, drained)
+        },
+        ended: (responseHead) => {
+          this.#onComplete(responseHead)
+        },
+        failed: (relayFailure) => {
+          this.#attempts.delete(attempt)
+          this.#onRelayFailure(relayFailure)
+        },
+      },
+    })
+    this.#attempts.add(attempt)
+    this.#dependencies.onRelayed()
+    attempt.start()
+  }
+
+  get #requestSource(): RequestSource {
+    const { request, head, context } = this.#options
+    return { request, head, context, body: this.#body, dependencies: this.#dependencies }
+  }
+
+  #onRelayFailure({ code, retryAfter }: RelayFailure): void {
+    if (this.#done) return
+    const isUnknown = resultCode(code).outcome === 'unknown'
+    if (isUnknown) this.#recordUnknown(code)
+    if (this.#attempts.size > 0) return
+    const mayRepeat = isUnknown ? this.#options.route.repeatable && this.#mayRetry() : OTHER_PEER_CODES.has(code)
+    if (mayRepeat && !this.#callerResponse.hasStarted && this.#mayRelay()) {
+      this.#callerResponse.reset()
+      this.#submit()
+      return
+    }
+    this.#fail(code, retryAfter === undefined ? {} : { 'retry-after': retryAfter })
+  }
+
+  #recordUnknown(code: CodeName): void {
+    this.#unknownCode ??= code
+    this.#unknownAttempts += 1
+  }
+
   /** Submits an attempt to the router. A hedged attempt accepts only a server that is free immediately. */
-  #submit(isHedge = false): void {
-    const { route, context, head, request } = this.#options
+  #submitToRouter(isHedge: boolean): void {
+    const { route, context } = this.#options
     const attempt: RoutedAttempt = new RoutedAttempt({
       dependencies: this.#dependencies,
       body: this.#body,
@@ -183,12 +295,10 @@
         onlyIfFree: isHedge,
         triedServers: [...this.#triedServers],
       },
-      request: (instance, queueLimit) => ({
-        method: head.method,
-        target: head.target,
-        fields: forwardedFields(request, this.#addedHeaderFields(instance, queueLimit), this.#dependencies.dialect),
-        attemptId: head.attemptId,
-      }),
+      request: (instance, queueLimit) => {
+        const state = { attemptsLeft: this.#attemptsLeft, remainingMs: this.#remaining(), instance, queueLimit }
+        return requestForServer(this.#requestSource, state)
+      },
       events: {
         serverChosen: (server) => this.#onServerChosen(server, isHedge),
         head: (responseHead) => this.#onHead(responseHead, attempt),
@@ -206,7 +316,9 @@
         shed: (code) => {
           this.#attempts.delete(attempt)
           // The other attempt is still in progress.
-          if (this.#attempts.size === 0) this.#fail(code)
+          if (this.#attempts.size > 0) return
+          if (this.#mayRelay()) this.#submit()
+          else this.#fail(code)
         },
         silent: () => this.#shouldAbandon(attempt),
       },
@@ -217,8 +329,7 @@
 
   #onServerChosen(server: ServerId, isHedge: boolean): boolean {
     if (this.#done) return false
-    if (this.#failIfQuarantined()) return false
-    if (isHedge && !this.#mayRetry()) return false
+    if (isHedge ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
     if (!isHedge) this.#armHedge()
@@ -236,27 +347,12 @@
     this.#hedgeTimer = setTimeout(() => {
       const canHelp = this.#attempts.size === 1 && !this.#callerResponse.hasStarted && this.#callerResponse.isEmpty
       const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#standing.kind === 'clear'
-      if (!this.#done && canHelp && canSend) this.#submit(true)
+      if (!this.#done && canHelp && canSend) this.#submitToRouter(true)
     }, route.targetMs * HEDGE_DELAY_FACTOR)
   }
 
-  #addedHeaderFields(instance: string | undefined, queueLimit: number | undefined): string[] {
-    const { context } = this.#options
-    const { dialect, codec } = this.#dependencies
-    const fields = [dialect.deadlineHeader, String(Math.max(1, Math.floor(this.#remaining())))]
-    if (dialect.propagatesContext) {
-      fields.push(CONTEXT_HEADER, codec.sign({ ...context, attempts: this.#attemptsLeft }))
-      if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
-    }
-    if (dialect.instanceHeader !== undefined) fields.push(dialect.instanceHeader, instance ?? '')
-    const { bodyLength } = this.#options.head
-    // undici sets content-length itself for a buffered body.
-    if (this.#body.buffered === undefined && bodyLength !== undefined) fields.push('content-length', String(bodyLength))
-    return fields
-  }
-
   /** Returns whether the response is forwarded; otherwise it is discarded and the attempt ends as shed. */
-  #onHead(head: ResponseHead, winner: RoutedAttempt): boolean {
+  #onHead(head: ResponseHead, winner: CallAttempt): boolean {
     if (head.notRun && NOT_RUN_STATUSES.has(head.status)) return false
     for (const other of this.#attempts) if (other !== winner) this.#cancel(other, 'callerCancelled')
     this.#idempotency.onResponseHead(head)
@@ -280,12 +376,17 @@
       this.#dependencies.onLost({ request: this.#requestId, attempt, server: attemptFailure.server })
     }
     const outcome = resultCode(code).outcome
-    if (outcome === 'unknown') this.#unknownCode ??= code
+    if (outcome === 'unknown') this.#recordUnknown(code)
     // A request that other servers did not survive may be the cause of this loss as well.
     const mayRepeat = this.#options.route.repeatable && this.#standing.kind === 'clear'
     const repeatable = outcome === 'not-run' || mayRepeat
     // The other attempt is still in progress.
     if (this.#attempts.size > 0) return
+    // Nothing has run, so passing the call on is no retry.
+    if (outcome === 'not-run' && attemptFailure.canRetry && !this.#callerResponse.hasStarted && this.#mayRelay()) {
+      this.#submit()
+      return
+    }
     if (
       attemptFailure.canRetry &&
       !this.#callerResponse.hasStarted &&
@@ -303,7 +404,7 @@
    * Returns whether a repeatable call abandons a silent connection for another server. When hedged attempts are
    * possible, only a connection that is known to be silent is abandoned.
    */
-  #shouldAbandon(attempt: RoutedAttempt): boolean {
+  #shouldAbandon(attempt: CallAttempt): boolean {
     const canAbandon = !this.#dependencies.queriesLoad || attempt.silent
     return canAbandon && this.#options.route.repeatable && !this.#callerResponse.hasStarted && this.#mayRetry()
   }
@@ -355,7 +456,7 @@
     return true
   }
 
-  #cancel(attempt: RoutedAttempt, cause: CodeName): void {
+  #cancel(attempt: CallAttempt, cause: CodeName): void {
     this.#attempts.delete(attempt)
     attempt.cancel(cause)
   }
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -1,6 +1,6 @@
 /** The response to the caller: a problem document, a stored response or the forwarded response of a server. */
 import type { ServerResponse } from 'node:http'
-import { toProblem, type Failure } from '@bilberrystall/base'
+import { toProblem, type CodeName, type Failure } from '@bilberrystall/base'
 import type { ResponseHead } from './head'
 
 /**
@@ -15,18 +15,27 @@
 const MAX_BUFFERED_MS = 30
 const PROBLEM_TYPE = 'application/problem+json'
 
+export interface CallerResponseOptions {
+  readonly response: ServerResponse
+  /** Returns whether the connection to the caller closes after the response. */
+  readonly shouldClose: () => boolean
+  /** Returns header fields to add, as alternating names and values, for the result of the call. */
+  readonly added?: (result: CodeName | 'complete') => readonly string[]
+}
+
 export class CallerResponse {
   readonly #response: ServerResponse
   readonly #shouldClose: () => boolean
+  readonly #added: (result: CodeName | 'complete') => readonly string[]
   #head: ResponseHead | undefined
   #bufferedBytes = 0
   #flushTimer: NodeJS.Timeout | undefined
   readonly #buffered: Buffer[] = []
 
-  /** `shouldClose` returns whether the connection to the caller closes after the response. */
-  constructor(response: ServerResponse, shouldClose: () => boolean) {
+  constructor({ response, shouldClose, added = () => [] }: CallerResponseOptions) {
     this.#response = response
     this.#shouldClose = shouldClose
+    this.#added = added
   }
 
   /** Whether any byte of a response may have reached the caller. */
@@ -47,8 +56,10 @@
     this.reset()
     const body = { ...toProblem(cause), ...members }
     const text = Buffer.from(JSON.stringify(body))
-    const head = { ...fields, 'content-type': PROBLEM_TYPE, 'content-length': String(text.length) }
-    this.#response.writeHead(body.status, this.#shouldClose() ? { ...head, connection: 'close' } : head)
+    const length = String(text.length)
+    const head = [...Object.entries(fields).flat(), 'content-type', PROBLEM_TYPE, 'content-length', length]
+    const close = this.#shouldClose() ? ['connection', 'close'] : []
+    this.#response.writeHead(body.status, [...head, ...this.#added(cause.code), ...close])
     this.#response.end(text)
   }
 
@@ -129,6 +140,9 @@
   #writeHead(): void {
     if (this.#head === undefined || this.#response.headersSent) return
     const { status, fields } = this.#head
-    this.#response.writeHead(status, this.#shouldClose() ? [...fields, 'connection', 'close'] : (fields as string[]))
+    const added = this.#added('complete')
+    const close = this.#shouldClose() ? ['connection', 'close'] : []
+    const isUnchanged = added.length === 0 && close.length === 0
+    this.#response.writeHead(status, isUnchanged ? (fields as string[]) : [...fields, ...added, ...close])
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,17 +18,18 @@
   type ServerId,
 } from '@bilberrystall/base'
 import { createKey } from '@bilberrystall/claims'
-import { matchRoute, type Document, type Route } from '@bilberrystall/document'
+import type { Document } from '@bilberrystall/document'
 import type { Router, Server, ServerChange } from '@bilberrystall/routing'
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import { Call, type EndedCall } from './call'
+import { CallPreparation } from './call-preparation'
 import type { CallDependencies, LostCall } from './call-dependencies'
 import type { ClaimCoordinator } from './claim-coordinator'
 import type { Address } from './connection'
 import { DEFAULT_DIALECT, type Dialect } from './dialect'
-import { ContextCodec, appendHop, type CallContext } from './context'
-import { parseRequestHead, type RequestHead } from './head'
+import { ContextCodec } from './context'
+import { parseRequestHead } from './head'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { respondToParseError } from './parse-error'
 import { ConnectionPool } from './connection-pool'
@@ -38,12 +39,10 @@
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
 import { checkServer, type ServerCheck } from './server-check'
-import { TrafficSplitter } from './traffic-splitter'
-import { RoutePriorities } from './route-priorities'
+import { RelayPeers, type RelayPeer } from './relay-peers'
+import { relayResponseFields } from './relay-response'
 
 const INTERNAL_PREFIX = '/.bilberrystall/'
-/** Subtracted from the timeout that a caller sends, to leave time for the response to reach it. */
-const RESPONSE_ALLOWANCE_MS = 20
 /** Interval of the check for idle connections. Short compared with the idle timeout of several seconds. */
 const IDLE_SWEEP_INTERVAL_MS = 1_000
 /** Interval at which a drain closes idle connections and checks whether others are left. */
@@ -69,6 +68,8 @@
   readonly callEnded?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
   /** The use of a server changed. */
   readonly serverChanged?: (change: ServerChange) => void
+  /** A call was passed on to another entry. */
+  readonly callRelayed?: () => void
   /** This entry lost its way to all servers, or reaches one again. */
   readonly reachabilityChanged?: (isCutOff: boolean) => void
   /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
@@ -90,6 +91,12 @@
   /** Returns the number of live entries, including this one. */
   readonly liveEntries: () => number
   readonly claims?: ClaimCoordinator
+  /** Returns the number of the document in force, which grows with each change. */
+  readonly revision?: () => number
+  /** Listen address for calls of other entries; absent: none are accepted. */
+  readonly relayListen?: Address
+  /** Returns the entries that accept calls of this one while it reaches no server. */
+  readonly relayPeers?: () => readonly RelayPeer[]
   /** Withholds requests from servers that they would crash. */
   readonly gate?: RequestGate
   readonly events?: EntryEvents
@@ -105,8 +112,10 @@
   readonly #driver: RouterDriver
   readonly #codec: ContextCodec
   readonly #dialect: Dialect
-  readonly #trafficSplitter: TrafficSplitter
-  readonly #routePriorities = new RoutePriorities()
+  readonly #preparation: CallPreparation
+  readonly #relayPeers: RelayPeers
+  /** Accepts calls of other entries; undefined if this entry does not. */
+  readonly #relayHttp: HttpServer | undefined
   readonly #callDependencies: CallDependencies
   readonly #reachability: ReachabilityMonitor
   readonly #pools = new Map<ServerId, ConnectionPool>()
@@ -128,7 +137,18 @@
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
-    this.#trafficSplitter = new TrafficSplitter(options.random)
+    this.#preparation = new CallPreparation({
+      document: options.document,
+      revision: () => this.#revision(),
+      codec: this.#codec,
+      clock: this.#clock,
+      random: options.random,
+    })
+    this.#relayPeers = new RelayPeers({
+      peers: () => options.relayPeers?.() ?? [],
+      limits: this.#limits,
+      clock: this.#clock,
+    })
     this.#driver = new RouterDriver({
       router: options.router,
       now: this.#clock.monotonic,
@@ -143,11 +163,15 @@
       random: options.random,
       now: this.#clock.monotonic,
       dialect: this.#dialect,
-      onChange: (isCutOff) => options.events?.reachabilityChanged?.(isCutOff),
+      onChange: (isCutOff) => {
+        options.events?.reachabilityChanged?.(isCutOff)
+        if (isCutOff) for (const call of this.#calls) call.onCutOff()
+      },
     })
     this.#callDependencies = this.#createCallDependencies()
     this.#handleInternal = getRequestListener(this.#createInternalApp().fetch)
-    this.#http = this.#createServer()
+    this.#http = this.#createServer(false)
+    this.#relayHttp = options.relayListen === undefined ? undefined : this.#createServer(true)
   }
 
   /** Port of the listener; differs from the configured port when that is 0. */
@@ -159,18 +183,32 @@
     return this.#calls.size
   }
 
+  /** Port of the listener for calls of other entries. */
+  get relayPort(): number {
+    return (this.#relayHttp?.address() as AddressInfo | null | undefined)?.port ?? 0
+  }
+
   /** Starts to listen. Fails with `address-in-use`. */
-  start(): Promise<Result<void, Failure>> {
-    const { host, port } = this.#options
-    this.#poolSweep = setInterval(() => {
+  async start(): Promise<Result<void, Failure>> {
+    const { host, port, relayListen } = this.#options
+    const listening = await this.#listen(this.#http, { host, port })
+    if (listening.isErr() || this.#relayHttp === undefined || relayListen === undefined) return listening
+    // The connections of other entries are kept longer than these keep them.
+    this.#relayHttp.keepAliveTimeout = 2 * this.#limits.idleCloseMs
+    return this.#listen(this.#relayHttp, relayListen)
+  }
+
+  #listen(server: HttpServer, { host, port }: Address): Promise<Result<void, Failure>> {
+    this.#poolSweep ??= setInterval(() => {
       for (const pool of this.#pools.values()) pool.sweep()
+      this.#relayPeers.sweep()
     }, IDLE_SWEEP_INTERVAL_MS)
     return new Promise((resolve) => {
-      this.#http.once('error', (cause) => {
+      server.once('error', (cause) => {
         clearInterval(this.#poolSweep)
         resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
       })
-      this.#http.listen(port, host, () => {
+      server.listen(port, host, () => {
         resolve(ok(undefined))
       })
     })
@@ -181,8 +219,7 @@
     const { headMs, idleMs } = document.callerLimits
     this.#http.headersTimeout = headMs
     this.#http.keepAliveTimeout = idleMs
-    this.#routePriorities.configure(document)
-    this.#trafficSplitter.configure(document)
+    this.#preparation.configure(document)
   }
 
   /** Adds or updates a server. A changed address closes its connection pool. */
@@ -216,9 +253,11 @@
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining()
     this.#http.close()
+    this.#relayHttp?.close()
     const start = this.#clock.monotonic()
     for (;;) {
       this.#http.closeIdleConnections()
+      this.#relayHttp?.closeIdleConnections()
       const elapsed = this.#clock.monotonic() - start
       const waitsForHead = elapsed < Math.min(timeoutMs, HALF_RECEIVED_LIMIT_MS) && (await this.#countConnections()) > 0
       if (this.callsInFlight === 0 && !waitsForHead) return true
@@ -242,14 +281,17 @@
     clearInterval(this.#poolSweep)
     clearTimeout(this.#callSweep)
     this.#reachability.stop()
-    this.#http.close()
-    this.#http.closeAllConnections()
+    for (const server of [this.#http, this.#relayHttp]) {
+      server?.close()
+      server?.closeAllConnections()
+    }
+    this.#relayPeers.close()
     for (const server of [...this.#pools.keys()]) this.#closePool(server)
     await this.#options.claims?.settled()
     this.#driver.stop()
   }
 
-  #createServer(): HttpServer {
+  #createServer(isRelay: boolean): HttpServer {
     const server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -261,7 +303,7 @@
         noDelay: true,
       },
       (request, response) => {
-        this.#accept(request, response)
+        this.#accept(request, response, isRelay)
       },
     )
     server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
@@ -294,6 +336,9 @@
       queriesLoad: this.#options.router.queriesLoad,
       gate: this.#options.gate ?? OPEN_GATE,
       reachability: this.#reachability,
+      relayPeers: this.#relayPeers,
+      revision: () => this.#revision(),
+      onRelayed: () => this.#options.events?.callRelayed?.(),
       onLost: (lost) => void this.#reportLost(lost),
       onClosed: (call) => {
         this.#calls.delete(call)
@@ -310,23 +355,28 @@
     return app
   }
 
-  #accept(request: IncomingMessage, response: ServerResponse): void {
+  #accept(request: IncomingMessage, response: ServerResponse, isRelayed: boolean): void {
     const { socket } = request
     this.#responsesInProgress.set(socket, (this.#responsesInProgress.get(socket) ?? 0) + 1)
     response.once('close', () =>
       this.#responsesInProgress.set(socket, (this.#responsesInProgress.get(socket) ?? 1) - 1),
     )
-    if (request.url?.startsWith(INTERNAL_PREFIX) === true) {
+    if (!isRelayed && request.url?.startsWith(INTERNAL_PREFIX) === true) {
       this.#handleInternal(request, response)
       return
     }
-    const prepared = parseRequestHead(request, this.#dialect).andThen((head) => this.#prepareCall(head))
+    const parsed = parseRequestHead(request, this.#dialect)
+    const prepared = parsed.andThen((head) =>
+      isRelayed ? this.#preparation.prepareRelayed(head) : this.#preparation.prepare(head),
+    )
     if (prepared.isErr()) {
       const received = request.headers['content-length'] === undefined && !('transfer-encoding' in request.headers)
-      const callerResponse = new CallerResponse(
+      const head = parsed.unwrapOr({ attemptId: undefined })
+      const callerResponse = new CallerResponse({
         response,
-        () => (this.#draining && this.#responsesInProgress.get(socket) === 1) || !received,
-      )
+        shouldClose: () => (this.#draining && this.#responsesInProgress.get(socket) === 1) || !received,
+        ...(isRelayed ? { added: (result) => relayResponseFields(result, head, this.#callDependencies) } : {}),
+      })
       const isNotReady = prepared.error.code === 'notReady'
       callerResponse.problem(
         prepared.error,
@@ -336,7 +386,7 @@
       return
     }
     const call = new Call(
-      { request, response, isLast: () => this.#responsesInProgress.get(socket) === 1, ...prepared.value },
+      { request, response, isLast: () => this.#responsesInProgress.get(socket) === 1, isRelayed, ...prepared.value },
       this.#callDependencies,
     )
     this.#calls.add(call)
@@ -344,35 +394,6 @@
     call.start()
   }
 
-  #prepareCall(
-    head: RequestHead,
-  ): Result<{ head: RequestHead; document: Document; route: Route; context: CallContext }, Failure> {
-    const document = this.#options.document()
-    if (document === undefined) return err(failure('notReady'))
-    const match = matchRoute(document, head.host, head.method, head.path)
-    if (match.kind === 'none') return err(failure('noRoute'))
-    if (match.kind === 'method-not-allowed') return err(failure('methodNotAllowed'))
-    if (head.bytes > document.callerLimits.headBytes) return err(failure('headTooLarge'))
-    const route = this.#trafficSplitter.selectService(match.route)
-    return this.#createContext(head, route).map((context) => ({ head, document, route, context }))
-  }
-
-  #createContext(head: RequestHead, route: Route): Result<CallContext, Failure> {
-    const now = this.#clock.unix()
-    const parent = head.context === undefined ? undefined : this.#codec.verify(head.context, now)
-    const callerTimeoutMs = head.callerTimeoutMs === undefined ? Infinity : head.callerTimeoutMs - RESPONSE_ALLOWANCE_MS
-    const deadline = Math.min(now + route.deadlineMs, now + callerTimeoutMs, parent?.deadline ?? Infinity)
-    if (deadline <= now) return err(failure('deadlineNotRun'))
-    const hop = { service: route.service, method: head.method, path: head.path }
-    const deferrable = this.#routePriorities.isDeferrable(route) || parent?.urgency === 'deferrable'
-    return appendHop(parent?.hops ?? [], hop).map((hops) => ({
-      deadline,
-      attempts: Math.min(route.attempts, Math.max(1, parent?.attempts ?? Infinity)),
-      urgency: deferrable ? 'deferrable' : 'urgent',
-      hops,
-    }))
-  }
-
   #pool(id: ServerId): ConnectionPool | undefined {
     const known = this.#pools.get(id)
     const server = this.#servers.get(id)
@@ -388,6 +409,10 @@
     return pool
   }
 
+  #revision(): number {
+    return this.#options.revision?.() ?? 0
+  }
+
   #readyServers(): readonly ProbedServer[] {
     return [...this.#servers.values()]
       .filter(({ state }) => state === 'ready')
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -7,6 +7,15 @@
 import type { Load } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
 import { parseRateLimit, type Dialect } from './dialect'
+import {
+  decodeRelayResult,
+  parseInteger,
+  readRelayFields,
+  RELAY_RESULT_HEADER,
+  RELAY_REVISION_HEADER,
+  type RelayFields,
+  type RelayResult,
+} from './relay-protocol'
 
 export const SYSTEM_PREFIX = 'bilberrystall-'
 /** 421 Misdirected Request: another process than the one named in the request received it. */
@@ -50,6 +59,8 @@
   readonly callerTimeoutMs: number | undefined
   /** Attempt id sent by the caller, if the dialect has one. */
   readonly attemptId: AttemptId | undefined
+  /** Fields of a call that another entry passed on. */
+  readonly relay: RelayFields | undefined
   /** Size of the head in bytes. */
   readonly bytes: number
 }
@@ -82,6 +93,7 @@
       ? parseTimeMs(firstValue(headers[dialect.deadlineHeader]))
       : undefined,
     attemptId: parseAttemptId(dialect.attemptHeader === undefined ? undefined : headers[dialect.attemptHeader]),
+    relay: readRelayFields((name) => firstValue(headers[name])),
     bytes: headBytes(request),
   })
 }
@@ -159,6 +171,10 @@
   /** Instance id of the server process that responded. */
   readonly instance: string | undefined
   readonly signed: boolean
+  /** Result of a call that was passed on to another entry, and the revision of the document there. */
+  readonly relayResult: RelayResult | undefined
+  readonly relayRevision: number | undefined
+  readonly retryAfter: string | undefined
   /** Whether the body has a content encoding, which is invalid because no caller requests one. */
   readonly encoded: boolean
 }
@@ -176,6 +192,9 @@
   let signed = false
   let instance: string | undefined
   let encoded = false
+  let relayResult: RelayResult | undefined
+  let relayRevision: number | undefined
+  let retryAfter: string | undefined
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
     const value = raw[index + 1]?.toString('latin1') ?? ''
@@ -189,6 +208,9 @@
     else if (lower === 'content-encoding') encoded = true
     else if (lower === 'connection') hopByHop = connectionOptions(value)
     else if (lower === 'content-type') contentType = value
+    else if (lower === 'retry-after') retryAfter = value
+    else if (lower === RELAY_RESULT_HEADER) relayResult = decodeRelayResult(value)
+    else if (lower === RELAY_REVISION_HEADER) relayRevision = parseInteger(value)
     if (lower === 'content-length' || lower === 'transfer-encoding') delimited = true
     if (lower === 'content-length') length = Number(value)
     const isForEntry =
@@ -210,6 +232,9 @@
     signed,
     encoded,
     instance,
+    relayResult,
+    relayRevision,
+    retryAfter,
   }
 }
 
--- a/packages/entry/src/request-body.ts
+++ b/packages/entry/src/request-body.ts
@@ -57,6 +57,11 @@
     return hash.digest()
   }
 
+  /** Whether the body can be sent: it is buffered, or no part of it was streamed yet. */
+  get canSend(): boolean {
+    return !this.#streaming
+  }
+
   /** Whether the whole body has been received. */
   get received(): boolean {
     return this.#ended || this.#options.request.complete
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -5,6 +5,7 @@
 import type { CodeName, ServerId } from '@bilberrystall/base'
 import type { Call as RouterCall, CallId } from '@bilberrystall/routing'
 import { Attempt, type AttemptFailure } from './attempt'
+import type { CallAttempt } from './call-attempt'
 import type { CallDependencies } from './call-dependencies'
 import type { ExchangeRequest } from './exchange'
 import type { ResponseHead } from './head'
@@ -38,7 +39,7 @@
   readonly events: RoutedAttemptEvents
 }
 
-export class RoutedAttempt implements RoutedCall {
+export class RoutedAttempt implements RoutedCall, CallAttempt {
   readonly id: CallId
   readonly #options: RoutedAttemptOptions
   #loadQuery: LoadQuery | undefined
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -56,6 +56,10 @@
   readonly ejected: readonly string[]
   /** Replica that this node, as a seed, chose to bootstrap the cluster. */
   readonly founder?: ReplicaId
+  /** Address on which this entry accepts calls of other entries. */
+  readonly relay?: string
+  /** Whether this entry reaches no server. */
+  readonly cutOff?: boolean
   /** Ends of servers while they ran a request, as seen by this node or kept for others. */
   readonly crashReports?: readonly CrashReport[]
   /** Requests about which earlier crash reports no longer count. */
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -9,6 +9,7 @@
   RpcClaimTransport,
   SYSTEM_CLOCK,
   type EndedCall,
+  type RelayPeer,
 } from '@bilberrystall/entry'
 import type { DirectoryChange, Server } from '@bilberrystall/membership'
 import { Router, type RetryLimits, type ServerChange } from '@bilberrystall/routing'
@@ -55,6 +56,7 @@
   readonly #latency: Histogram
   readonly #failures: FailureLog
   readonly #lostCalls: Counter<'check'>
+  readonly #relayed: Counter
   readonly #ejected = new Set<string>()
   #isCutOff = false
   /** Servers that name a rate limit. */
@@ -75,6 +77,7 @@
       'Calls whose connection to the server broke, by the state of the server right after',
       ['check'],
     )
+    this.#relayed = context.metrics.counter('calls_relayed_total', 'Calls passed on to another entry', [])
     const omitted = context.metrics.counter(
       'log_lines_omitted_total',
       'Log lines of failed calls omitted by the rate limit',
@@ -116,6 +119,9 @@
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
       gate: options.quarantine.gate,
+      revision: () => this.#revision(),
+      ...(settings.relayListen === undefined ? {} : { relayListen: splitAddress(settings.relayListen) }),
+      relayPeers: () => this.#relayPeers(),
       events: {
         callEnded: (result, latencyMs, call) => {
           this.#callEnded(result, latencyMs, call)
@@ -127,6 +133,11 @@
           if (isCutOff) context.log.warn('serversUnreachable')
           else context.log.info('serversReachable')
           this.#isCutOff = isCutOff
+          context.announce({ cutOff: isCutOff })
+          void context.gossip.pushToPeers()
+        },
+        callRelayed: () => {
+          this.#relayed.inc()
         },
         callLost: (lost, start, check) => {
           this.#lostCalls.inc({ check })
@@ -210,12 +221,30 @@
   #collectEntries(): readonly NodeId[] {
     const { context, settings } = this.#options
     const others = [...context.directory.nodes.values()].filter(
-      ({ node, roles, environment }) =>
-        node !== context.self && roles.includes('entry') && environment === settings.environment,
+      ({ node, roles, environment, cutOff }) =>
+        node !== context.self && roles.includes('entry') && environment === settings.environment && cutOff !== true,
     )
     return [context.self, ...others.map(({ node }) => node)].sort()
   }
 
+  /** Entries to which calls can be passed on while this one reaches no server. */
+  #relayPeers(): readonly RelayPeer[] {
+    const { context } = this.#options
+    const peers: RelayPeer[] = []
+    for (const node of this.#liveEntries()) {
+      const record = context.directory.nodes.get(node)
+      if (node === context.self || record?.relay === undefined || record.state !== 'serving') continue
+      const isNear = record.failureDomain === context.settings.failureDomain
+      peers.push({ node, address: splitAddress(record.relay), isNear })
+    }
+    return peers
+  }
+
+  #revision(): number {
+    const { documentStore, settings } = this.#options
+    return documentStore.inForce(settings.environment)?.revision ?? 0
+  }
+
   applyChanges(changes: readonly DirectoryChange[]): void {
     this.#controlClient.applyChanges(changes)
     for (const change of changes) {
--- a/packages/node/src/gossip-codec.ts
+++ b/packages/node/src/gossip-codec.ts
@@ -130,6 +130,8 @@
         digest: toDigest(document.digest),
       })),
       ejected: message.ejected,
+      ...(message.relay === '' ? {} : { relay: message.relay }),
+      cutOff: message.cutOff,
       crashReports: message.crashReports.map(({ request, process, at }) => ({
         request: requestId(request),
         process: process as ProcessId,
--- a/packages/node/src/node-record.ts
+++ b/packages/node/src/node-record.ts
@@ -12,6 +12,7 @@
     region: settings.region,
     environment: settings.entry?.environment ?? environmentName(''),
     state: 'starting',
+    ...(settings.entry?.relayListen === undefined ? {} : { relay: settings.entry.relayListen }),
     disk: '',
     documents: [],
     ejected: [],
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -24,6 +24,8 @@
   readonly environment: Environment
   /** Listen address for callers. */
   readonly listen: string
+  /** Listen address for calls of other entries that reach no server; undefined if this entry accepts none. */
+  readonly relayListen: string | undefined
   /** Undefined if servers need no key. */
   readonly serverKey: string | undefined
   /** How long the health endpoint reports `leaving` before connections are refused. */
@@ -97,6 +99,9 @@
     .strictObject({
       environment: field.name,
       listen: field.address,
+      'relay-listen': field.address.optional(),
+      // For platforms that hand out a range of ports: added to the port of `address`.
+      'relay-port-offset': field.integer(1, 1_000).optional(),
       'server-key-file': z.string().min(1).optional(),
       renewal: field.duration(100, 60_000).optional(),
       'balancer-grace': field.duration(0, 60_000).default(3000),
@@ -139,7 +144,8 @@
   const keyFile = node['node-key-file']
   const nodeKey = keyFile === undefined ? ok('') : readSecret(folder, keyFile)
   if (nodeKey.isErr()) return err(nodeKey.error)
-  const entrySettings = node.roles.includes('entry') && entry !== undefined ? readEntry(entry, folder) : ok(undefined)
+  const entrySettings =
+    node.roles.includes('entry') && entry !== undefined ? readEntry(entry, node.address, folder) : ok(undefined)
   if (entrySettings.isErr()) return err(entrySettings.error)
   const controlSettings =
     node.roles.includes('control') && control !== undefined ? readControl(control, folder) : ok(undefined)
@@ -161,12 +167,17 @@
   })
 }
 
-function readEntry(raw: NonNullable<RawSettings['entry']>, folder: string): Result<EntrySettings, Failure> {
+function readEntry(
+  raw: NonNullable<RawSettings['entry']>,
+  address: string,
+  folder: string,
+): Result<EntrySettings, Failure> {
   const keyFile = raw['server-key-file']
   const key: Result<string | undefined, Failure> = keyFile === undefined ? ok(undefined) : readSecret(folder, keyFile)
   return key.map((serverKey) => ({
     environment: environmentName(raw.environment),
     listen: raw.listen,
+    relayListen: raw['relay-listen'] ?? withPortOffset(address, raw['relay-port-offset']),
     serverKey,
     balancerGraceMs: raw['balancer-grace'],
     stopLimitMs: raw['stop-limit'],
@@ -195,6 +206,12 @@
   return port === undefined ? address : `${address.slice(0, address.lastIndexOf(':'))}:${port}`
 }
 
+function withPortOffset(address: string, offset: number | undefined): string | undefined {
+  if (offset === undefined) return undefined
+  const colon = address.lastIndexOf(':')
+  return `${address.slice(0, colon)}:${Number(address.slice(colon + 1)) + offset}`
+}
+
 function readSecret(folder: string, file: string): Result<string, Failure> {
   return readText(resolve(folder, file)).andThen((text) => {
     const secret = text.trim()
--- a/packages/node/test/start-on-full-disk.test.ts
+++ b/packages/node/test/start-on-full-disk.test.ts
@@ -37,6 +37,7 @@
       environment: environmentName('production'),
       listen: await address(),
       serverKey: undefined,
+      relayListen: undefined,
       balancerGraceMs: 0,
       stopLimitMs: 100,
       renewalMs: undefined,
--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -214,6 +214,14 @@
     return new FakeServerProcess(process, address, control)
   }
 
+  /** Starts a fake server behind a proxy of the network, which can cut it off from single nodes. */
+  async startProxiedServer(options: FakeServerOptions): Promise<FakeServerProcess> {
+    const proxy = await this.network.addServer()
+    const server = await this.startFakeServer({ ...options, announcedAddress: proxy.address })
+    proxy.target = server.address
+    return server
+  }
+
   /** Runs a command of the product against the control nodes. `transcript` records it with its output. */
   async runCommand(
     args: readonly string[],
@@ -334,7 +342,14 @@
     const rpcListen = await port()
     const proxyPort = await freePort()
     const address = `127.0.0.1:${proxyPort}`
-    const addresses = { callers: await port(), operators: await port(), status: await port(), address, rpcListen }
+    const addresses = {
+      callers: await port(),
+      relayListen: await port(),
+      operators: await port(),
+      status: await port(),
+      address,
+      rpcListen,
+    }
     await this.network.addNode(options.name, rpcListen, proxyPort)
     return new ClusterNode(options, addresses, (node) => this.#startProcess(node))
   }
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -6,6 +6,9 @@
 import { readdirSync, readFileSync, readlinkSync } from 'node:fs'
 import { FaultProxy } from './fault-proxy'
 
+/** The discard port: nothing is sent before the target is known. */
+const UNKNOWN_TARGET = '127.0.0.1:9'
+
 /** Indexes of the columns of `/proc/net/tcp`. */
 const LOCAL_COLUMN = 1
 const REMOTE_COLUMN = 2
@@ -13,6 +16,7 @@
 
 export class Network {
   readonly #proxies = new Map<string, FaultProxy>()
+  readonly #serverProxies: FaultProxy[] = []
   readonly #pids = new Map<string, number>()
 
   /** Starts the proxy of a node; the other nodes connect to the address of the proxy. */
@@ -22,6 +26,21 @@
     return proxy
   }
 
+  /** Starts a proxy in front of a server, whose address is its target once it is known. */
+  async addServer(): Promise<FaultProxy> {
+    const proxy: FaultProxy = new FaultProxy({
+      target: UNKNOWN_TARGET,
+      identifyPeer: (localPort) => this.#findNode(localPort, Number(proxy.address.split(':').at(-1))),
+    })
+    this.#serverProxies.push(await proxy.start())
+    return proxy
+  }
+
+  /** Holds back all bytes between the node and all servers; other nodes still reach both. */
+  cutOffFromServers(node: string): void {
+    for (const proxy of this.#serverProxies) proxy.freeze({ kind: 'peer', peer: node })
+  }
+
   /** Sets the id of the current process of a node. */
   setProcessId(node: string, pid: number): void {
     this.#pids.set(node, pid)
@@ -47,11 +66,11 @@
   }
 
   heal(): void {
-    for (const proxy of this.#proxies.values()) proxy.heal()
+    for (const proxy of [...this.#proxies.values(), ...this.#serverProxies]) proxy.heal()
   }
 
   async stop(): Promise<void> {
-    await Promise.all([...this.#proxies.values()].map((proxy) => proxy.stop()))
+    await Promise.all([...this.#proxies.values(), ...this.#serverProxies].map((proxy) => proxy.stop()))
   }
 
   #findNode(localPort: number, remotePort: number): string | undefined {
--- a/packages/testkit/src/ports.ts
+++ b/packages/testkit/src/ports.ts
@@ -36,6 +36,17 @@
   }
 }
 
+/** Returns successive ports. */
+export async function freePortRange(count: number): Promise<readonly number[]> {
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = await freePort()
+    if (ports.length > 0 && port !== (ports.at(-1) ?? 0) + 1) ports.splice(0)
+    ports.push(port)
+  }
+  return ports
+}
+
 async function reserveBlock(): Promise<Block> {
   const start = randomInt(BLOCK_COUNT)
   for (let offset = 0; offset < BLOCK_COUNT; offset += 1) {
