Close a connection after a refusal that names no attempt

A report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told not run for requests that ran. It could happen here: a refusal without an attempt id was accepted for any request. Cause: the connection stayed in use, and a second copy cannot be told from the refusal of the next request. Now such a connection is closed, so no second copy can meet a request. A refusal that names another attempt was rejected before.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -7,7 +7,7 @@
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange, type ExchangeRequest } from './exchange'
-import { MISDIRECTED, type ResponseHead } from './head'
+import { isUnnamedRefusal, MISDIRECTED, type ResponseHead } from './head'
 import type { AcquireCallback, ConnectionPool } from './connection-pool'
 import type { RequestBody } from './request-body'
 
@@ -169,7 +169,7 @@
   #onExchangeEnded(exchange: Exchange): void {
     const { head, connection } = exchange
     if (head === undefined) return
-    if (this.#options.body.received) this.#pool?.release(connection)
+    if (this.#options.body.received && !isUnnamedRefusal(head)) this.#pool?.release(connection)
     else connection.destroy()
     if (this.#discardResponse) {
       this.#onNotRun(head)
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -179,6 +179,14 @@
   readonly encoded: boolean
 }
 
+/**
+ * Whether the response is a refusal that names no attempt. A second copy of it could be taken for the response to the
+ * next request, so its connection must not be used again.
+ */
+export function isUnnamedRefusal({ notRun, attemptId }: ResponseHead): boolean {
+  return notRun && attemptId === undefined
+}
+
 export function parseResponseHead(status: number, raw: readonly Buffer[], dialect: Dialect): ResponseHead {
   const fields: string[] = []
   let notRun = false
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -7,6 +7,7 @@
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange } from './exchange'
+import { isUnnamedRefusal } from './head'
 import type { ConnectionPool } from './connection-pool'
 
 /** Timeout of a load query. A connection that times out is destroyed. */
@@ -94,7 +95,8 @@
     if (isOtherProcess) onMisdirected(server)
     else if (head !== undefined) driver.responded(server, head)
     if (isOtherProcess || head?.notRun === true) {
-      pool.release(connection)
+      if (isUnnamedRefusal(head)) connection.destroy()
+      else pool.release(connection)
       this.#reportRefused(server)
       return
     }
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -2,6 +2,7 @@
 import type { ExchangeOutcome, Load } from '@bilberrystall/routing'
 import type { Dialect } from './dialect'
 import { Exchange } from './exchange'
+import { isUnnamedRefusal } from './head'
 import type { ConnectionPool } from './connection-pool'
 
 export interface ProbeTarget {
@@ -44,7 +45,8 @@
         head: () => undefined,
         data: () => true,
         ended: () => {
-          pool.release(connection)
+          if (exchange?.head !== undefined && isUnnamedRefusal(exchange.head)) connection.destroy()
+          else pool.release(connection)
           report((exchange?.head?.status ?? 500) >= 500 ? 'error' : 'ok')
         },
         failed: () => {
