Refuse calls that a planned stop cannot finish, and answer those that it ends

It could happen here: an entry took calls until its limit without comparing their time with the time that is left, and closed all connections at the end. Before: two new tests failed (a call was passed on that could not end; a running call got no answer). Now a call for which the rest of the stop is too short is refused as not run, so its caller can use another entry, and calls that still run at the end get an answer that says unknown or not run. The time a call needs is the least of its deadline and the greater of its target and twice the 95th percentile of its service.

--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -25,6 +25,7 @@
 import { CallerResponse } from './caller-response'
 import { RelayAttempt, type RelayFailure } from './relay-attempt'
 import type { RelayPeer } from './relay-peers'
+import { saysNothingOfServers } from './relay-protocol'
 import { relayResponseFields } from './relay-response'
 import { RequestBody } from './request-body'
 import { identifyRequest } from './request-identity'
@@ -36,8 +37,6 @@
 const SERVER_ERROR = 500
 /** Entries that a call is passed on to, one after the other, before it fails. */
 const MAX_RELAY_PEERS = 3
-/** Failures of another entry that say nothing about the servers as seen by a third one. */
-const OTHER_PEER_CODES: ReadonlySet<CodeName> = new Set(['connectFailed', 'noServer', 'notReady', 'entryLeaving'])
 
 /** Default `retry-after`: a server is likely to be free after the duration of a typical call. */
 const DEFAULT_RETRY_AFTER_MS = 100
@@ -171,6 +170,11 @@
     return [...this.#attempts].some(({ sent }) => sent)
   }
 
+  /** This entry ends: the call fails, as unknown if a server may have run it. */
+  onEntryEnd(): void {
+    this.#fail('entryLeaving')
+  }
+
   /**
    * This entry has lost its way to the servers. A call that no server has got is passed on to another entry; a repeatable
    * one that was sent is passed on as well, and its attempt continues in case the response still arrives.
@@ -263,7 +267,7 @@
     const isUnknown = resultCode(code).outcome === 'unknown'
     if (isUnknown) this.#recordUnknown(code)
     if (this.#attempts.size > 0) return
-    const mayRepeat = isUnknown ? this.#options.route.repeatable && this.#mayRetry() : OTHER_PEER_CODES.has(code)
+    const mayRepeat = isUnknown ? this.#options.route.repeatable && this.#mayRetry() : saysNothingOfServers(code)
     if (mayRepeat && !this.#callerResponse.hasStarted && this.#mayRelay()) {
       this.#callerResponse.reset()
       this.#submit()
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,6 @@
  * force and forwards them to servers. Calls use the request and response objects of Node.js directly; hono routes only
  * the internal endpoints under `/.bilberrystall/`.
  */
-import { randomBytes } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -17,19 +16,18 @@
   type RandomSource,
   type ServerId,
 } from '@bilberrystall/base'
-import { createKey } from '@bilberrystall/claims'
 import type { Document } from '@bilberrystall/document'
 import type { Router, Server, ServerChange } from '@bilberrystall/routing'
-import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import { Call, type EndedCall } from './call'
-import { CallPreparation } from './call-preparation'
+import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies, LostCall } from './call-dependencies'
 import type { ClaimCoordinator } from './claim-coordinator'
 import type { Address } from './connection'
 import { DEFAULT_DIALECT, type Dialect } from './dialect'
 import { ContextCodec } from './context'
 import { parseRequestHead } from './head'
+import { INTERNAL_PREFIX, internalApp } from './internal-app'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { respondToParseError } from './parse-error'
 import { ConnectionPool } from './connection-pool'
@@ -38,11 +36,10 @@
 import { OPEN_GATE, type RequestGate } from './request-gate'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
-import { checkServer, type ServerCheck } from './server-check'
+import { ServerChecks, type ServerCheck } from './server-check'
 import { RelayPeers, type RelayPeer } from './relay-peers'
 import { relayResponseFields } from './relay-response'
 
-const INTERNAL_PREFIX = '/.bilberrystall/'
 /** Interval of the check for idle connections. Short compared with the idle timeout of several seconds. */
 const IDLE_SWEEP_INTERVAL_MS = 1_000
 /** Interval at which a drain closes idle connections and checks whether others are left. */
@@ -51,6 +48,10 @@
 const HALF_RECEIVED_LIMIT_MS = 1_000
 /** `retry-after` of calls that arrive before the entry has a document: an entry finds control within this time. */
 const NOT_READY_RETRY_MS = 1_000
+/** Time in which callers take the answers to calls that a planned stop ended. */
+const ANSWER_LIMIT_MS = 100
+/** Multiple of the 95th percentile of the latency that a planned stop must leave for a call. */
+const LATENCY_MARGIN = 2
 
 /** An announced server with its address and connection limit. */
 export interface EntryServer extends Server {
@@ -121,8 +122,7 @@
   readonly #pools = new Map<ServerId, ConnectionPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
-  /** Checks in progress, shared by all calls that a server loses at the same time. */
-  readonly #serverChecks = new Map<ServerId, Promise<ServerCheck>>()
+  readonly #serverChecks: ServerChecks
   /** Number of responses in progress per caller connection; more than one when requests are pipelined. */
   readonly #responsesInProgress = new WeakMap<Socket, number>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -130,6 +130,8 @@
   /** Set only while calls are in flight. */
   #callSweep: NodeJS.Timeout | undefined
   #draining = false
+  /** Monotonic time in ms at which a planned stop ends the calls in flight. */
+  #endsAt = Number.POSITIVE_INFINITY
 
   constructor(options: EntryOptions) {
     this.#options = options
@@ -157,6 +159,7 @@
       },
       serverChanged: (change) => options.events?.serverChanged?.(change),
     })
+    this.#serverChecks = new ServerChecks(this.#limits.connectMs)
     this.#reachability = new ReachabilityMonitor({
       servers: () => this.#readyServers(),
       serverCount: () => this.#servers.size,
@@ -169,7 +172,7 @@
       },
     })
     this.#callDependencies = this.#createCallDependencies()
-    this.#handleInternal = getRequestListener(this.#createInternalApp().fetch)
+    this.#handleInternal = getRequestListener(internalApp(this.#clock).fetch)
     this.#http = this.#createServer(false)
     this.#relayHttp = options.relayListen === undefined ? undefined : this.#createServer(true)
   }
@@ -240,10 +243,11 @@
 
   /**
    * Makes responses ask callers to close their connections. Call it when the health endpoint starts to report that this
-   * entry is leaving.
+   * entry is leaving. Calls that cannot end within `remainingMs` are refused from then on.
    */
-  startDraining(): void {
+  startDraining(remainingMs = Number.POSITIVE_INFINITY): void {
     this.#draining = true
+    this.#endsAt = Math.min(this.#endsAt, this.#clock.monotonic() + remainingMs)
   }
 
   /**
@@ -251,7 +255,7 @@
    * if calls are still in flight after `timeoutMs`. A request whose head does not arrive is waited for only briefly.
    */
   async drain(timeoutMs: number): Promise<boolean> {
-    this.startDraining()
+    this.startDraining(timeoutMs)
     this.#http.close()
     this.#relayHttp?.close()
     const start = this.#clock.monotonic()
@@ -275,12 +279,17 @@
     })
   }
 
-  /** Closes all connections immediately, which aborts calls in flight. Call `drain` first. */
+  /**
+   * Ends calls in flight with an answer that tells whether they may have run, then closes all connections. Call `drain`
+   * first.
+   */
   async stop(): Promise<void> {
     this.startDraining()
     clearInterval(this.#poolSweep)
     clearTimeout(this.#callSweep)
     this.#reachability.stop()
+    for (const call of this.#calls) call.onEntryEnd()
+    await this.#sendAnswers()
     for (const server of [this.#http, this.#relayHttp]) {
       server?.close()
       server?.closeAllConnections()
@@ -291,6 +300,14 @@
     this.#driver.stop()
   }
 
+  /** Waits for a short time until the answers to ended calls were handed to the operating system. */
+  async #sendAnswers(): Promise<void> {
+    const start = this.#clock.monotonic()
+    while (this.callsInFlight > 0 && this.#clock.monotonic() - start < ANSWER_LIMIT_MS) {
+      await sleep(DRAIN_POLL_INTERVAL_MS)
+    }
+  }
+
   #createServer(isRelay: boolean): HttpServer {
     const server = createServer(
       {
@@ -346,15 +363,6 @@
     }
   }
 
-  #createInternalApp(): Hono {
-    const app = new Hono()
-    app.post(`${INTERNAL_PREFIX}keys`, (context) =>
-      context.json({ key: createKey(this.#clock.unix(), randomBytes(10)) }, 201, { 'cache-control': 'no-store' }),
-    )
-    app.notFound((context) => context.json({ title: 'not found' }, 404))
-    return app
-  }
-
   #accept(request: IncomingMessage, response: ServerResponse, isRelayed: boolean): void {
     const { socket } = request
     this.#responsesInProgress.set(socket, (this.#responsesInProgress.get(socket) ?? 0) + 1)
@@ -366,9 +374,9 @@
       return
     }
     const parsed = parseRequestHead(request, this.#dialect)
-    const prepared = parsed.andThen((head) =>
-      isRelayed ? this.#preparation.prepareRelayed(head) : this.#preparation.prepare(head),
-    )
+    const prepared = parsed
+      .andThen((head) => (isRelayed ? this.#preparation.prepareRelayed(head) : this.#preparation.prepare(head)))
+      .andThen((call) => (this.#canEnd(call) ? ok(call) : err(failure('entryLeaving'))))
     if (prepared.isErr()) {
       const received = request.headers['content-length'] === undefined && !('transfer-encoding' in request.headers)
       const head = parsed.unwrapOr({ attemptId: undefined })
@@ -377,11 +385,7 @@
         shouldClose: () => (this.#draining && this.#responsesInProgress.get(socket) === 1) || !received,
         ...(isRelayed ? { added: (result) => relayResponseFields(result, head, this.#callDependencies) } : {}),
       })
-      const isNotReady = prepared.error.code === 'notReady'
-      callerResponse.problem(
-        prepared.error,
-        isNotReady ? { 'retry-after': this.#dialect.retryAfter(NOT_READY_RETRY_MS) } : {},
-      )
+      callerResponse.problem(prepared.error, this.#retryAfter(prepared.error))
       this.#options.events?.callEnded?.(prepared.error.code, 0)
       return
     }
@@ -409,6 +413,20 @@
     return pool
   }
 
+  /** Whether a planned stop leaves the call enough time. */
+  #canEnd({ route, context }: PreparedCall): boolean {
+    const remaining = context.deadline - this.#clock.unix()
+    const expected = LATENCY_MARGIN * this.#options.router.p95Latency(route.service)
+    const needed = Math.min(remaining, Math.max(expected, route.targetMs ?? 0))
+    return this.#clock.monotonic() + needed <= this.#endsAt
+  }
+
+  #retryAfter({ code }: Failure): Readonly<Record<string, string>> {
+    // Another entry can serve a call at once that this one refuses because it is leaving.
+    if (code === 'entryLeaving') return { 'retry-after': this.#dialect.retryAfter(0) }
+    return code === 'notReady' ? { 'retry-after': this.#dialect.retryAfter(NOT_READY_RETRY_MS) } : {}
+  }
+
   #revision(): number {
     return this.#options.revision?.() ?? 0
   }
@@ -422,18 +440,10 @@
   async #reportLost(lost: LostCall): Promise<void> {
     const server = this.#servers.get(lost.server)
     if (server === undefined) return
-    const check = await this.#checkServer(server)
+    const check = await this.#serverChecks.check(server.id, server.address)
     this.#options.events?.callLost?.(lost, server.start, check)
   }
 
-  #checkServer({ id, address }: EntryServer): Promise<ServerCheck> {
-    const running = this.#serverChecks.get(id)
-    if (running !== undefined) return running
-    const check = checkServer(address, this.#limits.connectMs).finally(() => this.#serverChecks.delete(id))
-    this.#serverChecks.set(id, check)
-    return check
-  }
-
   #connectionShare(id: ServerId): number {
     const limit = this.#servers.get(id)?.connectionLimit ?? 1
     return Math.max(1, Math.floor(limit / Math.max(1, this.#options.liveEntries())))
--- a/packages/entry/src/relay-protocol.ts
+++ b/packages/entry/src/relay-protocol.ts
@@ -17,6 +17,8 @@
 
 const MAX_LEFT_MS = 3_600_000
 
+const OTHER_ENTRY_CODES: ReadonlySet<CodeName> = new Set(['connectFailed', 'noServer', 'notReady', 'entryLeaving'])
+
 /** The relay fields of a request, as received. */
 export interface RelayFields {
   readonly context: string
@@ -64,6 +66,11 @@
   return Object.hasOwn(RESULT_CODES, text) ? (text as CodeName) : undefined
 }
 
+/** Whether the failure of another entry says nothing about the servers, so that a third one may serve the call. */
+export function saysNothingOfServers(code: CodeName): boolean {
+  return OTHER_ENTRY_CODES.has(code)
+}
+
 export function parseInteger(text: string): number | undefined {
   return /^\d{1,15}$/.test(text) ? Number(text) : undefined
 }
--- a/packages/entry/src/server-check.ts
+++ b/packages/entry/src/server-check.ts
@@ -3,6 +3,7 @@
  * or faulty, a lost response, a network partition. Only a host that refuses connections has no process at the address.
  */
 import { connect } from 'node:net'
+import type { ServerId } from '@bilberrystall/base'
 import type { Address } from './connection'
 
 /**
@@ -12,6 +13,24 @@
  */
 export type ServerCheck = 'ended' | 'running' | 'unreachable'
 
+/** Checks of servers; calls that a server loses at the same time share one. */
+export class ServerChecks {
+  readonly #timeoutMs: number
+  readonly #running = new Map<ServerId, Promise<ServerCheck>>()
+
+  constructor(timeoutMs: number) {
+    this.#timeoutMs = timeoutMs
+  }
+
+  check(server: ServerId, address: Address): Promise<ServerCheck> {
+    const running = this.#running.get(server)
+    if (running !== undefined) return running
+    const check = checkServer(address, this.#timeoutMs).finally(() => this.#running.delete(server))
+    this.#running.set(server, check)
+    return check
+  }
+}
+
 export function checkServer(address: Address, timeoutMs: number): Promise<ServerCheck> {
   return new Promise((resolve) => {
     const socket = connect(address)
--- /dev/null
+++ b/packages/entry/test/late-call.test.ts
@@ -0,0 +1,78 @@
+/**
+ * Guards against calls that come late in a planned stop, are passed on to a server, and are cut off without an answer when
+ * the entry ends.
+ */
+import { connect } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { parseDocument } from '@bilberrystall/document'
+import { expect, test } from 'vitest'
+import { respond, sendRaw, startEntry, startFakeServer, waitUntil, type FakeServer } from './harness'
+
+const DOCUMENT = parseDocument(`
+[document]
+title = test
+[service.booking]
+[route.long]
+service = booking
+path = /long
+methods = GET, POST
+target = 2s
+deadline = 10s
+[route.short]
+service = booking
+path = /short
+methods = GET, POST
+target = 100ms
+deadline = 10s
+`)._unsafeUnwrap()
+
+const WORK_MS = 100
+
+function startServer(workMs = WORK_MS): Promise<FakeServer> {
+  return startFakeServer((received) => {
+    setTimeout(() => {
+      respond(received, 'done')
+    }, workMs)
+  })
+}
+
+const post = (path: string) => `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx`
+
+test('a call that cannot end before the entry does is refused as not run, and the connection closes', async () => {
+  const server = await startServer()
+  const { entry, origin } = await startEntry([server], { document: () => DOCUMENT })
+  entry.startDraining(1_000)
+  const response = await sendRaw(origin, post('/long'))
+  expect(response).toMatch(/^HTTP\/1\.1 503 .*"code":19,.*"outcome":"not-run"/s)
+  expect(response.toLowerCase()).toContain('connection: close')
+  expect(server.received).toEqual([])
+})
+
+test('a late call that can still end is served', async () => {
+  const server = await startServer()
+  const { entry, origin } = await startEntry([server], { document: () => DOCUMENT })
+  entry.startDraining(1_000)
+  expect(await sendRaw(origin, post('/short'))).toContain('HTTP/1.1 200')
+})
+
+test('a call that is still running when the entry ends gets an answer that says unknown', async () => {
+  const server = await startServer(60_000)
+  const { entry, origin } = await startEntry([server], { document: () => DOCUMENT })
+  const response = sendRaw(origin, post('/short'))
+  await waitUntil(() => server.received.length === 1)
+  expect(await entry.drain(50)).toBe(false)
+  await entry.stop()
+  expect(await response).toMatch(/^HTTP\/1\.1 502 .*"outcome":"unknown"/s)
+})
+
+test('a caller that does not read does not keep the entry from ending', async () => {
+  const server = await startServer(60_000)
+  const { entry, origin } = await startEntry([server], { document: () => DOCUMENT })
+  const socket = connect(Number(new URL(origin).port), '127.0.0.1')
+  socket.pause()
+  socket.on('error', () => undefined)
+  socket.write(post('/short'))
+  await waitUntil(() => server.received.length === 1)
+  await entry.drain(50)
+  await Promise.race([entry.stop(), sleep(2_000).then(() => Promise.reject(new Error('stop did not end')))])
+})
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -189,7 +189,7 @@
    */
   async drain(): Promise<boolean> {
     const { balancerGraceMs, stopLimitMs } = this.#options.settings
-    this.#entry.startDraining()
+    this.#entry.startDraining(balancerGraceMs + stopLimitMs)
     await sleep(balancerGraceMs)
     return this.#entry.drain(stopLimitMs)
   }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -201,6 +201,11 @@
     return this.#pool(service, now).budget.take(now)
   }
 
+  /** Returns the 95th percentile of the latency of the service in ms. */
+  p95Latency(service: ServiceName): number {
+    return this.#pools.get(service)?.stats.p95Latency ?? 0
+  }
+
   /** Returns the numbers of waiting calls and of calls in flight of a service, for metrics. */
   gauges(service: ServiceName): { readonly waiting: number; readonly inFlight: number } {
     const pool = this.#pools.get(service)
