--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -20,7 +20,7 @@
 import type { CallDependencies } from './call-dependencies'
 import { IdempotencyHandler } from './idempotency-handler'
 import { requestForEntry, requestForServer, type RequestSource } from './call-request'
-import type { RequestHead, ResponseHead } from './head'
+import { isRefusal, type RequestHead, type ResponseHead } from './head'
 import type { CallContext } from './context'
 import { CallerResponse } from './caller-response'
 import { RelayAttempt, type RelayFailure } from './relay-attempt'
@@ -31,9 +31,6 @@
 import { identifyRequest } from './request-identity'
 import { RoutedAttempt } from './routed-attempt'
 
-/** Statuses with which a server may report that it did not run the request; callers read them the same way. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
-
 const SERVER_ERROR = 500
 /** Entries that a call is passed on to, one after the other, before it fails. */
 const MAX_RELAY_PEERS = 3
@@ -357,7 +354,7 @@
 
   /** Returns whether the response is forwarded; otherwise it is discarded and the attempt ends as shed. */
   #onHead(head: ResponseHead, winner: CallAttempt): boolean {
-    if (head.notRun && NOT_RUN_STATUSES.has(head.status)) return false
+    if (isRefusal(head)) return false
     for (const other of this.#attempts) if (other !== winner) this.#cancel(other, 'callerCancelled')
     this.#idempotency.onResponseHead(head)
     this.#callerResponse.head(head)
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -24,6 +24,8 @@
 export const QUEUE_LIMIT_HEADER = 'bilberrystall-queue-limit'
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key'
 
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
   'expect',
@@ -179,6 +181,11 @@
   readonly encoded: boolean
 }
 
+/** Whether the server reports that it did not run the request, with a status that callers read the same way. */
+export function isRefusal({ status, notRun }: ResponseHead): boolean {
+  return notRun && NOT_RUN_STATUSES.has(status)
+}
+
 /**
  * Whether the response is a refusal that names no attempt. A second copy of it could be taken for the response to the
  * next request, so its connection must not be used again.
