Let the test of calls without a key not depend on which server they reach

The test was wrong: each of two servers reset one response, and the test took for granted that the second call goes to the other server. That holds only for some ms, while the first server is paused after its failure.

--- a/packages/testkit/test/session/keys.test.ts
+++ b/packages/testkit/test/session/keys.test.ts
@@ -75,13 +75,14 @@
 test('a call without a key on a route that is not repeatable is sent once, and not-run is true', async () => {
   const entry = cluster.node('entry-1').addresses.callers
   const note: Call = { method: 'POST', host: APPOINTMENT_HOST, path: '/notes', body: 'note' }
-  for (const server of servers) await server.change({ behaviour: { responsesToReset: 1 } })
+  // Both calls may go to the same server.
+  for (const server of servers) await server.change({ behaviour: { responsesToReset: 2 } })
   const lost = [await sendCall(entry, note), await sendCall(entry, note)]
   for (const result of lost) {
     expect(result.outcome).toBe('unknown')
     expect(await countRequestExecutions(servers, result.requestId)).toBe(1)
   }
-  for (const server of servers) await server.change({ behaviour: { shedQueueLength: 1 } })
+  for (const server of servers) await server.change({ behaviour: { responsesToReset: 0, shedQueueLength: 1 } })
   const burst = await Promise.all(Array.from({ length: 40 }, () => sendCall(entry, { ...note, path: '/notes?ms=100' })))
   for (const result of burst) {
     const expected = result.outcome === 'not-run' ? 0 : 1
