--- a/packages/entry/test/claim.test.ts
+++ b/packages/entry/test/claim.test.ts
@@ -3,7 +3,15 @@
 import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { randomBytes } from 'node:crypto'
 import { expect, onTestFinished, test } from 'vitest'
-import { ClaimCoordinator, claimRoutes, RpcClaimTransport, SYSTEM_CLOCK, type Roster } from '../src/index'
+import {
+  ClaimCoordinator,
+  claimRoutes,
+  RpcClaimTransport,
+  SYSTEM_CLOCK,
+  type EntryOptions,
+  type RelayPeer,
+  type Roster,
+} from '../src/index'
 import {
   respond,
   sendCall,
@@ -43,7 +51,14 @@
 }
 
 /** Starts entries that are each other's claim holders, in front of the same server. */
-async function startEntries(server: FakeServer, roster?: Partial<Roster>) {
+interface EntryVariation {
+  readonly roster?: Partial<Roster>
+  /** Servers of the entry with this index, by default the common one. */
+  readonly servers?: (index: number) => readonly FakeServer[]
+  readonly options?: (index: number) => Partial<EntryOptions>
+}
+
+async function startEntries(server: FakeServer, { roster, servers, options }: EntryVariation = {}) {
   const holders = await Promise.all(NODES.map(startHolder))
   const entries = NODES.map((node) => ({ node, domain }))
   const history: RosterEpoch[] = [{ epoch: 1, effectiveFrom: 0, entries }]
@@ -54,12 +69,13 @@
       const transport = new RpcClaimTransport({ ...holder, self, address, now: Date.now })
       const read = () => ({ history, confirmedAt: performance.now(), ...roster })
       const environment = environmentName('trial')
-      return startEntry([server], {
+      return startEntry(servers?.(index) ?? [server], {
+        ...options?.(index),
         claims: new ClaimCoordinator({ environment, transport, roster: read, clock: SYSTEM_CLOCK }),
       })
     }),
   )
-  return { holders, origins: setups.map(({ origin }) => `${origin}/write`) }
+  return { holders, setups, origins: setups.map(({ origin }) => `${origin}/write`) }
 }
 
 const done: RequestHandler = (received) => {
@@ -142,7 +158,7 @@
 
 test('an entry whose roster has not been confirmed for 50 s refuses keyed calls and serves all others', async () => {
   const server = await startFakeServer(done)
-  const { origins } = await startEntries(server, { confirmedAt: performance.now() - 50_001 })
+  const { origins } = await startEntries(server, { roster: { confirmedAt: performance.now() - 50_001 } })
   expect(await post(origins[0], freshKey())).toMatchObject({ code: RESULT_CODES.claimUnavailable.number })
   expect(await sendCall(origins[0] ?? '', { method: 'POST', body: 'a' })).toMatchObject({ status: 201 })
 })
@@ -154,3 +170,30 @@
   expect(await codeAt(Date.now() - 2 * HOUR_MS)).toBe(RESULT_CODES.keyExpired.number)
   expect((await post(origins[0], 'order-7')).code).toBe(RESULT_CODES.keyMalformed.number)
 })
+
+test('a keyed call that is passed on to another entry runs once, and its response is replayed by every entry', async () => {
+  const server = await startFakeServer(done)
+  const unreachable = await Promise.all([1, 2, 3].map(() => startFakeServer(() => undefined)))
+  for (const lost of unreachable) lost.crash()
+  const peers: RelayPeer[] = []
+  let isCutOff = false
+  const { origins, setups } = await startEntries(server, {
+    servers: (index) => (index === 0 ? unreachable : [server]),
+    options: (index) => ({
+      relayListen: { host: '127.0.0.1', port: 0 },
+      relayPeers: () => peers,
+      ...(index === 0 ? { events: { reachabilityChanged: (value) => (isCutOff = value) } } : {}),
+    }),
+  })
+  while (!(isCutOff as boolean)) await sendCall(origins[0] ?? '', { method: 'POST', body: 'lost' })
+  const helper = setups[1]?.entry.relayPort ?? 0
+  peers.push({ node: nodeId('entry-2'), address: { host: '127.0.0.1', port: helper }, isNear: true })
+  const key = freshKey()
+  expect(await post(origins[0], key)).toMatchObject({ status: 201, text: 'done order' })
+  for (const origin of origins) {
+    let again = await post(origin, key)
+    while (again.code === RESULT_CODES.keyInProgress.number) again = await post(origin, key)
+    expect(again).toMatchObject({ status: 201, text: 'done order', headers: { 'idempotent-replayed': 'true' } })
+  }
+  expect(server.received).toHaveLength(1)
+})
