Describe the damage of a log in the message of status 90

Operators saw "segment N has a damaged frame at offset P", which is the same for a marker that was never synced, for a torn end of a finished segment and for lost synced data. The message now names the length of the segment, whether it is the last one, and the distance to the next readable frame or marker, so that the hypotheses of docs/incidents/control-nodes-that-end-at-each-start.md can be told apart.

--- a/packages/storage/src/segment.ts
+++ b/packages/storage/src/segment.ts
@@ -93,12 +93,29 @@
     position = frame.end
   }
   const hasUnreadBytes = position < bytes.length
-  if (hasUnreadBytes && (!isLast || hasSyncedDataAfter(bytes, header.value, position + 1))) {
-    return err(failure('logDamaged', `segment ${number} has a damaged frame at offset ${position}`))
+  const nextReadable = findReadable(bytes, header.value, position + 1)
+  if (hasUnreadBytes && (!isLast || nextReadable !== undefined)) {
+    return err(failure('logDamaged', describeDamage({ number, isLast, length: bytes.length, position, nextReadable })))
   }
   return ok({ header: header.value, frames, endOffset: position })
 }
 
+interface Damage {
+  readonly number: number
+  readonly isLast: boolean
+  readonly length: number
+  /** Offset of the first byte that belongs to no marker or frame. */
+  readonly position: number
+  /** Offset of the next marker or frame. */
+  readonly nextReadable: number | undefined
+}
+
+function describeDamage({ number, isLast, length, position, nextReadable }: Damage): string {
+  const segment = `${isLast ? 'the last segment' : 'segment'} ${number} of ${length} bytes`
+  const next = nextReadable === undefined ? 'to its end' : `for ${nextReadable - position} bytes`
+  return `${segment} cannot be read from offset ${position} ${next}`
+}
+
 function readHeader(bytes: Buffer, number: number): Result<SegmentHeader, Failure> {
   if (bytes.length < SEGMENT_HEADER_BYTES || !bytes.subarray(0, 8).equals(SEGMENT_MAGIC)) {
     return err(failure('logDamaged', `segment ${number} has no valid header`))
@@ -129,15 +146,23 @@
   return bytes.readUInt32LE(start + 4) === markerChecksum(header, start)
 }
 
-/** Whether a valid marker or frame at or after `from` proves that the bytes before it were synced. */
-function hasSyncedDataAfter(bytes: Buffer, header: SegmentHeader, from: number): boolean {
-  for (let start = bytes.indexOf(MARKER_MAGIC, from); start >= 0; start = bytes.indexOf(MARKER_MAGIC, start + 1)) {
-    if (isMarker(bytes, header, start)) return true
-  }
-  for (let start = bytes.indexOf(FRAME_MAGIC, from); start >= 0; start = bytes.indexOf(FRAME_MAGIC, start + 1)) {
-    if (readFrame(bytes, header, start) !== undefined) return true
+/** Returns the offset of the first marker or frame at or after `from`, which proves that the bytes before it were synced. */
+function findReadable(bytes: Buffer, header: SegmentHeader, from: number): number | undefined {
+  const marker = findMagic(bytes, MARKER_MAGIC, from, (start) => isMarker(bytes, header, start))
+  const frame = findMagic(bytes, FRAME_MAGIC, from, (start) => readFrame(bytes, header, start) !== undefined)
+  return marker === undefined || frame === undefined ? (marker ?? frame) : Math.min(marker, frame)
+}
+
+function findMagic(
+  bytes: Buffer,
+  magic: Buffer,
+  from: number,
+  isValid: (start: number) => boolean,
+): number | undefined {
+  for (let start = bytes.indexOf(magic, from); start >= 0; start = bytes.indexOf(magic, start + 1)) {
+    if (isValid(start)) return start
   }
-  return false
+  return undefined
 }
 
 function markLastSynced(frames: Frame[]): void {
--- a/packages/storage/test/log.test.ts
+++ b/packages/storage/test/log.test.ts
@@ -98,6 +98,17 @@
   expect(refused).toBe(2 * (bytes.length - 8))
 })
 
+test('the message about a damaged log names the segment, the offset and what follows', async () => {
+  const damaged = await createSmallLog()
+  const path = `${FOLDER}/log-0000000000000001`
+  const content = Buffer.from(damaged.content(path))
+  content.fill(0, 62, 70)
+  damaged.files.set(path, content)
+  expect((await open(damaged))._unsafeUnwrapErr().message).toMatchInlineSnapshot(
+    `"the last segment 1 of 228 bytes cannot be read from offset 58 for 21 bytes"`,
+  )
+})
+
 test('a torn batch is truncated completely and appends continue after it', async () => {
   const disk = await createSmallLog()
   const path = `${FOLDER}/log-0000000000000001`
