Open a log whose last marker was lost with the power

Cause: the marker behind a frame is written without a sync and stored by the sync of the next frame. Until that sync both are pending, so a power loss may keep the frame and lose or tear the marker in front of it. The reader took every valid frame as proof that all bytes before it were synced, also those of the marker. The marker at the end of a finished segment is synced by nobody; torn, it was taken for a damaged frame.

Ways weighed: no marker (damage of the last frame would be truncated silently), a sync for each marker (twice the latency of every change), the proof in the next frame (a new format that earlier builds refuse). A marker carries no data, so one that may not have been synced is written again: the one before the last frame if nothing follows that frame, and the one at the end of a finished segment. The format is unchanged: earlier builds read it, and folders that they left in this state open. Damage of synced bytes is still refused at any offset; a new test shows it for both segments.

--- a/packages/storage/src/recover.ts
+++ b/packages/storage/src/recover.ts
@@ -97,7 +97,7 @@
   return ok(snapshot.value)
 }
 
-/** Replays all segments in order and repairs the end of the last one. */
+/** Replays all segments in order, repairs the end of the last one and writes lost markers again. */
 export async function readSegments(
   fileSystem: FileSystem,
   folder: string,
@@ -117,6 +117,7 @@
     const highestIndex = replayFrames(content.value.frames, replay, number)
     if (highestIndex.isErr()) return err(highestIndex.error)
     segments.push({ number, highestIndex: highestIndex.value })
+    if (newest !== undefined) await restoreLastMarker(fileSystem, folder, newest)
     newest = content.value
   }
   if (newest === undefined) return err(failure('logDamaged', 'the log has no segments'))
@@ -142,6 +143,19 @@
   return ok(highestIndex)
 }
 
+/** Writes the marker at the end of a finished segment again if a power loss tore or lost it. */
+async function restoreLastMarker(fileSystem: FileSystem, folder: string, content: SegmentContent): Promise<void> {
+  const { header, frames, endOffset } = content
+  if (frames.at(-1)?.synced !== false) return
+  const file = await fileSystem.open(`${folder}/${segmentName(header.number)}`)
+  try {
+    await writeAll(file, encodeMarker(header, endOffset), endOffset)
+    await file.datasync()
+  } finally {
+    await file.close()
+  }
+}
+
 /**
  * Truncates a torn write at the end of the segment. If the last sync failed, the last frame may exist only in the page
  * cache, and the operating system no longer writes it to disk. Therefore the last frame and the markers around it are
@@ -149,12 +163,15 @@
  */
 async function repairTail(fileSystem: FileSystem, path: string, content: SegmentContent): Promise<number> {
   const { header, frames, endOffset } = content
+  const previous = frames.at(-2)
   const last = frames.at(-1)
   const file = await fileSystem.open(path)
   try {
     await file.truncate(endOffset)
-    const start = frames.at(-2)?.end ?? last?.start ?? endOffset
-    await writeAll(file, toBuffer(await fileSystem.read(path)).subarray(start, endOffset), start)
+    const start = previous?.end ?? last?.start ?? endOffset
+    const tail = Buffer.from(toBuffer(await fileSystem.read(path)).subarray(start, endOffset))
+    if (previous !== undefined && last !== undefined && last.start > start) tail.set(encodeMarker(header, start))
+    await writeAll(file, tail, start)
     await file.datasync()
     if (last === undefined || last.synced) return endOffset
     const marker = encodeMarker(header, endOffset)
--- a/packages/storage/src/segment.ts
+++ b/packages/storage/src/segment.ts
@@ -2,10 +2,12 @@
  * Format of a segment file: a header followed by frames, each of which is followed by a marker.
  *
  * A frame is written and synced as a unit, and the next frame is written only after that sync, so only the last frame
- * can be torn. The marker is written after the sync has returned. Everything before a valid marker or before a valid
- * later frame has therefore been synced. If it cannot be read, the log is damaged and must not be truncated there. The
- * checksums include a random salt of the segment and the offset, so that neither stale bytes nor the content of a
- * document can be mistaken for a frame.
+ * can be torn. The marker is written after the sync has returned and is itself stored by the next sync. A valid marker
+ * or a valid later frame therefore proves that the frames before it have been synced; if one of them cannot be read, the
+ * log is damaged and must not be truncated there. A power loss may tear or lose the last marker, also if the frame
+ * behind it reached the disk, and the marker at the end of a finished segment. A marker carries no data, so these two
+ * are written again. The checksums include a random salt of the segment and the offset, so that neither stale bytes nor
+ * the content of a document can be mistaken for a frame.
  */
 import { crc32 } from 'node:zlib'
 import { err, ok, type Result } from 'neverthrow'
@@ -37,7 +39,7 @@
 export interface SegmentContent {
   readonly header: SegmentHeader
   readonly frames: readonly Frame[]
-  /** Offset at which the next frame is written. Any bytes from here on are a torn write. */
+  /** End of the last frame and its marker. Any bytes from here on are a torn write. */
   readonly endOffset: number
 }
 
@@ -92,12 +94,28 @@
     frames.push(frame)
     position = frame.end
   }
-  const hasUnreadBytes = position < bytes.length
-  const nextReadable = findReadable(bytes, header.value, position + 1)
-  if (hasUnreadBytes && (!isLast || nextReadable !== undefined)) {
-    return err(failure('logDamaged', describeDamage({ number, isLast, length: bytes.length, position, nextReadable })))
+  if (isLast) {
+    const unsynced = readFrameAfterLostMarker(bytes, header.value, position)
+    if (unsynced !== undefined) {
+      markLastSynced(frames)
+      frames.push(unsynced)
+      position = unsynced.end
+    }
   }
-  return ok({ header: header.value, frames, endOffset: position })
+  const unreadBytes = bytes.length - position
+  const nextReadable = findReadable(bytes, header.value, position + 1)
+  const isIntact = unreadBytes === 0 || (isLast ? nextReadable === undefined : unreadBytes <= MARKER_BYTES)
+  if (isIntact) return ok({ header: header.value, frames, endOffset: position })
+  return err(failure('logDamaged', describeDamage({ number, isLast, length: bytes.length, position, nextReadable })))
+}
+
+/**
+ * Returns the frame behind an unreadable marker if nothing follows it. A later marker or frame would prove that the
+ * unreadable marker had been synced.
+ */
+function readFrameAfterLostMarker(bytes: Buffer, header: SegmentHeader, position: number): Frame | undefined {
+  const frame = readFrame(bytes, header, position + MARKER_BYTES)
+  return frame === undefined || findReadable(bytes, header, frame.end) !== undefined ? undefined : frame
 }
 
 interface Damage {
--- a/packages/storage/test/log.test.ts
+++ b/packages/storage/test/log.test.ts
@@ -109,6 +109,73 @@
   )
 })
 
+/** Creates a log of two segments whose last frame has its marker. */
+async function createTwoSegments(): Promise<FakeFileSystem> {
+  const disk = new FakeFileSystem()
+  const { log } = await openOrThrow(disk)
+  for (const records of [[ballot(1)], [entry(1, 1, 70_000)], [entry(2)]]) await log.append(records)
+  await log.compact(logIndex(0))
+  for (const records of [[entry(3)], [ballot(2)], [entry(4, 2)]]) await log.append(records)
+  await log.close()
+  return disk
+}
+
+const FIRST_SEGMENT = `${FOLDER}/log-0000000000000001`
+const LAST_SEGMENT = `${FOLDER}/log-0000000000000002`
+const MARKER_BYTES = 8
+
+test('a log opens if the marker before its last frame was lost with the power, and the marker is written again', async () => {
+  const intact = await createTwoSegments()
+  const bytes = intact.content(LAST_SEGMENT)
+  const lastFrame = bytes.lastIndexOf(Buffer.from([0xb5, 0x46, 0x52, 0x01]))
+  const unsyncedEnd = bytes.subarray(0, -MARKER_BYTES)
+  for (let torn = 0; torn <= MARKER_BYTES; torn += 1) {
+    const disk = intact.copy()
+    const content = Buffer.from(unsyncedEnd)
+    content.fill(0, lastFrame - torn, lastFrame)
+    disk.files.set(LAST_SEGMENT, content)
+    expect(indexes(await openOrThrow(disk))).toEqual([1, 2, 3, 4])
+    expect(disk.content(LAST_SEGMENT).equals(bytes)).toBe(true)
+  }
+})
+
+test('a log opens if the marker at the end of a finished segment was lost with the power, and it is written again', async () => {
+  const intact = await createTwoSegments()
+  const bytes = intact.content(FIRST_SEGMENT)
+  for (let length = 0; length <= MARKER_BYTES; length += 1) {
+    for (const isZeroed of [false, true]) {
+      const disk = intact.copy()
+      const content = Buffer.from(isZeroed ? bytes : bytes.subarray(0, bytes.length - MARKER_BYTES + length))
+      if (isZeroed) content.fill(0, bytes.length - MARKER_BYTES + length)
+      disk.files.set(FIRST_SEGMENT, content)
+      expect(indexes(await openOrThrow(disk))).toEqual([1, 2, 3, 4])
+      expect(disk.content(FIRST_SEGMENT).equals(bytes)).toBe(true)
+    }
+  }
+})
+
+test('damage of synced bytes is never truncated, at any offset of any segment', async () => {
+  const intact = await createTwoSegments()
+  for (const path of [FIRST_SEGMENT, LAST_SEGMENT]) {
+    const bytes = intact.content(path)
+    // The last marker is not synced: damage of the last frame and of its marker together looks like a torn write.
+    const synced = bytes.subarray(0, bytes.length - MARKER_BYTES)
+    const positions = Array.from(synced.keys()).filter((at) => at < 300 || at > synced.length - 300 || at % 997 === 0)
+    for (const position of positions) {
+      for (const length of [1, 4, 30]) {
+        const disk = intact.copy()
+        const content = Buffer.from(bytes)
+        for (let at = position; at < Math.min(synced.length, position + length); at += 1)
+          content[at] = content[at]! ^ 0x5a
+        disk.files.set(path, content)
+        const result = await open(disk)
+        expect(result.map(indexes).unwrapOr([1, 2, 3, 4])).toEqual([1, 2, 3, 4])
+        expect(result.map(({ stored }) => stored.ballot.term).unwrapOr(2)).toBe(2)
+      }
+    }
+  }
+})
+
 test('a torn batch is truncated completely and appends continue after it', async () => {
   const disk = await createSmallLog()
   const path = `${FOLDER}/log-0000000000000001`
