Sync the names in a data folder before its log is used

What callers could see: a change that was confirmed is gone, or a control node ends with status 90 ("disk.json is missing", "segment N is missing").

Cause: files get their names by a rename and the sync of the folder after it. A process that is killed between the two leaves a name that only the page cache has. The next process used the file and acknowledged records in it, but nothing synced the name any more, so a power loss could take it back. Found while looking for other data that is read as if it had been synced.

--- a/packages/storage/src/recover.ts
+++ b/packages/storage/src/recover.ts
@@ -43,11 +43,15 @@
   readonly snapshotNames: readonly string[]
 }
 
-/** Lists the files of a folder and removes temporary files left by an interrupted write. */
+/**
+ * Lists the files of a folder and removes temporary files left by an interrupted write. Syncs the folder, because the
+ * previous process may have ended between the rename of a file and the sync of its name.
+ */
 export async function scanFolder(fileSystem: FileSystem, folder: string): Promise<FolderContents> {
   await fileSystem.makeFolder(folder)
   const names = await fileSystem.list(folder)
   for (const name of names) if (isTemporaryFile(name)) await fileSystem.remove(`${folder}/${name}`)
+  await fileSystem.syncFolder(folder)
   const segments = names.flatMap((name) => {
     const number = SEGMENT_PATTERN.exec(name)?.[1]
     return number === undefined ? [] : [Number(number)]
