Let the sync of a created file supersede earlier changes of its name

The simulation applied an older creation of a temporary file, whose removal was lost, after the synced creation of its successor of the same name. No directory can do that. The counterexample passes; the property now reports the failure of the last opening as well.

--- a/packages/storage/test/power-loss.test.ts
+++ b/packages/storage/test/power-loss.test.ts
@@ -92,7 +92,11 @@
     }
     disk = disk.restart(ending)
   }
-  history.checkRecovered((await open(disk))._unsafeUnwrap().stored)
+  const recovered = await open(disk)
+  expect(recovered.isErr() && recovered.error).toBe(false)
+  recovered.map(({ stored }) => {
+    history.checkRecovered(stored)
+  })
 }
 
 function open(disk: SimulatedDisk): ReturnType<typeof openLog> {
--- a/packages/storage/test/simulated-disk.ts
+++ b/packages/storage/test/simulated-disk.ts
@@ -165,9 +165,17 @@
     }
     for (const change of file.changes) file.synced = applyChange(file.synced, change)
     file.changes = []
-    const created = this.#nameChanges.find((change) => change.kind === 'create' && change.file === file)
-    if (created === undefined) return
-    this.#nameChanges = this.#nameChanges.filter((change) => change !== created)
+    this.#syncCreatedName(file)
+  }
+
+  /** The name that a file was created with persists with the file. Earlier changes of this name are superseded. */
+  #syncCreatedName(file: File): void {
+    const position = this.#nameChanges.findIndex((change) => change.kind === 'create' && change.file === file)
+    const created = this.#nameChanges[position]
+    if (created?.kind !== 'create') return
+    this.#nameChanges = this.#nameChanges.filter((change, other) => {
+      return other > position || change.kind === 'rename' || change.name !== created.name
+    })
     applyNameChange(this.#syncedNames, created)
   }
 
