Keep a node serving when its replica cannot use its disk

What callers saw: two of seven nodes ended by themselves every second (status 90) and their entries with them; calls there were refused or failed.

Cause: a failure to open the replica, or a later failed sync, ended the whole process, and the service manager started it again under the same condition.

Now the supervisor of the replica decides: what may pass by itself is tried again, a damaged log is set aside and the node returns as a new replica, and a folder of an unknown version is left alone; the entry serves meanwhile. The new replica has a new id, so the votes of the former one stay valid, and it never bootstraps a cluster. A second damaged log in the same folder is not set aside.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -106,6 +106,7 @@
   folderInUse: code(94, 'folder-in-use', 0, 'Another process uses the data folder.'),
   folderUnusable: code(95, 'folder-unusable', 0, 'The data folder cannot be read or written.'),
   formatUnknown: code(96, 'format-unknown', 0, 'The data folder was written by an unknown version.'),
+  logSetAside: code(97, 'log-set-aside', 0, 'A damaged log was set aside; the node continues as a new replica.'),
 
   settingsInvalid: code(100, 'settings-invalid', 0, 'The settings have faults.'),
   fileUnreadable: code(101, 'file-unreadable', 0, 'A file cannot be read.'),
@@ -155,6 +156,7 @@
   logLinesLost: code(172, 'log-lines-lost', 0, 'Log lines could not be written; the line counts them.'),
   stopStepSlow: code(169, 'stop-step-slow', 0, 'A step of the shutdown takes over a second.'),
   stopStepIncomplete: code(170, 'stop-step-incomplete', 0, 'A step of the shutdown failed or reached its limit.'),
+  replicaOpened: code(180, 'replica-opened', 0, 'The replica of this node was opened again.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/cli/src/example.ts
+++ b/packages/cli/src/example.ts
@@ -18,6 +18,8 @@
   readonly seeds?: readonly string[]
   readonly failureDomain?: string
   readonly bootstrap?: boolean
+  /** Time after which a replica without contact is replaced. */
+  readonly lostAfter?: string
   readonly balancerGrace?: string
 }
 
@@ -67,7 +69,7 @@
 operator-keys-file = operator.keys
 ; start a new cluster when the data folder is empty; only on the first node
 bootstrap = ${(options.bootstrap ?? true) ? 'yes' : 'no'}
-`
+${options.lostAfter === undefined ? '' : `lost-after = ${options.lostAfter}\n`}`
 }
 
 export interface ExampleKeys {
--- a/packages/node/src/control-metrics.ts
+++ b/packages/node/src/control-metrics.ts
@@ -13,17 +13,21 @@
   readonly setDiskFull: (isFull: boolean) => void
 }
 
-export function controlMetrics(metrics: Metrics, status: () => Status): ControlMetrics {
+/** Registers the metrics. `status` returns undefined while the node has no open replica. */
+export function controlMetrics(metrics: Metrics, status: () => Status | undefined): ControlMetrics {
   const requests = metrics.counter('operator_requests_total', 'Operator requests by result', ['result'])
   const sync = metrics.latency('control_sync', 'Duration of syncing records of the control log')
   metrics.gauge('control_leader', 'Whether this replica leads the control log', () =>
-    Number(status().role === 'leader'),
+    Number(status()?.role === 'leader'),
+  )
+  metrics.gauge('control_replica_open', 'Whether the replica of this node is open', () =>
+    Number(status() !== undefined),
   )
   let diskIsFull = false
   metrics.gauge('control_disk_full', 'Whether the disk of the control log refuses writes', () => Number(diskIsFull))
-  metrics.gauge('control_term', 'Term of the control log', () => status().term)
-  metrics.gauge('control_commit_index', 'Highest committed index of the control log', () => status().commit)
-  metrics.gauge('control_log_entries', 'Control log entries in memory', () => status().logEntries)
+  metrics.gauge('control_term', 'Term of the control log', () => status()?.term ?? 0)
+  metrics.gauge('control_commit_index', 'Highest committed index of the control log', () => status()?.commit ?? 0)
+  metrics.gauge('control_log_entries', 'Control log entries in memory', () => status()?.logEntries ?? 0)
   return {
     countRequest: (code) => {
       requests.inc({ result: resultCode(code).name })
--- a/packages/node/src/control-replica.ts
+++ b/packages/node/src/control-replica.ts
@@ -64,7 +64,7 @@
   /** Called after commands are applied or a snapshot is restored. */
   readonly onApplied: (commands: readonly Command[]) => void
   readonly onRoleChange: (role: Role, leader: ReplicaId | undefined, term: Term) => void
-  /** Called on a fatal error; the process must exit with its code. */
+  /** Called when the replica has failed and takes no further part; it must be stopped. */
   readonly onFatal: (cause: Failure) => void
   /** Called with the duration of each sync in milliseconds. */
   readonly onSynced?: (duration: number) => void
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -19,13 +19,12 @@
 import type { DocumentStore } from './document-store'
 import { LeaderTasks } from './leader-tasks'
 import { LeaseServer } from './control-lease-server'
-import { controlMetrics, type ControlMetrics } from './control-metrics'
+import type { ControlMetrics } from './control-metrics'
 import { operatorApp, type OperatorOptions } from './control-operator'
 import { ReplicaHost } from './control-replica'
 import { consensusRoutes, ReplicaTransport } from './control-transport'
 import type { ClusterView } from './control-views'
 import type { Log } from './log'
-import type { Metrics } from './metrics'
 import type { ControlSettings } from './settings'
 
 /** Interval of the linearizable reads that keep the documents of a control node confirmed. */
@@ -47,13 +46,13 @@
   readonly random: RandomSource
   /** Start time of the process in Unix milliseconds. */
   readonly start: number
-  /** Called on a fatal error; the process must exit with its code. */
+  /** Called when the replica has failed; the role must be stopped. */
   readonly onFatal: (cause: Failure) => void
   /** Called when an operator asked this node to drain. */
   readonly onDrain: () => void
   /** Called with servers whose departure was committed by control. */
   readonly onDepartures?: (departed: readonly DepartedServer[]) => void
-  readonly metrics?: Metrics
+  readonly metrics?: ControlMetrics
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
   readonly lostAfterMs?: number
@@ -72,6 +71,7 @@
   readonly #leases: LeaseServer
   readonly #leaderTasks: LeaderTasks
   readonly #metrics: ControlMetrics | undefined
+  readonly #replacesDamaged: boolean
   #confirmTimer: NodeJS.Timeout | undefined
   #confirmedAt = Number.NEGATIVE_INFINITY
   #isLeader = false
@@ -79,13 +79,19 @@
   #departurePosition = 0
   #stopped = false
 
-  private constructor(options: ControlRoleOptions, host: ReplicaHost, transport: ReplicaTransport, replica: ReplicaId) {
+  private constructor(
+    options: ControlRoleOptions,
+    host: ReplicaHost,
+    transport: ReplicaTransport,
+    { replica, replacesDamaged }: OpenedReplicaStorage,
+  ) {
     const { node, clients, cluster, settings, log } = options
     this.#options = options
     this.host = host
     this.replica = replica
+    this.#replacesDamaged = replacesDamaged
     this.#transport = transport
-    this.#metrics = options.metrics && controlMetrics(options.metrics, () => host.status())
+    this.#metrics = options.metrics
     const now = () => performance.now()
     const wallClock = () => Date.now()
     const addressOf = (other: NodeId) => cluster.nodes.get(other)?.address
@@ -149,9 +155,11 @@
       addressOf: (other) => cluster.nodes.get(other)?.address,
     })
     const host = ReplicaHost.create({
-      ...opened,
+      storage: opened.storage,
+      replica: opened.replica,
+      stored: opened.stored,
       node,
-      bootstrap: settings.bootstrap,
+      bootstrap: settings.bootstrap && !opened.replacesDamaged,
       random,
       send: (message) => {
         transport.send(message)
@@ -166,7 +174,7 @@
       ...(limits === undefined ? {} : { limits }),
     })
     return host.andThen((created) => {
-      const control = new ControlRole(options, created, transport, opened.replica)
+      const control = new ControlRole(options, created, transport, opened)
       lateBound.control = control
       return ok(control)
     })
@@ -204,6 +212,11 @@
     void this.#confirm()
   }
 
+  /** Bootstraps a new cluster, unless this node was a member of one and lost its log: that cluster still exists. */
+  bootstrapCluster(): void {
+    if (!this.#replacesDamaged) this.host.bootstrapCluster()
+  }
+
   /** Transfers leadership before a graceful shutdown. */
   async leave(): Promise<void> {
     this.#leaderTasks.stop()
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,10 +16,11 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
 import type { Adapter } from './adapter'
-import { ControlOpener } from './control-opener'
+import { controlMetrics, type ControlMetrics } from './control-metrics'
+import { ControlSupervisor } from './control-supervisor'
 import { ControlRole, controlRoutes } from './control-role'
 import type { DepartedServer } from './control-follower'
-import type { FileSystem } from '@bilberrystall/storage'
+import { setAsideLog, type FileSystem } from '@bilberrystall/storage'
 import { DocumentStore } from './document-store'
 import { EntryRole } from './entry-role'
 import type { NodeContext } from './node-context'
@@ -66,9 +67,8 @@
   #seeds: readonly string[]
   #nodeRecord: Node
   #rpc: RpcServer | undefined
-  #controlOpener: ControlOpener | undefined
-  /** Undefined without the control role, and while its replica cannot be opened because the disk is full. */
-  #control: ControlRole | undefined
+  #controlSupervisor: ControlSupervisor | undefined
+  #operatorListener: Listener | undefined
   #entry: EntryRole | undefined
   #expiryTimer: NodeJS.Timeout | undefined
   #stopping: Promise<CodeName> | undefined
@@ -97,6 +97,11 @@
     return this.#context.log
   }
 
+  /** Undefined without the control role, and while its replica is not open. */
+  get #control(): ControlRole | undefined {
+    return this.#controlSupervisor?.control
+  }
+
   /**
    * Graceful shutdown: reports `leaving` on the health endpoint, transfers leadership, waits for the balancer's grace
    * period and for calls in flight, then closes the listeners. Repeated calls share one shutdown.
@@ -165,27 +170,32 @@
       })
     }
     if (control === undefined) return ok()
-    const opener = new ControlOpener({
-      open: () => this.#openControl(control),
-      onFull: (cause) => {
-        this.#context.log.warn('diskFull', { message: cause.message })
-      },
+    const metrics = controlMetrics(this.#metrics, () => this.#control?.host.status())
+    const supervisor = new ControlSupervisor({
+      open: (onFailed) => this.#openControl(control, metrics, onFailed),
+      setAside: () => setAsideLog(control.dataFolder, this.#fileSystem),
+      servesCallers: entry !== undefined,
+      log: this.#context.log,
       onOpened: (opened) => this.#startLateControl(opened),
-      onFailed: (cause) => {
+      onClosed: () => this.#controlClosed(),
+      onFatal: (cause) => {
         this.#failFatally(cause)
       },
     })
-    this.#controlOpener = opener
+    this.#controlSupervisor = supervisor
     this.#metrics.gauge('control_waits_for_room', 'Whether the replica cannot be opened because the disk is full', () =>
-      Number(opener.isWaiting),
+      Number(supervisor.waitsForRoom),
     )
-    const opened = await opener.open()
-    if (opened.isErr()) return err(opened.error)
-    if (opened.value !== undefined) this.#attachControl(opened.value)
-    return ok()
+    const opened = await supervisor.open()
+    if (supervisor.control !== undefined) this.#announce({ disk: supervisor.control.disk })
+    return opened
   }
 
-  #openControl(settings: ControlSettings): Promise<Result<ControlRole, Failure>> {
+  #openControl(
+    settings: ControlSettings,
+    metrics: ControlMetrics,
+    onFatal: (cause: Failure) => void,
+  ): Promise<Result<ControlRole, Failure>> {
     return ControlRole.open({
       node: this.#settings.node,
       settings,
@@ -193,12 +203,10 @@
       cluster: this.#context.directory,
       documentStore: this.#documentStore,
       log: this.#context.log,
-      metrics: this.#metrics,
+      metrics,
       random: this.#context.random,
       start: this.#context.startedAt,
-      onFatal: (cause) => {
-        this.#failFatally(cause)
-      },
+      onFatal,
       onDrain: () => {
         this.#onStopRequired('nodeLeaving')
       },
@@ -209,20 +217,22 @@
     })
   }
 
-  #attachControl(control: ControlRole): void {
-    this.#control = control
-    this.#announce({ disk: control.disk })
-  }
-
   /** Starts a replica that could be opened only after the start of the node. */
   async #startLateControl(control: ControlRole): Promise<void> {
-    this.#context.log.info('diskHasRoom', { node: this.#settings.node })
-    this.#attachControl(control)
+    this.#announce({ disk: control.disk })
     control.start()
     const listening = await this.#openOperatorListener()
     if (listening.isErr()) this.#failFatally(listening.error)
   }
 
+  /** A node whose replica has failed announces no disk, so that the leader does not count on it. */
+  async #controlClosed(): Promise<void> {
+    this.#announce({ disk: '' })
+    const listener = this.#operatorListener
+    this.#operatorListener = undefined
+    await listener?.close()
+  }
+
   #failFatally(cause: Failure): void {
     this.#context.log.error(cause.code, { message: cause.message })
     this.#onStopRequired(cause.code)
@@ -272,7 +282,7 @@
     if (this.#control === undefined || address === undefined) return ok()
     const operators = await listen(this.#control.operatorApp(this.#quarantine), address)
     return operators.map((listener) => {
-      this.#listeners.push(listener)
+      this.#operatorListener = listener
     })
   }
 
@@ -337,7 +347,7 @@
     clearInterval(this.#expiryTimer)
     this.#context.gossip.stop()
     this.#quarantine.stop()
-    await this.#controlOpener?.stop()
+    await this.#controlSupervisor?.stop()
     await closeParts(this.#parts(), this.#context.log)
     this.#context.clients.close()
   }
@@ -349,7 +359,7 @@
       drainLimitMs: entrySettings === undefined ? 0 : entrySettings.balancerGraceMs + entrySettings.stopLimitMs,
       control: this.#control,
       rpc: this.#rpc,
-      listeners: this.#listeners,
+      listeners: [...this.#listeners, ...(this.#operatorListener === undefined ? [] : [this.#operatorListener])],
     }
   }
 
--- a/packages/node/src/platform-role.ts
+++ b/packages/node/src/platform-role.ts
@@ -88,7 +88,7 @@
     publishVote: (founder) => {
       context.announce({ founder })
     },
-    bootstrapCluster: () => control()?.host.bootstrapCluster(),
+    bootstrapCluster: () => control()?.bootstrapCluster(),
   })
 }
 
--- a/packages/node/src/replica-storage.ts
+++ b/packages/node/src/replica-storage.ts
@@ -9,6 +9,8 @@
   readonly storage: ReplicaStorage
   readonly replica: ReplicaId
   readonly stored: StoredState
+  /** Whether the node had a replica before, whose damaged log was set aside. */
+  readonly replacesDamaged: boolean
 }
 
 export interface ReplicaStorageOptions {
@@ -45,8 +47,10 @@
       ...(entries.length === 0 ? {} : { entries: entries.map(decodeEntryData) }),
     }
     const checked = checkStored(state)
-    if (checked.isOk())
-      return ok({ storage: new ReplicaStorage(log), replica: replicaIdOf(options.node, stored.diskId), stored: state })
+    if (checked.isOk()) {
+      const replica = replicaIdOf(options.node, stored.diskId)
+      return ok({ storage: new ReplicaStorage(log), replica, stored: state, replacesDamaged: stored.replacesDamaged })
+    }
     await log.close()
     return err(checked.error)
   } catch (cause) {
--- a/packages/node/test/start-on-full-disk.test.ts
+++ b/packages/node/test/start-on-full-disk.test.ts
@@ -2,56 +2,21 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { environmentName, failureDomain, nodeId } from '@bilberrystall/base'
-import { freePort } from '@bilberrystall/testkit'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { FakeFileSystem } from '../../storage/test/fake-file-system'
-import { startNode, type RunningNode, type Settings } from '../src/index'
+import { startNode, type RunningNode } from '../src/index'
 import { waitUntil } from './control-cluster'
+import { singleNodeSettings, type SingleNodeSettings } from './node-settings'
 
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined }
 
 let folder: string
-let operators: string
-let settings: Settings
+let settings: SingleNodeSettings
 const running: RunningNode[] = []
 
 beforeEach(async () => {
   folder = await mkdtemp(join(tmpdir(), 'bilberrystall-full-disk-'))
-  const address = async () => `127.0.0.1:${await freePort()}`
-  operators = await address()
-  const rpc = await address()
-  settings = {
-    node: nodeId('a'),
-    roles: ['entry', 'control'],
-    address: rpc,
-    rpcListen: rpc,
-    statusListen: await address(),
-    firstStart: false,
-    failureDomain: failureDomain('west'),
-    region: 'default',
-    seeds: [],
-    nodeKey: 'node key of the test',
-    platform: undefined,
-    entry: {
-      environment: environmentName('production'),
-      listen: await address(),
-      serverKey: undefined,
-      relayListen: undefined,
-      balancerGraceMs: 0,
-      stopLimitMs: 100,
-      renewalMs: undefined,
-    },
-    control: {
-      listen: operators,
-      dataFolder: folder,
-      operatorKeys: new Map(),
-      bootstrap: true,
-      replicas: 1,
-      minVoters: 1,
-      lostAfterMs: 60_000,
-    },
-  }
+  settings = await singleNodeSettings(folder)
 })
 
 afterEach(async () => {
@@ -66,7 +31,7 @@
 }
 
 async function operatorStatus(): Promise<number | undefined> {
-  return fetch(`http://${operators}/v1/environments`).then(
+  return fetch(`http://${settings.control.listen}/v1/environments`).then(
     ({ status }) => status,
     () => undefined,
   )
--- a/packages/storage/src/log.ts
+++ b/packages/storage/src/log.ts
@@ -41,6 +41,8 @@
   readonly snapshot: StoredSnapshot | undefined
   /** Sorted by index without gaps. The first entries may be covered by the snapshot. */
   readonly entries: readonly StoredEntry[]
+  /** Whether the log replaces a damaged one, so that it must not be taken for the first log of this node. */
+  readonly replacesDamaged: boolean
 }
 
 export interface LogOptions {
@@ -137,7 +139,10 @@
       }
     }
     retry.start()
-    const stored = { diskId, ballot: replay.ballot, snapshot: snapshot.value, entries: entries.value ?? [] }
+    const { replacesDamaged } = contents
+    const recoveredEntries = entries.value ?? []
+    const { ballot } = replay
+    const stored = { diskId, ballot, snapshot: snapshot.value, entries: recoveredEntries, replacesDamaged }
     return ok({ log, stored })
   } catch (cause) {
     return err(storageFailure(cause, 'folderUnusable', `cannot read ${folder}`))
@@ -232,8 +237,11 @@
     while (this.#processing !== undefined) await this.#processing
     await this.#snapshotWrites
     this.#failure ??= failure('folderUnusable', 'the log is closed')
-    await this.#state.segment.file.close()
-    await this.#state.lock.release()
+    try {
+      await this.#state.segment.file.close()
+    } finally {
+      await this.#state.lock.release()
+    }
   }
 
   /** Discards all entries in favor of a snapshot by starting a new segment. Used on opening and on installing. */
--- a/packages/storage/src/recover.ts
+++ b/packages/storage/src/recover.ts
@@ -12,7 +12,9 @@
 import { LOG_FORMAT, encodeMarker, scanSegment, type Frame, type SegmentContent, type SegmentHeader } from './segment'
 import { decodeSnapshot, isSnapshotName, type StoredSnapshot } from './snapshot-file'
 
-const DISK_FILE = 'disk.json'
+export const DISK_FILE = 'disk.json'
+/** Prefix of the files of a damaged log, which are kept for inspection. */
+export const SET_ASIDE_PREFIX = 'damaged-'
 const SEGMENT_PATTERN = /^log-(\d{16})$/
 
 const diskSchema = z.object({ format: z.number(), disk: z.string().min(1) })
@@ -21,6 +23,15 @@
   return `log-${String(number).padStart(16, '0')}`
 }
 
+/** Whether the name is that of a segment or a snapshot. */
+export function isLogFile(name: string): boolean {
+  return SEGMENT_PATTERN.test(name) || isSnapshotName(name)
+}
+
+export function isSetAside(name: string): boolean {
+  return name.startsWith(SET_ASIDE_PREFIX)
+}
+
 export interface SegmentInfo {
   readonly number: number
   /** Highest index of the entries in the segment, 0 if it has none. */
@@ -41,6 +52,8 @@
   readonly diskId: string | undefined
   readonly segmentNumbers: readonly number[]
   readonly snapshotNames: readonly string[]
+  /** Whether the folder holds a damaged log that was set aside. */
+  readonly replacesDamaged: boolean
 }
 
 /**
@@ -58,7 +71,8 @@
   })
   const diskId = names.includes(DISK_FILE) ? await readDiskId(fileSystem, folder) : undefined
   const snapshotNames = names.filter(isSnapshotName).toSorted()
-  return { diskId, segmentNumbers: segments.toSorted((left, right) => left - right), snapshotNames }
+  const segmentNumbers = segments.toSorted((left, right) => left - right)
+  return { diskId, segmentNumbers, snapshotNames, replacesDamaged: names.some(isSetAside) }
 }
 
 async function readDiskId(fileSystem: FileSystem, folder: string): Promise<string> {
--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -32,6 +32,8 @@
   readonly failureDomain?: string
   /** Bootstraps a new cluster if the data folder of the node is empty. */
   readonly bootstrap?: boolean
+  /** Time after which a replica without contact is replaced. */
+  readonly lostAfter?: string
   readonly balancerGrace?: string
 }
 
@@ -39,7 +41,7 @@
 export interface ControlStatus {
   readonly leader: string | null
   readonly logEntries: number
-  readonly replicas: readonly { readonly node: string; readonly role: string }[]
+  readonly replicas: readonly { readonly node: string; readonly replica: string; readonly role: string }[]
   readonly roster: readonly { readonly entries: number; readonly standing: string }[]
 }
 
