Leave odd entries of servers and nodes out instead of failing on them

What other operators saw: one entry with a port out of range, or numbers that are too large, ended the machines that read it again and again.

Cause: both announcement schemas accepted addresses of the right shape with an impossible value (port 0 or 99999, 300.0.0.1), records received by gossip were not checked at all, and Connection.open and checkServer rejected their promises where callers expect a result.

Now an address needs a valid IP address and a port from 1 to 65535 in announcements and settings, records of other nodes are checked one by one and left out if they are not valid, and connecting to any address ends with a result.

--- a/packages/document/src/field.ts
+++ b/packages/document/src/field.ts
@@ -1,5 +1,5 @@
 /** zod schemas for INI values: durations, sizes, percentages, lists, flags, names and addresses. */
-import { parseDuration, parseShare, parseSize, serviceName, type ServiceName } from '@bilberrystall/base'
+import { isAddress, parseDuration, parseShare, parseSize, serviceName, type ServiceName } from '@bilberrystall/base'
 import { z } from 'zod'
 
 const NAME_PATTERN = /^[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?$/
@@ -54,9 +54,7 @@
 })
 
 /** An IP address with a port, for example `127.0.0.1:8080` or `[::1]:8080`. */
-export const address = z
-  .string()
-  .regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'must be an IP address with a port')
+export const address = z.string().refine(isAddress, 'must be an IP address with a port from 1 to 65535')
 
 function valueWithUnit(
   parseValue: (text: string) => number | undefined,
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -65,9 +65,12 @@
     })
   }
 
-  static open(address: Address, timeoutMs: number, clock: () => number): Promise<Result<Connection, Failure>> {
+  /** Errors: `connect-failed`, also for an address that is not valid. */
+  static async open(address: Address, timeoutMs: number, clock: () => number): Promise<Result<Connection, Failure>> {
+    const started = startConnecting(address)
+    if (started.isErr()) return err(started.error)
+    const socket = started.value
     return new Promise((resolve) => {
-      const socket = connect({ ...address, noDelay: true, keepAlive: true })
       let connection: Connection | undefined
       const timer = setTimeout(() => {
         socket.destroy(new Error(`connect timed out after ${timeoutMs} ms`))
@@ -110,6 +113,15 @@
   }
 }
 
+/** Node.js throws at once if the port is out of range. Errors: `connect-failed`. */
+export function startConnecting(address: Address): Result<Socket, Failure> {
+  try {
+    return ok(connect({ ...address, noDelay: true, keepAlive: true }))
+  } catch (cause) {
+    return err(failure('connectFailed', errorMessage(cause)))
+  }
+}
+
 function originOf({ host, port }: Address): string {
   return host.includes(':') ? `http://[${host}]:${port}` : `http://${host}:${port}`
 }
--- a/packages/entry/src/server-check.ts
+++ b/packages/entry/src/server-check.ts
@@ -2,9 +2,8 @@
  * Tells the end of a server process from other reasons for which a connection breaks: a reset by a server that is full
  * or faulty, a lost response, a network partition. Only a host that refuses connections has no process at the address.
  */
-import { connect } from 'node:net'
 import type { ServerId } from '@bilberrystall/base'
-import type { Address } from './connection'
+import { startConnecting, type Address } from './connection'
 
 /**
  * - `ended`: no process listens at the address.
@@ -31,9 +30,11 @@
   }
 }
 
-export function checkServer(address: Address, timeoutMs: number): Promise<ServerCheck> {
+export async function checkServer(address: Address, timeoutMs: number): Promise<ServerCheck> {
+  const started = startConnecting(address)
+  if (started.isErr()) return 'unreachable'
+  const socket = started.value
   return new Promise((resolve) => {
-    const socket = connect(address)
     const finish = (result: ServerCheck) => {
       clearTimeout(timer)
       socket.destroy()
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -1,17 +1,22 @@
 /** Records of servers and nodes, and the order of the announcements of one server. */
-import type {
-  Digest,
-  Environment,
-  FailureDomain,
-  NodeId,
-  ReplicaId,
-  Revision,
-  ServerId,
-  ServiceName,
+import {
+  isAddress,
+  type Digest,
+  type Environment,
+  type FailureDomain,
+  type NodeId,
+  type ReplicaId,
+  type Revision,
+  type ServerId,
+  type ServiceName,
 } from '@bilberrystall/base'
 import type { Clearance, CrashReport } from '@bilberrystall/quarantine'
 
-export type ServerState = 'starting' | 'ready' | 'draining' | 'stopped'
+const SERVER_STATES = ['starting', 'ready', 'draining', 'stopped'] as const
+const ROLES = ['entry', 'control'] as const
+const NODE_STATES = ['starting', 'serving', 'leaving'] as const
+
+export type ServerState = (typeof SERVER_STATES)[number]
 
 export interface Server {
   readonly environment: Environment
@@ -35,8 +40,8 @@
   readonly digest: Digest
 }
 
-export type Role = 'entry' | 'control'
-export type NodeState = 'starting' | 'serving' | 'leaving'
+export type Role = (typeof ROLES)[number]
+export type NodeState = (typeof NODE_STATES)[number]
 
 export interface Node {
   readonly node: NodeId
@@ -66,6 +71,29 @@
   readonly clearances?: readonly Clearance[]
 }
 
+/** Whether a record received from another node can be used. Its fields have been read without a check of their values. */
+export function isValidServer(server: Server): boolean {
+  const names = [server.environment, server.service, server.server, server.failureDomain]
+  const numbers = [server.start, server.sequence, server.slots - 1, server.connectionLimit - 1]
+  return (
+    names.every((name) => name !== '') &&
+    numbers.every((number) => Number.isSafeInteger(number) && number >= 0) &&
+    SERVER_STATES.includes(server.state) &&
+    isAddress(server.address)
+  )
+}
+
+/** Whether a record received from another node can be used. Its fields have been read without a check of their values. */
+export function isValidNode(node: Node): boolean {
+  return (
+    node.node !== '' &&
+    node.roles.every((role) => ROLES.includes(role)) &&
+    NODE_STATES.includes(node.state) &&
+    isAddress(node.address) &&
+    (node.relay === undefined || isAddress(node.relay))
+  )
+}
+
 /** Returns a key that identifies a server across services and environments. */
 export function serverKey(server: Pick<Server, 'environment' | 'service' | 'server'>): string {
   return `${server.environment}/${server.service}/${server.server}`
--- a/packages/node/src/gossip-codec.ts
+++ b/packages/node/src/gossip-codec.ts
@@ -10,15 +10,17 @@
   serverId,
   serviceName,
 } from '@bilberrystall/base'
-import type {
-  Node,
-  NodeState,
-  Versioned,
-  OriginDelta,
-  OriginVersion,
-  Role,
-  Server,
-  ServerState,
+import {
+  isValidNode,
+  isValidServer,
+  type Node,
+  type NodeState,
+  type Versioned,
+  type OriginDelta,
+  type OriginVersion,
+  type Role,
+  type Server,
+  type ServerState,
 } from '@bilberrystall/membership'
 import type { ProcessId } from '@bilberrystall/quarantine'
 import {
@@ -62,18 +64,25 @@
   return message
 }
 
-/** Returns undefined if the message has no version, which a correct node never sends. */
+/**
+ * Returns undefined if the message has no version, which a correct node never sends. A record that is not valid is left
+ * out, and the others hold: it may come from a node of another version.
+ */
 export function decodeDelta(message: OriginDeltaMessage): OriginDelta | undefined {
   if (message.version === undefined) return undefined
   return {
     version: decodeVersion(message.version),
-    servers: message.servers.map(decodeServer),
-    node: message.node === undefined ? undefined : decodeNode(message.node),
+    servers: message.servers.map(decodeServer).filter(({ value }) => isValidServer(value)),
+    node: message.node === undefined ? undefined : validNode(decodeNode(message.node)),
     removed: message.removed.map((removal) => ({ value: removal.key, counter: Number(removal.counter) })),
     full: message.full,
   }
 }
 
+function validNode(node: Versioned<Node>): Versioned<Node> | undefined {
+  return isValidNode(node.value) ? node : undefined
+}
+
 function encodeServer({ value, counter }: Versioned<Server>): ServerRecord {
   return create(ServerRecordSchema, {
     ...value,
