Try another server after a refused connection without drawing on the retry budget

What callers saw: right after the start of an entry, or while several servers of a service had just ended, calls were refused with 503 connect-failed though another server was idle.

Cause: every attempt after the first took a token of the retry budget, also if no server had received anything. A new entry has one token. The budget exists so that repeated requests do not add load to servers; a refused connection reached none.

Now a call tries up to two further servers after refused connections, which count neither against its attempts nor against the budget.

--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -35,6 +35,9 @@
 /** Entries that a call is passed on to, one after the other, before it fails. */
 const MAX_RELAY_PEERS = 3
 
+/** Further servers tried after refused connections, beside the retries that the budget allows. */
+const MAX_RECONNECTS = 2
+
 /** Default `retry-after`: a server is likely to be free after the duration of a typical call. */
 const DEFAULT_RETRY_AFTER_MS = 100
 /** `retry-after` of refusals that last longer: until servers have announced themselves or a new one has started. */
@@ -81,6 +84,7 @@
   readonly #deadline: number
   readonly #timer: NodeJS.Timeout
   #attemptsLeft: number
+  #reconnectsLeft = MAX_RECONNECTS
   /** Attempts in progress; a second one only for a repeatable call. */
   readonly #attempts = new Set<CallAttempt>()
   readonly #triedPeers: NodeId[] = []
@@ -392,7 +396,7 @@
       attemptFailure.canRetry &&
       !this.#callerResponse.hasStarted &&
       repeatable &&
-      (attemptFailure.budgetCharged || this.#mayRetry())
+      (attemptFailure.budgetCharged || (code === 'connectFailed' && this.#mayReconnect()) || this.#mayRetry())
     ) {
       this.#callerResponse.reset()
       this.#submit()
@@ -415,6 +419,14 @@
     return this.#dependencies.driver.mayRetry(this.#options.route.service)
   }
 
+  /** A server that could not be connected to received nothing, so trying another one adds no load that a budget limits. */
+  #mayReconnect(): boolean {
+    if (this.#reconnectsLeft === 0 || !this.#body.canSend || this.#remaining() <= 0) return false
+    this.#reconnectsLeft -= 1
+    this.#attemptsLeft += 1
+    return true
+  }
+
   #onDeadline(): void {
     if (this.#done) return
     const silent = [...this.#attempts].some((attempt) => attempt.silent)
