--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -239,14 +239,7 @@
         return requestForEntry(this.#requestSource, { attempts, remainingMs: this.#remaining() })
       },
       events: {
-        head: (responseHead) => this.#onHead(responseHead, attempt),
-        data: (part, drained) => {
-          this.#idempotency.onResponseData(part)
-          return this.#callerResponse.data(part, drained)
-        },
-        ended: (responseHead) => {
-          this.#onComplete(responseHead)
-        },
+        ...this.#responseEvents(() => attempt),
         failed: (relayFailure) => {
           this.#attempts.delete(attempt)
           this.#onRelayFailure(relayFailure)
@@ -258,6 +251,20 @@
     attempt.start()
   }
 
+  /** Handles a response in the same way whether it comes from a server or from another entry. */
+  #responseEvents(attempt: () => CallAttempt) {
+    return {
+      head: (responseHead: ResponseHead) => this.#onHead(responseHead, attempt()),
+      data: (part: Buffer, drained: () => void) => {
+        this.#idempotency.onResponseData(part)
+        return this.#callerResponse.data(part, drained)
+      },
+      ended: (responseHead: ResponseHead) => {
+        this.#onComplete(responseHead)
+      },
+    }
+  }
+
   get #requestSource(): RequestSource {
     const { request, head, context } = this.#options
     return { request, head, context, body: this.#body, dependencies: this.#dependencies }
@@ -306,14 +313,7 @@
       },
       events: {
         serverChosen: (server) => this.#onServerChosen(server, isHedge),
-        head: (responseHead) => this.#onHead(responseHead, attempt),
-        data: (part, drained) => {
-          this.#idempotency.onResponseData(part)
-          return this.#callerResponse.data(part, drained)
-        },
-        ended: (responseHead) => {
-          this.#onComplete(responseHead)
-        },
+        ...this.#responseEvents(() => attempt),
         failed: (attemptFailure) => {
           this.#attempts.delete(attempt)
           this.#onFailure(attemptFailure)
