Leave servers alone that say that they leave or ask for a pause

The checks of what keeps a server from use stood in seven places of the router.

Now a response's statements reach the router from calls, load queries and both kinds of probes; eligibility.ts decides for all uses; requests that waited for a connection are checked again before they are sent. A statement that a process leaves survives its later announcements and the removal of its record. Pauses are bounded, entries return at different times and with a ramp, and calls are refused on arrival with the time left while all servers pause.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -123,7 +123,15 @@
       return
     }
     if (result.isErr()) this.#onConnectFailed()
-    else this.#send(result.value)
+    else if (this.#options.dependencies.driver.accepts(this.#options.server)) this.#send(result.value)
+    else this.#onLeftMeanwhile(result.value)
+  }
+
+  /** While the call waited for a connection, the server left or asked for a pause. */
+  #onLeftMeanwhile(connection: Connection): void {
+    this.#pool?.release(connection)
+    this.#finish('unattributed')
+    this.#fail('connectFailed')
   }
 
   #onConnectFailed(): void {
--- /dev/null
+++ b/packages/entry/src/call-options.ts
@@ -0,0 +1,31 @@
+/** Options of a call, and the data of an ended one. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AttemptId, RequestId, ServerId } from '@bilberrystall/base'
+import type { Document, Route } from '@bilberrystall/document'
+import type { CallContext } from './context'
+import type { RequestHead } from './head'
+
+export interface CallOptions {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** Returns whether no pipelined request of the caller follows on the connection. */
+  readonly isLast: () => boolean
+  readonly head: RequestHead
+  readonly document: Document
+  readonly route: Route
+  /** Context of this call, including its own hop. */
+  readonly context: CallContext
+  /** Whether another entry passed the call on, which has claimed its idempotency key. */
+  readonly isRelayed: boolean
+}
+
+/** Data of an ended call for the log. */
+export interface EndedCall {
+  readonly route: string
+  readonly service: string
+  /** Attempt id sent by the caller. */
+  readonly attempt: AttemptId | undefined
+  readonly request: RequestId
+  /** Servers to which the call was sent, in order. */
+  readonly servers: readonly ServerId[]
+}
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -3,32 +3,24 @@
  * server, runs attempts and retries, and forwards the response. The result is reported to the caller once. After an
  * attempt with an unknown outcome, a later failure never reports the call as not run.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
-import {
-  failure,
-  resultCode,
-  type AttemptId,
-  type CodeName,
-  type NodeId,
-  type RequestId,
-  type ServerId,
-} from '@bilberrystall/base'
-import type { Document, Route } from '@bilberrystall/document'
+import { failure, resultCode, type CodeName, type NodeId, type RequestId, type ServerId } from '@bilberrystall/base'
 import type { RequestStanding } from '@bilberrystall/quarantine'
 import type { AttemptFailure } from './attempt'
 import type { CallAttempt } from './call-attempt'
 import type { CallDependencies } from './call-dependencies'
 import { IdempotencyHandler } from './idempotency-handler'
 import { requestForEntry, requestForServer, type RequestSource } from './call-request'
-import { isRefusal, type RequestHead, type ResponseHead } from './head'
-import type { CallContext } from './context'
+import { isRefusal, type ResponseHead } from './head'
+import type { CallOptions, EndedCall } from './call-options'
 import { CallerResponse } from './caller-response'
 import { RelayAttempt, type RelayFailure } from './relay-attempt'
 import type { RelayPeer } from './relay-peers'
+import type { Shed } from '@bilberrystall/routing'
 import { saysNothingOfServers } from './relay-protocol'
 import { relayResponseFields } from './relay-response'
 import { RequestBody } from './request-body'
 import { identifyRequest } from './request-identity'
+import { retryAfterMs } from './retry-after'
 import { RoutedAttempt } from './routed-attempt'
 
 const SERVER_ERROR = 500
@@ -38,39 +30,9 @@
 /** Further servers tried after refused connections, beside the retries that the budget allows. */
 const MAX_RECONNECTS = 2
 
-/** Default `retry-after`: a server is likely to be free after the duration of a typical call. */
-const DEFAULT_RETRY_AFTER_MS = 100
-/** `retry-after` of refusals that last longer: until servers have announced themselves or a new one has started. */
-const RETRY_AFTER_MS: Partial<Record<CodeName, number>> = { noServer: 500, connectFailed: 300 }
-
 /** Fraction of the target latency after which a hedged attempt starts. */
 const HEDGE_DELAY_FACTOR = 0.5
 
-export interface CallOptions {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  /** Returns whether no pipelined request of the caller follows on the connection. */
-  readonly isLast: () => boolean
-  readonly head: RequestHead
-  readonly document: Document
-  readonly route: Route
-  /** Context of this call, including its own hop. */
-  readonly context: CallContext
-  /** Whether another entry passed the call on, which has claimed its idempotency key. */
-  readonly isRelayed: boolean
-}
-
-/** Data of an ended call for the log. */
-export interface EndedCall {
-  readonly route: string
-  readonly service: string
-  /** Attempt id sent by the caller. */
-  readonly attempt: AttemptId | undefined
-  readonly request: RequestId
-  /** Servers to which the call was sent, in order. */
-  readonly servers: readonly ServerId[]
-}
-
 export class Call {
   /** Monotonic ms. */
   readonly acceptedAt: number
@@ -318,12 +280,9 @@
           this.#attempts.delete(attempt)
           this.#onFailure(attemptFailure)
         },
-        shed: (code) => {
+        shed: (refusal) => {
           this.#attempts.delete(attempt)
-          // The other attempt is still in progress.
-          if (this.#attempts.size > 0) return
-          if (this.#mayRelay()) this.#submit()
-          else this.#fail(code)
+          this.#onShed(refusal)
         },
         silent: () => this.#shouldAbandon(attempt),
       },
@@ -332,6 +291,14 @@
     attempt.start()
   }
 
+  #onShed({ code, retryAfterMs: waitMs }: Shed): void {
+    // The other attempt is still in progress.
+    if (this.#attempts.size > 0) return
+    const { dialect } = this.#dependencies
+    if (this.#mayRelay()) this.#submit()
+    else this.#fail(code, waitMs === undefined ? {} : { 'retry-after': dialect.retryAfter(waitMs) })
+  }
+
   #onServerChosen(server: ServerId, isHedge: boolean): boolean {
     if (this.#done) return false
     if (isHedge ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
@@ -487,8 +454,6 @@
 
   #retryAfter(code: CodeName): Readonly<Record<string, string>> {
     const isRefused = resultCode(code).status === 503 || code === 'keyInProgress'
-    return isRefused
-      ? { 'retry-after': this.#dependencies.dialect.retryAfter(RETRY_AFTER_MS[code] ?? DEFAULT_RETRY_AFTER_MS) }
-      : {}
+    return isRefused ? { 'retry-after': this.#dependencies.dialect.retryAfter(retryAfterMs(code)) } : {}
   }
 }
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -20,6 +20,8 @@
    * undefined if not supported.
    */
   readonly rateLimitHeader: string | undefined
+  /** Response header with the value 1 of a server that leaves; undefined if not supported. */
+  readonly leavingHeader: string | undefined
   /** Header with the id that callers give to each attempt and that servers return; undefined if not supported. */
   readonly attemptHeader: string | undefined
   /**
@@ -62,6 +64,7 @@
   loadHeader: 'bilberrystall-load',
   readLoad: parseLoad,
   rateLimitHeader: 'bilberrystall-rate-limit',
+  leavingHeader: 'bilberrystall-leaving',
   attemptHeader: undefined,
   instanceHeader: undefined,
   instanceResponseHeader: undefined,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,37 +7,28 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { getRequestListener } from '@hono/node-server'
-import {
-  errorMessage,
-  failure,
-  type CodeName,
-  type Failure,
-  type NodeId,
-  type RandomSource,
-  type ServerId,
-} from '@bilberrystall/base'
+import { errorMessage, failure, type Failure, type ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
-import type { Router, Server, ServerChange } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
-import { Call, type EndedCall } from './call'
+import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies, LostCall } from './call-dependencies'
-import type { ClaimCoordinator } from './claim-coordinator'
 import type { Address } from './connection'
 import { DEFAULT_DIALECT, type Dialect } from './dialect'
 import { ContextCodec } from './context'
-import { parseRequestHead } from './head'
+import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { respondToParseError } from './parse-error'
 import { ConnectionPool } from './connection-pool'
 import { CallerResponse } from './caller-response'
+import type { EntryOptions, EntryServer } from './entry-options'
 import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
-import { OPEN_GATE, type RequestGate } from './request-gate'
+import { OPEN_GATE } from './request-gate'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
-import { ServerChecks, type ServerCheck } from './server-check'
-import { RelayPeers, type RelayPeer } from './relay-peers'
+import { ServerChecks } from './server-check'
+import { RelayPeers } from './relay-peers'
 import { relayResponseFields } from './relay-response'
 
 /** Interval of the check for idle connections. Short compared with the idle timeout of several seconds. */
@@ -53,58 +44,6 @@
 /** Multiple of the 95th percentile of the latency that a planned stop must leave for a call. */
 const LATENCY_MARGIN = 2
 
-/** An announced server with its address and connection limit. */
-export interface EntryServer extends Server {
-  readonly address: Address
-  /** Maximum number of connections that the server accepts from all entries together. */
-  readonly connectionLimit: number
-  /** Id of the server process, sent in the instance header of requests. */
-  readonly instance: string
-  /** Start of the server process in Unix ms. */
-  readonly start: number
-}
-
-export interface EntryEvents {
-  /** A call ended; `call` is present unless the result is `complete` or the call was rejected before routing. */
-  readonly callEnded?: (result: CodeName | 'complete', latencyMs: number, call?: EndedCall) => void
-  /** The use of a server changed. */
-  readonly serverChanged?: (change: ServerChange) => void
-  /** A call was passed on to another entry. */
-  readonly callRelayed?: () => void
-  /** This entry lost its way to all servers, or reaches one again. */
-  readonly reachabilityChanged?: (isCutOff: boolean) => void
-  /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
-  readonly callLost?: (lost: LostCall, start: number, check: ServerCheck) => void
-  /** Connections to a server were retired because they made no progress. */
-  readonly silentRetired?: (server: ServerId, count: number) => void
-}
-
-export interface EntryOptions {
-  readonly host: string
-  readonly port: number
-  readonly node: NodeId
-  readonly nodeKey: string
-  readonly router: Router
-  readonly random: RandomSource
-  readonly dialect?: Dialect
-  /** Returns the document in force, or undefined until control has confirmed one. */
-  readonly document: () => Document | undefined
-  /** Returns the number of live entries, including this one. */
-  readonly liveEntries: () => number
-  readonly claims?: ClaimCoordinator
-  /** Returns the number of the document in force, which grows with each change. */
-  readonly revision?: () => number
-  /** Listen address for calls of other entries; absent: none are accepted. */
-  readonly relayListen?: Address
-  /** Returns the entries that accept calls of this one while it reaches no server. */
-  readonly relayPeers?: () => readonly RelayPeer[]
-  /** Withholds requests from servers that they would crash. */
-  readonly gate?: RequestGate
-  readonly events?: EntryEvents
-  readonly limits?: Partial<Limits>
-  readonly clock?: Clock
-}
-
 export class Entry {
   readonly #options: EntryOptions
   readonly #limits: Limits
@@ -166,6 +105,9 @@
       random: options.random,
       now: this.#clock.monotonic,
       dialect: this.#dialect,
+      onResponse: (server, head) => {
+        this.#probeAnswered(server, head)
+      },
       onChange: (isCutOff) => {
         options.events?.reachabilityChanged?.(isCutOff)
         if (isCutOff) for (const call of this.#calls) call.onCutOff()
@@ -433,7 +375,7 @@
 
   #readyServers(): readonly ProbedServer[] {
     return [...this.#servers.values()]
-      .filter(({ state }) => state === 'ready')
+      .filter(({ id }) => this.#driver.accepts(id))
       .map(({ id, address }) => ({ id, address, path: this.#healthPath(id) }))
   }
 
@@ -458,11 +400,21 @@
     const pool = this.#pool(id)
     if (pool === undefined) return
     const path = this.#dialect.probePath ?? this.#healthPath(id)
-    probe(pool, { path, timeoutMs, dialect: this.#dialect }, this.#clock.monotonic, (outcome, latency, load) => {
+    const onHead = (head: ResponseHead) => {
+      this.#probeAnswered(id, head)
+    }
+    const target = { path, timeoutMs, dialect: this.#dialect, onHead }
+    probe(pool, target, this.#clock.monotonic, (outcome, latency, load) => {
       this.#driver.probed(id, outcome, latency, load)
     })
   }
 
+  /** A probe names no process, so another one may have answered at the address. */
+  #probeAnswered(id: ServerId, head: ResponseHead): void {
+    const instance = this.#servers.get(id)?.instance
+    if (head.instance === undefined || head.instance === instance) this.#driver.responded(id, head)
+  }
+
   #healthPath(id: ServerId): string {
     const service = this.#servers.get(id)?.service
     const known = service === undefined ? undefined : this.#options.document()?.services.get(service)
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -177,6 +177,8 @@
   readonly relayResult: RelayResult | undefined
   readonly relayRevision: number | undefined
   readonly retryAfter: string | undefined
+  /** Whether the server says that it leaves. */
+  readonly isLeaving: boolean
   /** Whether the body has a content encoding, which is invalid because no caller requests one. */
   readonly encoded: boolean
 }
@@ -210,6 +212,7 @@
   let relayResult: RelayResult | undefined
   let relayRevision: number | undefined
   let retryAfter: string | undefined
+  let isLeaving = false
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
     const value = raw[index + 1]?.toString('latin1') ?? ''
@@ -224,13 +227,12 @@
     else if (lower === 'connection') hopByHop = connectionOptions(value)
     else if (lower === 'content-type') contentType = value
     else if (lower === 'retry-after') retryAfter = value
+    else if (lower === dialect.leavingHeader) isLeaving = value.trim() === '1'
     else if (lower === RELAY_RESULT_HEADER) relayResult = decodeRelayResult(value)
     else if (lower === RELAY_REVISION_HEADER) relayRevision = parseInteger(value)
     if (lower === 'content-length' || lower === 'transfer-encoding') delimited = true
     if (lower === 'content-length') length = Number(value)
-    const isForEntry =
-      lower === dialect.loadHeader || lower === dialect.notRunHeader || lower === dialect.rateLimitHeader
-    const isInternal = isForEntry || lower.startsWith(SYSTEM_PREFIX)
+    const isInternal = isForEntry(lower, dialect) || lower.startsWith(SYSTEM_PREFIX)
     if (!HOP_BY_HOP.has(lower) && !isInternal) fields.push(name, value)
   }
   const returned = hopByHop === undefined ? fields : withoutFields(fields, hopByHop)
@@ -250,9 +252,16 @@
     relayResult,
     relayRevision,
     retryAfter,
+    isLeaving,
   }
 }
 
+/** Whether a field of a response is a statement of the server to the entry, which callers do not get. */
+function isForEntry(name: string, dialect: Dialect): boolean {
+  const { loadHeader, notRunHeader, rateLimitHeader, leavingHeader } = dialect
+  return name === loadHeader || name === notRunHeader || name === rateLimitHeader || name === leavingHeader
+}
+
 function withoutFields(fields: readonly string[], hopByHop: ReadonlySet<string>): string[] {
   const remaining: string[] = []
   for (let index = 0; index < fields.length; index += 2) {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,11 +1,12 @@
 /** The entry: an HTTP reverse proxy between callers and servers. */
-export type { EndedCall } from './call'
+export type { EndedCall } from './call-options'
 export type { LostCall } from './call-dependencies'
 export * from './claim-coordinator'
 export * from './claim-rpc'
 export type { Address } from './connection'
 export * from './context'
 export * from './entry'
+export * from './entry-options'
 export { DEFAULT_DIALECT, PROBE_PATH, parseLoad, type Dialect } from './dialect'
 export * from './limits'
 export type { RelayPeer } from './relay-peers'
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -38,8 +38,10 @@
     // A query may be sent again, so it may use a connection that has been idle; the answer shows that it works.
     pool.acquire(false, (result) => {
       if (result.isErr()) this.#reportUnanswered(server)
-      else if (this.#closed) pool.release(result.value)
-      else this.#send(server, pool, result.value)
+      else if (this.#closed || !this.#dependencies.driver.accepts(server)) {
+        pool.release(result.value)
+        this.#reportRefused(server)
+      } else this.#send(server, pool, result.value)
     })
   }
 
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -2,20 +2,22 @@
 import type { ExchangeOutcome, Load } from '@bilberrystall/routing'
 import type { Dialect } from './dialect'
 import { Exchange } from './exchange'
-import { isUnnamedRefusal } from './head'
+import { isUnnamedRefusal, type ResponseHead } from './head'
 import type { ConnectionPool } from './connection-pool'
 
 export interface ProbeTarget {
   readonly path: string
   readonly timeoutMs: number
   readonly dialect: Dialect
+  /** Called with the head of the response. */
+  readonly onHead: (head: ResponseHead) => void
 }
 
 export type ProbeCallback = (outcome: ExchangeOutcome, latency: number, load: Load | undefined) => void
 
 /** Reports the result once, after `timeoutMs` at the latest. A probe that takes longer is cancelled. */
 export function probe(pool: ConnectionPool, target: ProbeTarget, now: () => number, onResult: ProbeCallback): void {
-  const { path, timeoutMs, dialect } = target
+  const { path, timeoutMs, dialect, onHead } = target
   const startedAt = now()
   let exchange: Exchange | undefined
   let reported = false
@@ -42,7 +44,7 @@
     exchange = new Exchange(
       connection,
       {
-        head: () => undefined,
+        head: onHead,
         data: () => true,
         ended: () => {
           if (exchange?.head !== undefined && isUnnamedRefusal(exchange.head)) connection.destroy()
--- a/packages/entry/src/reachability-monitor.ts
+++ b/packages/entry/src/reachability-monitor.ts
@@ -7,6 +7,7 @@
 import { Connection, type Address } from './connection'
 import type { Dialect } from './dialect'
 import { Exchange } from './exchange'
+import type { ResponseHead } from './head'
 
 /** Servers probed in a round, so that one that has ended says nothing about the others. */
 const PROBES_PER_ROUND = 3
@@ -20,12 +21,14 @@
 }
 
 export interface ReachabilityMonitorOptions {
-  /** Servers that are ready, of all services. */
+  /** Servers that accept requests, of all services. */
   readonly servers: () => readonly ProbedServer[]
   readonly serverCount: () => number
   readonly random: RandomSource
   readonly now: () => number
   readonly dialect: Dialect
+  /** Called with the response to a probe. */
+  readonly onResponse: (server: ServerId, head: ResponseHead) => void
   /** Called when this entry loses all servers, and when one responds again. */
   readonly onChange: (isCutOff: boolean) => void
 }
@@ -93,8 +96,8 @@
   }
 
   /** Returns whether the server sends any response on a new connection. */
-  async #probe({ address, path }: ProbedServer): Promise<boolean> {
-    const { now, dialect } = this.#options
+  async #probe({ id, address, path }: ProbedServer): Promise<boolean> {
+    const { now, dialect, onResponse } = this.#options
     const opened = await Connection.open(address, PROBE_TIMEOUT_MS, now)
     if (opened.isErr()) return false
     const connection = opened.value
@@ -110,7 +113,8 @@
       const exchange = new Exchange(
         connection,
         {
-          head: () => {
+          head: (head) => {
+            onResponse(id, head)
             finish(true)
           },
           data: () => true,
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -3,7 +3,7 @@
  * router has chosen a server, and runs an `Attempt` there. A repeatable call can have two routed attempts in progress.
  */
 import type { CodeName, ServerId } from '@bilberrystall/base'
-import type { Call as RouterCall, CallId } from '@bilberrystall/routing'
+import type { Call as RouterCall, CallId, Shed } from '@bilberrystall/routing'
 import { Attempt, type AttemptFailure } from './attempt'
 import type { CallAttempt } from './call-attempt'
 import type { CallDependencies } from './call-dependencies'
@@ -22,7 +22,7 @@
   readonly ended: (head: ResponseHead) => void
   readonly failed: (failure: AttemptFailure) => void
   /** The router found no server in time. */
-  readonly shed: (code: CodeName) => void
+  readonly shed: (refusal: Shed) => void
   /**
    * The connection is silent. Returns true to abandon it for a retry, which has then been charged to the retry budget.
    */
@@ -70,9 +70,9 @@
     this.#attempt?.sweep(now)
   }
 
-  shed(code: CodeName): void {
+  shed(refusal: Shed): void {
     if (!this.#end()) return
-    this.#options.events.shed(code)
+    this.#options.events.shed(refusal)
   }
 
   queryLoad(servers: readonly ServerId[]): void {
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -1,5 +1,5 @@
 /** Executes the effects that the router returns and calls its `tick` at the times it requests. */
-import type { CodeName, ServerId, ServiceName } from '@bilberrystall/base'
+import type { ServerId, ServiceName } from '@bilberrystall/base'
 import {
   callId,
   type Call,
@@ -10,16 +10,18 @@
   type Load,
   type Router,
   type ServerChange,
+  type Shed,
 } from '@bilberrystall/routing'
 
 import { MISDIRECTED, type ResponseHead } from './head'
+import { parseRetryAfter } from './retry-after'
 import { SlotMap } from './slot-map'
 
 /** A call that is queued in the router or in progress at a server. */
 export interface RoutedCall {
   readonly queryLoad: (servers: readonly ServerId[]) => void
   readonly dispatched: (server: ServerId, queueLimit: number | undefined) => void
-  readonly shed: (code: CodeName) => void
+  readonly shed: (refusal: Shed) => void
 }
 
 export interface RouterDriverOptions {
@@ -30,6 +32,7 @@
   readonly serverChanged: (change: ServerChange) => void
 }
 
+const UNAVAILABLE = 503
 /** Resolution of timers: shorter delays only cause extra wake-ups. */
 const MIN_TIMER_MS = 1
 
@@ -64,10 +67,24 @@
     this.apply(this.#options.router.finished(call, outcome, latency, load, this.#now()))
   }
 
-  /** Takes the rate limit from a response. A refusal without one does not say that the limit has ended. */
-  responded(server: ServerId, { status, notRun, rateLimit }: ResponseHead): void {
-    if (status === MISDIRECTED || (notRun && rateLimit === undefined)) return
-    this.apply(this.#options.router.rateLimitReported(server, rateLimit, this.#now()))
+  /**
+   * Takes from a response what the server says of itself: that it leaves, that it wants nothing for some time, and its
+   * rate limit. A refusal without a rate limit does not say that the limit has ended.
+   */
+  responded(server: ServerId, { status, notRun, rateLimit, isLeaving, retryAfter }: ResponseHead): void {
+    if (status === MISDIRECTED) return
+    const { router } = this.#options
+    const pauseMs = status === UNAVAILABLE && retryAfter !== undefined ? parseRetryAfter(retryAfter) : undefined
+    if (isLeaving || pauseMs !== undefined) {
+      this.apply(router.statementReceived(server, { isLeaving, pauseMs }, this.#now()))
+    }
+    if (notRun && rateLimit === undefined) return
+    this.apply(router.rateLimitReported(server, rateLimit, this.#now()))
+  }
+
+  /** Whether a request that was prepared for the server may still be sent to it. */
+  accepts(server: ServerId): boolean {
+    return this.#options.router.accepts(server, this.#now())
   }
 
   answered(call: CallId, server: ServerId, result: LoadQueryResult): void {
@@ -113,7 +130,7 @@
         return
       }
       case 'shed':
-        this.#calls.get(effect.call)?.shed(effect.code)
+        this.#calls.get(effect.call)?.shed(effect)
         return
       case 'probe':
         this.#options.probe(effect.server, effect.timeout)
@@ -122,6 +139,8 @@
       case 'restored':
       case 'limited':
       case 'unlimited':
+      case 'leaving':
+      case 'paused':
         this.#options.serverChanged(effect)
     }
   }
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -144,7 +144,12 @@
   return { entry, origin: `http://127.0.0.1:${entry.port}`, results }
 }
 
-export function addServer(entry: Entry, server: FakeServer, index: number): void {
+export function addServer(
+  entry: Entry,
+  server: FakeServer,
+  index: number,
+  change: { readonly start?: number; readonly firstSeen?: number } = {},
+): void {
   entry.updateServer({
     id: serverId(`server-${index}`),
     service: serviceName('booking'),
@@ -156,6 +161,7 @@
     start: 1,
     address: { host: '127.0.0.1', port: server.port },
     connectionLimit: 64,
+    ...change,
   })
 }
 
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -61,6 +61,7 @@
   #isCutOff = false
   /** Servers that name a rate limit. */
   readonly #limited = new Set<string>()
+  readonly #pauses: Counter
   /** Ids of the live entries, sorted; undefined after a change of the known nodes. */
   #entries: readonly NodeId[] | undefined
   /** Time at which each server process was first seen, so that a restarted server is ramped up again. */
@@ -153,6 +154,7 @@
     context.metrics.gauge('servers_unreachable', 'Whether this entry reaches no server', () => Number(this.#isCutOff))
     context.metrics.gauge('claimed_keys', 'Idempotency keys stored by this holder', () => this.#claimTable.size)
     context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
+    this.#pauses = context.metrics.counter('server_pauses_total', 'Pauses that servers asked for')
     context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
     context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
   }
@@ -375,6 +377,12 @@
       case 'unlimited':
         this.#limited.delete(server)
         log.info('serverUnlimited', { server })
+        return
+      case 'leaving':
+        log.info('serverLeaving', { server })
+        return
+      case 'paused':
+        this.#pauses.inc()
     }
   }
 
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -51,6 +51,8 @@
   readonly domain: FailureDomain
   readonly slots: number
   readonly state: ServerState
+  /** Start time of the server process, which tells processes with the same id apart. */
+  readonly start?: number
   /** Time in ms at which this start of the server was first seen; a later value starts a new ramp. */
   readonly firstSeen: number
   /** Load carried by the announcement. */
@@ -87,7 +89,7 @@
   | Dispatch
   /** Query the load of the servers and report each answer with `answered`. */
   | { readonly kind: 'query-load'; readonly call: CallId; readonly servers: readonly ServerId[] }
-  | { readonly kind: 'shed'; readonly call: CallId; readonly code: CodeName }
+  | Shed
   | Probe
   | { readonly kind: 'ejected'; readonly server: ServerId; readonly reason: EjectReason }
   | { readonly kind: 'restored'; readonly server: ServerId }
@@ -95,9 +97,33 @@
   | { readonly kind: 'limited'; readonly server: ServerId; readonly rate: number }
   /** The server no longer names a rate limit. */
   | { readonly kind: 'unlimited'; readonly server: ServerId }
+  /** The server has said that it leaves. */
+  | { readonly kind: 'leaving'; readonly server: ServerId }
+  /** The server has asked for a pause. */
+  | { readonly kind: 'paused'; readonly server: ServerId }
 
 /** A change in how the calls of this entry use a server. */
-export type ServerChange = Extract<Effect, { kind: 'ejected' | 'restored' | 'limited' | 'unlimited' }>
+export type ServerChange = Extract<
+  Effect,
+  { kind: 'ejected' | 'restored' | 'limited' | 'unlimited' | 'leaving' | 'paused' }
+>
+
+/** What a response of a server says of the server itself. */
+export interface ServerStatement {
+  /** Whether the server leaves. */
+  readonly isLeaving: boolean
+  /** Time in ms for which the server wants nothing from this entry. */
+  readonly pauseMs: number | undefined
+}
+
+/** End the call without sending it. */
+export interface Shed {
+  readonly kind: 'shed'
+  readonly call: CallId
+  readonly code: CodeName
+  /** Time in ms after which the call can be accepted, if it is known. */
+  readonly retryAfterMs?: number
+}
 
 /** Send the call to the server, then call `started` and `finished`. */
 export interface Dispatch {
--- /dev/null
+++ b/packages/routing/src/eligibility.ts
@@ -0,0 +1,62 @@
+/**
+ * Decides, for all parts of the router, which servers may be used for what. A server is excluded by its announced state,
+ * by what its responses say of it (it leaves, asks for a pause, or names a rate limit), and by what this entry has seen
+ * of it (an ejection, or a failure a moment ago).
+ */
+import type { Call } from './call'
+import type { ServerRecord } from './server-record'
+
+/**
+ * - `call`: a call, a retry or a hedged attempt.
+ * - `load-query`: a query before a call.
+ * - `limit-query`: a query that tells whether a rate limit has ended.
+ * - `trial`: a call to a server that returns from an ejection.
+ * - `probe`: the end of an ejection, with or without a probe.
+ */
+export type ServerUse = 'call' | 'load-query' | 'limit-query' | 'trial' | 'probe'
+
+export function isEligible(record: ServerRecord, use: ServerUse, now: number): boolean {
+  if (!acceptsRequests(record, now)) return false
+  const { health, rateLimit } = record
+  switch (use) {
+    case 'call':
+    case 'load-query':
+      return isHealthy(record, now) && record.isWithinRateLimit(now)
+    case 'limit-query':
+      return isHealthy(record, now) && rateLimit?.isStale(now) === true && !record.isWithinRateLimit(now)
+    case 'trial':
+      return health.kind === 'trial' && isIdle(record) && record.isWithinRateLimit(now)
+    case 'probe':
+      return health.kind === 'ejected' && now >= health.until
+  }
+}
+
+/** Whether anything at all may be sent to the server now. */
+export function acceptsRequests(record: ServerRecord, now: number): boolean {
+  return isStaying(record) && now >= record.requestedPauseUntil
+}
+
+/** Whether the server is ready and has not said that it leaves. It may still accept nothing right now. */
+export function isStaying({ server, isLeaving, isRemoved }: ServerRecord): boolean {
+  return server.state === 'ready' && !isLeaving && !isRemoved
+}
+
+/** Whether the call may be sent to the server now or later. */
+export function mayServe(record: ServerRecord, call: Call): boolean {
+  if (!isStaying(record) || call.triedServers?.includes(record.server.id) === true) return false
+  if (record.rateLimit?.interval === Number.POSITIVE_INFINITY) return false
+  // A retry would wait for an ejected server until its deadline and then fail.
+  return !isRetry(call) || record.health.kind !== 'ejected'
+}
+
+export function isRetry(call: Call): boolean {
+  return call.triedServers !== undefined && call.triedServers.length > 0
+}
+
+function isHealthy({ health, pausedUntil }: ServerRecord, now: number): boolean {
+  return health.kind === 'healthy' && now >= pausedUntil
+}
+
+function isIdle({ ownInFlight, isProbing }: ServerRecord): boolean {
+  return ownInFlight === 0 && !isProbing
+}
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -5,7 +5,7 @@
  */
 import { randomInt, type RandomSource, type ServerId } from '@bilberrystall/base'
 import type { Call, CallId, Effect, Load } from './call'
-import { isHealthy, isUsable } from './selection'
+import { isEligible } from './eligibility'
 import type { ServerRecord } from './server-record'
 
 /**
@@ -271,7 +271,7 @@
   #queryRate(host: LoadQueryHost, subset: readonly ServerRecord[], now: number): number {
     const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
     if (!host.hasRateLimits()) return rate
-    const callable = subset.filter((record) => record.isWithinRateLimit(now)).length
+    const callable = subset.filter((record) => isEligible(record, 'load-query', now)).length
     return (rate * subset.length) / Math.max(1, callable)
   }
 
@@ -283,7 +283,7 @@
     now: number,
   ): readonly ServerRecord[] {
     const ranked = records
-      .filter((record) => isUsable(record, now) && !queried.has(record.server.id))
+      .filter((record) => isEligible(record, 'load-query', now) && !queried.has(record.server.id))
       .filter(
         (record) => call.triedServers?.includes(record.server.id) !== true && record.mayQuery(rate, QUERY_BURST, now),
       )
@@ -300,8 +300,7 @@
     const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
     const servers = host
       .subset()
-      .filter((record) => record.rateLimit?.isStale(now) === true && !record.isWithinRateLimit(now))
-      .filter((record) => isHealthy(record, now) && !queried.has(record.server.id))
+      .filter((record) => isEligible(record, 'limit-query', now) && !queried.has(record.server.id))
       .filter((record) => record.mayQuery(rate, QUERY_BURST, now))
       .slice(0, callable === 0 ? SERVERS_PER_ROUND : 1)
     for (const server of servers) server.takeQueryToken()
@@ -335,11 +334,11 @@
   return record.ramp(now) < host.maxRamp() * WARM_RAMP_SHARE ? COLD_COST_FACTOR : 1
 }
 
-/** Answers of servers whose rate limit allows no call now do not count. */
+/** Answers of servers that may not get a call now do not count. */
 function bestAnswer({ answers }: LoadQuery, now: number): Answer | undefined {
   let best: Answer | undefined
   for (const answer of answers) {
-    if (!answer.record.isWithinRateLimit(now)) continue
+    if (!isEligible(answer.record, 'call', now)) continue
     if (best === undefined || answer.cost < best.cost) best = answer
   }
   return best
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,8 +7,20 @@
  * that it was already sent to.
  */
 import type { RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
-import type { Call, CallId, Effect, EjectReason, ExchangeOutcome, Load, Observation, Server } from './call'
+import type {
+  Call,
+  CallId,
+  Effect,
+  EjectReason,
+  ExchangeOutcome,
+  Load,
+  Observation,
+  Server,
+  ServerStatement,
+} from './call'
 import type { QueuedCall } from './call-queue'
+import { acceptsRequests, isEligible, isStaying } from './eligibility'
+import { LeavingServers } from './leaving-servers'
 import { LoadQueries, type LoadQueriesOptions, type LoadQueryResult } from './load-query'
 import { eject, mayEject, outlierReason, TRIAL_CALLS } from './health'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
@@ -66,6 +78,7 @@
   readonly #loadQueries: LoadQueries | undefined
   readonly #subset: SubsetOptions
   readonly #limitSharing: LimitSharing
+  readonly #leaving = new LeavingServers()
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
@@ -99,15 +112,19 @@
     const effects: Effect[] = []
     const pool = this.#pool(server.service, now)
     const known = this.#records.get(server.id)
+    const isLeaving = this.#leaving.has(server)
     if (known === undefined) {
       const record = new ServerRecord(server)
+      record.isLeaving = isLeaving
       this.#records.set(server.id, record)
       pool.add(record, now)
     } else {
       if (server.firstSeen > known.server.firstSeen) known.restart(server.firstSeen)
       if (known.server.state === 'ready' && server.state !== 'ready') pool.recordServerLoss(now)
-      if (known.server.state !== server.state || known.server.domain !== server.domain) pool.serverUpdated()
+      const isChanged = known.server.state !== server.state || known.server.domain !== server.domain
+      if (isChanged || known.isLeaving !== isLeaving) pool.serverUpdated()
       known.server = server
+      known.isLeaving = isLeaving
     }
     if (server.load !== undefined) this.#records.get(server.id)?.addRemoteReport(server.load, now)
     this.#drain(pool, now, effects)
@@ -175,6 +192,33 @@
     return effects
   }
 
+  /** Called with what a response of a server says of the server. */
+  statementReceived(server: ServerId, { isLeaving, pauseMs }: ServerStatement, now: number): readonly Effect[] {
+    const record = this.#records.get(server)
+    if (record === undefined) return NO_EFFECTS
+    const effects: Effect[] = []
+    const pool = this.#pool(record.server.service, now)
+    if (pauseMs !== undefined && pauseMs > 0) {
+      if (acceptsRequests(record, now)) effects.push({ kind: 'paused', server })
+      record.pause(pauseMs, this.#random(), now)
+    }
+    if (isLeaving && !record.isLeaving) {
+      record.isLeaving = true
+      this.#leaving.add(record.server)
+      pool.recordServerLoss(now)
+      pool.serverUpdated()
+      effects.push({ kind: 'leaving', server })
+    }
+    this.#drain(pool, now, effects)
+    return effects
+  }
+
+  /** Whether a request that was prepared for the server may still be sent to it. */
+  accepts(server: ServerId, now: number): boolean {
+    const record = this.#records.get(server)
+    return record !== undefined && acceptsRequests(record, now)
+  }
+
   /** Called with the result of a load query that an effect requested. */
   answered(call: CallId, server: ServerId, result: LoadQueryResult, now: number): readonly Effect[] {
     // An answer that arrives after the call was sent is still recorded for the server.
@@ -308,9 +352,9 @@
         queued: (call, queuedCall) => {
           this.#queued.set(call.id, { pool, queuedCall })
         },
-        shed: (call, code, effects) => {
+        shed: (call, refusal, effects) => {
           this.#queued.delete(call.id)
-          effects.push({ kind: 'shed', call: call.id, code })
+          effects.push({ kind: 'shed', call: call.id, ...refusal })
         },
       },
       now,
@@ -398,8 +442,9 @@
     this.#restoreWhenNoneHealthy(pool, now, effects)
     for (const record of pool.records) {
       this.#ejectOutlier(record, pool, now, effects)
-      if (record.health.kind !== 'ejected' || now < record.health.until) continue
-      record.health = { kind: 'trial', successes: 0, backoff: record.health.backoff }
+      const { health } = record
+      if (health.kind !== 'ejected' || !isEligible(record, 'probe', now)) continue
+      record.health = { kind: 'trial', successes: 0, backoff: health.backoff }
       pool.hasTrial = true
       const cost = this.#probeTimeout
       if (!this.tokens.take(record.server.service, cost, now)) continue
@@ -410,7 +455,7 @@
 
   /** Restores all ready servers if none of them is healthy, since an ejected server is better than none. */
   #restoreWhenNoneHealthy(pool: ServicePool, now: number, effects: Effect[]): void {
-    const ready = pool.records.filter((record) => record.server.state === 'ready')
+    const ready = pool.records.filter(isStaying)
     if (ready.some((record) => record.health.kind === 'healthy')) return
     for (const record of ready) {
       record.restore(now)
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -3,6 +3,7 @@
  * slots that may be used.
  */
 import { randomInt, type RandomSource, type ServerId } from '@bilberrystall/base'
+import { isEligible } from './eligibility'
 import type { ServerRecord } from './server-record'
 
 export interface Choice {
@@ -50,7 +51,7 @@
   const offset = randomInt(stats.random, records.length)
   for (let step = 0; step < count; step += 1) {
     const record = records[(offset + step) % records.length]
-    if (record === undefined || !isUsable(record, now)) continue
+    if (record === undefined || !isEligible(record, 'call', now)) continue
     const load = record.ownInFlight + record.estimateOtherLoad(now, stats)
     const slots = record.server.slots
     best.freeSlots += Math.max(0, slots - load)
@@ -65,15 +66,6 @@
   return best
 }
 
-export function isUsable(record: ServerRecord, now: number): boolean {
-  return isHealthy(record, now) && record.isWithinRateLimit(now)
-}
-
-/** Whether the server may be used, apart from its rate limit. */
-export function isHealthy(record: ServerRecord, now: number): boolean {
-  return record.health.kind === 'healthy' && record.server.state === 'ready' && now >= record.pausedUntil
-}
-
 function costOf(record: ServerRecord, load: number, stats: ServiceStats, now: number): number {
   const ramp = record.ramp(now) / stats.maxRamp
   return (load + 1) / (record.server.slots * ramp)
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -30,6 +30,11 @@
 const INITIAL_RAMP = 0.2
 /** Slowness assumed for a server that refuses load queries. */
 const REFUSED_SLOWNESS = 5
+/** Longest pause in ms that a server can ask for, so that a wrong value does not keep it out of use for good. */
+const MAX_REQUESTED_PAUSE_MS = 300_000
+/** Share of a requested pause, and its limit in ms, by which entries return at different times. */
+const RETURN_SPREAD_SHARE = 0.25
+const MAX_RETURN_SPREAD_MS = 1000
 /** Length of the ramp in ms after a start of the server, and after the end of an ejection. */
 const START_RAMP_MS = 5000
 const RESTORE_RAMP_MS = 2000
@@ -54,6 +59,10 @@
   rampStartedAt: number
   consecutiveFailures = 0
   failureRate = 0
+  /** Whether a response of the server said that it leaves. */
+  isLeaving = false
+  /** End of the pause that the server asked for. */
+  requestedPauseUntil = Number.NEGATIVE_INFINITY
   /** After a failure, no call is sent before this time. */
   pausedUntil = Number.NEGATIVE_INFINITY
   /** Time of the newest load report from any source. */
@@ -242,10 +251,23 @@
     this.resetLatency()
   }
 
-  /** Handles a restart of the server process: its known latency and failures no longer apply. */
+  /**
+   * Starts a pause that the server asked for. Entries end it at different times, `spread` in [0, 1], and return with a
+   * ramp, so that the server does not get the calls of all of them at once.
+   */
+  pause(pauseMs: number, spread: number, now: number): void {
+    const length = Math.min(pauseMs, MAX_REQUESTED_PAUSE_MS)
+    const delay = Math.min(MAX_RETURN_SPREAD_MS, length * RETURN_SPREAD_SHARE) * spread
+    this.requestedPauseUntil = now + length + delay
+    this.rampStartedAt = this.requestedPauseUntil
+    this.#rampLength = RESTORE_RAMP_MS
+  }
+
+  /** Handles a restart of the server process: its known latency, failures and statements no longer apply. */
   restart(firstSeen: number): void {
     this.restore(firstSeen)
     this.rateLimit = undefined
+    this.requestedPauseUntil = Number.NEGATIVE_INFINITY
     this.#rampLength = START_RAMP_MS
   }
 
--- a/packages/routing/src/server-subset.ts
+++ b/packages/routing/src/server-subset.ts
@@ -6,6 +6,7 @@
  * domain is busy, and a call that finds no free member is offered to servers outside.
  */
 import { rendezvousChoice } from '@bilberrystall/base'
+import { isStaying } from './eligibility'
 import type { ServerRecord } from './server-record'
 
 /** Services with at most this many servers are used as a whole. */
@@ -24,7 +25,7 @@
 /** Returns the members among the ready servers. */
 export function chooseSubset(records: readonly ServerRecord[], options: SubsetOptions): readonly ServerRecord[] {
   if (records.length <= WHOLE_SERVICE_SERVERS) return records
-  const ready = records.filter(({ server }) => server.state === 'ready')
+  const ready = records.filter(isStaying)
   const choose = (candidates: readonly ServerRecord[], count: number) =>
     rendezvousChoice(options.entry, candidates, count, ({ server }) => server.id)
   const own = choose(
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -7,7 +7,8 @@
 import { CallQueue, type QueuedCall } from './call-queue'
 import type { LoadQueryHost } from './load-query'
 import { RetryBudget, type RetryLimits } from './retry-budget'
-import { chooseServer, isUsable, type Choice, type ServiceStats } from './selection'
+import { isEligible, isRetry, isStaying, mayServe } from './eligibility'
+import { chooseServer, type Choice, type ServiceStats } from './selection'
 import type { LimitSharing } from './rate-limit'
 import type { ServerRecord } from './server-record'
 import { ServiceRateLimits } from './service-rate-limits'
@@ -47,7 +48,13 @@
   readonly queryLoad: (call: Call, host: LoadQueryHost, now: number, effects: Effect[]) => boolean
   readonly queued: (call: Call, queuedCall: QueuedCall) => void
   /** Called when a call ends without having been sent. */
-  readonly shed: (call: Call, code: CodeName, effects: Effect[]) => void
+  readonly shed: (call: Call, refusal: Refusal, effects: Effect[]) => void
+}
+
+export interface Refusal {
+  readonly code: CodeName
+  /** Time in ms after which the call can be accepted, if it is known. */
+  readonly retryAfterMs?: number
 }
 
 /** Number of estimated free slots that deferrable calls leave to urgent ones. */
@@ -78,6 +85,7 @@
 const SERVER_RETURN_GRACE_MS = 1500
 /** Factor by which the predicted wait of a call must exceed its time to the deadline for it to be shed on arrival. */
 const PREDICTION_TOLERANCE = 1.2
+const OVERLOADED: Refusal = { code: 'overloaded' }
 
 export class ServicePool {
   readonly #records: ServerRecord[] = []
@@ -101,7 +109,7 @@
       this.#dispatch(call, record, false, now, effects)
     },
     shed: (call, effects) => {
-      this.#options.shed(call, 'overloaded', effects)
+      this.#options.shed(call, OVERLOADED, effects)
     },
     submitByEstimate: (call, now, effects) => {
       this.#submitByEstimate(call, now, effects)
@@ -191,13 +199,13 @@
     }
     const mayQuery = this.waiting === 0 && this.inFlight < this.#concurrency
     if (mayQuery && this.#options.queryLoad(call, this.#loadQueryHost, now, effects)) return
-    if (call.onlyIfFree === true) this.#options.shed(call, 'overloaded', effects)
+    if (call.onlyIfFree === true) this.#options.shed(call, OVERLOADED, effects)
     else this.#submitByEstimate(call, now, effects)
   }
 
   #submitByEstimate(call: Call, now: number, effects: Effect[]): void {
     if (this.#exceedsRateLimits(call, now)) {
-      this.#options.shed(call, 'overloaded', effects)
+      this.#options.shed(call, OVERLOADED, effects)
       return
     }
     const queue = this.#queueOf(call)
@@ -272,15 +280,24 @@
     return call.urgency === 'urgent' ? this.#urgent : this.#deferrable
   }
 
-  #refusal(call: Call, now: number): CodeName | undefined {
-    if (now >= call.deadline) return 'deadlineNotRun'
-    if (!this.#hasCandidate(call) && (isRetry(call) || !this.#mayHaveServer(now))) return 'noServer'
-    if (this.waiting >= this.#queueLimit) return 'overloaded'
+  #refusal(call: Call, now: number): Refusal | undefined {
+    if (now >= call.deadline) return { code: 'deadlineNotRun' }
+    if (!this.#hasCandidate(call) && (isRetry(call) || !this.#mayHaveServer(now))) return { code: 'noServer' }
+    if (this.waiting >= this.#queueLimit) return OVERLOADED
+    const retryAfterMs = this.#pauseLeft(now)
+    if (retryAfterMs > 0) return { code: 'overloaded', retryAfterMs }
     const wait = this.#callsAhead(call) * this.#drainInterval
-    if (wait > (call.deadline - now) * PREDICTION_TOLERANCE) return 'overloaded'
+    if (wait > (call.deadline - now) * PREDICTION_TOLERANCE) return OVERLOADED
     // A limit that was named some time ago may have ended, which a load query of this call can tell.
     const mayHaveEnded = this.#options.queriesLoad && this.rateLimits.hasStale(now)
-    return !mayHaveEnded && this.#exceedsRateLimits(call, now) ? 'overloaded' : undefined
+    return !mayHaveEnded && this.#exceedsRateLimits(call, now) ? OVERLOADED : undefined
+  }
+
+  /** Returns the time in ms until the first server ends its pause, 0 if any server accepts requests or none is there. */
+  #pauseLeft(now: number): number {
+    let end = Number.POSITIVE_INFINITY
+    for (const record of this.#records) if (isStaying(record)) end = Math.min(end, record.requestedPauseUntil)
+    return Number.isFinite(end) ? Math.max(0, end - now) : 0
   }
 
   #callsAhead(call: Call): number {
@@ -298,28 +315,18 @@
 
   /** Whether a server is ready, or may be ready again soon. */
   #mayHaveServer(now: number): boolean {
-    return (
-      now - this.#serverLostAt < SERVER_RETURN_GRACE_MS ||
-      this.#records.some((record) => record.server.state === 'ready')
-    )
+    return now - this.#serverLostAt < SERVER_RETURN_GRACE_MS || this.#records.some((record) => isStaying(record))
   }
 
   #hasCandidate(call: Call): boolean {
-    return this.#records.some((record) => isCandidate(record, call))
+    return this.#records.some((record) => mayServe(record, call))
   }
 
   /** Returns a server on trial that may get this call. Deferrable calls are preferred for that. */
   #trialFor(call: Call, now: number): ServerRecord | undefined {
     if (!this.hasTrial) return undefined
     if (call.urgency === 'urgent' && now - this.#lastDeferrableAt < RECENT_CALL_MS) return undefined
-    return this.#records.find(
-      (record) =>
-        record.health.kind === 'trial' &&
-        record.ownInFlight === 0 &&
-        !record.isProbing &&
-        record.isWithinRateLimit(now) &&
-        isCandidate(record, call),
-    )
+    return this.#records.find((record) => isEligible(record, 'trial', now) && mayServe(record, call))
   }
 
   /** Sends the call if the cost of a server is within the limit, which rises with the time waited. */
@@ -353,7 +360,7 @@
   #reserveRetry(call: Call, record: ServerRecord, now: number): boolean {
     if (!this.#options.limitsServerQueue || call.resendable === false || isRetry(call)) return false
     // Without another usable server, a call that was shed could not be sent again.
-    if (!this.#records.some((other) => other !== record && isUsable(other, now))) return false
+    if (!this.#records.some((other) => other !== record && isEligible(other, 'call', now))) return false
     return this.budget.available(now) >= this.#options.tuning.minRetryTokens && this.budget.take(now)
   }
 
@@ -377,7 +384,7 @@
     for (const queue of [this.#urgent, this.#deferrable]) {
       for (let first = queue.first(); first !== undefined; first = queue.first()) {
         queue.remove(first)
-        this.#options.shed(first.call, 'noServer', effects)
+        this.#options.shed(first.call, { code: 'noServer' }, effects)
       }
     }
   }
@@ -390,22 +397,11 @@
       )
       if (now + runTime <= first.call.deadline) return
       queue.remove(first)
-      this.#options.shed(first.call, this.#hasCandidate(first.call) ? 'overloaded' : 'noServer', effects)
+      this.#options.shed(first.call, { code: this.#hasCandidate(first.call) ? 'overloaded' : 'noServer' }, effects)
     }
   }
 }
 
-function isCandidate(record: ServerRecord, call: Call): boolean {
-  if (record.server.state !== 'ready' || call.triedServers?.includes(record.server.id) === true) return false
-  if (record.rateLimit?.interval === Number.POSITIVE_INFINITY) return false
-  // A retry would wait for an ejected server until its deadline and then fail.
-  return !isRetry(call) || record.health.kind !== 'ejected'
-}
-
-function isRetry(call: Call): boolean {
-  return call.triedServers !== undefined && call.triedServers.length > 0
-}
-
 function median(values: number[], fallback: number): number {
   values.sort((left, right) => left - right)
   return values[(values.length - 1) >> 1] ?? fallback
--- a/packages/routing/src/service-rate-limits.ts
+++ b/packages/routing/src/service-rate-limits.ts
@@ -1,6 +1,7 @@
 /** Rate limits of the servers of one service, and the wait that they impose on calls of this entry. */
 import type { ServerId } from '@bilberrystall/base'
 import { callInterval, RateLimit, type LimitSharing } from './rate-limit'
+import { acceptsRequests } from './eligibility'
 import type { ServerRecord } from './server-record'
 
 export interface ServiceRateLimitsOptions {
@@ -68,8 +69,9 @@
     let nextCallAt = Number.POSITIVE_INFINITY
     let callsPerMs = 0
     let limitedServers = 0
-    for (const { server, health, rateLimit } of this.#options.records) {
-      if (server.state !== 'ready' || health.kind === 'ejected') continue
+    for (const record of this.#options.records) {
+      const { health, rateLimit } = record
+      if (!acceptsRequests(record, now) || health.kind === 'ejected') continue
       if (rateLimit === undefined) return 0
       limitedServers += 1
       nextCallAt = Math.min(nextCallAt, rateLimit.nextCallAt)
--- a/packages/routing/test/rate-limit.test.ts
+++ b/packages/routing/test/rate-limit.test.ts
@@ -122,6 +122,8 @@
           this.#shed.push({ arrivedAt: this.#arrivedAt.get(effect.call) ?? 0, shedAt: this.#now })
           break
         case 'probe':
+        case 'leaving':
+        case 'paused':
         case 'ejected':
         case 'restored':
         case 'limited':
