Keep an attempt running whose connection seems silent

What callers saw: 504 after a fraction of their deadline for a call at which the server was at work.

Cause: once a connection had made no progress for a while and a new one opened, a repeatable call closed it, which ends the work at a server that is only slow, and tried another server. If no other server took the call, it ended with connection-silent, though the first server would have answered in time.

Now the second attempt runs beside the first one, and the first response wins. A server that refuses a test connection still counts as lost at once.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -16,8 +16,6 @@
   readonly server: ServerId
   /** Whether this failure permits another attempt. */
   readonly canRetry: boolean
-  /** Whether the retry has already been charged to the retry budget. */
-  readonly budgetCharged: boolean
 }
 
 export interface AttemptEvents {
@@ -26,10 +24,8 @@
   readonly data: (part: Buffer, drained: () => void) => boolean
   readonly ended: (head: ResponseHead) => void
   readonly failed: (failure: AttemptFailure) => void
-  /**
-   * The connection is silent. Returns true to abandon it for a retry, which has then been charged to the retry budget.
-   */
-  readonly silent: () => boolean
+  /** The connection has made no progress for some time. The attempt continues, since its server may still respond. */
+  readonly silent: () => void
 }
 
 export interface AttemptOptions {
@@ -84,9 +80,9 @@
 
   /** Ends the attempt without calling an event handler. */
   cancel(cause: CodeName): void {
-    if (this.#finished) return
     this.#pool?.cancelAcquire(this.#onAcquired)
     this.#exchange?.cancel()
+    if (this.#finished) return
     const timedOut = cause === 'deadlineUnknown'
     if (timedOut) this.#finish('timeout')
     else if (cause === 'callerCancelled' || !this.sent) this.#cancelInRouter()
@@ -110,11 +106,8 @@
     if (progressed) this.#suspected = false
     if (this.#finished || progressed) return
     this.#options.dependencies.reachability.failed(this.#options.server)
-    if (!this.#options.events.silent()) return
-    const outcome = this.silent ? 'unattributed' : 'timeout'
-    this.#exchange?.cancel()
-    this.#finish(connected === true ? outcome : 'lost')
-    this.#fail('connectionSilent', { budgetCharged: true })
+    if (connected !== true) this.#finish('lost')
+    this.#options.events.silent()
   }
 
   readonly #onAcquired: AcquireCallback = (result: Result<Connection, Failure>) => {
@@ -218,9 +211,9 @@
     }
   }
 
-  #fail(code: CodeName, { canRetry = true, budgetCharged = false } = {}): void {
+  #fail(code: CodeName, { canRetry = true } = {}): void {
     const { events, server } = this.#options
-    events.failed({ code, server, canRetry, budgetCharged })
+    events.failed({ code, server, canRetry })
   }
 
   #finish(outcome: ExchangeOutcome, head?: ResponseHead): void {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -144,10 +144,13 @@
    */
   onCutOff(): void {
     if (this.#done || this.#callerResponse.hasStarted || !this.#callerResponse.isEmpty) return
-    const [attempt] = this.#attempts
-    if (attempt === undefined || this.#attempts.size > 1 || !this.#mayRelay()) return
-    if (!attempt.sent) this.#cancel(attempt, 'callerCancelled')
-    else if (!this.#options.route.repeatable || this.#standing.kind !== 'clear' || !this.#mayRetry()) return
+    const attempts = [...this.#attempts]
+    const isRelayed = attempts.some((attempt) => attempt instanceof RelayAttempt)
+    if (attempts.length === 0 || isRelayed || !this.#mayRelay()) return
+    const unsent = attempts.filter((attempt) => !attempt.sent)
+    const mayRepeat = this.#options.route.repeatable && this.#standing.kind === 'clear'
+    if (unsent.length < attempts.length && !(mayRepeat && this.#mayRetry())) return
+    for (const attempt of unsent) this.#cancel(attempt, 'callerCancelled')
     this.#submit()
   }
 
@@ -182,7 +185,7 @@
   #submit(): void {
     const { relayPeers } = this.#dependencies
     const peer = this.#mayRelay() ? relayPeers.choose(this.#triedPeers) : undefined
-    if (peer === undefined) this.#submitToRouter(false)
+    if (peer === undefined) this.#submitToRouter()
     else this.#relay(peer)
   }
 
@@ -251,8 +254,8 @@
     this.#unknownAttempts += 1
   }
 
-  /** Submits an attempt to the router. A hedged attempt accepts only a server that is free immediately. */
-  #submitToRouter(isHedge: boolean): void {
+  /** Submits an attempt to the router. An extra attempt runs beside the first one and never ends the call. */
+  #submitToRouter({ isExtra = false, onlyIfFree = false } = {}): void {
     const { route, context } = this.#options
     const attempt: RoutedAttempt = new RoutedAttempt({
       dependencies: this.#dependencies,
@@ -266,7 +269,7 @@
         repeatable: route.repeatable,
         // Only a call that can be sent again may go to a full server, which may refuse it.
         resendable: this.#body.buffered !== undefined && this.#attemptsLeft > 1,
-        onlyIfFree: isHedge,
+        onlyIfFree,
         triedServers: [...this.#triedServers],
       },
       request: (instance, queueLimit) => {
@@ -274,7 +277,7 @@
         return requestForServer(this.#requestSource, state)
       },
       events: {
-        serverChosen: (server) => this.#onServerChosen(server, isHedge),
+        serverChosen: (server) => this.#onServerChosen(server, isExtra),
         ...this.#responseEvents(() => attempt),
         failed: (attemptFailure) => {
           this.#attempts.delete(attempt)
@@ -284,7 +287,9 @@
           this.#attempts.delete(attempt)
           this.#onShed(refusal)
         },
-        silent: () => this.#shouldAbandon(attempt),
+        silent: () => {
+          this.#onSilent(attempt)
+        },
       },
     })
     this.#attempts.add(attempt)
@@ -299,12 +304,12 @@
     else this.#fail(code, waitMs === undefined ? {} : { 'retry-after': dialect.retryAfter(waitMs) })
   }
 
-  #onServerChosen(server: ServerId, isHedge: boolean): boolean {
+  #onServerChosen(server: ServerId, isExtra: boolean): boolean {
     if (this.#done) return false
-    if (isHedge ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
+    if (isExtra ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
-    if (!isHedge) this.#armHedge()
+    if (!isExtra) this.#armHedge()
     return true
   }
 
@@ -319,7 +324,7 @@
     this.#hedgeTimer = setTimeout(() => {
       const canHelp = this.#attempts.size === 1 && !this.#callerResponse.hasStarted && this.#callerResponse.isEmpty
       const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#standing.kind === 'clear'
-      if (!this.#done && canHelp && canSend) this.#submitToRouter(true)
+      if (!this.#done && canHelp && canSend) this.#submitToRouter({ isExtra: true, onlyIfFree: true })
     }, route.targetMs * HEDGE_DELAY_FACTOR)
   }
 
@@ -363,7 +368,7 @@
       attemptFailure.canRetry &&
       !this.#callerResponse.hasStarted &&
       repeatable &&
-      (attemptFailure.budgetCharged || (code === 'connectFailed' && this.#mayReconnect()) || this.#mayRetry())
+      ((code === 'connectFailed' && this.#mayReconnect()) || this.#mayRetry())
     ) {
       this.#callerResponse.reset()
       this.#submit()
@@ -373,12 +378,15 @@
   }
 
   /**
-   * Returns whether a repeatable call abandons a silent connection for another server. When hedged attempts are
-   * possible, only a connection that is known to be silent is abandoned.
+   * Starts a second attempt for a repeatable call whose connection makes no progress. The first one continues: if its
+   * server is only slow, its response is still delivered. When hedged attempts are possible, only a connection that is
+   * known to be silent gets a second attempt.
    */
-  #shouldAbandon(attempt: CallAttempt): boolean {
-    const canAbandon = !this.#dependencies.queriesLoad || attempt.silent
-    return canAbandon && this.#options.route.repeatable && !this.#callerResponse.hasStarted && this.#mayRetry()
+  #onSilent(attempt: CallAttempt): void {
+    if (this.#done || this.#attempts.size > 1 || this.#callerResponse.hasStarted) return
+    const isSilent = !this.#dependencies.queriesLoad || attempt.silent
+    const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#remaining() > 0
+    if (isSilent && canSend && this.#options.route.repeatable) this.#submitToRouter({ isExtra: true })
   }
 
   #mayRetry(): boolean {
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -23,10 +23,8 @@
   readonly failed: (failure: AttemptFailure) => void
   /** The router found no server in time. */
   readonly shed: (refusal: Shed) => void
-  /**
-   * The connection is silent. Returns true to abandon it for a retry, which has then been charged to the retry budget.
-   */
-  readonly silent: () => boolean
+  /** The connection has made no progress for some time. */
+  readonly silent: () => void
 }
 
 export interface RoutedAttemptOptions {
