--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -70,6 +70,8 @@
   readonly addresses: Addresses
   readonly #startProcess: (node: ClusterNode) => Promise<RunningProcess>
   process: RunningProcess | undefined
+  /** Command of the program that `start` runs; undefined for the one under test. */
+  command: readonly string[] | undefined
 
   constructor(options: NodeOptions, addresses: Addresses, start: (node: ClusterNode) => Promise<RunningProcess>) {
     this.options = options
@@ -373,7 +375,11 @@
         bootstrap,
       }),
     )
-    const process = this.harness.start({ name: node.name, command: [...this.#command, 'run', file], cwd: folder })
+    const process = this.harness.start({
+      name: node.name,
+      command: [...(node.command ?? this.#command), 'run', file],
+      cwd: folder,
+    })
     this.network.setProcessId(node.name, process.pid)
     return process
   }
