End a call when its only attempt fails after a second one was not allowed

What callers saw: nothing until their deadline, for a call whose server broke off after a hedged attempt had been refused by the retry budget.

Cause: an extra attempt that the call did not allow when the router had chosen a server stayed among the attempts in progress, so the failure of the first one waited for it.

--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -277,7 +277,11 @@
         return requestForServer(this.#requestSource, state)
       },
       events: {
-        serverChosen: (server) => this.#onServerChosen(server, isExtra),
+        serverChosen: (server) => {
+          const isSent = this.#onServerChosen(server, isExtra)
+          if (!isSent) this.#attempts.delete(attempt)
+          return isSent
+        },
         ...this.#responseEvents(() => attempt),
         failed: (attemptFailure) => {
           this.#attempts.delete(attempt)
--- a/packages/entry/test/silent-attempt.test.ts
+++ b/packages/entry/test/silent-attempt.test.ts
@@ -1,6 +1,8 @@
 /** Guards against a call that is given up because its connection seems silent, while its server still works on it. */
+import { seededRandom, serviceName } from '@bilberrystall/base'
+import { Router } from '@bilberrystall/routing'
 import { expect, test } from 'vitest'
-import { respond, sendCall, startEntry, startFakeServer } from './harness'
+import { addServer, respond, sendCall, startEntry, startFakeServer, waitUntil } from './harness'
 
 const SILENCE_MS = 100
 const WORK_MS = 700
@@ -31,6 +33,24 @@
   expect(slow.received.length).toBeGreaterThan(0)
 })
 
+test('a call ends as soon as its server breaks off, if a second attempt was not allowed', async () => {
+  const breaking = await startFakeServer((received) => {
+    setTimeout(() => received.socket.resetAndDestroy(), WORK_MS)
+  })
+  const other = await startFakeServer((received) => {
+    respond(received, 'ok')
+  })
+  const router = new Router({ random: seededRandom(1) })
+  router.configure(serviceName('booking'), { retries: { share: 0, minimum: 0, burst: 0 } }, 0)
+  const { origin, entry } = await startEntry([breaking], { router, limits: { silenceMs: SILENCE_MS } })
+  const startedAt = performance.now()
+  const call = sendCall(`${origin}/read`)
+  await waitUntil(() => breaking.received.length === 1)
+  addServer(entry, other, 1)
+  expect((await call).status).toBe(502)
+  expect(performance.now() - startedAt).toBeLessThan(WORK_MS + 300)
+})
+
 test('a call that may not run twice waits for its server', async () => {
   const server = await startFakeServer((received) => {
     setTimeout(respond, WORK_MS, received, 'late')
