Read requests that have arrived before a planned stop closes connections

What callers saw: ECONNRESET for requests sent shortly before a planned stop of a busy entry.

Cause: the drain closed the listener and the idle connections from a timer. While the process had been busy, connections waited in the queue of the listener and requests in the buffers of kept connections. Closing either resets them, though they had arrived before the stop began.

Now the event loop accepts and reads what has arrived before the listener and each time before idle connections are closed.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -198,10 +198,12 @@
    */
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining(timeoutMs)
+    await readArrived()
     this.#http.close()
     this.#relayHttp?.close()
     const start = this.#clock.monotonic()
     for (;;) {
+      await readArrived()
       this.#http.closeIdleConnections()
       this.#relayHttp?.closeIdleConnections()
       const elapsed = this.#clock.monotonic() - start
@@ -430,3 +432,11 @@
     }, this.#limits.sweepIntervalMs)
   }
 }
+
+/**
+ * Lets this process accept the connections and read the requests that have arrived. Closing a connection or a listener
+ * before that would reset them.
+ */
+function readArrived(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve))
+}
--- /dev/null
+++ b/packages/entry/test/arrived-at-stop.test.ts
@@ -0,0 +1,52 @@
+/** Guards against a planned stop that cuts off requests which have arrived but which this process has not read yet. */
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+import { expect, test } from 'vitest'
+import { respond, startEntry, startFakeServer } from './harness'
+
+/** Sends a request, and after a pause one on the same connection and one on a new connection. Prints the statuses. */
+const CLIENT = `
+const { Agent, request } = require('node:http')
+const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+const send = (options) => new Promise((resolve) => {
+  const sent = request(options, (response) => {
+    response.resume()
+    response.on('end', () => resolve(String(response.statusCode)))
+  })
+  sent.on('error', (cause) => resolve(cause.code))
+  sent.end()
+})
+const target = { host: '127.0.0.1', port: Number(process.argv[1]), path: '/read' }
+send({ ...target, agent }).then((first) => {
+  console.log(first)
+  setTimeout(async () => {
+    const answers = [send({ ...target, agent }), send({ ...target, agent: false })]
+    console.log((await Promise.all(answers)).join(' '))
+  }, 100)
+})
+`
+/** The process is busy while the requests arrive, and begins to drain as soon as it runs again. */
+const BUSY_MS = 400
+const DRAIN_DELAY_MS = 50
+
+test('requests that arrive on kept and on new connections before a drain begins get an answer', async () => {
+  const server = await startFakeServer((received) => {
+    respond(received, 'ok')
+  })
+  const { entry } = await startEntry([server])
+  const client = spawn(process.execPath, ['-e', CLIENT, String(entry.port)], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const lines = createInterface({ input: client.stdout })
+  const [first] = (await once(lines, 'line')) as [string]
+  expect(first).toBe('200')
+  const drained = new Promise((resolve) => {
+    setTimeout(() => {
+      resolve(entry.drain(2_000))
+    }, DRAIN_DELAY_MS)
+  })
+  const until = performance.now() + BUSY_MS
+  while (performance.now() < until);
+  const [answers] = (await once(lines, 'line')) as [string]
+  expect(answers).toBe('200 200')
+  expect(await drained).toBe(true)
+})
