--- a/packages/entry/test/odd-address.test.ts
+++ b/packages/entry/test/odd-address.test.ts
@@ -11,7 +11,7 @@
   expect({ status: result.status, outcome: result.outcome }).toEqual({ status: 503, outcome: 'not-run' })
 })
 
-test('calls end at once and reach the other server of the service as soon as the odd one has failed', async () => {
+test('calls end at once and reach the other server of the service', async () => {
   const odd = { port: 99_999, received: [], sockets: [], crash: () => undefined }
   const server = await startFakeServer((received) => {
     respond(received, 'ok')
@@ -20,7 +20,7 @@
   const statuses: number[] = []
   const startedAt = performance.now()
   for (let call = 0; call < 30; call += 1) statuses.push((await sendCall(`${origin}/read`)).status)
-  expect(statuses.slice(10)).toEqual(statuses.slice(10).map(() => 200))
+  expect(statuses).toEqual(statuses.map(() => 200))
   // The deadline of the route is 5 s, which each call to the odd server used up.
   expect(performance.now() - startedAt).toBeLessThan(5_000)
 })
