--- a/review/lib/client.ts
+++ b/review/lib/client.ts
@@ -16,6 +16,9 @@
   readonly #waiting: Sent[] = []
   #received = ''
   isClosed = false
+  closedAt: number | undefined
+  /** Whether an answer said that the node closes the connection. */
+  isClosing = false
   /** Whether this client closed the connection itself. */
   #hasLeft = false
   readonly sent: Sent[] = []
@@ -26,6 +29,7 @@
     this.#socket.on('error', () => undefined)
     this.#socket.on('close', () => {
       this.isClosed = true
+      this.closedAt = Date.now()
     })
     this.#socket.on('data', (part) => {
       this.#received += part.toString('latin1')
@@ -56,7 +60,7 @@
   }
 
   leave(): void {
-    this.#hasLeft = true
+    this.#hasLeft ||= !this.isClosed
     this.#socket.destroy()
   }
 
@@ -70,6 +74,7 @@
     const bodyEnd = length === undefined ? this.#chunksEnd(bodyStart) : bodyStart + Number(length)
     if (bodyEnd === undefined || this.#received.length < bodyEnd) return false
     this.#received = this.#received.slice(bodyEnd)
+    if (/^connection: *close/im.test(head)) this.isClosing = true
     const answered = this.#waiting.shift()
     if (answered !== undefined) {
       answered.answeredAt = Date.now()
