--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,116 +1,58 @@
-/**
- * A planned stop while clients send further safe requests before the first answer: the node passes requests on to
- * servers, and then closes their connection behind an earlier answer.
- */
+/** One invalid configuration stops all replicas for good: no configuration can be read or changed any more. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { runCase } from '../lib/case'
-import { Client, type Sent } from '../lib/client'
-import { configuration, route } from '../lib/configuration'
+import { configuration, route, ROUTE_COLUMNS } from '../lib/configuration'
 import { Platform } from '../lib/platform'
-import { Server } from '../lib/server'
 
 const NODES = 3
-const SERVERS = 8
-const CLIENTS = 8
-const DEPTH = 4
-/** A client sends its next request after a random time up to this, whether or not the earlier ones are answered. */
-const MAX_PAUSE_MS = 200
-const WORK_MS = 40
-/** Servers send their answers in chunks. */
-const PARTS = 4
-const PART_MS = 60
-const TIMEOUT_MS = 1_500
 const CALM_MS = 4_000
-const BEFORE_STOP_MS = 3_000
-/** Bounds of the site: time from SIGTERM to SIGKILL, of which the last sixth is excused. */
-const GRACE_MS = 6_000
-const EXCUSED_FROM_MS = (GRACE_MS * 5) / 6
-
-interface Visit {
-  readonly client: Client
-  readonly requests: readonly Sent[]
-}
+/** The operator reads back for at least `stability_window`; here for much longer. */
+const READ_BACK_MS = 12_000
+/** Time for the nodes to serve the configuration again after all were started anew: `recovery`. */
+const RECOVERY_MS = 15_000
+/** A name with line breaks, which the text of the stored document does not escape. */
+const INVALID_NAME = 'a]\n[route]\nb=null\n'
 
 await runCase('review/5', async ({ record, use, hasTrouble }) => {
   const platform = use(await Platform.start(NODES))
-  const routes = [route({ name: 'slots', prefix: '/slots/', kind: 'safe', timeoutMs: TIMEOUT_MS, service: 'cal' })]
-  const accepted = await platform.order('config.put', configuration(3, routes, ['cal']), 20_000)
+  const first = route({ name: 'read', prefix: '/read/', kind: 'safe', timeoutMs: 1_000, service: 'book' })
+  const accepted = await platform.order('config.put', configuration(3, [first], ['book']), 20_000)
   if (accepted.status !== 200) throw new Error(`the configuration was answered ${accepted.status}`)
-  const servers: Server[] = []
-  for (let index = 0; index < SERVERS; index += 1) {
-    const zone = platform.nodes[index % NODES]?.zone ?? ''
-    const ip = `127.0.1.${100 + index}`
-    const server: Server = new Server({
-      platform,
-      service: 'cal',
-      id: `i-${index}`,
-      ip,
-      zone,
-      slots: 12,
-      workMs: WORK_MS,
-      answer:
-        () =>
-        async ({ attempt }, socket) => {
-          const head = `Attempt-Id: ${attempt}\r\nServer-Signature: i-${index}.${attempt}`
-          socket.write(`HTTP/1.1 200 OK\r\n${head}\r\ntransfer-encoding: chunked\r\n\r\n`)
-          for (let part = 0; part < PARTS; part += 1) {
-            await sleep(PART_MS)
-            if (!socket.destroyed) socket.write('5\r\nslots\r\n')
-          }
-          if (socket.destroyed) return
-          socket.write('0\r\n\r\n')
-          server.answered.push(attempt)
-        },
-    })
-    servers.push(use(server))
-    await server.start()
-  }
   if (!(await platform.waitUntilReady())) throw new Error('the nodes did not become ready')
   await sleep(CALM_MS)
+  record(`version 3 was acknowledged; read back: ${await readBack(2_000)}`)
 
-  const visits: Visit[] = []
-  let isOver = false
-  const isRunning = () => !isOver
-  const clients = Array.from({ length: CLIENTS }, async (_, number) => {
-    for (let turn = 0; isRunning(); turn += 1) {
-      const client = new Client(platform.nodes[0]?.ip ?? '', platform.frontPort)
-      visits.push({ client, requests: client.sent })
-      // It respects `Connection: close`: after that answer it sends nothing more on this connection.
-      for (let place = 0; isRunning() && !client.isClosed && !client.isClosing; place += 1) {
-        if (client.waiting < DEPTH) client.send('GET', '/slots/week', [`a${number}-${turn}-${place}`], TIMEOUT_MS)
-        await sleep(Math.random() * MAX_PAUSE_MS)
-      }
-      const end = Date.now() + TIMEOUT_MS
-      while (client.waiting > 0 && !client.isClosed && Date.now() < end) await sleep(10)
-      client.leave()
-      await sleep(100)
-    }
-  })
-  await sleep(BEFORE_STOP_MS)
-  const stoppedAt = Date.now()
-  record(hasTrouble ? 'SIGTERM to node 0' : 'no SIGTERM')
   if (hasTrouble) {
-    await Promise.race([platform.end(0, 'SIGTERM'), sleep(GRACE_MS)])
-    record(`node 0 has ended: ${platform.hasEnded(0)}`)
-  } else {
-    await sleep(GRACE_MS)
+    const added = route({ name: INVALID_NAME, prefix: '/next/', kind: 'safe', timeoutMs: 1_000, service: 'book' })
+    const patch = { version: 5, base_version: 3, upsert: { routes: { columns: ROUTE_COLUMNS, rows: [added] } } }
+    const reply = await platform.call(0, 'config.patch', patch)
+    record(`the invalid patch to node 0 was answered ${reply.status} ${reply.text.trim()}`)
   }
-  isOver = true
-  await Promise.all(clients)
+  const afterOrder = await readBack(READ_BACK_MS)
+  record(`read back at all nodes for ${READ_BACK_MS / 1000} s: ${afterOrder}`)
 
-  const ran = new Set(servers.flatMap((server) => server.ran))
-  const answered = new Set(servers.flatMap((server) => server.answered))
-  const lost = visits
-    .filter(({ client }) => client.wasCut && (client.closedAt ?? 0) < stoppedAt + EXCUSED_FROM_MS)
-    .flatMap(({ requests }) =>
-      requests.filter(({ answeredAt, attempt }) => answeredAt === undefined && ran.has(attempt)),
-    )
-  for (const { attempt, at } of lost.slice(0, 20)) {
-    record(
-      `${attempt}: sent ${at - stoppedAt} ms after SIGTERM, run by a server, answered by it: ${answered.has(attempt)}`,
-    )
+  const added = route({ name: 'later', prefix: '/later/', kind: 'safe', timeoutMs: 1_000, service: 'book' })
+  const valid = { version: 7, base_version: 3, upsert: { routes: { columns: ROUTE_COLUMNS, rows: [added] } } }
+  const changed = await platform.order('config.patch', valid, READ_BACK_MS)
+  record(`a valid patch, sent for ${READ_BACK_MS / 1000} s at most, was answered ${changed.status}`)
+
+  for (const { index } of platform.nodes) await platform.end(index, 'SIGKILL')
+  for (const { index } of platform.nodes) platform.launch(index, false)
+  const isReady = await platform.waitUntilReady(RECOVERY_MS)
+  const afterRestart = await readBack(READ_BACK_MS)
+  record(`all processes were started anew; ready after ${RECOVERY_MS / 1000} s: ${isReady}; read back: ${afterRestart}`)
+  return afterOrder === 'none' && afterRestart === 'none'
+
+  /** Asks one node after the other, as the operator does, until one returns a configuration. */
+  async function readBack(limitMs: number): Promise<string> {
+    const end = Date.now() + limitMs
+    while (Date.now() < end) {
+      for (const { index } of platform.nodes) {
+        const { status, text } = await platform.call(index, 'config.get', {})
+        if (status === 200) return `version ${String((JSON.parse(text) as { version?: number }).version)}`
+      }
+      await sleep(100)
+    }
+    return 'none'
   }
-  const total = visits.reduce((sum, { requests }) => sum + requests.length, 0)
-  record(`${total} requests; ${lost.length} were passed on to a server and lost with the connection that node 0 closed`)
-  return lost.length > 0
 })
