--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -157,6 +157,7 @@
   logLinesLost: code(172, 'log-lines-lost', 0, 'Log lines could not be written; the line counts them.'),
   stopStepSlow: code(169, 'stop-step-slow', 0, 'A step of the shutdown takes over a second.'),
   stopStepIncomplete: code(170, 'stop-step-incomplete', 0, 'A step of the shutdown failed or reached its limit.'),
+  connectionsCut: code(182, 'connections-cut', 0, 'A planned stop ended with responses to callers in progress.'),
   serverLeaving: code(181, 'server-leaving', 0, 'A server said in a response that it leaves.'),
   replicaOpened: code(180, 'replica-opened', 0, 'The replica of this node was opened again.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -39,6 +39,8 @@
   readonly relayPeers: RelayPeers
   /** Returns the number of the document in force, which grows with each change. */
   readonly revision: () => number
+  /** Returns the monotonic time in ms at which a planned stop began, if one did. */
+  readonly stopStartedAt: () => number | undefined
   /** Reports that a call is passed on to another entry. */
   readonly onRelayed: () => void
   readonly onLost: (lost: LostCall) => void
--- a/packages/entry/src/call-options.ts
+++ b/packages/entry/src/call-options.ts
@@ -10,6 +10,8 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly connection: CallerConnection
+  /** Number of requests in progress before this one on its connection. */
+  readonly behind: number
   readonly head: RequestHead
   readonly document: Document
   readonly route: Route
@@ -28,4 +30,8 @@
   readonly request: RequestId
   /** Servers to which the call was sent, in order. */
   readonly servers: readonly ServerId[]
+  /** Number of requests that were in progress before this one on its connection when it was accepted. */
+  readonly behind: number
+  /** Ms from the start of a planned stop to the acceptance of the call, negative if it was accepted before. */
+  readonly acceptedInStopMs?: number
 }
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -94,13 +94,16 @@
   }
 
   describe(): EndedCall {
-    const { route, head } = this.#options
+    const { route, head, behind } = this.#options
+    const stopStartedAt = this.#dependencies.stopStartedAt()
     return {
       route: route.name,
       service: route.service,
       attempt: head.attemptId,
       request: this.#requestId,
       servers: this.#triedServers,
+      behind,
+      ...(stopStartedAt === undefined ? {} : { acceptedInStopMs: Math.round(this.acceptedAt - stopStartedAt) }),
     }
   }
 
--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -34,6 +34,11 @@
     return true
   }
 
+  /** Number of requests whose responses were not sent completely yet. */
+  get inProgress(): number {
+    return this.#responses.size
+  }
+
   /** Whether other requests are in progress, whose responses would be lost if the connection broke. */
   get isShared(): boolean {
     return this.#responses.size > 1
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -34,6 +34,8 @@
   readonly reachabilityChanged?: (isCutOff: boolean) => void
   /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
   readonly callLost?: (lost: LostCall, start: number, check: ServerCheck) => void
+  /** The end of this entry cuts off connections of callers, with the number of responses that were in progress. */
+  readonly connectionsCut?: (cut: { readonly connections: number; readonly responses: number }) => void
   /** Connections to a server were retired because they made no progress. */
   readonly silentRetired?: (server: ServerId, count: number) => void
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -62,12 +62,14 @@
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
   readonly #serverChecks: ServerChecks
-  readonly #callerConnections = new WeakMap<Socket, CallerConnection>()
+  /** Open connections of callers. */
+  readonly #callerConnections = new Map<Socket, CallerConnection>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
   #poolSweep: NodeJS.Timeout | undefined
   /** Set only while calls are in flight. */
   #callSweep: NodeJS.Timeout | undefined
-  #draining = false
+  /** Monotonic time in ms at which a planned stop began. */
+  #stopStartedAt: number | undefined
   /** Monotonic time in ms at which a planned stop ends the calls in flight. */
   #endsAt = Number.POSITIVE_INFINITY
 
@@ -187,7 +189,7 @@
    * entry is leaving. Calls that cannot end within `remainingMs` are refused from then on.
    */
   startDraining(remainingMs = Number.POSITIVE_INFINITY): void {
-    this.#draining = true
+    this.#stopStartedAt ??= this.#clock.monotonic()
     this.#endsAt = Math.min(this.#endsAt, this.#clock.monotonic() + remainingMs)
   }
 
@@ -231,6 +233,7 @@
     clearInterval(this.#poolSweep)
     clearTimeout(this.#callSweep)
     this.#reachability.stop()
+    this.#reportCutConnections()
     for (const call of this.#calls) call.onEntryEnd()
     await this.#sendAnswers()
     for (const server of [this.#http, this.#relayHttp]) {
@@ -243,6 +246,14 @@
     this.#driver.stop()
   }
 
+  /** Reports the connections of callers that the end of the entry cuts off. */
+  #reportCutConnections(): void {
+    const cut = [...this.#callerConnections.values()].filter(({ inProgress }) => inProgress > 0)
+    if (cut.length === 0) return
+    const responses = cut.reduce((sum, { inProgress }) => sum + inProgress, 0)
+    this.#options.events?.connectionsCut?.({ connections: cut.length, responses })
+  }
+
   /** Waits for a short time until the answers to ended calls were handed to the operating system. */
   async #sendAnswers(): Promise<void> {
     const start = this.#clock.monotonic()
@@ -295,6 +306,7 @@
       reachability: this.#reachability,
       relayPeers: this.#relayPeers,
       revision: () => this.#revision(),
+      stopStartedAt: () => this.#stopStartedAt,
       onRelayed: () => this.#options.events?.callRelayed?.(),
       onLost: (lost) => void this.#reportLost(lost),
       onClosed: (call) => {
@@ -305,6 +317,7 @@
 
   #accept(request: IncomingMessage, response: ServerResponse, isRelayed: boolean): void {
     const connection = this.#callerConnection(request.socket)
+    const behind = connection.inProgress
     if (!connection.accept(response)) {
       request.resume()
       return
@@ -330,7 +343,10 @@
       this.#options.events?.callEnded?.(prepared.error.code, 0)
       return
     }
-    const call = new Call({ request, response, connection, isRelayed, ...prepared.value }, this.#callDependencies)
+    const call = new Call(
+      { request, response, connection, behind, isRelayed, ...prepared.value },
+      this.#callDependencies,
+    )
     this.#calls.add(call)
     this.#armCallSweep()
     call.start()
@@ -339,8 +355,9 @@
   #callerConnection(socket: Socket): CallerConnection {
     const known = this.#callerConnections.get(socket)
     if (known !== undefined) return known
-    const connection = new CallerConnection(socket, () => this.#draining)
+    const connection = new CallerConnection(socket, () => this.#stopStartedAt !== undefined)
     this.#callerConnections.set(socket, connection)
+    socket.once('close', () => this.#callerConnections.delete(socket))
     return connection
   }
 
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -131,8 +131,9 @@
     ...options,
     events: {
       ...options.events,
-      callEnded: (result) => {
+      callEnded: (result, latencyMs, call) => {
         results.push(result)
+        options.events?.callEnded?.(result, latencyMs, call)
       },
     },
   })
--- a/packages/entry/test/late-call.test.ts
+++ b/packages/entry/test/late-call.test.ts
@@ -6,6 +6,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { parseDocument } from '@bilberrystall/document'
 import { expect, test } from 'vitest'
+import type { EndedCall } from '../src/index'
+import { connectCaller } from './support/raw-caller'
 import { respond, sendRaw, startEntry, startFakeServer, waitUntil, type FakeServer } from './harness'
 
 const DOCUMENT = parseDocument(`
@@ -27,6 +29,8 @@
 `)._unsafeUnwrap()
 
 const WORK_MS = 100
+/** Larger than the buffers of the operating system. */
+const LONG_BODY_BYTES = 16 * 1024 * 1024
 
 function startServer(workMs = WORK_MS): Promise<FakeServer> {
   return startFakeServer((received) => {
@@ -65,6 +69,28 @@
   expect(await response).toMatch(/^HTTP\/1\.1 502 .*"outcome":"unknown"/s)
 })
 
+test('the end of an entry reports the responses that it cuts off, and when their calls were accepted', async () => {
+  const server = await startFakeServer((received) => {
+    respond(received, 'x'.repeat(LONG_BODY_BYTES))
+  })
+  const cuts: object[] = []
+  const ended: (EndedCall | undefined)[] = []
+  const events = {
+    connectionsCut: (cut: object) => cuts.push(cut),
+    callEnded: (_result: string, _latencyMs: number, call?: EndedCall) => ended.push(call),
+  }
+  const { entry, origin } = await startEntry([server], { document: () => DOCUMENT, events })
+  const caller = connectCaller(Number(new URL(origin).port))
+  caller.socket.pause()
+  caller.send(post('/short'), post('/short'))
+  await waitUntil(() => server.received.length === 2)
+  entry.startDraining(1_000)
+  await entry.stop()
+  expect(ended.map((call) => call?.behind)).toEqual([0, 1])
+  expect(ended[0]?.acceptedInStopMs).toBeLessThan(0)
+  expect(cuts).toEqual([{ connections: 1, responses: 2 }])
+})
+
 test('a caller that does not read does not keep the entry from ending', async () => {
   const server = await startServer(60_000)
   const { entry, origin } = await startEntry([server], { document: () => DOCUMENT })
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -145,6 +145,9 @@
           this.#failures.writeLost(lost, check)
           if (check === 'ended') options.quarantine.crashed(lost, start)
         },
+        connectionsCut: (cut) => {
+          context.log.warn('connectionsCut', cut)
+        },
         silentRetired: (server, count) => {
           context.log.warn('silentRetired', { server, count })
         },
--- a/packages/node/src/failure-log.ts
+++ b/packages/node/src/failure-log.ts
@@ -28,9 +28,9 @@
     this.#refilledAt = options.now()
   }
 
-  write(result: CodeName, latencyMs: number, { route, service, attempt, request, servers }: EndedCall): void {
+  write(result: CodeName, latencyMs: number, { attempt, ...call }: EndedCall): void {
     const id = attempt === undefined ? {} : { attempt }
-    this.#write('callFailed', { result, ...id, request, route, service, servers, ms: Math.round(latencyMs) })
+    this.#write('callFailed', { result, ...id, ...call, ms: Math.round(latencyMs) })
   }
 
   /** Writes what the check of a server found after its connection broke during a call. */
--- a/packages/node/test/failure-log.test.ts
+++ b/packages/node/test/failure-log.test.ts
@@ -8,6 +8,7 @@
   attempt: attemptId('a1'),
   request: requestId('q1'),
   servers: [serverId('s1')],
+  behind: 2,
 }
 
 function setup() {
