Close busy connections of callers in a planned stop

Callers that always have several requests in progress were never told to close: the close was announced only when one response was left, counted over all in progress. Their requests were passed on up to the end of the stop, which then cut them off (502, or the connection).

CallerConnection now decides by the order of requests: once a stop began, a request behind one whose head is not written yet is not accepted, and the last response in order announces the close, also when its server responds before the others.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,7 +1,7 @@
 /**
  * The connection of one caller. Node.js reads requests ahead and sends their responses in order, so all requests on a
  * connection share its end. This module knows which of them are in progress. It decides behind which response the
- * connection closes, and accepts no request whose response could not be sent any more: the caller sends such a request
+ * connection closes, accepts no request whose response could not be sent any more: the caller sends such a request
  * again, because it was not run.
  */
 import type { ServerResponse } from 'node:http'
@@ -13,6 +13,7 @@
   readonly #isDraining: () => boolean
   /** Responses that were not sent completely yet, in the order of their requests, with who waits for their end. */
   readonly #responses = new Map<ServerResponse, (() => void)[]>()
+  #last: ServerResponse | undefined
   #acceptsRequests = true
 
   constructor(socket: Socket, isDraining: () => boolean) {
@@ -26,14 +27,24 @@
 
   /** Returns false for a request that must not be handled, because the connection closes before its response. */
   accept(response: ServerResponse): boolean {
+    if (this.#canAnnounceClose) this.stopAccepting()
     if (!this.#acceptsRequests || this.#socket.destroyed) return false
     this.#responses.set(response, [])
+    this.#last = response
     response.once('close', () => {
       this.#onResponseClosed(response)
     })
     return true
   }
 
+  /**
+   * Whether a drain can end the connection behind the requests in progress. A caller that always has several in progress
+   * would otherwise keep it open.
+   */
+  get #canAnnounceClose(): boolean {
+    return this.#isDraining() && this.#last?.headersSent === false && this.#responses.has(this.#last)
+  }
+
   /** Number of requests whose responses were not sent completely yet. */
   get inProgress(): number {
     return this.#responses.size
@@ -57,11 +68,12 @@
   }
 
   /**
-   * Decides whether the connection closes behind the response whose head is written next. It does behind the last one of
-   * a drain, and behind a response to a request whose body was not received, as no further request can be read then.
+   * Decides whether the connection closes behind a response whose head is written next. In a drain it does behind the
+   * last one, and always behind a response to a request whose body was not received, as no further request can be read
+   * then.
    */
-  closesBehindNext(isBodyReceived: boolean): boolean {
-    const isLast = this.#responses.size === 1
+  closesBehind(response: ServerResponse, isBodyReceived: boolean): boolean {
+    const isLast = this.#last === response
     const closes = !isBodyReceived || (isLast && (this.#isDraining() || !this.#acceptsRequests))
     if (closes) this.stopAccepting()
     return closes
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -153,7 +153,7 @@
   }
 
   #closesConnection(): boolean {
-    return this.#connection.closesBehindNext(this.#isBodyReceived())
+    return this.#connection.closesBehind(this.#response, this.#isBodyReceived())
   }
 
   #writeHead(): void {
