Keep connections in a planned stop until their responses are flushed

Node.js counts a connection as idle once its current response has ended, although it is not flushed and others wait behind it, and closeIdleConnections (also a part of Server.close) destroys it.

The entry now decides by its own count of responses, and takes from Node.js only whether a head is half received.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,8 +1,8 @@
 /**
  * The connection of one caller. Node.js reads requests ahead and sends their responses in order, so all requests on a
  * connection share its end. This module knows which of them are in progress. It decides behind which response the
- * connection closes, accepts no request whose response could not be sent any more: the caller sends such a request
- * again, because it was not run.
+ * connection closes, accepts no request whose response could not be sent any more, and closes the connection in a way
+ * that loses no response: the caller sends a request that was not accepted again, because it was not run.
  */
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -84,6 +84,11 @@
     this.#acceptsRequests = false
   }
 
+  /** Closes the connection if no request is in progress. */
+  closeIfIdle(): void {
+    if (this.#responses.size === 0) this.#socket.end()
+  }
+
   /** Handles bytes that are no request: the requests before them still get their responses. */
   onParseError(cause: NodeJS.ErrnoException): void {
     this.stopAccepting()
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -200,28 +200,35 @@
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining(timeoutMs)
     await readArrived()
-    this.#http.close()
-    this.#relayHttp?.close()
+    this.#closeIdleConnections((server) => server.close())
     const start = this.#clock.monotonic()
     for (;;) {
       await readArrived()
-      this.#http.closeIdleConnections()
-      this.#relayHttp?.closeIdleConnections()
+      this.#closeIdleConnections((server) => {
+        server.closeIdleConnections()
+      })
       const elapsed = this.#clock.monotonic() - start
-      const waitsForHead = elapsed < Math.min(timeoutMs, HALF_RECEIVED_LIMIT_MS) && (await this.#countConnections()) > 0
-      if (this.callsInFlight === 0 && !waitsForHead) return true
-      if (elapsed >= timeoutMs) return false
+      const waitsForHead = elapsed < Math.min(timeoutMs, HALF_RECEIVED_LIMIT_MS)
+      const isWaiting = [...this.#callerConnections.values()].some(({ inProgress }) => inProgress > 0 || waitsForHead)
+      if (!isWaiting) return true
+      if (elapsed >= timeoutMs) return this.callsInFlight === 0
       await sleep(DRAIN_POLL_INTERVAL_MS)
     }
   }
 
-  /** Connections that are not idle, once the idle ones were closed. */
-  #countConnections(): Promise<number> {
-    return new Promise((resolve) => {
-      this.#http.getConnections((cause, count) => {
-        resolve(cause === null ? count : 0)
-      })
-    })
+  /**
+   * Closes the connections on which neither a request is in progress nor a head is half received. Only the second is
+   * known to Node.js, which destroys the sockets on which it expects no head, also those with responses to be flushed.
+   */
+  #closeIdleConnections(closeServer: (server: HttpServer) => void): void {
+    for (const [socket, connection] of this.#callerConnections) {
+      socket.destroy = () => {
+        connection.closeIfIdle()
+        return socket
+      }
+    }
+    for (const server of [this.#http, this.#relayHttp]) if (server !== undefined) closeServer(server)
+    for (const socket of this.#callerConnections.keys()) Reflect.deleteProperty(socket, 'destroy')
   }
 
   /**
@@ -277,6 +284,9 @@
         this.#accept(request, response, isRelay)
       },
     )
+    server.on('connection', (socket: Socket) => {
+      this.#callerConnection(socket)
+    })
     server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
       this.#callerConnection(socket).onParseError(cause)
     })
