Read on after closing the connection of a caller, so that nothing is reset

A caller that had requests under way when the entry closed its connection lost the rest of the responses before them: 11 to 12 of 16 MB arrived. Closing a socket with unread bytes, or bytes that come after it, make TCP reset the connection, and a reset discards what was not delivered. The entry destroyed the socket as soon as the last response was handed to the operating system; callers that send ahead have bytes under way just then.

CallerConnection now ends its sending side and reads on until the caller closes, 2 s at most (a lingering close), behind a response that closes the connection, on idle connections in a stop and behind malformed bytes. A stop waits for it within its limit.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -8,6 +8,12 @@
 import type { Socket } from 'node:net'
 import { respondToParseError } from './parse-error'
 
+/**
+ * Time in which a closed connection still reads what its caller sends. Closing a socket with unread bytes resets the
+ * connection, and a reset discards the responses that the caller has not received.
+ */
+const LINGER_MS = 2_000
+
 export class CallerConnection {
   readonly #socket: Socket
   readonly #isDraining: () => boolean
@@ -15,10 +21,15 @@
   readonly #responses = new Map<ServerResponse, (() => void)[]>()
   #last: ServerResponse | undefined
   #acceptsRequests = true
+  #isLingering = false
 
   constructor(socket: Socket, isDraining: () => boolean) {
     this.#socket = socket
     this.#isDraining = isDraining
+    // Node.js calls it behind a response that closes the connection.
+    socket.destroySoon = () => {
+      this.#close()
+    }
     // Node.js reports the end of a connection only to the first of the responses that wait for it.
     socket.once('close', () => {
       for (const response of [...this.#responses.keys()]) this.#onResponseClosed(response)
@@ -55,6 +66,11 @@
     return this.#responses.size > 1
   }
 
+  /** Whether the connection is closed and only waits for its caller to close it as well. */
+  get isLingering(): boolean {
+    return this.#isLingering
+  }
+
   /** Calls the listener once the response was handed to the operating system or can no longer be sent. */
   onClosed(response: ServerResponse, listener: () => void): void {
     this.#responses.get(response)?.push(listener)
@@ -63,7 +79,7 @@
   #onResponseClosed(response: ServerResponse): void {
     const listeners = this.#responses.get(response) ?? []
     this.#responses.delete(response)
-    if (!this.#acceptsRequests && this.#responses.size === 0) this.#socket.destroySoon()
+    if (!this.#acceptsRequests && this.#responses.size === 0) this.#close()
     for (const listener of listeners) listener()
   }
 
@@ -86,12 +102,27 @@
 
   /** Closes the connection if no request is in progress. */
   closeIfIdle(): void {
-    if (this.#responses.size === 0) this.#socket.end()
+    if (this.#responses.size === 0) this.#close()
   }
 
   /** Handles bytes that are no request: the requests before them still get their responses. */
   onParseError(cause: NodeJS.ErrnoException): void {
     this.stopAccepting()
-    if (this.#responses.size === 0) respondToParseError(cause, this.#socket)
+    if (this.#responses.size > 0) return
+    respondToParseError(cause, this.#socket)
+    this.#close()
+  }
+
+  #close(): void {
+    if (this.#isLingering || this.#socket.destroyed) return
+    this.#isLingering = true
+    this.stopAccepting()
+    this.#socket.end(() => {
+      if (this.#socket.destroyed) return
+      const linger = setTimeout(() => this.#socket.destroy(), LINGER_MS)
+      this.#socket.once('close', () => {
+        clearTimeout(linger)
+      })
+    })
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -209,7 +209,9 @@
       })
       const elapsed = this.#clock.monotonic() - start
       const waitsForHead = elapsed < Math.min(timeoutMs, HALF_RECEIVED_LIMIT_MS)
-      const isWaiting = [...this.#callerConnections.values()].some(({ inProgress }) => inProgress > 0 || waitsForHead)
+      const isWaiting = [...this.#callerConnections.values()].some(
+        ({ inProgress, isLingering }) => inProgress > 0 || isLingering || waitsForHead,
+      )
       if (!isWaiting) return true
       if (elapsed >= timeoutMs) return this.callsInFlight === 0
       await sleep(DRAIN_POLL_INTERVAL_MS)
