Let calls in flight take the time that the platform gives a planned stop

The template set stop-limit to 3 s, so that every node cut off its calls 5.5 s after SIGTERM, also where the platform waits for 10 s (large site) and calls have deadlines of up to 10 s. There the cut lies before the last sixth of the grace, which nothing excuses.

The adapter now tells after which time the platform kills the process (bound grace), and the entry ends half a second earlier: as before for 6 s, 9.5 s for 10 s. Where the time is short, the balancer gets half of it.

--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -67,5 +67,7 @@
   readonly retries: RetryAllowance | undefined
   /** Undefined if servers cannot be queried for their load. */
   readonly loadQueries: LoadQueryAllowance | undefined
+  /** Ms from the start of a planned stop until the platform kills the process; undefined if it waits for its end. */
+  readonly killAfterMs: number | undefined
   readonly listeners: (gateway: Gateway) => readonly AdapterListener[]
 }
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -28,6 +28,7 @@
 import { splitAddress } from './listener'
 import type { QuarantineExchange } from './quarantine-exchange'
 import type { EntrySettings } from './settings'
+import { limitStopTimes, type StopTimes } from './stop-times'
 
 const MICROSECONDS_PER_MS = 1000
 const MAX_EJECTED_ANNOUNCED = 100
@@ -193,12 +194,23 @@
    * running at the limit.
    */
   async drain(): Promise<boolean> {
-    const { balancerGraceMs, stopLimitMs } = this.#options.settings
+    const { balancerGraceMs, stopLimitMs } = this.#stopTimes
     this.#entry.startDraining(balancerGraceMs + stopLimitMs)
     await sleep(balancerGraceMs)
     return this.#entry.drain(stopLimitMs)
   }
 
+  /** Time that `drain` may take. */
+  get drainLimitMs(): number {
+    const { balancerGraceMs, stopLimitMs } = this.#stopTimes
+    return balancerGraceMs + stopLimitMs
+  }
+
+  get #stopTimes(): StopTimes {
+    const { settings, adapter } = this.#options
+    return adapter?.killAfterMs === undefined ? settings : limitStopTimes(settings, adapter.killAfterMs)
+  }
+
   async stop(): Promise<void> {
     this.#controlClient.stop()
     await this.#entry.stop()
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -353,10 +353,9 @@
   }
 
   #parts(): NodeParts {
-    const entrySettings = this.#settings.entry
     return {
       entry: this.#entry,
-      drainLimitMs: entrySettings === undefined ? 0 : entrySettings.balancerGraceMs + entrySettings.stopLimitMs,
+      drainLimitMs: this.#entry?.drainLimitMs ?? 0,
       control: this.#control,
       rpc: this.#rpc,
       listeners: [...this.#listeners, ...(this.#operatorListener === undefined ? [] : [this.#operatorListener])],
