A session test of planned stops with callers that pipeline

Callers on raw sockets keep their connections until a response announces the close, up to four GETs before the first response.

--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -35,6 +35,8 @@
   /** Time after which a replica without contact is replaced. */
   readonly lostAfter?: string
   readonly balancerGrace?: string
+  /** Time after the balancer grace at which a planned stop ends the calls in flight. */
+  readonly stopLimit?: string
 }
 
 /** Subset of the status of control that tests read. */
@@ -364,17 +366,17 @@
     const seeds = this.nodes.filter((other) => other !== node).map((other) => other.addresses.address)
     const bootstrap = node.options.bootstrap ?? false
     await mkdir(folder, { recursive: true })
-    await writeFile(
-      file,
-      exampleSettings({
-        balancerGrace: '200ms',
-        ...node.options,
-        ...node.addresses,
-        node: node.name,
-        seeds,
-        bootstrap,
-      }),
-    )
+    const settings = exampleSettings({
+      balancerGrace: '200ms',
+      ...node.options,
+      ...node.addresses,
+      node: node.name,
+      seeds,
+      bootstrap,
+    })
+    const { stopLimit } = node.options
+    const isDefault = stopLimit === undefined
+    await writeFile(file, isDefault ? settings : settings.replace(/^stop-limit = .*$/m, `stop-limit = ${stopLimit}`))
     const process = this.harness.start({
       name: node.name,
       command: [...(node.command ?? this.#command), 'run', file],
--- a/packages/testkit/src/fake-server.ts
+++ b/packages/testkit/src/fake-server.ts
@@ -1,7 +1,7 @@
 /**
  * Fake server: an HTTP/1.1 server with slots and a FIFO queue that announces itself to the entries. The query parameter
- * `bytes=N` asks for a generated body of N bytes, `ms=N` sets the service time of the call. Other responses are JSON
- * that describes the request. The execution record and the faults are served by a second listener, the control
+ * `bytes=N` asks for a generated body of N bytes, `ms=N` sets the service time of the call, and `chunked` leaves out the length of
+ * the body. Other responses are JSON that describes the request. The execution record and the faults are served by a second listener, the control
  * endpoint, which entries never call.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -222,7 +222,7 @@
     call.response.writeHead(200, {
       ...this.#buildHeaders(),
       'content-type': bytes === null ? 'application/json' : 'application/octet-stream',
-      'content-length': String(length),
+      ...(call.url.searchParams.has('chunked') ? {} : { 'content-length': String(length) }),
       'x-request-id': id,
     })
     const truncate = this.#consumeFault('responsesToTruncate')
--- /dev/null
+++ b/packages/testkit/src/pipelining-caller.ts
@@ -0,0 +1,216 @@
+/**
+ * Caller on a raw socket that sends up to `depth` requests before the first response. It keeps its connection until the
+ * other side ends it or a response announces the close, so a planned stop meets a connection that is never idle. After
+ * the announcement it sends nothing more. It records how each request ended and judges nothing.
+ */
+import { randomUUID } from 'node:crypto'
+import { connect, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { sha256, type EchoResponse } from './response-body'
+import { ResponseReader, type ReadResponse } from './response-reader'
+
+/** Pause before the next connection after one that was refused. */
+const RECONNECT_PAUSE_MS = 50
+
+export interface PipelinedRequest {
+  readonly method: 'GET' | 'POST'
+  readonly host: string
+  readonly path: string
+  readonly body?: string
+}
+
+/**
+ * `unanswered`: the connection ended before the response began; `broken-off`: within the response; `behind-close`: the
+ * response to an earlier request announced the close. `open`: not answered when the caller was stopped.
+ */
+export type ExchangeEnd = 'answered' | 'unanswered' | 'broken-off' | 'behind-close' | 'open'
+
+/** One request and its end. Times are monotonic, in ms. */
+export interface Exchange {
+  readonly requestId: string
+  readonly request: PipelinedRequest
+  readonly entry: string
+  /** Number of requests without a response before this one on its connection when it was sent. */
+  readonly behind: number
+  readonly sentAt: number
+  readonly endedAt: number
+  readonly end: ExchangeEnd
+  /** 0 without a response. */
+  readonly status: number
+  /** Whether a response with status 200 is the one to this request, with its whole body. */
+  readonly isOwn: boolean
+}
+
+export interface PipeliningCallerOptions {
+  /** Largest number of requests without a response; 1 sends one at a time. */
+  readonly depth: number
+  /** Draws the entry of the next connection, `address:port`. */
+  readonly entry: () => string
+  readonly request: () => PipelinedRequest
+  /** Pause in ms between a response and the next request. */
+  readonly pauseMs?: number
+}
+
+type SentRequest = Pick<Exchange, 'requestId' | 'request' | 'entry' | 'behind' | 'sentAt'>
+
+export class PipeliningCaller {
+  readonly exchanges: Exchange[] = []
+  readonly #options: PipeliningCallerOptions
+  readonly #stopSending = new AbortController()
+  readonly #running: Promise<void>
+  #connection: CallerSocket | undefined
+
+  constructor(options: PipeliningCallerOptions) {
+    this.#options = options
+    this.#running = this.#run()
+  }
+
+  /** Sends nothing more and waits until all responses arrived, for `limitMs` at most. */
+  async stop(limitMs: number): Promise<void> {
+    this.#stopSending.abort()
+    const limit = new AbortController()
+    const timeout = sleep(limitMs, undefined, { signal: limit.signal }).catch(() => undefined)
+    await Promise.race([this.#running, timeout])
+    limit.abort()
+    this.#connection?.abandon()
+    await this.#running
+  }
+
+  get #stopped(): boolean {
+    return this.#stopSending.signal.aborted
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const entry = this.#options.entry()
+      const socket = await openSocket(entry)
+      if (socket === undefined) {
+        await sleep(RECONNECT_PAUSE_MS)
+        continue
+      }
+      this.#connection = new CallerSocket(socket, entry, this.#options, this.#stopSending.signal)
+      this.exchanges.push(...(await this.#connection.run()))
+    }
+  }
+}
+
+async function openSocket(entry: string): Promise<Socket | undefined> {
+  const [host, port] = entry.split(':')
+  const socket = connect(Number(port), host)
+  socket.setNoDelay(true)
+  try {
+    await once(socket, 'connect')
+    return socket
+  } catch {
+    return undefined
+  }
+}
+
+/** One connection of a caller, from its first request to its end. */
+class CallerSocket {
+  readonly #socket: Socket
+  readonly #entry: string
+  readonly #options: PipeliningCallerOptions
+  readonly #stopSending: AbortSignal
+  readonly #reader = new ResponseReader()
+  readonly #sent: SentRequest[] = []
+  readonly #exchanges: Exchange[] = []
+  #closeAnnounced = false
+  #abandoned = false
+
+  constructor(socket: Socket, entry: string, options: PipeliningCallerOptions, stopSending: AbortSignal) {
+    this.#socket = socket
+    this.#entry = entry
+    this.#options = options
+    this.#stopSending = stopSending
+  }
+
+  /** Closes the connection from the side of the caller. */
+  abandon(): void {
+    this.#abandoned = true
+    this.#socket.destroy()
+  }
+
+  /** Sends requests until the connection ends, and returns how each of them ended. */
+  async run(): Promise<readonly Exchange[]> {
+    const closed = new Promise((resolve) => this.#socket.once('close', resolve))
+    this.#socket.on('error', () => undefined)
+    this.#socket.on('data', (part: Buffer) => {
+      this.#onData(part)
+    })
+    this.#stopSending.addEventListener('abort', this.#endIfUnused)
+    this.#fill()
+    await closed
+    this.#stopSending.removeEventListener('abort', this.#endIfUnused)
+    this.#endRest()
+    return this.#exchanges
+  }
+
+  readonly #endIfUnused = (): void => {
+    if (this.#stopSending.aborted && this.#sent.length === 0) this.#socket.destroy()
+  }
+
+  #fill(): void {
+    while (!this.#closeAnnounced && !this.#stopSending.aborted && this.#sent.length < this.#options.depth) this.#send()
+  }
+
+  #send(): void {
+    const request = this.#options.request()
+    const requestId = randomUUID()
+    const behind = this.#sent.length
+    this.#sent.push({ requestId, request, entry: this.#entry, behind, sentAt: performance.now() })
+    this.#socket.write(formatRequest(request, requestId))
+  }
+
+  #onData(part: Buffer): void {
+    for (const response of this.#reader.read(part)) this.#onResponse(response)
+    this.#endIfUnused()
+  }
+
+  #onResponse(response: ReadResponse): void {
+    if (this.#closeAnnounced) return
+    const sent = this.#sent.shift()
+    if (sent === undefined) throw new Error('a response without a request')
+    const isOwn = response.status === 200 && isEchoOf(sent, response.body)
+    this.#record(sent, { end: 'answered', status: response.status, isOwn })
+    if (response.closes) {
+      this.#closeAnnounced = true
+      this.#socket.destroySoon()
+      return
+    }
+    if (this.#options.pauseMs === undefined) this.#fill()
+    else
+      setTimeout(() => {
+        if (!this.#socket.destroyed) this.#fill()
+      }, this.#options.pauseMs)
+  }
+
+  /** Records the requests that got no whole response. */
+  #endRest(): void {
+    const isInFirst = this.#reader.isInResponse
+    for (const [index, sent] of this.#sent.splice(0).entries()) {
+      if (this.#closeAnnounced) this.#record(sent, { end: 'behind-close' })
+      else if (this.#abandoned) this.#record(sent, { end: 'open' })
+      else this.#record(sent, { end: index === 0 && isInFirst ? 'broken-off' : 'unanswered' })
+    }
+  }
+
+  #record(sent: SentRequest, { end, status = 0, isOwn = false }: Pick<Exchange, 'end'> & Partial<Exchange>): void {
+    this.#exchanges.push({ ...sent, end, status, isOwn, endedAt: performance.now() })
+  }
+}
+
+function formatRequest({ method, host, path, body }: PipelinedRequest, requestId: string): string {
+  const length = body === undefined ? '' : `content-length: ${Buffer.byteLength(body)}\r\n`
+  return `${method} ${path} HTTP/1.1\r\nhost: ${host}\r\nx-request-id: ${requestId}\r\n${length}\r\n${body ?? ''}`
+}
+
+function isEchoOf({ requestId, request }: SentRequest, body: Buffer): boolean {
+  try {
+    const echo = JSON.parse(String(body)) as EchoResponse
+    return echo.request === requestId && echo.bodyDigest === sha256(request.body ?? '')
+  } catch {
+    return false
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/planned-stop-losses.ts
@@ -0,0 +1,43 @@
+/**
+ * Finds the requests that a planned stop broke off: a server began them, and their callers got no whole response of that
+ * server before the deadline. Requests that no server began are not lost, as their callers may send them again. Has no
+ * side effects.
+ */
+import type { Exchange } from './pipelining-caller'
+
+/** How much earlier than its deadline a call may end: a timer and a clock read round to a millisecond each. */
+const ROUNDING_MS = 2
+
+export interface LossOptions {
+  readonly exchanges: readonly Exchange[]
+  /** Number of executions per request id, summed over all servers. */
+  readonly executions: ReadonlyMap<string, number>
+  /** Deadline of all requests. */
+  readonly deadlineMs: number
+}
+
+/** Servers that respond with 200 only are assumed, so every other status is one of the entry's own. */
+export function findBrokenOff({ exchanges, executions, deadlineMs }: LossOptions): readonly Exchange[] {
+  return exchanges.filter((exchange) => {
+    if (!isLoss(exchange) || !executions.has(exchange.requestId)) return false
+    return exchange.endedAt - exchange.sentAt < deadlineMs - ROUNDING_MS
+  })
+}
+
+function isLoss({ end, status }: Exchange): boolean {
+  switch (end) {
+    case 'answered':
+      return status !== 200
+    case 'unanswered':
+    case 'broken-off':
+    case 'behind-close':
+      return true
+    case 'open':
+      return false
+  }
+}
+
+/** Responses with status 200 that are not those to their requests. */
+export function findWrong(exchanges: readonly Exchange[]): readonly Exchange[] {
+  return exchanges.filter(({ status, isOwn }) => status === 200 && !isOwn)
+}
--- a/packages/testkit/test/session/fixture.ts
+++ b/packages/testkit/test/session/fixture.ts
@@ -30,12 +30,16 @@
   return { name: `entry-${number}`, roles: 'entry', environment: 'production', failureDomain: `fd-${number}` }
 }
 
-export async function startCluster(harness: Harness, nodes: readonly NodeOptions[]): Promise<Cluster> {
+export async function startCluster(
+  harness: Harness,
+  nodes: readonly NodeOptions[],
+  document = workloadDocument(),
+): Promise<Cluster> {
   const cluster = await Cluster.create(harness)
   await cluster.add(...nodes)
   await cluster.startAll()
   await cluster.waitUntilAllJoined()
-  await cluster.putInForce('production', workloadDocument())
+  await cluster.putInForce('production', document)
   await Promise.all(cluster.entries.map((entry) => entry.waitUntilHealthy()))
   return cluster
 }
