Refuse half of a surrogate pair in names and values of a document

Cause: the check that a document represents an order read the text back as a JavaScript string. A put or a patch with such a path, host or health path was acknowledged and in force as another one.

renderSections refuses such names and values with section and key before anything is proposed, and checkDocument, which the leader runs on the document that results from a submission, a put or a patch, refuses them in texts: also as an escape in a quoted value, and in comments. The code is document-invalid as before. What a committed command does is unchanged.

--- a/packages/document/src/document.ts
+++ b/packages/document/src/document.ts
@@ -8,6 +8,7 @@
 import { z } from 'zod'
 import { duration, flag, integer, list, name, percentage, size, weightedServices } from './field'
 import { parseIni } from './ini'
+import { findUnencodableText } from './sections'
 
 /** 1 MiB: four times the size of a document with a thousand routes of about 250 bytes each. */
 export const MAX_DOCUMENT_BYTES = 1_048_576
@@ -168,6 +169,7 @@
           reason: `names no section [service.${unknown}]`,
         })),
     )
+    faults.push(...findUnencodableText(text))
     return faults.length > 0 ? err(faults) : ok(document)
   })
 }
--- a/packages/document/src/sections.ts
+++ b/packages/document/src/sections.ts
@@ -11,6 +11,9 @@
 const SKIPPED_NAME = '.__proto__'
 const NAME_REASON = 'the name cannot be represented in a document'
 const VALUE_REASON = 'the value cannot be represented in a document'
+const SURROGATE_REASON = 'contains half of a surrogate pair, which UTF-8 cannot represent'
+/** Matches halves of a pair only: with the flag `u`, a whole pair is one other character. */
+const UNPAIRED_SURROGATE = /\p{Surrogate}/u
 
 /** Keys and unparsed values of one section. */
 export type Section = Readonly<Record<string, string>>
@@ -33,6 +36,8 @@
  * something else.
  */
 export function renderSections(sections: Sections): Result<string, readonly Fault[]> {
+  const unencodable = findUnencodable(sections)
+  if (unencodable.length > 0) return err(unencodable)
   const text = joinSections(sections)
   return parseText(text)
     .mapErr((fault) => [fault])
@@ -42,6 +47,26 @@
     })
 }
 
+/**
+ * Finds the strings of a document that do not survive UTF-8, in which documents are sent to the entries. Names and
+ * values are reported with section and key, anything else in the text, such as a comment, with its line.
+ */
+export function findUnencodableText(text: string): readonly Fault[] {
+  const faults = parseText(text).match(findUnencodable, () => [])
+  if (faults.length > 0) return faults
+  const lines = text.split('\n').flatMap((line, index) => (UNPAIRED_SURROGATE.test(line) ? [index + 1] : []))
+  return lines.map((line) => ({ section: '', key: '', reason: `line ${line} ${SURROGATE_REASON}` }))
+}
+
+/** A quoted value contains half of a pair as an escape, so that its text alone would not show it. */
+function findUnencodable(sections: Sections): readonly Fault[] {
+  return listSections(sections).flatMap(([name, section]) => {
+    if (UNPAIRED_SURROGATE.test(name)) return [{ section: name, key: '', reason: SURROGATE_REASON }]
+    const found = Object.entries(section).filter((entry) => entry.some((part) => UNPAIRED_SURROGATE.test(part)))
+    return found.map(([key]) => ({ section: name, key, reason: SURROGATE_REASON }))
+  })
+}
+
 function findUnrepresented(sections: Sections, parsed: object): readonly Fault[] {
   const readBack = new Map(listSections(parsed))
   const faults = listSections(sections).flatMap(([name, section]) => {
--- a/packages/document/test/document.test.ts
+++ b/packages/document/test/document.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { formatFaults, matchRoute, parseDocument } from '../src/index'
+import { checkDocument, formatFaults, matchRoute, parseDocument } from '../src/index'
 
 const VALID = `
 [document]
@@ -76,3 +76,23 @@
     match('any', 'DELETE', '/slots'),
   ]).toEqual(['slots', 'slots', 'none', 'book', 'none', 'method-not-allowed'])
 })
+
+test('half of a surrogate pair is refused wherever it is in a document that an operator sends', () => {
+  const faultsOf = (text: string) =>
+    checkDocument(text).match(
+      () => [],
+      (faults) => faults.map(({ section, key }) => `${section} ${key}`),
+    )
+  const [booking, path] = ['[service.booking]\n', 'path = /slots']
+  expect(faultsOf(VALID.replace(path, `${path}\ud83d\ude80`))).toEqual([])
+  expect(faultsOf(VALID.replace('Booking calls', 'Booking \ud83d calls'))).toEqual(['document title'])
+  // An escape, which the text alone would not show.
+  expect(faultsOf(VALID.replace(booking, `${booking}health-path = "/\\udc00"\n`))).toEqual([
+    'service.booking health-path',
+  ])
+  expect(faultsOf(VALID.replace(path, `host = \ud800\n${path}\udfff`))).toEqual([
+    'route.slots host',
+    'route.slots path',
+  ])
+  expect(faultsOf(VALID.replace(booking, `; \ud800\n${booking}`))).toEqual([' '])
+})
