--- a/packages/testkit/src/pipelining-caller.ts
+++ b/packages/testkit/src/pipelining-caller.ts
@@ -18,6 +18,8 @@
   readonly host: string
   readonly path: string
   readonly body?: string
+  /** Deadline of its route. */
+  readonly deadlineMs: number
 }
 
 /**
@@ -38,6 +40,8 @@
   readonly end: ExchangeEnd
   /** 0 without a response. */
   readonly status: number
+  /** Error code with which the connection ended; empty if it ended in order. */
+  readonly error: string
   /** Whether a response with status 200 is the one to this request, with its whole body. */
   readonly isOwn: boolean
 }
@@ -47,7 +51,8 @@
   readonly depth: number
   /** Draws the entry of the next connection, `address:port`. */
   readonly entry: () => string
-  readonly request: () => PipelinedRequest
+  /** Returns the next request; `behind` is the number of requests without a response before it. */
+  readonly request: (behind: number) => PipelinedRequest
   /** Pause in ms between a response and the next request. */
   readonly pauseMs?: number
 }
@@ -118,6 +123,7 @@
   readonly #exchanges: Exchange[] = []
   #closeAnnounced = false
   #abandoned = false
+  #error = ''
 
   constructor(socket: Socket, entry: string, options: PipeliningCallerOptions, stopSending: AbortSignal) {
     this.#socket = socket
@@ -135,7 +141,7 @@
   /** Sends requests until the connection ends, and returns how each of them ended. */
   async run(): Promise<readonly Exchange[]> {
     const closed = new Promise((resolve) => this.#socket.once('close', resolve))
-    this.#socket.on('error', () => undefined)
+    this.#socket.on('error', (cause: NodeJS.ErrnoException) => (this.#error = cause.code ?? cause.message))
     this.#socket.on('data', (part: Buffer) => {
       this.#onData(part)
     })
@@ -151,20 +157,27 @@
     if (this.#stopSending.aborted && this.#sent.length === 0) this.#socket.destroy()
   }
 
-  #fill(): void {
-    while (!this.#closeAnnounced && !this.#stopSending.aborted && this.#sent.length < this.#options.depth) this.#send()
+  readonly #fill = (): void => {
+    while (this.#maySend && this.#sent.length < this.#options.depth) this.#send()
+  }
+
+  get #maySend(): boolean {
+    return !this.#closeAnnounced && !this.#stopSending.aborted && !this.#socket.destroyed
   }
 
   #send(): void {
-    const request = this.#options.request()
-    const requestId = randomUUID()
     const behind = this.#sent.length
+    const request = this.#options.request(behind)
+    const requestId = randomUUID()
     this.#sent.push({ requestId, request, entry: this.#entry, behind, sentAt: performance.now() })
     this.#socket.write(formatRequest(request, requestId))
   }
 
   #onData(part: Buffer): void {
     for (const response of this.#reader.read(part)) this.#onResponse(response)
+    const { pauseMs } = this.#options
+    if (pauseMs === undefined) this.#fill()
+    else setTimeout(this.#fill, pauseMs)
     this.#endIfUnused()
   }
 
@@ -174,16 +187,9 @@
     if (sent === undefined) throw new Error('a response without a request')
     const isOwn = response.status === 200 && isEchoOf(sent, response.body)
     this.#record(sent, { end: 'answered', status: response.status, isOwn })
-    if (response.closes) {
-      this.#closeAnnounced = true
-      this.#socket.destroySoon()
-      return
-    }
-    if (this.#options.pauseMs === undefined) this.#fill()
-    else
-      setTimeout(() => {
-        if (!this.#socket.destroyed) this.#fill()
-      }, this.#options.pauseMs)
+    if (!response.closes) return
+    this.#closeAnnounced = true
+    this.#socket.destroySoon()
   }
 
   /** Records the requests that got no whole response. */
@@ -197,7 +203,7 @@
   }
 
   #record(sent: SentRequest, { end, status = 0, isOwn = false }: Pick<Exchange, 'end'> & Partial<Exchange>): void {
-    this.#exchanges.push({ ...sent, end, status, isOwn, endedAt: performance.now() })
+    this.#exchanges.push({ ...sent, end, status, isOwn, error: this.#error, endedAt: performance.now() })
   }
 }
 
--- a/packages/testkit/src/planned-stop-losses.ts
+++ b/packages/testkit/src/planned-stop-losses.ts
@@ -8,19 +8,17 @@
 /** How much earlier than its deadline a call may end: a timer and a clock read round to a millisecond each. */
 const ROUNDING_MS = 2
 
-export interface LossOptions {
-  readonly exchanges: readonly Exchange[]
-  /** Number of executions per request id, summed over all servers. */
-  readonly executions: ReadonlyMap<string, number>
-  /** Deadline of all requests. */
-  readonly deadlineMs: number
-}
-
-/** Servers that respond with 200 only are assumed, so every other status is one of the entry's own. */
-export function findBrokenOff({ exchanges, executions, deadlineMs }: LossOptions): readonly Exchange[] {
+/**
+ * `executions` are per request id, summed over all servers. Servers that respond with 200 only are assumed, so every
+ * other status is one of the entry's own.
+ */
+export function findBrokenOff(
+  exchanges: readonly Exchange[],
+  executions: ReadonlyMap<string, number>,
+): readonly Exchange[] {
   return exchanges.filter((exchange) => {
     if (!isLoss(exchange) || !executions.has(exchange.requestId)) return false
-    return exchange.endedAt - exchange.sentAt < deadlineMs - ROUNDING_MS
+    return exchange.endedAt - exchange.sentAt < exchange.request.deadlineMs - ROUNDING_MS
   })
 }
 
--- a/packages/testkit/src/soak/invariants.ts
+++ b/packages/testkit/src/soak/invariants.ts
@@ -1,5 +1,7 @@
 /** Checks the invariants of a soak run on what callers, servers and operators observed. Has no side effects. */
 import type { CallResult } from '../load'
+import type { Exchange } from '../pipelining-caller'
+import { findBrokenOff, findWrong } from '../planned-stop-losses'
 
 export interface SoakCall {
   readonly result: CallResult
@@ -22,6 +24,8 @@
 
 export interface SoakObservations {
   readonly calls: readonly SoakCall[]
+  /** Exchanges on kept connections, with names of entries and times in ms after the start of the run. */
+  readonly exchanges: readonly Exchange[]
   /** Number of executions per request id, summed over all servers. */
   readonly executions: ReadonlyMap<string, number>
   /** Revisions that were reported to operators as accepted, in the order of the responses. */
@@ -36,6 +40,7 @@
 export function findViolations(observations: SoakObservations): readonly string[] {
   return [
     ...observations.calls.flatMap((call) => checkCall(observations, call)),
+    ...checkExchanges(observations),
     ...checkRevisions(observations),
     ...[...observations.reportedRevisions].flatMap(([process, revisions]) => checkRevisionOrder(process, revisions)),
     ...observations.plannedStops.flatMap((stop) => checkPlannedStop(observations, stop)),
@@ -54,6 +59,14 @@
   return violations
 }
 
+function checkExchanges({ exchanges, executions }: SoakObservations): readonly string[] {
+  const repeated = exchanges
+    .filter(({ request, requestId }) => request.method === 'POST' && (executions.get(requestId) ?? 0) > 1)
+    .map(({ requestId }) => `${requestId} was executed ${executions.get(requestId) ?? 0} times`)
+  const wrong = findWrong(exchanges).map(({ requestId }) => `${requestId} received the response to another request`)
+  return [...repeated, ...wrong]
+}
+
 function checkRevisions({ acceptedRevisions, finalRevision }: SoakObservations): readonly string[] {
   const violations: string[] = []
   if (new Set(acceptedRevisions).size < acceptedRevisions.length)
@@ -71,8 +84,24 @@
     : [`${process} reverted from revision ${revisions[revertIndex - 1] ?? 0} to ${revisions[revertIndex] ?? 0}`]
 }
 
-function checkPlannedStop({ calls }: SoakObservations, stop: PlannedStop): readonly string[] {
+function checkPlannedStop(observations: SoakObservations, stop: PlannedStop): readonly string[] {
   if (stop.overlapsOtherFault) return []
+  return [...checkCallsOfStop(observations, stop), ...checkExchangesOfStop(observations, stop)]
+}
+
+function checkExchangesOfStop({ exchanges, executions }: SoakObservations, stop: PlannedStop): readonly string[] {
+  const duringStop = exchanges.filter(
+    ({ entry, sentAt, endedAt }) => entry === stop.entry && endedAt >= stop.from && sentAt <= stop.until,
+  )
+  return findBrokenOff(duringStop, executions).map((exchange) => {
+    const { requestId, request, behind, end, status, error, sentAt, endedAt } = exchange
+
+    const times = `sent ${Math.round(sentAt - stop.from)} ms and ended ${Math.round(endedAt - stop.from)} ms after its start`
+    return `${request.method} ${requestId} was broken off by the planned stop of ${stop.entry}: ${end} ${status} ${error}, behind ${behind}, ${times}`
+  })
+}
+
+function checkCallsOfStop({ calls }: SoakObservations, stop: PlannedStop): readonly string[] {
   return (
     calls
       .filter(({ entry, result }) => entry === stop.entry && result.outcome === 'aborted')
--- a/packages/testkit/src/soak/main.ts
+++ b/packages/testkit/src/soak/main.ts
@@ -10,10 +10,11 @@
 for (const seed of seeds) {
   const harness = await Harness.create()
   try {
-    const { faults, calls, acceptedChanges, violations } = await runSoak(harness, seed)
+    const { faults, calls, exchanges, stopsMs, acceptedChanges, violations } = await runSoak(harness, seed)
     const verdict = violations.length === 0 ? 'passed' : 'FAILED'
     process.stdout.write(
-      `seed ${seed}: ${verdict}; ${faults.length} faults, ${acceptedChanges} accepted changes, ${JSON.stringify(calls)}\n`,
+      `seed ${seed}: ${verdict}; ${faults.length} faults, ${acceptedChanges} accepted changes, ${JSON.stringify(calls)}, ` +
+        `on kept connections ${JSON.stringify(exchanges)}, planned stops of ${stopsMs.join(', ')} ms\n`,
     )
     for (const violation of violations) process.stdout.write(`  ${violation}\n`)
     if (violations.length > 0) process.exitCode = 1
--- a/packages/testkit/src/soak/schedule.ts
+++ b/packages/testkit/src/soak/schedule.ts
@@ -14,6 +14,10 @@
   /** SIGTERM followed by a new start; no call may be aborted. */
   | { readonly kind: 'planned-stop'; readonly startMs: number; readonly node: string }
   | { readonly kind: 'kill-all-control'; readonly startMs: number; readonly durationMs: number }
+  /** Planned stops of all entries, each as soon as the one before is back; no request may be broken off. */
+  | { readonly kind: 'stop-series'; readonly startMs: number }
+  /** A server stops for a while with open connections and then goes on. */
+  | { readonly kind: 'pause-server'; readonly startMs: number; readonly durationMs: number; readonly server: string }
   /** Two operators submit changes with the same base revision at the same time. */
   | { readonly kind: 'race'; readonly startMs: number }
 
@@ -22,6 +26,7 @@
   readonly loadDurationMs: number
   readonly entries: readonly string[]
   readonly controls: readonly string[]
+  readonly servers: readonly string[]
 }
 
 /** Mean interval between the starts of two faults; shorter than most faults last, so that faults overlap. */
@@ -30,7 +35,31 @@
 const MAX_DURATION_MS = 2_500
 const FAULT_KINDS = ['kill', 'pause', 'isolate', 'planned-stop', 'kill-all-control', 'race', 'race'] as const
 
-export function drawSchedule({ seed, loadDurationMs, entries, controls }: ScheduleOptions): readonly SoakFault[] {
+/** Latest start of a series of stops; it lasts for several seconds and runs beside the other faults. */
+const MAX_SERIES_START_MS = 4000
+const MAX_SERVER_PAUSE_MS = 2400
+const MEAN_SERVER_PAUSE_INTERVAL_MS = 700
+/** Added to the seed of these faults, whose number must not change the other ones of a seed. */
+const SERIES_SEED = 0x51f7
+
+export function drawSchedule(options: ScheduleOptions): readonly SoakFault[] {
+  return [...drawOverlapping(options), ...drawSeries(options)]
+}
+
+/** One series of planned stops, and pauses of servers during the whole load. */
+function drawSeries({ seed, loadDurationMs, servers }: ScheduleOptions): readonly SoakFault[] {
+  const random = seededRandom(seed + SERIES_SEED)
+  const faults: SoakFault[] = [{ kind: 'stop-series', startMs: randomInt(random, MAX_SERIES_START_MS) }]
+  let startMs = randomInt(random, 2 * MEAN_SERVER_PAUSE_INTERVAL_MS)
+  while (startMs < loadDurationMs) {
+    const durationMs = MIN_DURATION_MS + randomInt(random, MAX_SERVER_PAUSE_MS - MIN_DURATION_MS)
+    faults.push({ kind: 'pause-server', startMs, durationMs, server: pickRandom(random, servers) })
+    startMs += randomInt(random, 2 * MEAN_SERVER_PAUSE_INTERVAL_MS)
+  }
+  return faults
+}
+
+function drawOverlapping({ seed, loadDurationMs, entries, controls }: ScheduleOptions): readonly SoakFault[] {
   const random = seededRandom(seed)
   const faults: SoakFault[] = []
   for (let startMs = MEAN_INTERVAL_MS; startMs < loadDurationMs; startMs += 2 * randomInt(random, MEAN_INTERVAL_MS)) {
--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -7,9 +7,11 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Cluster, type ClusterNode, type NodeOptions, type FakeServerProcess } from '../cluster'
 import { sendCall, type Call } from '../load'
+import type { Exchange } from '../pipelining-caller'
 import type { Harness } from '../processes'
 import { APPOINTMENT_HOST, workloadDocument } from '../workloads'
 import { findViolations, type PlannedStop, type SoakCall } from './invariants'
+import { KeptConnections } from './kept-connections'
 import { drawSchedule, type SoakFault } from './schedule'
 
 const LOAD_DURATION_MS = 15_000
@@ -30,7 +32,8 @@
   { name: 'control-2', roles: 'control', failureDomain: 'fd-2' },
   { name: 'control-3', roles: 'control', failureDomain: 'fd-3' },
   ...[1, 2, 3].map((number): NodeOptions => {
-    return { name: `entry-${number}`, roles: 'entry', environment: 'production', failureDomain: `fd-${number}` }
+    const identity = { name: `entry-${number}`, environment: 'production', failureDomain: `fd-${number}` }
+    return { ...identity, roles: 'entry', balancerGrace: '1s', stopLimit: '3s' }
   }),
 ]
 
@@ -38,6 +41,10 @@
   readonly seed: number
   readonly faults: readonly SoakFault[]
   readonly calls: Readonly<Record<string, number>>
+  /** Exchanges on kept connections by their end. */
+  readonly exchanges: Readonly<Record<string, number>>
+  /** Duration of each planned stop in ms. */
+  readonly stopsMs: readonly number[]
   readonly acceptedChanges: number
   readonly violations: readonly string[]
 }
@@ -73,6 +80,7 @@
   readonly #plannedStops: { -readonly [Key in keyof PlannedStop]: PlannedStop[Key] }[] = []
   /** Nodes that a fault stopped, paused or isolated and that have not recovered; further faults skip them. */
   readonly #faultyNodes = new Set<string>()
+  readonly #pausedServers = new Set<string>()
   #conflictCount = 0
   #finished = false
 
@@ -90,18 +98,22 @@
       loadDurationMs: LOAD_DURATION_MS,
       entries: namesOf(entries),
       controls: namesOf(controls),
+      servers: this.#servers.map(({ process }) => process.name),
     }
     const faults = drawSchedule(options)
     const polling = this.#pollRevisions()
     const load = this.#runLoad()
+    const exchanging = this.#runKeptConnections()
     await Promise.all(faults.map((fault) => this.#inject(fault)))
     await load
+    const exchanges = await exchanging
     this.#cluster.network.heal()
     const finalRevision = await this.#waitForRecovery()
     this.#finished = true
     await polling
     const violations = findViolations({
       calls: this.#calls,
+      exchanges,
       executions: await this.#countExecutions(),
       acceptedRevisions: this.#acceptedRevisions,
       reportedRevisions: this.#reportedRevisions,
@@ -111,7 +123,9 @@
     return {
       seed: this.#seed,
       faults,
-      calls: this.#countOutcomes(),
+      calls: countBy(this.#calls.map(({ result }) => result.outcome)),
+      exchanges: countBy(exchanges.map(({ end, status }) => (end === 'answered' ? String(status) : end))),
+      stopsMs: this.#plannedStops.map(({ from, until }) => Math.round(until - from)),
       acceptedChanges: this.#acceptedRevisions.length,
       violations,
     }
@@ -130,6 +144,13 @@
     await Promise.race([Promise.all(running), sleep(CALL_COMPLETION_TIMEOUT_MS)])
   }
 
+  async #runKeptConnections(): Promise<readonly Exchange[]> {
+    const entries = this.#cluster.entries.map(({ name, addresses }) => ({ name, address: addresses.callers }))
+    const connections = new KeptConnections(entries)
+    await sleep(LOAD_DURATION_MS)
+    return connections.stop(CALL_COMPLETION_TIMEOUT_MS, this.#startedAt)
+  }
+
   async #sendNumberedCall(number: number): Promise<void> {
     const { entries } = this.#cluster
     const entry = entries[number % entries.length]
@@ -152,6 +173,17 @@
       case 'planned-stop':
         await this.#withUnaffectedNode(fault.node, (node) => this.#stopAndRestart(node))
         return
+      case 'stop-series':
+        for (const { name } of this.#cluster.entries) {
+          await this.#withUnaffectedNode(name, async (node) => {
+            await this.#stopAndRestart(node)
+            await node.waitUntilHealthy()
+          })
+        }
+        return
+      case 'pause-server':
+        await this.#pauseServer(fault.server, fault.durationMs)
+        return
       case 'kill':
         await this.#withUnaffectedNode(fault.node, (node) => this.#kill(node, fault.durationMs))
         return
@@ -171,6 +203,16 @@
     }
   }
 
+  async #pauseServer(name: string, durationMs: number): Promise<void> {
+    if (this.#pausedServers.has(name)) return
+    this.#pausedServers.add(name)
+    const process = this.#servers.find((server) => server.process.name === name)?.process
+    process?.signal('SIGSTOP')
+    await sleep(durationMs)
+    process?.signal('SIGCONT')
+    this.#pausedServers.delete(name)
+  }
+
   /** Injects a fault into a node unless another fault still affects it. */
   async #withUnaffectedNode(name: string, inject: (node: ClusterNode) => Promise<void>): Promise<void> {
     if (this.#faultyNodes.has(name)) return
@@ -261,10 +303,10 @@
     }
     return executions
   }
+}
 
-  #countOutcomes(): Record<string, number> {
-    const counts: Record<string, number> = {}
-    for (const { result } of this.#calls) counts[result.outcome] = (counts[result.outcome] ?? 0) + 1
-    return counts
-  }
+function countBy(names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
+  return counts
 }
--- a/packages/testkit/test/session/pipelined-stop.test.ts
+++ b/packages/testkit/test/session/pipelined-stop.test.ts
@@ -27,20 +27,25 @@
 const STOP_LIMIT_MS = 3000
 /** Time in which a balancer that asks for the health of the entries sends no new connection to one that is leaving. */
 const BALANCER_LAG_MS = 1000
-/** Longest service time of a call. */
-const SERVICE_MS = 100
 /**
- * A stop in which every server answers in `SERVICE_MS` ends within this time after the balancer grace: only requests in
+ * Added to the service time for each request that is in progress before a request on its connection. So the responses to
+ * a caller that pipelines end one after the other, and its connection always has requests in progress.
+ */
+const SERVICE_STEP_MS = 25
+/**
+ * A stop in which every server answers in 100 ms ends within this time after the balancer grace: only requests in
  * progress hold it up, and for 1 s those that are half received (design section 1.2).
  */
 const END_LIMIT_MS = 1500
 const SERVERS = 8
 const PAUSED_SERVERS = 6
 const SLOTS = 8
-const PIPELINING_CALLERS = 9
+const PIPELINING_CALLERS = 12
 const DEPTH = 4
+/** Callers that pause before they send on. So requests arrive while the response that announces the close is sent. */
+const PAUSING_CALLERS = 4
 const SINGLE_CALLERS = 8
-const SINGLE_PAUSE_MS = 30
+const PAUSE_MS = 25
 /** Load before the first stop, so that every caller has its connection and latencies are known. */
 const WARM_UP_MS = 1000
 
@@ -136,18 +141,21 @@
     return choice[position % choice.length]!.addresses.callers
   }
   let number = 0
-  const request = (mayWrite: boolean): PipelinedRequest => {
+  const request = (mayWrite: boolean, behind: number): PipelinedRequest => {
     number += 1
-    const query = `?number=${number}&ms=${1 + randomInt(random, SERVICE_MS)}${number % 2 === 0 ? '&chunked' : ''}`
+    const serviceMs = behind * SERVICE_STEP_MS + randomInt(random, SERVICE_STEP_MS)
+    const query = `?number=${number}&ms=${serviceMs}${number % 2 === 0 ? '&chunked' : ''}`
     const isWrite = mayWrite && randomInt(random, 4) === 0
     return isWrite
-      ? { method: 'POST', host: HOST, path: `/notes${query}`, body: 'a note' }
-      : { method: 'GET', host: HOST, path: `/slots${query}` }
+      ? { method: 'POST', host: HOST, path: `/notes${query}`, body: 'a note', deadlineMs: DEADLINE_MS }
+      : { method: 'GET', host: HOST, path: `/slots${query}`, deadlineMs: DEADLINE_MS }
   }
-  const pipelining = { depth: DEPTH, entry, request: () => request(false) }
-  const single = { depth: 1, entry, request: () => request(true), pauseMs: SINGLE_PAUSE_MS }
+  const pipelining = { depth: DEPTH, entry, request: (behind: number) => request(false, behind) }
+  const pausing = { depth: DEPTH, entry, request: () => request(false, 0), pauseMs: PAUSE_MS }
+  const single = { depth: 1, entry, request: (behind: number) => request(true, behind), pauseMs: PAUSE_MS }
   return [
     ...Array.from({ length: PIPELINING_CALLERS }, () => new PipeliningCaller(pipelining)),
+    ...Array.from({ length: PAUSING_CALLERS }, () => new PipeliningCaller(pausing)),
     ...Array.from({ length: SINGLE_CALLERS }, () => new PipeliningCaller(single)),
   ]
 }
@@ -180,7 +188,7 @@
   await Promise.all(callers.map((caller) => caller.stop(DEADLINE_MS)))
   const exchanges = callers.flatMap((caller) => caller.exchanges)
   const executions = await countExecutions()
-  const brokenOff = findBrokenOff({ exchanges, executions, deadlineMs: DEADLINE_MS })
+  const brokenOff = findBrokenOff(exchanges, executions)
   const report = brokenOff.map((exchange) => describeLoss(exchange, stops))
   const figures = stops.map(
     ({ entry, tookMs, status }) => `${entry} ended ${Math.round(tookMs)} ms after SIGTERM (${status})`,
@@ -196,11 +204,14 @@
 }
 
 /** Tells when a request was sent and ended relative to the stop of its entry, and what the entry logged about it. */
-function describeLoss({ requestId, request, entry, behind, end, status, ...times }: Exchange, stops: readonly Stop[]) {
+function describeLoss(
+  { requestId, request, entry, behind, end, status, error, ...times }: Exchange,
+  stops: readonly Stop[],
+) {
   const stop = stops.findLast(({ address, startedAt }) => address === entry && startedAt < times.endedAt)
   const sinceStop = (at: number): string => (stop === undefined ? 'no stop' : `${Math.round(at - stop.startedAt)} ms`)
   const name = `${stop?.entry ?? entry} ${request.method} ${requestId}`
-  const ending = `${end} ${status}, behind ${behind}`
+  const ending = `${end} ${status} ${error}, behind ${behind}`
   const sentAndEnded = `sent ${sinceStop(times.sentAt)}, ended ${sinceStop(times.endedAt)} after SIGTERM`
   return `${name}: ${ending}, ${sentAndEnded}; ${stop === undefined ? '' : logLinesOf(stop, request)}`
 }
--- a/packages/testkit/test/soak-invariants.test.ts
+++ b/packages/testkit/test/soak-invariants.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { findViolations, type SoakObservations } from '../src/soak/invariants'
 import { drawSchedule } from '../src/soak/schedule'
-import type { CallOutcome } from '../src/index'
+import type { CallOutcome, Exchange } from '../src/index'
 
 const soakCall = (requestId: string, outcome: CallOutcome, repeatable = false) => ({
   result: { outcome, requestId, status: 200, code: 'ok', server: 's', replayed: false, text: '' },
@@ -12,6 +12,20 @@
   endedAt: 200,
 })
 
+const exchange = (requestId: string, change: Partial<Exchange> = {}): Exchange => ({
+  requestId,
+  request: { method: 'POST', host: 'h', path: '/', deadlineMs: 1000 },
+  entry: 'entry-1',
+  behind: 0,
+  sentAt: 100,
+  endedAt: 200,
+  end: 'answered',
+  status: 200,
+  isOwn: true,
+  error: '',
+  ...change,
+})
+
 const VALID_OBSERVATIONS: SoakObservations = {
   calls: [
     soakCall('a', 'complete'),
@@ -19,6 +33,13 @@
     soakCall('c', 'unknown'),
     soakCall('d', 'complete', true),
   ],
+  exchanges: [
+    exchange('a'),
+    exchange('not-begun', { end: 'unanswered', status: 0, isOwn: false }),
+    exchange('c', { status: 504, isOwn: false, endedAt: 1100 }),
+    exchange('c', { entry: 'entry-2', end: 'unanswered', status: 0, isOwn: false }),
+    exchange('c', { end: 'open', status: 0, isOwn: false }),
+  ],
   executions: new Map([
     ['a', 1],
     ['c', 1],
@@ -27,9 +48,15 @@
   acceptedRevisions: [2, 3],
   reportedRevisions: new Map([['entry-1 pid 7', [1, 2, 2, 3]]]),
   finalRevision: 3,
-  plannedStops: [],
+  plannedStops: [{ entry: 'entry-1', from: 150, until: 400, overlapsOtherFault: false }],
 }
 const plannedStop = { entry: 'entry-1', from: 150, until: 400, overlapsOtherFault: false }
+const BROKEN_OFF = [
+  { end: 'unanswered', status: 0 },
+  { end: 'broken-off', status: 0 },
+  { end: 'behind-close', status: 0 },
+  { status: 502 },
+] as const
 
 test.each<[string, Partial<SoakObservations>, string]>([
   [
@@ -69,6 +96,17 @@
     { calls: [soakCall('x', 'aborted')], plannedStops: [plannedStop] },
     'aborted by the planned stop',
   ],
+  ...BROKEN_OFF.map((end): [string, Partial<SoakObservations>, string] => [
+    `a request that a planned stop broke off (${JSON.stringify(end)})`,
+    { exchanges: [exchange('a', { ...end, isOwn: false })] },
+    'broken off by the planned stop',
+  ]),
+  [
+    'a response to another request on a kept connection',
+    { exchanges: [exchange('a', { isOwn: false })] },
+    'a received the response to another request',
+  ],
+  ['a second execution on a kept connection', { exchanges: [exchange('d')] }, 'd was executed 2 times'],
 ])('%s is detected', (_, faulty, message) => {
   expect(findViolations(VALID_OBSERVATIONS)).toEqual([])
   expect(findViolations({ ...VALID_OBSERVATIONS, ...faulty }).join()).toContain(message)
@@ -80,7 +118,7 @@
 })
 
 test('the same seed draws the same faults', () => {
-  const options = { loadDurationMs: 20_000, entries: ['entry-1'], controls: ['control-1'] }
+  const options = { loadDurationMs: 20_000, entries: ['entry-1'], controls: ['control-1'], servers: ['server-1'] }
   expect(drawSchedule({ seed: 7, ...options })).toEqual(drawSchedule({ seed: 7, ...options }))
   expect(drawSchedule({ seed: 8, ...options })).not.toEqual(drawSchedule({ seed: 7, ...options }))
 })
