The soak ends by itself

The main thread was in Environment::CleanupHandles below FreeEnvironment (gdb), which waits for requests of Node.js that never complete; which request is not traced.

--- a/packages/testkit/src/soak/main.ts
+++ b/packages/testkit/src/soak/main.ts
@@ -22,3 +22,6 @@
     await harness.end()
   }
 }
+// All processes have ended. A natural end frees the environment of Node.js 20, which can wait for ever and use a whole
+// core if an operation of it never completes (seen in `CleanupHandles`); an explicit one does not free it.
+process.exit()
