Write every log line, also those with the same code

consola drops a line after five that it takes for repetitions within a second. It compares type, tag and arguments, not our fields, so of 20 lines 168 about 20 calls only 6 were written, and the same for any other code.

The limit of 20 lines a second for failed calls is a separate one and stays.

--- a/packages/node/src/log.ts
+++ b/packages/node/src/log.ts
@@ -6,6 +6,9 @@
 import { createConsola, LogLevels, type ConsolaInstance, type LogObject } from 'consola'
 import { LogOutput, type LineWriter } from './log-output'
 
+/** consola drops lines that it takes for repetitions, and does not compare our fields. */
+const CONSOLA_OPTIONS = { level: LogLevels.info, throttle: 0 }
+
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[]>>
 
 export interface Log {
@@ -24,7 +27,7 @@
   const logOutput = new LogOutput(writeToStderr, (lostLines) => {
     write('warn', 'logLinesLost', { count: lostLines })
   })
-  const output = terminal ? createConsola({ level: LogLevels.info, stdout: process.stderr }) : jsonConsola(logOutput)
+  const output = terminal ? createConsola({ ...CONSOLA_OPTIONS, stdout: process.stderr }) : jsonConsola(logOutput)
   const write = (level: 'info' | 'warn' | 'error', code: CodeName, fields: LogFields) => {
     const entry = resultCode(code)
     output[level]({ message: entry.name, code: entry.number, node: options.node, fields })
@@ -46,7 +49,7 @@
   const log = (entry: LogObject): void => {
     output.write(`${formatLine(entry)}\n`)
   }
-  return createConsola({ level: LogLevels.info, reporters: [{ log }] })
+  return createConsola({ ...CONSOLA_OPTIONS, reporters: [{ log }] })
 }
 
 let ignoresErrors = false
