Refuse orders whose bytes are not UTF-8

An order with a name or path in ISO 8859-1, or with half of a surrogate pair as three bytes, was acknowledged and in force as another one.

--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -3,6 +3,7 @@
  * malformed requests of authenticated operators are written to the audit log; requests without a valid key are only
  * counted, because otherwise anyone could fill the log.
  */
+import { isUtf8 } from 'node:buffer'
 import { createHash } from 'node:crypto'
 import { setImmediate as yieldToLoop } from 'node:timers/promises'
 import { getConnInfo } from '@hono/node-server/conninfo'
@@ -181,6 +182,10 @@
 }
 
 async function handleChange(options: OperatorOptions, context: Context<OperatorEnv>): Promise<Response> {
+  // Decoding would replace other bytes without a word, so the document would not be the one that was sent.
+  if (!isUtf8(await context.req.arrayBuffer())) {
+    return rejectAndRecord(options, requestOrigin(context), 'requestInvalid', 'the body is not valid UTF-8')
+  }
   const body: unknown = await context.req.json().catch(() => undefined)
   const parsed = changeSchema.safeParse(body)
   if (!parsed.success) {
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -145,11 +145,14 @@
   }
 }
 
+const isRaw = (body: unknown): body is string | Uint8Array<ArrayBuffer> =>
+  typeof body === 'string' || body instanceof Uint8Array
+
 export async function call(member: Member, path: string, body?: unknown, key = OPERATOR_KEY) {
   const response = await fetch(`http://127.0.0.1:${member.api.port}${path}`, {
     method: body === undefined ? 'GET' : 'POST',
     headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
-    ...(body === undefined ? {} : { body: typeof body === 'string' ? body : JSON.stringify(body) }),
+    ...(body === undefined ? {} : { body: isRaw(body) ? body : JSON.stringify(body) }),
   })
   return { status: response.status, body: (await response.json()) as Record<string, unknown> }
 }
--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -121,6 +121,30 @@
   expect([53, 56]).toContain(change.body.code)
 })
 
+/** Guards against a document that is accepted with other characters than were sent. */
+test('a change whose bytes are no UTF-8 or whose document has half of a surrogate pair is refused', async () => {
+  const only = await cluster.start('a', { bootstrap: true })
+  await waitUntil(() => cluster.leader())
+  const latin = await call(
+    only,
+    '/v1/changes',
+    Uint8Array.from(Buffer.from(JSON.stringify(submitBody('c1', 0, 'café')), 'latin1')),
+  )
+  expect(latin).toMatchObject({ status: 400, body: { code: 60, detail: 'the body is not valid UTF-8' } })
+  const half = await call(only, '/v1/changes', submitBody('c2', 0, 'caf\ud800'))
+  expect(half).toMatchObject({ status: 422, body: { code: 50, faults: [{ section: 'document', key: 'title' }] } })
+  const whole = await call(only, '/v1/changes', submitBody('c3', 0, 'café 🚀'))
+  expect(whole).toMatchObject({ status: 200, body: { revision: 1 } })
+  const { body } = await call(only, '/v1/audit?requester=asha')
+  expect(body).toMatchObject({
+    records: [
+      { operation: 'submit', result: 'ok', changeId: 'c3' },
+      { operation: 'submit', result: 'document-invalid', changeId: 'c2' },
+      { operation: 'refuse', result: 'request-invalid' },
+    ],
+  })
+})
+
 test('rejected operator requests are recorded in the audit log, unauthenticated ones are not', async () => {
   const only = await cluster.start('a', { bootstrap: true })
   await waitUntil(() => cluster.leader())
