Check the document of a promotion like that of a submission

Cause: the leader validated submissions and partial changes before it proposed them, but not promotions. A document that an older build accepted in trial (half of a surrogate pair, a service named constructor) could still be promoted, although no submission could bring it into force.

The leader checks the document in trial and, where it has faults, proposes the refusal document-invalid with them, as for submissions. A promotion with another base, source or environment is refused as before, and a repeated one gets its recorded result. What a committed command does is unchanged.

--- a/packages/node/src/change-submitter.ts
+++ b/packages/node/src/change-submitter.ts
@@ -18,7 +18,9 @@
 import {
   MAX_DOCUMENT_BYTES,
   MAX_REPORTED_FAULTS,
+  TRIAL_ENVIRONMENT,
   amendedDocument,
+  currentRevision,
   currentVersion,
   decodeCommand,
   emptyState,
@@ -27,6 +29,7 @@
   type ChangeResult,
   type Command,
   type ControlState,
+  type PromoteCommand,
   type SubmitCommand,
 } from '@bilberrystall/control'
 import type { Status } from '@bilberrystall/consensus'
@@ -153,6 +156,7 @@
       return checked.isOk() ? command : { ...command, content: invalidContent(text, checked.error) }
     }
     const { state } = this.#options.host
+    if (command.kind === 'promote') return this.#replaceInvalidPromotion(command)
     // The document that a change is based on may still be in the log; it is then validated when it is applied.
     if (command.kind !== 'amend' || command.numbering.base !== currentVersion(state, command.environment))
       return command
@@ -164,6 +168,26 @@
     return { ...change, kind: 'submit', content: invalidContent(JSON.stringify([changed, removed]), checked.error) }
   }
 
+  /**
+   * Trial may hold a document that an older build accepted. A promotion with another base or source is refused when it
+   * is applied, and a repeated one gets its recorded result.
+   */
+  #replaceInvalidPromotion(command: PromoteCommand): Command {
+    const { state } = this.#options.host
+    const { digest, sourceRevision, ...change } = command
+    const recorded = state.results.get(command.changeId)?.result
+    const mayBeInvalid =
+      recorded === undefined
+        ? command.baseRevision === currentRevision(state, command.environment)
+        : recorded.kind === 'refused' && recorded.code === 'documentInvalid'
+    const inTrial = state.environments.get(TRIAL_ENVIRONMENT) ?? []
+    const source = inTrial.find((kept) => kept.revision === sourceRevision && kept.digest === digest)
+    if (!mayBeInvalid || source === undefined || command.environment === TRIAL_ENVIRONMENT) return command
+    const checked = this.#options.checkDocument(source.text)
+    if (checked.isOk()) return command
+    return { ...change, kind: 'submit', content: invalidContent(source.text, checked.error) }
+  }
+
   async #forward(command: Command, target: NodeId): Promise<AttemptOutcome> {
     const { clients, addressOf } = this.#options
     const address = addressOf(target)
