--- a/packages/entry/test/closing-caller.red.ts
+++ b/packages/entry/test/closing-caller.red.ts
@@ -2,25 +2,12 @@
  * Responses that are still lost behind a close of the entry. Not part of the suite; see KNOWN-RED.txt.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { parseDocument } from '@bilberrystall/document'
 import { expect, test } from 'vitest'
-import { DOCUMENT, respond, startEntry, startFakeServer, waitUntil } from './harness'
+import { respond, startEntry, startFakeServer, waitUntil } from './harness'
 import { connectCaller, get, readWhileSending, statusesOf } from './support/raw-caller'
+import { bytesAtSlowPace, LONG_BODY_BYTES } from './support/slow-caller'
 
-/** Larger than the buffers of the operating system. */
-const LONG_BODY_BYTES = 16 * 1024 * 1024
 const CHUNK_BYTES = 65_536
-const PATIENT_DOCUMENT = parseDocument(DOCUMENT.replaceAll('deadline = 5s', 'deadline = 60s'))._unsafeUnwrap()
-
-/** Reads a long response slowly during a stop that has time for it. */
-async function bytesAtSlowPace(crossing: string): Promise<number> {
-  const server = await startFakeServer((received) => {
-    void entry.drain(25_000)
-    respond(received, 'x'.repeat(LONG_BODY_BYTES))
-  })
-  const { entry } = await startEntry([server], { document: () => PATIENT_DOCUMENT })
-  return readWhileSending(entry.port, get('/read?1'), crossing, 96 * 1024)
-}
 
 test('requests that cross the close do not reset a response whose caller needs over two seconds for its rest', async () => {
   expect(await bytesAtSlowPace(get('/read?2'))).toBeGreaterThan(LONG_BODY_BYTES)
--- a/packages/entry/test/closing-caller.test.ts
+++ b/packages/entry/test/closing-caller.test.ts
@@ -10,13 +10,11 @@
 import { expect, onTestFinished, test } from 'vitest'
 import { DOCUMENT, respond, startEntry, startFakeServer, waitUntil, type FakeServer } from './harness'
 import { connectCaller, get, readWhileSending, statusesOf } from './support/raw-caller'
+import { bytesAtSlowPace, LONG_BODY_BYTES } from './support/slow-caller'
 
-/** Larger than the buffers of the operating system. */
-const LONG_BODY_BYTES = 16 * 1024 * 1024
 const CHUNK_BYTES = 65_536
 const MAX_FLOOD_MB = 60
 const MAX_TURN_MS = 1_000
-const PATIENT_DOCUMENT = parseDocument(DOCUMENT.replaceAll('deadline = 5s', 'deadline = 60s'))._unsafeUnwrap()
 const chunkOf = (bytes: number) => `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`
 
 /** Sends everything before it reads anything, as simple callers do; returns what it then reads. */
@@ -51,16 +49,6 @@
   return { port: (server.address() as AddressInfo).port, received: [], sockets, crash }
 }
 
-/** Reads a long response slowly during a stop that has time for it. */
-async function bytesAtSlowPace(crossing: string): Promise<number> {
-  const server = await startFakeServer((received) => {
-    void entry.drain(25_000)
-    respond(received, 'x'.repeat(LONG_BODY_BYTES))
-  })
-  const { entry } = await startEntry([server], { document: () => PATIENT_DOCUMENT })
-  return readWhileSending(entry.port, get('/read?1'), crossing, 96 * 1024)
-}
-
 test('a caller that sends its whole chunked body first gets the refusal of a body that is too large', async () => {
   const server = await startFakeServer(() => undefined)
   const { entry } = await startEntry([server])
