Log acknowledgements, and version and source of documents in force

Line 155 now names the version of the operator and how the document came (own replica, another replica, another node); the leader writes line 183 before it acknowledges a change. No decision changes.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -133,6 +133,7 @@
   nodeStopped: code(152, 'node-stopped', 0, 'The node stopped.'),
   leaderElected: code(153, 'leader-elected', 0, 'This replica became leader.'),
   leaderLost: code(154, 'leader-lost', 0, 'This replica is no longer leader.'),
+  changeAcknowledged: code(183, 'change-acknowledged', 0, 'This leader acknowledges a committed change of a document.'),
   documentInForce: code(155, 'document-in-force', 0, 'A document revision is in force on this node.'),
   serverJoined: code(156, 'server-joined', 0, 'A server became available.'),
   serverLeft: code(157, 'server-left', 0, 'A server is draining, stopped or expired.'),
--- a/packages/node/src/change-submitter.ts
+++ b/packages/node/src/change-submitter.ts
@@ -44,8 +44,12 @@
 const LEADER_POLL_INTERVAL_MS = 100
 const MAX_FAULT_TEXT_LENGTH = 300
 
-/** Commands that can be applied repeatedly with the same effect. */
-const IDEMPOTENT_KINDS: ReadonlySet<Command['kind']> = new Set(['submit', 'amend', 'promote', 'depart'])
+/** Commands whose effect the entries must know. They can be applied repeatedly with the same effect. */
+export type AcknowledgedCommand = Extract<Command, { kind: 'submit' | 'amend' | 'promote' | 'depart' }>
+
+function isAcknowledgedCommand(command: Command): command is AcknowledgedCommand {
+  return ['submit', 'amend', 'promote', 'depart'].includes(command.kind)
+}
 
 export type SubmitOutcome =
   | { readonly kind: 'change'; readonly result: ChangeResult; readonly repeated: boolean }
@@ -90,6 +94,8 @@
    * Requests are accepted only with at least this many voters, so that they survive the configured number of losses.
    */
   readonly minVoters?: number
+  /** Called on the leader before it acknowledges an accepted change or a departure. */
+  readonly beforeAcknowledgement?: (command: AcknowledgedCommand) => void | Promise<void>
 }
 
 export class ChangeSubmitter {
@@ -114,7 +120,7 @@
         hint = attempt.leader
       }
       // Resending a command that is not idempotent could record it twice.
-      const idempotent = IDEMPOTENT_KINDS.has(command.kind)
+      const idempotent = isAcknowledgedCommand(command)
       if (performance.now() > giveUpAt || (sent && !idempotent)) break
       await sleep(RETRY_DELAY_MS)
     }
@@ -145,7 +151,9 @@
     if (role !== 'leader') return { kind: 'retry', sent: false, leader: leader && nodeIdOf(leader) }
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return { kind: 'retry', sent: false, leader: undefined }
-    return attemptOutcome(await host.propose({ ...this.#replaceInvalid(command), at: wallClock() }))
+    const outcome = attemptOutcome(await host.propose({ ...this.#replaceInvalid(command), at: wallClock() }))
+    if (isAcknowledgedCommand(command) && isAccepted(outcome)) await this.#options.beforeAcknowledgement?.(command)
+    return outcome
   }
 
   /** Replaces a change that leads to an invalid document with its digest and faults, which is all that the log records. */
@@ -242,6 +250,10 @@
   return { section: truncate(fault.section), key: truncate(fault.key), reason: truncate(fault.reason) }
 }
 
+function isAccepted(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'recorded' || (outcome.kind === 'change' && outcome.result.kind === 'accepted')
+}
+
 function attemptOutcome(proposed: ProposalOutcome): AttemptOutcome {
   switch (proposed.kind) {
     case 'applied': {
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -140,7 +140,8 @@
       (document) => {
         this.#document = document
         onDocument(document)
-        context.log.info('documentInForce', { environment, revision: published.revision, digest: published.digest })
+        const { revision, version, digest, source } = published
+        context.log.info('documentInForce', { environment, revision, version, source, digest })
       },
       () => {
         context.log.error('documentInvalid', { environment, revision: published.revision })
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -49,7 +49,7 @@
   })
 }
 
-export function encodeDocument(document: PublishedDocument) {
+export function encodeDocument(document: Omit<PublishedDocument, 'source'>) {
   const { environment, revision, digest, text, version } = document
   return { environment, revision: BigInt(revision), digest, text, version: BigInt(version) }
 }
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -18,7 +18,7 @@
 } from '@bilberrystall/base'
 import { sha256 } from '@bilberrystall/control'
 import { DeliveryService, type DeliveredDocument, type FollowResponse, type RpcClients } from '@bilberrystall/rpc'
-import type { DocumentStore, PublishedDocument } from './document-store'
+import type { DocumentSource, DocumentStore, PublishedDocument } from './document-store'
 
 /** Polling interval: a fifth of the 2 s within which a change or a departure must be in force on every node. */
 const FOLLOW_INTERVAL_MS = 400
@@ -100,7 +100,7 @@
       const request = { environment, minimumRevision: BigInt(documentStore.floor(environment)) }
       const options = { timeoutMs: FETCH_TIMEOUT_MS, signal: this.#abort.signal }
       const response = await clients.client(DeliveryService, address).fetch(request, options)
-      const document = decodeDocument(response.document)
+      const document = decodeDocument(response.document, 'node')
       if (document === undefined || documentStore.offer(document).isErr()) return
       const confirmedAt = sentAt - response.confirmedAgeMs
       if (confirmedAt >= this.#startedAt) documentStore.confirm(environment, document.revision, confirmedAt)
@@ -172,7 +172,7 @@
 
   #applyResponse(response: FollowResponse, sentAt: number): void {
     const { environment, documentStore, onDepartures } = this.#options
-    const document = decodeDocument(response.document)
+    const document = decodeDocument(response.document, 'replica')
     if (document !== undefined) documentStore.offer(document)
     if (response.revision > 0n) documentStore.confirm(environment, revision(Number(response.revision)), sentAt)
     if (response.departurePosition > this.#departurePosition) this.#departurePosition = response.departurePosition
@@ -211,11 +211,14 @@
 }
 
 /** Returns undefined if there is no document or if its text does not match its digest. */
-export function decodeDocument(message: DeliveredDocument | undefined): PublishedDocument | undefined {
+export function decodeDocument(
+  message: DeliveredDocument | undefined,
+  source: DocumentSource,
+): PublishedDocument | undefined {
   if (message === undefined) return undefined
   const { digest, text } = message
   if (sha256(text) !== digest) return undefined
   const environment = environmentName(message.environment)
   const version = Number(message.version)
-  return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text, version }
+  return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text, version, source }
 }
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -12,7 +12,7 @@
 import { checkDocument } from '@bilberrystall/document'
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
-import { ChangeSubmitter } from './change-submitter'
+import { ChangeSubmitter, type AcknowledgedCommand } from './change-submitter'
 import { deliveryRoutes, type DeliveryOptions } from './control-delivery'
 import type { DepartedServer } from './control-follower'
 import { openReplicaStorage, type OpenedReplicaStorage } from './replica-storage'
@@ -105,6 +105,9 @@
       checkDocument,
       wallClock,
       minVoters: settings.minVoters,
+      beforeAcknowledgement: (command) => {
+        this.#logAcknowledgement(command)
+      },
       ...(options.submitTimeoutMs === undefined ? {} : { timeoutMs: options.submitTimeoutMs }),
     })
     this.#leases = new LeaseServer({ host, directory: cluster, now })
@@ -271,6 +274,13 @@
     this.#metrics?.recordSync(duration)
   }
 
+  #logAcknowledgement(command: AcknowledgedCommand): void {
+    if (command.kind === 'depart') return
+    const { environment } = command
+    const { revision = 0, version = 0 } = documentInForce(this.host.state, environment) ?? {}
+    this.#options.log.info('changeAcknowledged', { environment, revision, version })
+  }
+
   #reportDepartures(): void {
     const { departures, departurePosition } = this.host.state
     const newer = [...departures.values()].filter(({ position }) => position > this.#departurePosition)
@@ -287,7 +297,7 @@
     const document = documentInForce(this.host.state, environment)
     if (document === undefined) return
     const { revision, digest, text, version = 0 } = document
-    const offered = documentStore.offer({ environment, revision, digest, text, version })
+    const offered = documentStore.offer({ environment, revision, digest, text, version, source: 'log' })
     if (offered.isErr() || this.#confirmedAt === Number.NEGATIVE_INFINITY) return
     documentStore.confirm(environment, revision, this.#confirmedAt)
   }
--- a/packages/node/src/document-store.ts
+++ b/packages/node/src/document-store.ts
@@ -14,8 +14,12 @@
   readonly text: string
   /** Version chosen by the operator; 0 if the document has none. */
   readonly version: number
+  /** How the document reached this node: from its own replica, from another replica or from any other node. */
+  readonly source: DocumentSource
 }
 
+export type DocumentSource = 'log' | 'replica' | 'node'
+
 type DocumentListener = (document: PublishedDocument) => void
 
 interface EnvironmentState {
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -88,7 +88,7 @@
       const request = { environment, revision: 0n, departurePosition: 2n ** 63n, confirmed: true }
       try {
         const response = await clients.client(DeliveryService, address).follow(request, { timeoutMs })
-        return ok(decodeDocument(response.document))
+        return ok(decodeDocument(response.document, 'replica'))
       } catch {
         // An isolated replica cannot confirm the read; the next one is tried.
       }
--- a/packages/node/test/document-store.test.ts
+++ b/packages/node/test/document-store.test.ts
@@ -4,7 +4,8 @@
 import { TRIAL_ENVIRONMENT } from './control-cluster'
 
 const createDocument = (number: number, digest = `digest ${number}`): PublishedDocument => {
-  return { environment: TRIAL_ENVIRONMENT, revision: revision(number), digest: toDigest(digest), version: 0, text: '' }
+  const identity = { environment: TRIAL_ENVIRONMENT, revision: revision(number), digest: toDigest(digest) }
+  return { ...identity, version: 0, text: '', source: 'replica' }
 }
 
 test('a document is not in force after a restart until a majority confirms that it is the newest', () => {
