Tell entries of a committed change before it is acknowledged

Cause: an acknowledgement meant that a majority of replicas has the change. Entries asked for it up to 400 ms later, and in vain when the replicas were lost in between, so no live entry knew it and none could pass it on. Departures of servers have the same path and the same fault.

The leader now tells the live entries before it acknowledges, and waits until each of them has the change, at most for one polling interval. An entry that does not respond is not waited for again until it does, so that a frozen or lost entry delays one acknowledgement and no series of them.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -11,7 +11,7 @@
 import type { MeasuringTokens } from '@bilberrystall/routing'
 import type { DocumentStore, PublishedDocument } from './document-store'
 import { LeaseClient, type Lease, type TokenDemand } from './control-lease'
-import { ControlFollower, type DepartedServer } from './control-follower'
+import { ControlFollower, type DepartedServer, type Notification } from './control-follower'
 import type { NodeContext } from './node-context'
 
 /** Slot time reserved for one probe; the router reserves the same amount. */
@@ -100,6 +100,11 @@
     this.#leases.stop()
   }
 
+  /** Handles the notification of a replica that committed a change. */
+  catchUp(notification: Notification): Promise<Omit<Notification, 'node'>> {
+    return this.#follower.catchUp(notification)
+  }
+
   /** Fetches a revision that another node announced and this node does not have. */
   applyChanges(changes: readonly DirectoryChange[]): void {
     const { documentStore, environment, context } = this.#options
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -1,15 +1,15 @@
 /**
  * Server side of `DeliveryService`. Every node serves `Fetch` from its document store; replicas also serve `Follow`,
- * `Submit` and `Lease`.
+ * `Submit` and `Lease`, entries `Notify`.
  */
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
-import { environmentName, type Failure } from '@bilberrystall/base'
+import { environmentName, nodeId, type Environment, type Failure } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
 import { DeliveryService } from '@bilberrystall/rpc'
 import type { Result } from 'neverthrow'
 import { encodeSubmitResponse, type ChangeSubmitter } from './change-submitter'
 import type { DocumentStore, PublishedDocument } from './document-store'
-import type { FollowQuery } from './control-follower'
+import type { FollowQuery, Notification } from './control-follower'
 import type { LeaseServer } from './control-lease-server'
 import type { ReplicaHost } from './control-replica'
 
@@ -28,10 +28,16 @@
         readonly leases: LeaseServer
       }
     | undefined
+  /** Returns undefined on nodes without an entry of this environment. */
+  readonly entry: (environment: Environment) => NotifiedEntry | undefined
+}
+
+export interface NotifiedEntry {
+  readonly catchUp: (notification: Notification) => Promise<Omit<Notification, 'node'>>
 }
 
 export function deliveryRoutes(router: ConnectRouter, options: DeliveryOptions): void {
-  const { documentStore, now, control } = options
+  const { documentStore, now, control, entry } = options
   router.service(DeliveryService, {
     fetch: (request) => {
       const environment = environmentName(request.environment)
@@ -43,6 +49,13 @@
       return { document: encodeDocument(document), confirmedAgeMs: age }
     },
     follow: async (request) => handleFollow(requireControlRole(control()).host, request),
+    notify: async ({ environment, revision, departurePosition, node }) => {
+      const notified = entry(environmentName(environment))
+      if (notified === undefined) throw new ConnectError(`no entry of ${environment}`, Code.Unimplemented)
+      const position = { revision: Number(revision), departurePosition: Number(departurePosition) }
+      const reached = await notified.catchUp({ ...position, node: nodeId(node) })
+      return { revision: BigInt(reached.revision), departurePosition: BigInt(reached.departurePosition) }
+    },
     submit: async (request) =>
       encodeSubmitResponse(unwrapOrThrow(await requireControlRole(control()).changes.handle(request.command))),
     lease: async (request) => unwrapOrThrow(await requireControlRole(control()).leases.lease(request)),
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -21,7 +21,7 @@
 import type { DocumentSource, DocumentStore, PublishedDocument } from './document-store'
 
 /** Polling interval: a fifth of the 2 s within which a change or a departure must be in force on every node. */
-const FOLLOW_INTERVAL_MS = 400
+export const FOLLOW_INTERVAL_MS = 400
 /** Request timeout; a healthy replica responds within a few milliseconds. */
 const FOLLOW_TIMEOUT_MS = 350
 /** Polling interval of an entry without a document, which rejects every call until it finds a replica. */
@@ -35,6 +35,8 @@
 const RETRY_DELAY_MS = 20
 /** Time for which a replica that did not respond is tried last. */
 const DEPRIORITIZED_MS = 3_000
+/** Polls after a notification, the first of the nearest replica, which may not know yet that the change is committed. */
+const CATCH_UP_ATTEMPTS = 3
 const ENTRY_FETCH_INTERVAL_MS = 500
 const FETCH_TIMEOUT_MS = 2_000
 
@@ -51,6 +53,13 @@
   readonly confirmed: boolean
 }
 
+/** State that a replica has and notifies an entry of. */
+export interface Notification {
+  readonly revision: number
+  readonly departurePosition: number
+  readonly node: NodeId
+}
+
 export interface FollowerOptions {
   readonly environment: Environment
   readonly self: NodeId
@@ -89,6 +98,26 @@
     this.#abort.abort()
   }
 
+  /** Polls until this entry has what the notifying replica has, and returns what it has then. */
+  async catchUp(notification: Notification): Promise<Omit<Notification, 'node'>> {
+    const { environment, documentStore } = this.#options
+    let [next = notification.node] = this.#nextReplicas(1)
+    for (let attempt = 0; attempt < CATCH_UP_ATTEMPTS && !this.#hasReached(notification); attempt += 1) {
+      await this.#poll(next)
+      next = notification.node
+    }
+    const revisionInForce = documentStore.inForce(environment)?.revision ?? 0
+    return { revision: revisionInForce, departurePosition: Number(this.#departurePosition) }
+  }
+
+  #hasReached({ revision: notified, departurePosition }: Notification): boolean {
+    const { environment, documentStore } = this.#options
+    // An entry without a document reads from a majority before it uses one.
+    if (!documentStore.isReady(environment)) return true
+    const inForce = documentStore.inForce(environment)?.revision ?? 0
+    return inForce >= notified && this.#departurePosition >= BigInt(departurePosition)
+  }
+
   /** Fetches the document from a node that announced it; rejects revisions below the floor of the document store. */
   async fetch(node: NodeId): Promise<void> {
     const { environment, documentStore, clients, addressOf, now } = this.#options
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -12,6 +12,7 @@
 import { checkDocument } from '@bilberrystall/document'
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
+import { ChangeDelivery } from './change-delivery'
 import { ChangeSubmitter, type AcknowledgedCommand } from './change-submitter'
 import { deliveryRoutes, type DeliveryOptions } from './control-delivery'
 import type { DepartedServer } from './control-follower'
@@ -67,6 +68,7 @@
   readonly host: ReplicaHost
   readonly #options: ControlRoleOptions
   readonly #transport: ReplicaTransport
+  readonly #delivery: ChangeDelivery
   readonly #changes: ChangeSubmitter
   readonly #leases: LeaseServer
   readonly #leaderTasks: LeaderTasks
@@ -96,6 +98,7 @@
     const wallClock = () => Date.now()
     const addressOf = (other: NodeId) => cluster.nodes.get(other)?.address
     const controlNodes = () => controlNodesOf(cluster)
+    this.#delivery = new ChangeDelivery({ self: node, nodes: cluster.nodes, clients, state: () => host.state })
     this.#changes = new ChangeSubmitter({
       host,
       node,
@@ -105,9 +108,7 @@
       checkDocument,
       wallClock,
       minVoters: settings.minVoters,
-      beforeAcknowledgement: (command) => {
-        this.#logAcknowledgement(command)
-      },
+      beforeAcknowledgement: (command) => this.#deliver(command),
       ...(options.submitTimeoutMs === undefined ? {} : { timeoutMs: options.submitTimeoutMs }),
     })
     this.#leases = new LeaseServer({ host, directory: cluster, now })
@@ -274,11 +275,12 @@
     this.#metrics?.recordSync(duration)
   }
 
-  #logAcknowledgement(command: AcknowledgedCommand): void {
+  async #deliver(command: AcknowledgedCommand): Promise<void> {
+    const { entries, unconfirmed } = await this.#delivery.deliver()
     if (command.kind === 'depart') return
     const { environment } = command
     const { revision = 0, version = 0 } = documentInForce(this.host.state, environment) ?? {}
-    this.#options.log.info('changeAcknowledged', { environment, revision, version })
+    this.#options.log.info('changeAcknowledged', { environment, revision, version, entries, unconfirmed })
   }
 
   #reportDepartures(): void {
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,5 +1,5 @@
 /** Entry role of a node: updates the HTTP entry and its router from the directory and the document in force. */
-import { serverId, type CodeName, type Failure, type NodeId } from '@bilberrystall/base'
+import { serverId, type CodeName, type Environment, type Failure, type NodeId } from '@bilberrystall/base'
 import { warmUpParser, type Document, type Service } from '@bilberrystall/document'
 import { ClaimTable } from '@bilberrystall/claims'
 import {
@@ -23,6 +23,7 @@
 import type { DepartedServer } from './control-follower'
 import type { DocumentStore } from './document-store'
 import { ControlClient } from './control-client'
+import type { NotifiedEntry } from './control-delivery'
 import { FailureLog } from './failure-log'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -173,6 +174,11 @@
     return this.#controlClient.confirmedAt()
   }
 
+  /** Receives the changes that control committed; undefined for another environment. */
+  notified(environment: Environment): NotifiedEntry | undefined {
+    return environment === this.#options.settings.environment ? this.#controlClient : undefined
+  }
+
   /** Registers the service that other entries use to claim keys at this holder. */
   routes(router: ConnectRouter): void {
     claimRoutes(router, this.#claimTable, this.#options.context.wallClock)
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -252,6 +252,7 @@
           documentStore: this.#documentStore,
           now: this.#context.now,
           control: () => this.#control,
+          entry: (environment) => this.#entry?.notified(environment),
         })
       },
     })
--- /dev/null
+++ b/packages/node/test/acknowledged-change.test.ts
@@ -0,0 +1,92 @@
+/** Verifies that entries have what control acknowledged when the replicas are lost right after the acknowledgement. */
+import { createServer, type AddressInfo } from 'node:net'
+import { nodeId, serverId } from '@bilberrystall/base'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { startEntry } from './control-entries'
+import { TRIAL_ENVIRONMENT, TestCluster, call, submitBody, waitUntil, type Member } from './control-cluster'
+
+const CHANGES = 5
+/** A node that forwards a request to the leader waits this long before it tries another one. */
+const FORWARDING_TIMEOUT_MS = 600
+
+let cluster: TestCluster
+let leader: Member
+const cleanups: (() => unknown)[] = []
+
+beforeEach(async () => {
+  cluster = new TestCluster()
+  await cluster.start('a', { bootstrap: true })
+  await waitUntil(() => cluster.leader())
+  await cluster.start('b')
+  await cluster.start('c')
+  leader = await cluster.waitForVoters()
+})
+
+afterEach(async () => {
+  for (const stop of cleanups.splice(0)) await stop()
+  await cluster.close()
+})
+
+async function startEntries() {
+  const entries = [await startEntry(cluster, cleanups, 'e'), await startEntry(cluster, cleanups, 'f')]
+  expect((await call(leader, '/v1/changes', submitBody('c1', 0))).status).toBe(200)
+  for (const { documentStore } of entries) await waitUntil(() => documentStore.inForce(TRIAL_ENVIRONMENT))
+  return entries
+}
+
+async function killReplicas(): Promise<void> {
+  for (const member of [...cluster.members.values()]) await cluster.kill(member)
+}
+
+const depart = (name: string, start: number) => ({
+  kind: 'depart' as const,
+  at: 0,
+  requester: 'platform',
+  source: 'server',
+  server: serverId(name),
+  start,
+})
+
+// Guards against a change that is acknowledged, but known to no live entry once the replicas are lost.
+test('an acknowledged document is in force at every entry when all replicas are killed right after', async () => {
+  const entries = await startEntries()
+  for (let revision = 2; revision <= CHANGES; revision += 1) {
+    const { status } = await call(leader, '/v1/changes', submitBody(`c${revision}`, revision - 1))
+    expect(status).toBe(200)
+    const inForce = entries.map(({ documentStore }) => documentStore.inForce(TRIAL_ENVIRONMENT)?.revision)
+    expect(inForce).toEqual([revision, revision])
+  }
+  await killReplicas()
+  const inForce = entries.map(({ documentStore }) => documentStore.inForce(TRIAL_ENVIRONMENT)?.revision)
+  expect(inForce).toEqual([CHANGES, CHANGES])
+})
+
+// Guards against a departure that is acknowledged, but known to no live entry once the replicas are lost.
+test('an acknowledged departure is known to every entry when all replicas are killed right after', async () => {
+  const entries = await startEntries()
+  expect((await leader.control.changes.submit(depart('s1', 7))).kind).toBe('recorded')
+  await killReplicas()
+  for (const { departures } of entries) expect(departures).toContainEqual({ server: 's1', start: 7 })
+})
+
+test('an unresponsive entry delays an acknowledgement for a bounded time, and later ones not at all', async () => {
+  const entries = await startEntries()
+  // Accepts connections but never responds, like a frozen process.
+  const unresponsive = createServer()
+  await new Promise<void>((resolve) => unresponsive.listen(0, '127.0.0.1', resolve))
+  cleanups.push(() => unresponsive.close())
+  const record = cluster.nodes.get(nodeId('e'))!
+  const address = `127.0.0.1:${(unresponsive.address() as AddressInfo).port}`
+  cluster.nodes.set(nodeId('g'), { ...record, node: nodeId('g'), address })
+  const durations: number[] = []
+  for (let revision = 2; revision <= CHANGES; revision += 1) {
+    const sentAt = performance.now()
+    expect((await call(leader, '/v1/changes', submitBody(`c${revision}`, revision - 1))).status).toBe(200)
+    durations.push(performance.now() - sentAt)
+    const inForce = entries.map(({ documentStore }) => documentStore.inForce(TRIAL_ENVIRONMENT)?.revision)
+    expect(inForce).toEqual([revision, revision])
+  }
+  const [first = 0, ...later] = durations
+  expect(first).toBeLessThan(FORWARDING_TIMEOUT_MS)
+  expect(later.reduce((sum, duration) => sum + duration, 0)).toBeLessThan(FORWARDING_TIMEOUT_MS)
+})
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -78,7 +78,8 @@
     })
     const control = opened._unsafeUnwrap()
     const routes = (router: ConnectRouter) => {
-      controlRoutes(router, { documentStore, now: () => performance.now(), control: () => control })
+      const now = () => performance.now()
+      controlRoutes(router, { documentStore, now, control: () => control, entry: () => undefined })
     }
     const rpc = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
     const api = await listen(control.operatorApp({ quarantined: [], release: () => false }), '127.0.0.1:0')
