--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -24,6 +24,8 @@
 const REMAINING_ABSTENTION_MS = 2500
 const MAX_REPORTED_LINES = 10
 const API_TIMEOUT_MS = 1000
+/** Longer than a node takes to answer that a change may or may not be in force. */
+const CHANGE_TIMEOUT_MS = 11_000
 
 export interface NodeOptions {
   readonly name: string
@@ -248,6 +250,25 @@
     return JSON.parse(result.stdout)
   }
 
+  /** Posts a change to one node; undefined if there is no response. `currentRevision` is set if control refused it. */
+  async postChange(
+    node: OperatorEndpoint,
+    change: object,
+  ): Promise<{ readonly status: number; readonly currentRevision: number | undefined } | undefined> {
+    try {
+      const response = await request(`http://${node.addresses.operators}/v1/changes`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${this.#keys.operator}`, 'content-type': 'application/json' },
+        body: JSON.stringify(change),
+        signal: AbortSignal.timeout(CHANGE_TIMEOUT_MS),
+      })
+      const body = (await response.body.json()) as { currentRevision?: number }
+      return { status: response.statusCode, currentRevision: body.currentRevision }
+    } catch {
+      return undefined
+    }
+  }
+
   /** Reads a path of the operator API from the first of the nodes that responds with 200; undefined if none does. */
   async readApi(path: string, nodes: readonly OperatorEndpoint[] = this.controls): Promise<unknown> {
     for (const node of nodes) {
