Fetch an announced revision from two nodes at most

With hundreds of nodes each of them would transfer one document hundreds of times.

Cause: one fetch was started for each announcement, with only repeats at the same node left out. Now at most two are in progress, and nodes that announced the revision meanwhile are asked only if those fail.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -111,7 +111,8 @@
     for (const change of changes) {
       if (change.kind !== 'node-changed' || change.node.node === context.self) continue
       const version = change.node.documents.find((document) => document.environment === environment)
-      if (version !== undefined && documentStore.observeVersion(version)) void this.#follower.fetch(change.node.node)
+      if (version !== undefined && documentStore.observeVersion(version))
+        void this.#follower.fetchAnnounced(change.node.node)
     }
   }
 
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -39,6 +39,8 @@
 const CATCH_UP_ATTEMPTS = 3
 const ENTRY_FETCH_INTERVAL_MS = 500
 const FETCH_TIMEOUT_MS = 2_000
+/** Fetches in progress of a revision that several nodes announce: one more than needed, as one node may not respond. */
+const MAX_CONCURRENT_FETCHES = 2
 
 export interface DepartedServer {
   readonly server: ServerId
@@ -79,6 +81,9 @@
   readonly #options: FollowerOptions
   readonly #abort = new AbortController()
   readonly #fetching = new Set<NodeId>()
+  /** Nodes that announced a newer revision and were not asked for it yet. */
+  readonly #announcers = new Set<NodeId>()
+  #announcedFetches = 0
   readonly #deprioritizedUntil = new Map<NodeId, number>()
   readonly #startedAt: number
   #departurePosition = 0n
@@ -140,6 +145,19 @@
     }
   }
 
+  /** Fetches a newer revision from `node`, or from another node that announced one if that has not delivered it. */
+  async fetchAnnounced(node: NodeId): Promise<void> {
+    const { environment, documentStore } = this.#options
+    this.#announcers.add(node)
+    if (this.#announcedFetches >= MAX_CONCURRENT_FETCHES) return
+    this.#announcedFetches += 1
+    for (const next of this.#announcers) {
+      this.#announcers.delete(next)
+      if (documentStore.isBehind(environment)) await this.fetch(next)
+    }
+    this.#announcedFetches -= 1
+  }
+
   /** Fetches from a control node, after a lease reported a newer revision than this node has. */
   async fetchFromControl(): Promise<void> {
     const [node] = this.#nextReplicas(1)
--- a/packages/node/src/document-store.ts
+++ b/packages/node/src/document-store.ts
@@ -72,7 +72,13 @@
     if (version.revision > state.floor.revision) {
       state.floor = { revision: version.revision, digest: version.digest }
     }
-    return (state.document?.revision ?? 0) < state.floor.revision
+    return this.isBehind(version.environment)
+  }
+
+  /** Whether another node has a newer revision than this one. */
+  isBehind(environment: Environment): boolean {
+    const { document, floor } = this.#stateOf(environment)
+    return (document?.revision ?? 0) < floor.revision
   }
 
   /** Records that a majority confirmed `revision` as the newest, at the monotonic time `at` or later. */
