Give up a connection between nodes that does not open within 0.5 s

Cause: Http2SessionManager has no limit for opening a connection, all calls to a peer wait for it, and their own timeouts do not end it. The kernel repeats a lost connection request at doubling intervals, up to two minutes. Gossip, replica messages, polls and claims share this client.

--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -4,7 +4,7 @@
  * periodically: with dozens of peers that would wake up each node more often than all its other work.
  */
 import { constants, type ClientHttp2Stream, type Http2Session } from 'node:http2'
-import { connect } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import { Code, ConnectError, createClient, type Client, type Interceptor, type Transport } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
@@ -13,6 +13,11 @@
 
 /** 100 times the round trip time between failure domains of a region. */
 const PING_TIMEOUT_MS = 1000
+/**
+ * A connection request that is lost is repeated by the kernel at doubling intervals, and all calls to the peer wait for
+ * it. A new connection sends a new request at once.
+ */
+const CONNECT_TIMEOUT_MS = 500
 const IDLE_SESSION_TIMEOUT_MS = 60_000
 
 export interface RpcClientsOptions {
@@ -79,6 +84,16 @@
   })
 }
 
+function limitConnectTime(socket: Socket): void {
+  const timer = setTimeout(() => {
+    socket.destroy(new Error(`connect timed out after ${CONNECT_TIMEOUT_MS} ms`))
+  }, CONNECT_TIMEOUT_MS)
+  const clear = () => {
+    clearTimeout(timer)
+  }
+  socket.once('connect', clear).once('close', clear)
+}
+
 interface Peer {
   readonly transport: Transport
   readonly manager: PeerSessionManager
@@ -129,6 +144,7 @@
         createConnection: (authority) => {
           const socket = connect({ host: authority.hostname.replace(/^\[|\]$/g, ''), port: Number(authority.port) })
           socket.setNoDelay(true)
+          limitConnectTime(socket)
           this.#options.traffic.track(socket)
           return socket
         },
