Wait for slow entries until a change must be in force

Cause: the wait was bounded by the polling interval, which says nothing of an entry on a busy machine, and one missed confirmation excluded an entry at once. The wait now ends after 2 s, the time within which a change must be in force; acknowledgements may take 4 s. An entry that could not be told (connection refused or not opened in 0.5 s) is not waited for, as before; one that is frozen delays one acknowledgement by 2 s, and its late response counts.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -1,18 +1,19 @@
 /**
  * Tells the live entries of committed changes before the leader acknowledges them. A majority of replicas keeps a
  * change, but an entry asks for it only at its next poll, and in vain if the replicas are lost by then. Once it was told,
- * an entry also passes the change on to entries that were not. An entry that does not confirm in time is left to its own
- * polls, and later changes do not wait for it until it responds again.
+ * an entry also passes the change on to entries that were not. Changes do not wait for an entry that could not be told,
+ * or did not confirm in time, until it responds again: it may be frozen or cut off.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Environment, NodeId } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
 import type { Node } from '@bilberrystall/membership'
 import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
-import { FOLLOW_INTERVAL_MS } from './control-follower'
 
-/** By then, every entry that reaches a current replica has polled one by itself. */
-const CONFIRMATION_LIMIT_MS = FOLLOW_INTERVAL_MS
+/** Time within which a change must be in force on every node. */
+const CONFIRMATION_LIMIT_MS = 2_000
+/** An entry that was frozen for longer than the limit still responds to the notification that it missed. */
+const NOTIFICATION_TIMEOUT_MS = 2 * CONFIRMATION_LIMIT_MS
 
 export interface ChangeDeliveryOptions {
   readonly self: NodeId
@@ -37,7 +38,7 @@
   /** Newest state that the entry confirmed. */
   revision: number
   departurePosition: number
-  /** Whether the entry responded to the last notification. */
+  /** Whether changes wait for the entry. */
   responsive: boolean
   notification: Promise<boolean> | undefined
 }
@@ -66,6 +67,7 @@
     const timer = sleep(CONFIRMATION_LIMIT_MS, undefined, { signal: limit.signal }).catch(() => undefined)
     await Promise.race([Promise.all(waiting), timer])
     limit.abort()
+    for (const node of unconfirmed) this.#peer(node).responsive = false
     return { entries: entries.length, unconfirmed: [...unconfirmed].sort() }
   }
 
@@ -92,7 +94,7 @@
       node: self,
     }
     try {
-      const options = { timeoutMs: CONFIRMATION_LIMIT_MS }
+      const options = { timeoutMs: NOTIFICATION_TIMEOUT_MS }
       const response = await clients.client(DeliveryService, entry.address).notify(request, options)
       peer.responsive = true
       // A starting entry reads from a majority before it serves, which includes this change.
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -21,7 +21,7 @@
 import type { DocumentSource, DocumentStore, PublishedDocument } from './document-store'
 
 /** Polling interval: a fifth of the 2 s within which a change or a departure must be in force on every node. */
-export const FOLLOW_INTERVAL_MS = 400
+const FOLLOW_INTERVAL_MS = 400
 /** Request timeout; a healthy replica responds within a few milliseconds. */
 const FOLLOW_TIMEOUT_MS = 350
 /** Polling interval of an entry without a document, which rejects every call until it finds a replica. */
@@ -36,7 +36,7 @@
 /** Time for which a replica that did not respond is tried last. */
 const DEPRIORITIZED_MS = 3_000
 /** Polls after a notification, the first of the nearest replica, which may not know yet that the change is committed. */
-const CATCH_UP_ATTEMPTS = 3
+const CATCH_UP_ATTEMPTS = 5
 const ENTRY_FETCH_INTERVAL_MS = 500
 const FETCH_TIMEOUT_MS = 2_000
 /** Fetches in progress of a revision that several nodes announce: one more than needed, as one node may not respond. */
