Tell a server that is ending from one that runs

Cause: after a lost call the entry connects to the server again, and only a refused connection counts as its end. A process that is killed may lose its connections before its listener, which still accepts the check and then resets it. The check said running (accepted first) or unreachable (reset before the entry saw the connection), and the crash was never reported, so all entries counted one crash too few.

--- a/packages/entry/test/lost-call.test.ts
+++ b/packages/entry/test/lost-call.test.ts
@@ -1,5 +1,6 @@
 /** Guards against treating every broken connection as the end of its server. */
-import { expect, test } from 'vitest'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { expect, onTestFinished, test } from 'vitest'
 import type { LostCall, ServerCheck } from '../src/index'
 import { checkServer } from '../src/server-check'
 import { sendCall, startEntry, startFakeServer, type FakeServer, type ReceivedRequest } from './harness'
@@ -39,6 +40,47 @@
   expect(report?.check).toBe('ended')
 })
 
+/** Listens on a port and handles each connection with its number, from 0. */
+async function listenOnce(handler: (socket: Socket, number: number, close: () => void) => void) {
+  let connections = 0
+  const server = createServer((socket) => {
+    handler(socket, connections, () => server.close())
+    connections += 1
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  onTestFinished(() => {
+    server.close()
+  })
+  return { host: '127.0.0.1', port: (server.address() as AddressInfo).port }
+}
+
+// A process that is killed loses its connections before its listener, so a check in between was accepted.
+test('a server whose listener accepts the check while its process ends has ended', async () => {
+  const address = await listenOnce((socket, _number, close) => {
+    close()
+    socket.resetAndDestroy()
+  })
+  expect(await checkServer(address, 250)).toBe('ended')
+})
+
+test('a server that closes the connection of the check in order and then refuses has ended', async () => {
+  const address = await listenOnce((socket, _number, close) => {
+    close()
+    socket.end()
+  })
+  expect(await checkServer(address, 250)).toBe('ended')
+})
+
+test('a server that resets each connection is running', async () => {
+  let opened = 0
+  const address = await listenOnce((socket) => {
+    opened += 1
+    socket.resetAndDestroy()
+  })
+  expect(await checkServer(address, 250)).toBe('running')
+  expect(opened).toBe(2)
+})
+
 test('a server is not taken for ended if no connection attempt reaches its host', async () => {
   // TCP has no route to the broadcast address.
   expect(await checkServer({ host: '255.255.255.255', port: 9 }, 50)).toBe('unreachable')
