Release a withheld request on every replica

Callers saw: a request that an operator had released stayed withheld for up to 10 min, although the release was acknowledged and recorded as ok.

Cause: a release was committed to the log only as an audit record. It took effect through the node that had acknowledged it, which announced the clearance by gossip some milliseconds later. If that node ended in between, no node that ran knew of it. The same held if the result of the command was unknown to that node and the command was committed after all.

Fix: each replica that applies the command clears the request and announces that. The clearance covers reports up to the time of the command, and up to the newest report that was released, because the clock of its reporter may be ahead. So a replica that applies it late keeps newer crashes, and a node that was cut off meanwhile can learn of it from any replica.

--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -100,7 +100,7 @@
   return { kind: 'recorded' }
 }
 
-/** The release itself takes effect on the nodes; the log keeps who asked for it. */
+/** The release takes effect on the nodes that apply the command; the state keeps who asked for it. */
 function recordRelease(state: ControlState, command: Extract<Command, { kind: 'release' }>): CommandResult {
   const { requester, source, request } = command
   state.audit.append({
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -106,7 +106,13 @@
     digest: digestSchema.optional(),
   }),
   z.object({ kind: z.literal('node'), ...originFields, action: z.enum(['drain', 'replace']), node: nodeIdSchema }),
-  z.object({ kind: z.literal('release'), ...originFields, request: requestIdSchema }),
+  z.object({
+    kind: z.literal('release'),
+    ...originFields,
+    request: requestIdSchema,
+    /** Time of the newest crash report that is released, on the clock of its reporter, which may be ahead. */
+    newestReportAt: timeSchema.exactOptional(),
+  }),
   z.object({
     kind: z.literal('roster-propose'),
     at: timeSchema,
--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -245,10 +245,17 @@
   const parsed = requestIdSchema.safeParse(context.req.param('request'))
   if (!parsed.success) return rejectAndRecord(options, requestOrigin(context), 'requestInvalid')
   const request = parsed.data
-  if (!options.quarantine.quarantined.some((entry) => entry.request === request)) {
+  const quarantined = options.quarantine.quarantined.find((entry) => entry.request === request)
+  if (quarantined === undefined) {
     return rejectAndRecord(options, requestOrigin(context), 'notFound', `request ${request} is not quarantined`)
   }
-  const outcome = await options.changes.submit({ kind: 'release', ...requestOrigin(context), request })
+  const newestReportAt = Math.max(...quarantined.crashes.map(({ at }) => at))
+  const outcome = await options.changes.submit({
+    kind: 'release',
+    ...requestOrigin(context),
+    request,
+    newestReportAt,
+  })
   if (outcome.kind !== 'recorded') return outcomeResponse(options, outcome)
   options.quarantine.release(request)
   options.onRequest('ok')
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -10,6 +10,7 @@
 import type { Limits, Role } from '@bilberrystall/consensus'
 import { documentInForce, type Command } from '@bilberrystall/control'
 import { checkDocument } from '@bilberrystall/document'
+import type { Clearance } from '@bilberrystall/quarantine'
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
 import { ChangeSubmitter } from './change-submitter'
@@ -52,6 +53,8 @@
   readonly onDrain: () => void
   /** Called with servers whose departure was committed by control. */
   readonly onDepartures?: (departed: readonly DepartedServer[]) => void
+  /** Called with each release of a withheld request that was committed by control. */
+  readonly onReleased?: (clearance: Clearance) => void
   readonly metrics?: ControlMetrics
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
@@ -235,6 +238,7 @@
     const { node, start, onDrain } = this.#options
     this.#offerDocuments()
     this.#reportDepartures()
+    this.#reportReleases(commands)
     const drained = commands.some((command) => command.kind === 'node' && command.action === 'drain')
     if (drained && this.host.state.drains.some((drain) => drain.node === node && drain.at > start)) onDrain()
   }
@@ -278,6 +282,14 @@
     if (newer.length > 0) this.#options.onDepartures?.(newer)
   }
 
+  #reportReleases(commands: readonly Command[]): void {
+    for (const command of commands) {
+      if (command.kind !== 'release') continue
+      const { request, at, newestReportAt = at } = command
+      this.#options.onReleased?.({ request, at: Math.max(at, newestReportAt) })
+    }
+  }
+
   #offerDocuments(): void {
     const { documentStore } = this.#options
     for (const environment of this.host.state.environments.keys()) this.#offer(documentStore, environment)
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -213,6 +213,9 @@
       onDepartures: (departed) => {
         this.#applyDepartures(departed)
       },
+      onReleased: (clearance) => {
+        this.#quarantine.released(clearance)
+      },
       ...(this.#fileSystem === undefined ? {} : { fileSystem: this.#fileSystem }),
     })
   }
--- a/packages/node/src/quarantine-exchange.ts
+++ b/packages/node/src/quarantine-exchange.ts
@@ -6,7 +6,7 @@
 import { rendezvousChoice, type NodeId, type RequestId } from '@bilberrystall/base'
 import type { LostCall, RequestGate } from '@bilberrystall/entry'
 import type { Node } from '@bilberrystall/membership'
-import { processId, RequestQuarantine, type QuarantinedRequest } from '@bilberrystall/quarantine'
+import { processId, RequestQuarantine, type Clearance, type QuarantinedRequest } from '@bilberrystall/quarantine'
 import type { Log } from './log'
 import type { NodeContext } from './node-context'
 
@@ -64,6 +64,14 @@
     return isReleased
   }
 
+  /**
+   * Applies a release that control has committed. Every replica announces it, so that it does not depend on the node that
+   * acknowledged it.
+   */
+  released(clearance: Clearance): void {
+    if (this.#quarantine.addClearance(clearance, this.#options.wallClock())) this.#changed()
+  }
+
   nodeChanged({ node, crashReports = [], clearances = [] }: Node): void {
     if (node === this.#options.self) return
     if (this.#quarantine.merge(crashReports, clearances, this.#options.wallClock())) this.#changed()
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -16,6 +16,7 @@
 import type { Node, Server } from '@bilberrystall/membership'
 import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { ControlRole, DocumentStore, type ControlRoleOptions } from '../src/index'
+import type { OperatorOptions } from '../src/control-operator'
 import { controlRoutes } from '../src/control-role'
 import { listen, type Listener } from '../src/listener'
 
@@ -40,6 +41,7 @@
   readonly bootstrap?: boolean
   readonly folder?: string
   readonly minVoters?: number
+  readonly quarantine?: OperatorOptions['quarantine']
 }
 
 function createFolder(): Promise<string> {
@@ -54,7 +56,8 @@
   readonly #folders: string[] = []
 
   async start(name: string, options: MemberOptions = {}): Promise<Member> {
-    const { bootstrap = false, minVoters = 1, folder = await createFolder(), ...rest } = options
+    const { bootstrap = false, minVoters = 1, folder = await createFolder(), ...others } = options
+    const { quarantine = { quarantined: [], release: () => false }, ...rest } = others
     this.#folders.push(folder)
     const traffic = new TrafficCounter()
     const clients = new RpcClients({ nodeKey: NODE_KEY, traffic })
@@ -81,7 +84,7 @@
       controlRoutes(router, { documentStore, now: () => performance.now(), control: () => control })
     }
     const rpc = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
-    const api = await listen(control.operatorApp({ quarantined: [], release: () => false }), '127.0.0.1:0')
+    const api = await listen(control.operatorApp(quarantine), '127.0.0.1:0')
     const listening = { rpc: rpc._unsafeUnwrap(), api: api._unsafeUnwrap() }
     const member = { name, folder, control, documentStore, clients, traffic, ...listening }
     this.members.set(name, member)
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -97,15 +97,23 @@
     // A reporter whose clock is ahead may have reported a later time.
     const clearance = { request, at: Math.max(now, last.at) }
     this.#reports.clear(clearance)
-    this.#ownClearances.push(clearance)
-    if (this.#ownClearances.length > MAX_ANNOUNCED_CLEARANCES) this.#ownClearances.shift()
+    this.#announceClearance(clearance)
+    return true
+  }
+
+  /**
+   * Adds a clearance that this node announces from now on, also if it knows no report about the request: a node that was
+   * cut off may. Returns whether it was unknown.
+   */
+  addClearance(clearance: Clearance, now: number): boolean {
+    if (!this.#isCurrent(clearance, now) || !this.#reports.clear(clearance)) return false
+    this.#announceClearance(clearance)
     return true
   }
 
   /** Adds what another node announced. Returns whether anything was unknown. */
   merge(reports: readonly CrashReport[], clearances: readonly Clearance[], now: number): boolean {
-    const oldest = now - this.#retentionMs
-    const isCurrent = ({ at }: Clearance) => at >= oldest && at <= now + this.#retentionMs
+    const isCurrent = (announced: Clearance) => this.#isCurrent(announced, now)
     let isChanged = false
     for (const clearance of clearances.filter(isCurrent)) {
       const isReported = this.#reports.of(clearance.request).length > 0
@@ -136,4 +144,13 @@
     this.#reports.expire(now - this.#retentionMs)
     while ((this.#ownClearances[0]?.at ?? Infinity) < now - this.#retentionMs) this.#ownClearances.shift()
   }
+
+  #isCurrent({ at }: Clearance, now: number): boolean {
+    return Math.abs(now - at) <= this.#retentionMs
+  }
+
+  #announceClearance(clearance: Clearance): void {
+    this.#ownClearances.push(clearance)
+    if (this.#ownClearances.length > MAX_ANNOUNCED_CLEARANCES) this.#ownClearances.shift()
+  }
 }
