--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -80,6 +80,7 @@
   #isLeader = false
   #confirming = false
   #departurePosition = 0
+  #drainReported = false
   #stopped = false
 
   private constructor(
@@ -233,14 +234,12 @@
     await this.host.stop()
   }
 
-  /** Called by the replica host after commands are applied. */
+  /** Called by the replica host after commands are applied, without any after a snapshot is restored. */
   handleApplied(commands: readonly Command[]): void {
-    const { node, start, onDrain } = this.#options
     this.#offerDocuments()
     this.#reportDepartures()
     this.#reportReleases(commands)
-    const drained = commands.some((command) => command.kind === 'node' && command.action === 'drain')
-    if (drained && this.host.state.drains.some((drain) => drain.node === node && drain.at > start)) onDrain()
+    this.#reportDrain()
   }
 
   /** Called by the replica host when the role or leader changes. */
@@ -282,6 +281,15 @@
     if (newer.length > 0) this.#options.onDepartures?.(newer)
   }
 
+  /** The order may have arrived in a snapshot, without its command. */
+  #reportDrain(): void {
+    const { node, start, onDrain } = this.#options
+    const isOrdered = this.host.state.drains.some((drain) => drain.node === node && drain.at > start)
+    if (!isOrdered || this.#drainReported) return
+    this.#drainReported = true
+    onDrain()
+  }
+
   #reportReleases(commands: readonly Command[]): void {
     for (const command of commands) {
       if (command.kind !== 'release') continue
--- /dev/null
+++ b/packages/node/test/drain-order.test.ts
@@ -0,0 +1,45 @@
+/** Guards against an acknowledged order to drain a node that the node never carries out. */
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { TestCluster, call, submitBody, waitUntil } from './control-cluster'
+
+let cluster: TestCluster
+
+beforeEach(() => {
+  cluster = new TestCluster()
+})
+
+afterEach(async () => {
+  await cluster.close()
+})
+
+// A replica that gets the order inside a snapshot sees no command of it.
+test('a drain is carried out by a replica that was cut off until the order had left the log', async () => {
+  const options = { limits: { logEntries: 20, keptEntries: 5, chunkBytes: 512 } }
+  const first = await cluster.start('a', { bootstrap: true, ...options })
+  const target = await cluster.start('b', options)
+  await cluster.start('c', options)
+  await cluster.waitForVoters()
+  await cluster.kill(target)
+  cluster.announce(target)
+  expect(await call(first, '/v1/nodes/b/drain', {})).toMatchObject({ status: 200 })
+  for (let base = 0; base < 30; base += 1) await call(first, '/v1/changes', submitBody(`c${base}`, base))
+  const onDrain = vi.fn()
+  // The process of the target started before the order: it was cut off and not restarted.
+  const reconnected = await cluster.start('b', { folder: target.folder, start: 0, onDrain, ...options })
+  await waitUntil(() => (reconnected.control.host.state.drains.length > 0 ? true : undefined))
+  await expect.poll(() => onDrain.mock.calls.length, { timeout: 2_000 }).toBe(1)
+  await call(first, '/v1/changes', submitBody('c30', 30))
+  expect(onDrain).toHaveBeenCalledTimes(1)
+})
+
+test('a process that started after the order to drain its node is not drained', async () => {
+  const only = await cluster.start('a', { bootstrap: true })
+  await waitUntil(() => cluster.leader())
+  expect(await call(only, '/v1/nodes/a/drain', {})).toMatchObject({ status: 200 })
+  await cluster.kill(only)
+  const onDrain = vi.fn()
+  const restarted = await cluster.start('a', { folder: only.folder, start: Date.now() + 1, onDrain })
+  await waitUntil(() => cluster.leader())
+  await call(restarted, '/v1/changes', submitBody('c1', 0))
+  expect(onDrain).not.toHaveBeenCalled()
+})
