Report a refusal to an operator only once it is recorded

Callers saw: an operator was told that a malformed change, or an order for an unknown node or request, was refused, and the audit log never got the record, which the design promises for each request.

Cause: the result of recording the refusal was ignored. Without a majority, or when the leader changed in between, the record was lost.

Fix: if the record was not committed, the operator is told so (no majority, or unknown) in place of the refusal. The request has taken no effect, and another node refuses it with a record.

--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -209,7 +209,10 @@
   return outcomeResponse(options, await options.changes.submit({ ...rest, ...origin, content }))
 }
 
-/** Rejects a request without submitting it as a change, and records the rejection in the audit log. */
+/**
+ * Rejects a request without submitting it as a change, and records the rejection in the audit log. The rejection is
+ * reported only once it is committed there; until then the request took no effect and can be sent again.
+ */
 async function rejectAndRecord(
   options: OperatorOptions,
   origin: Origin,
@@ -217,8 +220,9 @@
   message?: string,
   rest: Pick<Extract<Command, { kind: 'refuse' }>, 'changeId' | 'environment' | 'digest'> = {},
 ): Promise<Response> {
+  const outcome = await options.changes.submit({ kind: 'refuse', ...origin, code, ...rest })
+  if (outcome.kind !== 'recorded') return outcomeResponse(options, outcome)
   options.onRequest(code)
-  await options.changes.submit({ kind: 'refuse', ...origin, code, ...rest })
   return problemResponse(failure(code, message))
 }
 
