Commit departures announced on the status listener where control decides

Callers saw: with `[entry] renewal` set, a server that announced draining to the status listener of an entry was acknowledged at once, and other entries could use it for eight more renewals if that entry ended right after, or use it again after a restart of the node when an older announcement came late.

Cause: with this setting leases are long because control decides departures, but only the gateway of an adapter asked control. The status listener told the gossip of three peers, without waiting, and acknowledged.

Fix: with the setting, the status listener acknowledges through the same gateway, once control has committed the departure.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -15,7 +15,7 @@
 import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
-import type { Adapter } from './adapter'
+import type { Adapter, Gateway } from './adapter'
 import { controlMetrics, type ControlMetrics } from './control-metrics'
 import { ControlSupervisor } from './control-supervisor'
 import { ControlRole, controlRoutes } from './control-role'
@@ -29,7 +29,7 @@
 import { computeHealth } from './health'
 import { listen, splitAddress, type Listener } from './listener'
 import { createLog, type Log } from './log'
-import { createClusterBootstrap, openPlatformListeners } from './platform-role'
+import { createClusterBootstrap, createGateway, openPlatformListeners } from './platform-role'
 import { Metrics } from './metrics'
 import { createQuarantineExchange, type QuarantineExchange } from './quarantine-exchange'
 import { closeParts, finishWork, type NodeParts } from './node-shutdown'
@@ -54,6 +54,7 @@
   readonly #settings: Settings
   readonly #context: NodeContext
   readonly #quarantine: QuarantineExchange
+  readonly #gateway: Gateway
   readonly #documentStore = new DocumentStore()
   readonly #metrics = new Metrics()
   readonly #traffic = new TrafficCounter()
@@ -82,6 +83,15 @@
     this.#nodeRecord = createNodeRecord(settings)
     this.#context = this.#createContext(options.log ?? createLog({ node: settings.node }))
     this.#quarantine = createQuarantineExchange(this.#context)
+    this.#gateway = createGateway({
+      context: this.#context,
+      control: () => this.#control,
+      health: () => this.#health(),
+      onAnnounced: (server) => this.#serverAnnounced({ server, load: undefined }),
+      onDeparted: (departed) => {
+        this.#applyDepartures(departed)
+      },
+    })
   }
 
   /** Errors: those of opening the data folder, and `address-in-use`. */
@@ -268,7 +278,7 @@
       health: () => this.#health(),
       metrics: () => this.#metrics.render(),
       serverKey: this.#settings.entry?.serverKey,
-      announce: (announcement) => this.#serverAnnounced(announcement),
+      announce: (announcement) => this.#postedAnnouncement(announcement),
     })
     const listening = await listen(status, this.#settings.statusListen)
     if (listening.isErr()) return err(listening.error)
@@ -291,15 +301,7 @@
 
   async #openPlatformListeners(): Promise<Result<void, Failure>> {
     if (this.#adapter === undefined) return ok()
-    const listening = await openPlatformListeners(this.#adapter, {
-      context: this.#context,
-      control: () => this.#control,
-      health: () => this.#health(),
-      onAnnounced: (server) => this.#serverAnnounced({ server, load: undefined }),
-      onDeparted: (departed) => {
-        this.#applyDepartures(departed)
-      },
-    })
+    const listening = await openPlatformListeners(this.#adapter, this.#gateway)
     return listening.map((listeners) => {
       this.#listeners.push(...listeners)
     })
@@ -309,6 +311,16 @@
     for (const { server, start } of departed) this.#applyChanges(this.#context.directory.depart(server, start))
   }
 
+  /** Where control decides departures, a server that leaves is acknowledged once control has committed that. */
+  async #postedAnnouncement(announcement: Announcement): Promise<Result<void, Failure>> {
+    const { entry } = this.#settings
+    const { state, environment } = announcement.server
+    const isLeaving = state === 'draining' || state === 'stopped'
+    const isDecidedByControl = entry?.renewalMs !== undefined && environment === entry.environment
+    if (isLeaving && isDecidedByControl) return this.#gateway.announce(announcement.server)
+    return this.#serverAnnounced(announcement)
+  }
+
   #serverAnnounced(announcement: Announcement): Result<void, Failure> {
     const { environment } = announcement.server
     if (environment !== this.#settings.entry?.environment) {
--- a/packages/node/src/platform-role.ts
+++ b/packages/node/src/platform-role.ts
@@ -29,10 +29,10 @@
 /** Opens the adapter's listeners. Errors: `address-in-use`. */
 export async function openPlatformListeners(
   adapter: Adapter,
-  options: PlatformRoleOptions,
+  gateway: Gateway,
 ): Promise<Result<readonly Listener[], Failure>> {
   const opened: Listener[] = []
-  for (const { address, app } of adapter.listeners(createGateway(options))) {
+  for (const { address, app } of adapter.listeners(gateway)) {
     const listening = await listen(app, address)
     if (listening.isErr()) {
       for (const listener of opened) await listener.close()
@@ -43,7 +43,7 @@
   return ok(opened)
 }
 
-function createGateway({ context, control, health, onAnnounced, onDeparted }: PlatformRoleOptions): Gateway {
+export function createGateway({ context, control, health, onAnnounced, onDeparted }: PlatformRoleOptions): Gateway {
   const { directory, clients, self, settings } = context
   const controlNodes = () => sortByDistance(controlNodesOf(directory), directory, self, settings.failureDomain)
   const forwardingSubmitter = new ChangeSubmitter({
--- a/packages/node/src/status-listener.ts
+++ b/packages/node/src/status-listener.ts
@@ -21,7 +21,7 @@
   readonly metrics: () => Promise<string>
   /** Undefined on nodes that accept no announcements here: those without the entry role or without a server key. */
   readonly serverKey: string | undefined
-  readonly announce: (announcement: Announcement) => Result<unknown, Failure>
+  readonly announce: (announcement: Announcement) => Result<unknown, Failure> | Promise<Result<unknown, Failure>>
 }
 
 export function statusApp(options: StatusListenerOptions): Hono {
@@ -47,8 +47,10 @@
     return problemResponse(failure('serverUnauthorized'))
   }
   const body: unknown = await context.req.json().catch(() => undefined)
-  const result = parseAnnouncement(body).andThen((announcement) => options.announce(announcement))
-  return result.match(
+  const parsed = parseAnnouncement(body)
+  if (parsed.isErr()) return problemResponse(parsed.error)
+  const announced = await options.announce(parsed.value)
+  return announced.match(
     () => context.json({ renewMs: SERVER_RENEWAL_MS, leaseMs: SERVER_LEASE_MS }),
     (cause) => problemResponse(cause),
   )
