Publish the crashes that the last calls of a stopping entry caused

A request that crashed servers during the planned stop of an entry could reach as many servers again through the other entries.

Cause: an entry that stops closes its gossip as soon as its last call has ended. What that call showed was still being checked (whether the server ended), or waited for the 10 ms in which reports are collected, and only this entry knew it.

Fix: when its calls have ended before the limit, the entry waits for the checks of lost calls and pushes delayed reports to some peers, within the limit that the step of the stop has anyway. At the limit there is no time left, and nothing is waited for.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -62,6 +62,8 @@
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
   readonly #serverChecks: ServerChecks
+  /** Checks of lost calls that have not been reported yet. */
+  readonly #lostCallReports = new Set<Promise<void>>()
   /** Open connections of callers. */
   readonly #callerConnections = new Map<Socket, CallerConnection>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -218,6 +220,11 @@
     }
   }
 
+  /** Resolves once each call that was lost so far has been reported. */
+  async lostCallsReported(): Promise<void> {
+    await Promise.all(this.#lostCallReports)
+  }
+
   /**
    * Closes the connections on which neither a request is in progress nor a head is half received. Only the second is
    * known to Node.js, which destroys the sockets on which it expects no head, also those with responses to be flushed.
@@ -324,7 +331,10 @@
       revision: () => this.#revision(),
       stopStartedAt: () => this.#stopStartedAt,
       onRelayed: () => this.#options.events?.callRelayed?.(),
-      onLost: (lost) => void this.#reportLost(lost),
+      onLost: (lost) => {
+        const report = this.#reportLost(lost).finally(() => this.#lostCallReports.delete(report))
+        this.#lostCallReports.add(report)
+      },
       onClosed: (call) => {
         this.#calls.delete(call)
       },
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -197,7 +197,16 @@
     const { balancerGraceMs, stopLimitMs } = this.#stopTimes
     this.#entry.startDraining(balancerGraceMs + stopLimitMs)
     await sleep(balancerGraceMs)
-    return this.#entry.drain(stopLimitMs)
+    const isFinished = await this.#entry.drain(stopLimitMs)
+    // At the limit no time is left.
+    if (isFinished) await this.#publishReports()
+    return isFinished
+  }
+
+  /** The last calls may have shown that servers ended, and no other node can know that. */
+  async #publishReports(): Promise<void> {
+    await this.#entry.lostCallsReported()
+    await this.#options.quarantine.flush()
   }
 
   /** Time that `drain` may take. */
--- a/packages/node/src/quarantine-exchange.ts
+++ b/packages/node/src/quarantine-exchange.ts
@@ -23,7 +23,7 @@
   readonly wallClock: () => number
   readonly log: Log
   readonly announce: (part: Pick<Node, 'crashReports' | 'clearances'>) => void
-  readonly pushToPeers: () => void
+  readonly pushToPeers: () => Promise<void>
 }
 
 export class QuarantineExchange {
@@ -87,17 +87,22 @@
     this.#announce()
   }
 
+  /** Announces changes that are still delayed. Resolves once some peers have them. */
+  async flush(): Promise<void> {
+    if (this.#pushTimer === undefined) return
+    clearTimeout(this.#pushTimer)
+    this.#pushTimer = undefined
+    this.#announce()
+    await this.#options.pushToPeers()
+  }
+
   stop(): void {
     clearTimeout(this.#pushTimer)
   }
 
   #changed(): void {
     this.#logChanges()
-    this.#pushTimer ??= setTimeout(() => {
-      this.#pushTimer = undefined
-      this.#announce()
-      this.#options.pushToPeers()
-    }, PUSH_DELAY_MS)
+    this.#pushTimer ??= setTimeout(() => void this.flush(), PUSH_DELAY_MS)
   }
 
   #announce(): void {
@@ -141,7 +146,7 @@
     wallClock,
     log,
     announce,
-    pushToPeers: () => void gossip.pushToPeers(),
+    pushToPeers: () => gossip.pushToPeers(),
   })
   metrics.gauge('requests_quarantined', 'Requests that are withheld from servers', () => exchange.quarantined.length)
   return exchange
--- a/packages/node/test/quarantine-release.test.ts
+++ b/packages/node/test/quarantine-release.test.ts
@@ -41,7 +41,7 @@
       wallClock: Date.now,
       log,
       announce: () => undefined,
-      pushToPeers: () => undefined,
+      pushToPeers: () => Promise.resolve(),
     })
     exchanges.set(name, exchange)
     tell(exchange, { crashReports: reports })
@@ -89,7 +89,7 @@
     wallClock: Date.now,
     log: { info: () => undefined, warn: () => undefined, error: () => undefined },
     announce: (part) => announced.push(part),
-    pushToPeers: () => undefined,
+    pushToPeers: () => Promise.resolve(),
   })
   exchanges.set('a', replica)
   replica.released({ request: REQUEST, at: Date.now() })
