Announce a quarantine whose keepers have restarted

Some nodes withheld a request for 10 min while others sent it to two more servers.

Cause: three nodes, chosen by hashing, keep the reports about a quarantined request, and the observers announce their own. A keeper that restarts forgets them, and the reports of an observer that restarts are kept by nobody before the third crash. When keepers and observers had restarted between the first crashes and the third, the nodes that stayed knew all three and announced none, as they are no keepers.

Fix: a node that has known a quarantine for a second, and sees a keeper that does not announce it, announces it until all keepers do. The keepers then have the reports as well.

--- a/packages/node/src/quarantine-exchange.ts
+++ b/packages/node/src/quarantine-exchange.ts
@@ -1,7 +1,8 @@
 /**
  * Exchange of crash reports between nodes. Each node announces in its own record the ends of servers that it observed;
  * reports about quarantined requests are also kept by a few other nodes, so that a node that starts later learns of them
- * when the observers no longer run. A change is pushed to some peers at once, and these push it on.
+ * when the observers no longer run. If these nodes lack them, because they have restarted, each node that has them
+ * announces them. A change is pushed to some peers at once, and these push it on.
  */
 import { rendezvousChoice, type NodeId, type RequestId } from '@bilberrystall/base'
 import type { LostCall, RequestGate } from '@bilberrystall/entry'
@@ -31,6 +32,10 @@
   readonly #quarantine = new RequestQuarantine()
   /** Quarantined requests that were logged. */
   readonly #known = new Set<RequestId>()
+  /** Quarantined requests at the last expiry. */
+  #knownBefore: ReadonlySet<RequestId> = new Set()
+  /** Quarantined requests that not all of their keepers announce. */
+  #unkept: ReadonlySet<RequestId> = new Set()
   #pushTimer: NodeJS.Timeout | undefined
   #expiredAt = Number.NEGATIVE_INFINITY
   #announced = ''
@@ -84,7 +89,8 @@
     this.#expiredAt = now
     this.#quarantine.expire(now)
     this.#logChanges()
-    this.#announce()
+    this.#findUnkept()
+    if (this.#announce()) void this.#options.pushToPeers()
   }
 
   /** Announces changes that are still delayed. Resolves once some peers have them. */
@@ -105,20 +111,38 @@
     this.#pushTimer ??= setTimeout(() => void this.flush(), PUSH_DELAY_MS)
   }
 
-  #announce(): void {
+  /** Returns whether the announcement changed. */
+  #announce(): boolean {
     const now = this.#options.wallClock()
     const crashReports = this.#quarantine.announcedReports((request) => this.#keeps(request), now)
     const clearances = this.#quarantine.announcedClearances()
     const announced = JSON.stringify([crashReports, clearances])
-    if (announced === this.#announced) return
+    if (announced === this.#announced) return false
     this.#announced = announced
     this.#options.announce({ crashReports, clearances })
+    return true
   }
 
   #keeps(request: RequestId): boolean {
-    const { self, nodes } = this.#options
-    const keepers = rendezvousChoice(request, [...nodes()], KEEPERS, ({ node }) => node)
-    return keepers.some(({ node }) => node === self)
+    return this.#unkept.has(request) || this.#keepers(request).some(({ node }) => node === this.#options.self)
+  }
+
+  #keepers(request: RequestId): readonly Node[] {
+    return rendezvousChoice(request, [...this.#options.nodes()], KEEPERS, ({ node }) => node)
+  }
+
+  /** Only requests that were known at the last expiry count: before that, the keepers may not have heard of them. */
+  #findUnkept(): void {
+    const { self } = this.#options
+    const isKept = (request: RequestId) =>
+      this.#keepers(request).every(({ node, crashReports = [] }) => {
+        return (
+          node === self ||
+          crashReports.filter((report) => report.request === request).length >= this.#quarantine.crashLimit
+        )
+      })
+    this.#unkept = new Set([...this.#known].filter((request) => this.#knownBefore.has(request) && !isKept(request)))
+    this.#knownBefore = new Set(this.#known)
   }
 
   #logChanges(): void {
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -43,7 +43,8 @@
 const MAX_ANNOUNCED_CLEARANCES = 32
 
 export class RequestQuarantine {
-  readonly #crashLimit: number
+  /** Crashes after which a request is quarantined. */
+  readonly crashLimit: number
   readonly #durationMs: number
   readonly #retentionMs: number
   readonly #reports: CrashReports
@@ -52,7 +53,7 @@
   readonly #ownClearances: Clearance[] = []
 
   constructor(options: QuarantineOptions = {}) {
-    this.#crashLimit = options.crashLimit ?? 3
+    this.crashLimit = options.crashLimit ?? 3
     this.#durationMs = options.durationMs ?? 10 * MS_PER_MINUTE
     this.#retentionMs = options.retentionMs ?? 60 * MS_PER_MINUTE
     this.#reports = new CrashReports({ maxReports: options.maxReports ?? 4_096, maxClearances: MAX_CLEARANCES })
@@ -69,7 +70,7 @@
     const last = crashes.at(-1)
     if (last === undefined) return CLEAR
     const until = last.at + this.#durationMs
-    if (crashes.length >= this.#crashLimit && now < until) return { kind: 'quarantined', until }
+    if (crashes.length >= this.crashLimit && now < until) return { kind: 'quarantined', until }
     return { kind: 'suspected', crashes: crashes.length }
   }
 
@@ -131,7 +132,7 @@
     const own = this.#own.filter((report) => this.#reports.of(report.request).includes(report))
     const kept = this.quarantined(now)
       .filter(({ request }) => keeps(request))
-      .flatMap(({ crashes }) => crashes.slice(-this.#crashLimit))
+      .flatMap(({ crashes }) => crashes.slice(-this.crashLimit))
     return [...new Set([...kept, ...own])].slice(0, MAX_ANNOUNCED_REPORTS)
   }
 
