--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -10,6 +10,7 @@
 import type { Limits, Role } from '@bilberrystall/consensus'
 import { documentInForce, type Command } from '@bilberrystall/control'
 import { checkDocument } from '@bilberrystall/document'
+import type { Clearance } from '@bilberrystall/quarantine'
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
 import { ChangeDelivery } from './change-delivery'
@@ -53,6 +54,8 @@
   readonly onDrain: () => void
   /** Called with servers whose departure was committed by control. */
   readonly onDepartures?: (departed: readonly DepartedServer[]) => void
+  /** Called with each release of a withheld request that was committed by control. */
+  readonly onReleased?: (clearance: Clearance) => void
   readonly metrics?: ControlMetrics
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
@@ -79,6 +82,7 @@
   #isLeader = false
   #confirming = false
   #departurePosition = 0
+  #drainReported = false
   #stopped = false
 
   private constructor(
@@ -234,13 +238,12 @@
     await this.host.stop()
   }
 
-  /** Called by the replica host after commands are applied. */
+  /** Called by the replica host after commands are applied, without any after a snapshot is restored. */
   handleApplied(commands: readonly Command[]): void {
-    const { node, start, onDrain } = this.#options
     this.#offerDocuments()
     this.#reportDepartures()
-    const drained = commands.some((command) => command.kind === 'node' && command.action === 'drain')
-    if (drained && this.host.state.drains.some((drain) => drain.node === node && drain.at > start)) onDrain()
+    this.#reportReleases(commands)
+    this.#reportDrain()
   }
 
   /** Called by the replica host when the role or leader changes. */
@@ -290,6 +293,23 @@
     if (newer.length > 0) this.#options.onDepartures?.(newer)
   }
 
+  /** The order may have arrived in a snapshot, without its command. */
+  #reportDrain(): void {
+    const { node, start, onDrain } = this.#options
+    const isOrdered = this.host.state.drains.some((drain) => drain.node === node && drain.at > start)
+    if (!isOrdered || this.#drainReported) return
+    this.#drainReported = true
+    onDrain()
+  }
+
+  #reportReleases(commands: readonly Command[]): void {
+    for (const command of commands) {
+      if (command.kind !== 'release') continue
+      const { request, at, newestReportAt = at } = command
+      this.#options.onReleased?.({ request, at: Math.max(at, newestReportAt) })
+    }
+  }
+
   #offerDocuments(): void {
     const { documentStore } = this.#options
     for (const environment of this.host.state.environments.keys()) this.#offer(documentStore, environment)
--- a/packages/quarantine/src/request-quarantine.ts
+++ b/packages/quarantine/src/request-quarantine.ts
@@ -43,7 +43,8 @@
 const MAX_ANNOUNCED_CLEARANCES = 32
 
 export class RequestQuarantine {
-  readonly #crashLimit: number
+  /** Crashes after which a request is quarantined. */
+  readonly crashLimit: number
   readonly #durationMs: number
   readonly #retentionMs: number
   readonly #reports: CrashReports
@@ -52,7 +53,7 @@
   readonly #ownClearances: Clearance[] = []
 
   constructor(options: QuarantineOptions = {}) {
-    this.#crashLimit = options.crashLimit ?? 3
+    this.crashLimit = options.crashLimit ?? 3
     this.#durationMs = options.durationMs ?? 10 * MS_PER_MINUTE
     this.#retentionMs = options.retentionMs ?? 60 * MS_PER_MINUTE
     this.#reports = new CrashReports({ maxReports: options.maxReports ?? 4_096, maxClearances: MAX_CLEARANCES })
@@ -69,7 +70,7 @@
     const last = crashes.at(-1)
     if (last === undefined) return CLEAR
     const until = last.at + this.#durationMs
-    if (crashes.length >= this.#crashLimit && now < until) return { kind: 'quarantined', until }
+    if (crashes.length >= this.crashLimit && now < until) return { kind: 'quarantined', until }
     return { kind: 'suspected', crashes: crashes.length }
   }
 
@@ -97,15 +98,23 @@
     // A reporter whose clock is ahead may have reported a later time.
     const clearance = { request, at: Math.max(now, last.at) }
     this.#reports.clear(clearance)
-    this.#ownClearances.push(clearance)
-    if (this.#ownClearances.length > MAX_ANNOUNCED_CLEARANCES) this.#ownClearances.shift()
+    this.#announceClearance(clearance)
+    return true
+  }
+
+  /**
+   * Adds a clearance that this node announces from now on, also if it knows no report about the request: a node that was
+   * cut off may. Returns whether it was unknown.
+   */
+  addClearance(clearance: Clearance, now: number): boolean {
+    if (!this.#isCurrent(clearance, now) || !this.#reports.clear(clearance)) return false
+    this.#announceClearance(clearance)
     return true
   }
 
   /** Adds what another node announced. Returns whether anything was unknown. */
   merge(reports: readonly CrashReport[], clearances: readonly Clearance[], now: number): boolean {
-    const oldest = now - this.#retentionMs
-    const isCurrent = ({ at }: Clearance) => at >= oldest && at <= now + this.#retentionMs
+    const isCurrent = (announced: Clearance) => this.#isCurrent(announced, now)
     let isChanged = false
     for (const clearance of clearances.filter(isCurrent)) {
       const isReported = this.#reports.of(clearance.request).length > 0
@@ -123,7 +132,7 @@
     const own = this.#own.filter((report) => this.#reports.of(report.request).includes(report))
     const kept = this.quarantined(now)
       .filter(({ request }) => keeps(request))
-      .flatMap(({ crashes }) => crashes.slice(-this.#crashLimit))
+      .flatMap(({ crashes }) => crashes.slice(-this.crashLimit))
     return [...new Set([...kept, ...own])].slice(0, MAX_ANNOUNCED_REPORTS)
   }
 
@@ -136,4 +145,13 @@
     this.#reports.expire(now - this.#retentionMs)
     while ((this.#ownClearances[0]?.at ?? Infinity) < now - this.#retentionMs) this.#ownClearances.shift()
   }
+
+  #isCurrent({ at }: Clearance, now: number): boolean {
+    return Math.abs(now - at) <= this.#retentionMs
+  }
+
+  #announceClearance(clearance: Clearance): void {
+    this.#ownClearances.push(clearance)
+    if (this.#ownClearances.length > MAX_ANNOUNCED_CLEARANCES) this.#ownClearances.shift()
+  }
 }
