Check patches and promotions against the document that they lead to

Callers saw: a patch that was sent together with the document it is based on was acknowledged and in force although it leads to an invalid document (service = constructor). Promotions had the same gap while their source or base was still in the log.

Cause: the leader checked against the applied state and left a change with another base unchecked, for the replicas to parse; what replicas parse is less strict, so that they agree with earlier builds.

Fix: the leader proposes a patch or a promotion once every change before it is applied, those of earlier terms included. What it checks is then what the change is applied to; another base is refused by every replica. Whole documents don't wait.

The fake host of change-orders.test.ts now states its position in the log; nothing else of it changed.

--- a/packages/node/src/change-submitter.ts
+++ b/packages/node/src/change-submitter.ts
@@ -9,11 +9,14 @@
 import {
   RESULT_CODES,
   failure,
+  logIndex,
   nodeId,
+  term,
   type CodeName,
   type Failure,
   type Fault,
   type NodeId,
+  type Term,
 } from '@bilberrystall/base'
 import {
   MAX_DOCUMENT_BYTES,
@@ -42,6 +45,7 @@
 const ATTEMPT_TIMEOUT_MS = 6_000
 const RETRY_DELAY_MS = 50
 const LEADER_POLL_INTERVAL_MS = 100
+const APPLIED_POLL_INTERVAL_MS = 5
 const MAX_FAULT_TEXT_LENGTH = 300
 
 /** Commands that can be applied repeatedly with the same effect. */
@@ -61,7 +65,7 @@
 /** The part of `ReplicaHost` that submitting needs; nodes without a replica use `NON_LEADER_HOST`. */
 export interface ProposalHost {
   readonly propose: ReplicaHost['propose']
-  readonly status: () => Pick<Status, 'role' | 'leader' | 'replicas'>
+  readonly status: () => Pick<Status, 'role' | 'leader' | 'replicas' | 'term' | 'applied' | 'lastIndex'>
   /** State after the last applied command. */
   readonly state: ControlState
 }
@@ -69,7 +73,14 @@
 /** Host of nodes without a replica. It is never the leader, so every request is forwarded to a control node. */
 export const NON_LEADER_HOST: ProposalHost = {
   propose: () => Promise.resolve({ kind: 'failed', failure: failure('notLeader'), leader: undefined }),
-  status: () => ({ role: 'idle', leader: undefined, replicas: [] }),
+  status: () => ({
+    role: 'idle',
+    leader: undefined,
+    replicas: [],
+    term: term(0),
+    applied: logIndex(0),
+    lastIndex: logIndex(0),
+  }),
   state: emptyState(),
 }
 
@@ -94,6 +105,10 @@
 
 export class ChangeSubmitter {
   readonly #options: ChangeSubmitterOptions
+  /** Term for which `#lastChange` is valid. */
+  #term: Term | undefined
+  /** No entry of the log behind this one changes a document. */
+  #lastChange = 0
 
   constructor(options: ChangeSubmitterOptions) {
     this.#options = options
@@ -140,12 +155,42 @@
   }
 
   async #proposeLocally(command: Command): Promise<AttemptOutcome> {
-    const { host, wallClock } = this.#options
+    const { host } = this.#options
     const { role, leader, replicas } = host.status()
     if (role !== 'leader') return { kind: 'retry', sent: false, leader: leader && nodeIdOf(leader) }
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return { kind: 'retry', sent: false, leader: undefined }
-    return attemptOutcome(await host.propose({ ...this.#replaceInvalid(command), at: wallClock() }))
+    return this.#propose(command)
+  }
+
+  /**
+   * The document that results from a partial change or a promotion depends on the changes before it, so it is checked
+   * and proposed once all of them are applied.
+   */
+  async #propose(command: Command): Promise<AttemptOutcome> {
+    const { host, wallClock, attemptTimeoutMs = ATTEMPT_TIMEOUT_MS } = this.#options
+    const startTerm = host.status().term
+    const giveUpAt = performance.now() + attemptTimeoutMs
+    const dependsOnDocument = command.kind === 'amend' || command.kind === 'promote'
+    while (dependsOnDocument && !this.#areChangesApplied()) {
+      await sleep(APPLIED_POLL_INTERVAL_MS)
+      const { role, term: currentTerm } = host.status()
+      const isStale = role !== 'leader' || currentTerm !== startTerm || performance.now() > giveUpAt
+      if (isStale) return { kind: 'retry', sent: false, leader: undefined }
+    }
+    const proposed = host.propose({ ...this.#replaceInvalid(command), at: wallClock() })
+    if (dependsOnDocument || command.kind === 'submit') this.#lastChange = host.status().lastIndex
+    return attemptOutcome(await proposed)
+  }
+
+  #areChangesApplied(): boolean {
+    const { term: currentTerm, applied, lastIndex } = this.#options.host.status()
+    if (this.#term !== currentTerm) {
+      // What earlier leaders left in the log may contain changes.
+      this.#term = currentTerm
+      this.#lastChange = lastIndex
+    }
+    return applied >= this.#lastChange
   }
 
   /** Replaces a change that leads to an invalid document with its digest and faults, which is all that the log records. */
@@ -157,7 +202,7 @@
     }
     const { state } = this.#options.host
     if (command.kind === 'promote') return this.#replaceInvalidPromotion(command)
-    // The document that a change is based on may still be in the log; it is then validated when it is applied.
+    // Every change before this one is applied, so another base is refused, or the change is a repeated one.
     if (command.kind !== 'amend' || command.numbering.base !== currentVersion(state, command.environment))
       return command
     const amended = amendedDocument(state, command)
--- a/packages/node/test/change-orders.test.ts
+++ b/packages/node/test/change-orders.test.ts
@@ -45,7 +45,10 @@
     const clients = new RpcClients({ nodeKey: 'node key', traffic: new TrafficCounter() })
     this.submitter = new ChangeSubmitter({
       host: {
-        status: () => ({ role: 'leader', leader: undefined, replicas: [{ role: 'voter' }] }) as never,
+        status: () => {
+          const position = { term: 1, applied: this.#applied, lastIndex: this.#applied }
+          return { role: 'leader', leader: undefined, replicas: [{ role: 'voter' }], ...position } as never
+        },
         state: this.states[0]!,
         propose: (command) => Promise.resolve({ kind: 'applied', applied: this.#apply(command) }),
       },
--- a/packages/node/test/control.test.ts
+++ b/packages/node/test/control.test.ts
@@ -1,5 +1,7 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { MAX_DOCUMENT_BYTES } from '@bilberrystall/control'
+import { revision } from '@bilberrystall/base'
+import { MAX_DOCUMENT_BYTES, documentInForce, encodeCommand, type Command } from '@bilberrystall/control'
+import { DeliveryService } from '@bilberrystall/rpc'
 import { FakeFileSystem } from '../../storage/test/fake-file-system'
 import { TRIAL_ENVIRONMENT, TestCluster, call, submitBody, waitUntil } from './control-cluster'
 
@@ -122,6 +124,39 @@
 })
 
 /** Guards against a document that is accepted with other characters than were sent. */
+/** Guards against a patch that is acknowledged unchecked because the document it is based on is still in the log. */
+test('a patch that arrives with the document it is based on is checked', async () => {
+  await cluster.start('a', { bootstrap: true })
+  await cluster.start('b')
+  await cluster.start('c')
+  const leader = await cluster.waitForVoters()
+  const follower = [...cluster.members.values()].find((member) => member !== leader)
+  if (follower === undefined) throw new Error('expected a follower')
+  const document = '[document]\ntitle = test\n[service.slots]\n[route.a]\nservice = slots\n'
+  const change = (version: number) => ({
+    at: 0,
+    requester: 'platform',
+    source: 'test',
+    changeId: `v${version}`,
+    environment: TRIAL_ENVIRONMENT,
+    baseRevision: revision(0),
+    numbering: { version, base: version - 1 },
+  })
+  const commands: Command[] = [
+    { kind: 'submit', ...change(1), content: { validity: 'valid', text: document } },
+    {
+      kind: 'amend',
+      ...change(2),
+      changed: '[route.a]\nservice = constructor\n',
+      removed: { service: [], route: [] },
+    },
+  ]
+  const client = follower.clients.client(DeliveryService, `127.0.0.1:${leader.rpc.port}`)
+  const responses = await Promise.all(commands.map((command) => client.submit({ command: encodeCommand(command) })))
+  expect(responses.map(({ outcome }) => outcome.case)).toEqual(['accepted', 'refused'])
+  expect(documentInForce(leader.control.host.state, TRIAL_ENVIRONMENT)?.text).toBe(document)
+})
+
 test('a change whose bytes are no UTF-8 or whose document has half of a surrogate pair is refused', async () => {
   const only = await cluster.start('a', { bootstrap: true })
   await waitUntil(() => cluster.leader())
