Refuse document files that are not UTF-8

Callers saw: `document check` and `document submit` took a file in another encoding, or with a cut character, with replacement characters in their place: what came into force was not what the file held.

Cause: the command line decoded the file without a check; the check of the operator API sees the replaced text only.

Fix: the bytes are checked before they are decoded; 108 file-not-utf8 names the first line. Log files for `explain` are decoded as before.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -120,6 +120,7 @@
     0,
     'No handler caught an error; the node continues unless it repeats.',
   ),
+  fileNotUtf8: code(108, 'file-not-utf8', 0, 'A file is not valid UTF-8; nothing was changed.'),
   stopForced: code(106, 'stop-forced', 0, 'A second signal ended the process during its shutdown.'),
 
   replicaSetBusy: code(110, 'replica-set-busy', 409, 'Another change of the replica set is in progress.'),
--- a/packages/cli/src/command-base.ts
+++ b/packages/cli/src/command-base.ts
@@ -61,8 +61,12 @@
 }
 
 export async function readTextFile(path: string): Promise<Result<string, Failure>> {
+  return (await readFileBytes(path)).map((bytes) => bytes.toString('utf8'))
+}
+
+export async function readFileBytes(path: string): Promise<Result<Buffer, Failure>> {
   try {
-    return ok(await readFile(path, 'utf8'))
+    return ok(await readFile(path))
   } catch (cause) {
     return err(failure('fileUnreadable', errorMessage(cause)))
   }
--- a/packages/cli/src/document-commands.ts
+++ b/packages/cli/src/document-commands.ts
@@ -1,10 +1,11 @@
 /** The `document` commands: check, submit, promote, show, status and history. */
+import { isUtf8 } from 'node:buffer'
 import { randomUUID } from 'node:crypto'
-import { failure, type Fault } from '@bilberrystall/base'
+import { failure, type Failure, type Fault } from '@bilberrystall/base'
 import { documentDigest, checkDocument } from '@bilberrystall/document'
 import { Command, Option } from 'clipanion'
 import { err, ok, type Result } from 'neverthrow'
-import { NodeCommand, OutputCommand, parseDurationOption, readTextFile } from './command-base'
+import { NodeCommand, OutputCommand, parseDurationOption, readFileBytes } from './command-base'
 import {
   environmentSchema,
   historySchema,
@@ -17,6 +18,7 @@
 
 const DOCUMENTS = 'Documents'
 const STATUS_POLL_INTERVAL_MS = 100
+const LINE_FEED = 0x0a
 
 export class DocumentCheck extends OutputCommand {
   static override paths = [['document', 'check']]
@@ -30,7 +32,7 @@
   file = Option.String({ name: 'document.ini' })
 
   override async execute(): Promise<number> {
-    const text = await readTextFile(this.file)
+    const text = await readDocumentFile(this.file)
     if (text.isErr()) return this.fail(text.error)
     const parsed = checkDocument(text.value)
     if (parsed.isErr()) return this.fail(invalidDocumentFailure(this.file, parsed.error))
@@ -104,7 +106,7 @@
   environment = Option.String('--environment', 'trial', { description: 'default is trial' })
 
   override async execute(): Promise<number> {
-    const text = await readTextFile(this.file)
+    const text = await readDocumentFile(this.file)
     if (text.isErr()) return this.fail(text.error)
     const parsed = checkDocument(text.value)
     if (parsed.isErr()) return this.fail(invalidDocumentFailure(this.file, parsed.error))
@@ -262,6 +264,28 @@
   return `accepted: ${environment} revision ${revision}, digest ${shortDigest(digest)}, change ${changeId}\n`
 }
 
+/** Refuses bytes that decoding would replace, because the document in force would differ from the file. */
+async function readDocumentFile(path: string): Promise<Result<string, Failure>> {
+  const bytes = await readFileBytes(path)
+  return bytes.andThen((content) => {
+    if (isUtf8(content)) return ok(content.toString('utf8'))
+    return err(
+      failure('fileNotUtf8', `${path}, line ${firstLineNotUtf8(content)}: not valid UTF-8; nothing was changed.`),
+    )
+  })
+}
+
+function firstLineNotUtf8(content: Buffer): number {
+  let line = 1
+  let start = 0
+  for (let end = content.indexOf(LINE_FEED); end >= 0; end = content.indexOf(LINE_FEED, start)) {
+    if (!isUtf8(content.subarray(start, end))) return line
+    line += 1
+    start = end + 1
+  }
+  return line
+}
+
 function invalidDocumentFailure(file: string, faults: readonly Fault[]): OperatorFailure {
   const cause = failure('documentInvalid', `${file} has ${faults.length} faults; nothing was changed.`)
   return { ...cause, problem: { code: 50, faults: [...faults] } }
--- a/packages/cli/test/local-commands.test.ts
+++ b/packages/cli/test/local-commands.test.ts
@@ -37,6 +37,21 @@
   )
 })
 
+/** Guards against a document that is put in force with replacement characters in place of the bytes in its file. */
+test.each([
+  ['é in Latin-1', Buffer.from([0xe9])],
+  ['half of a surrogate pair', Buffer.from([0xed, 0xa0, 0x80])],
+  ['a cut character', Buffer.from([0xc3])],
+])('a document file with %s is refused', async (_, bytes) => {
+  const file = join(harness.folder, 'document.ini')
+  await writeFile(file, Buffer.concat([Buffer.from('[document]\ntitle = a'), bytes, Buffer.from('\n')]))
+  for (const command of ['check', 'submit']) {
+    const result = await cli('document', command, file)
+    expect(result).toMatchObject({ status: 108, stdout: '' })
+    expect(result.stderr).toContain('line 2')
+  }
+})
+
 test('operator.keys does not contain the key', async () => {
   await cli('new', harness.folder)
   const key = (await readFile(join(harness.folder, 'operator.key'), 'utf8')).trim()
