Resume a paused response after the parsing of another one

A caller that sends requests behind each other lost two responses of sound servers: while it read a long response slowly, the response to the next request arrived, was cut off (response-truncated), and the long one stopped in the middle until its deadline (deadline-unknown), in a stop and at any other time.

Cause: when a response that waits for its turn is written, Node.js emits 'drain' for the one before it, at once and while undici parses the second one. The parsers of undici share their state, so that resuming the first one failed its assertion: the first one stayed paused, and the exception cut off the second one.

--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -155,7 +155,8 @@
     if (!this.paused) return
     this.paused = false
     this.progressAt = this.#now()
-    this.#controller?.resume()
+    // The parsers of undici share their state: one cannot be resumed while another one runs.
+    queueMicrotask(() => this.#controller?.resume())
   }
 
   /** Ends the exchange without an event and closes the connection, which also cancels the request at the server. */
