Break off a response without a reset of those before it

A caller that sends on lost a complete response when the server of the next one broke off: 4.5 to 6.4 of 16.8 MB arrived.

Cause: a response that breaks off destroyed the socket, in its turn but while the responses before it were still in the buffers of the operating system. Bytes of the caller that nobody reads reset the connection then.

CallerConnection now owns this end too. A response with a length or chunks is visibly incomplete, so that its connection is closed like any other: it is ended and reads on. One that ends with its connection must still be reset. Calls behind it are ended at once, as their responses cannot be sent.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -149,6 +149,26 @@
     })
   }
 
+  /**
+   * Breaks off a response whose head was written. Its caller sees that it ends early, as it has a length or chunks, and
+   * still gets the responses before it. Those behind it are not sent any more.
+   */
+  breakOff(response: ServerResponse): void {
+    this.stopAccepting()
+    if (!this.#responses.has(response)) return
+    const responses = [...this.#responses.keys()]
+    const rest = responses.slice(responses.indexOf(response))
+    if (response.socket !== null) this.#close()
+    // Node.js writes what it has of a response in the same turn, once the responses before it have ended.
+    else
+      response.once('socket', () => {
+        process.nextTick(() => {
+          this.#close()
+        })
+      })
+    for (const cut of rest) this.#onResponseClosed(cut)
+  }
+
   /** Closes the connection and waits until its caller has closed it as well. */
   #close(): void {
     if (this.#isLingering || this.#socket.destroyed) return
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -122,7 +122,12 @@
 
   /** Aborts the transfer, which the caller sees as a truncated response. */
   abort(): void {
+    const hasEnd = this.#head?.length !== undefined || this.#response.chunkedEncoding
     this.reset()
+    if (this.hasStarted && hasEnd) {
+      this.#connection.breakOff(this.#response)
+      return
+    }
     this.#connection.stopAccepting()
     this.#response.destroy()
   }
--- a/packages/entry/test/closing-caller.red.ts
+++ b/packages/entry/test/closing-caller.red.ts
@@ -3,25 +3,11 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect, test } from 'vitest'
-import { respond, startEntry, startFakeServer, waitUntil } from './harness'
-import { connectCaller, get, readWhileSending, statusesOf } from './support/raw-caller'
-import { LONG_BODY_BYTES } from './support/slow-caller'
+import { startEntry, startFakeServer, waitUntil } from './harness'
+import { connectCaller, get, statusesOf } from './support/raw-caller'
 
 const CHUNK_BYTES = 65_536
 
-test('a server that breaks off one response does not cost the caller the complete response before it', async () => {
-  const server = await startFakeServer((received) => {
-    if (received.head.startsWith('GET /read?1 ')) respond(received, 'x'.repeat(LONG_BODY_BYTES))
-    else if (received.head.startsWith('GET /read?2 ')) {
-      received.socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${LONG_BODY_BYTES}\r\n\r\n${'y'.repeat(200_000)}`)
-      setTimeout(() => received.socket.destroy(), 50)
-    } else respond(received, 'behind')
-  })
-  const { entry } = await startEntry([server])
-  const bytes = await readWhileSending(entry.port, get('/read?1') + get('/read?2'), get('/read?3'), 512 * 1024)
-  expect(bytes).toBeGreaterThan(LONG_BODY_BYTES)
-})
-
 test('a request behind a response that began before a stop is answered whole or not passed on', async () => {
   const server = await startFakeServer((received) => {
     if (received.head.startsWith('GET /read?1 ')) {
--- a/packages/entry/test/closing-caller.test.ts
+++ b/packages/entry/test/closing-caller.test.ts
@@ -109,6 +109,37 @@
   expect(await bytesAtSlowPace(get('/read?2'))).toBeGreaterThan(LONG_BODY_BYTES)
 }, 40_000)
 
+// The connection was destroyed as soon as the response to be broken off had its turn.
+test('a server that breaks off one response does not cost the caller the complete response before it', async () => {
+  const server = await startFakeServer((received) => {
+    if (received.head.startsWith('GET /read?1 ')) respond(received, 'x'.repeat(LONG_BODY_BYTES))
+    else if (received.head.startsWith('GET /read?2 ')) {
+      received.socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${LONG_BODY_BYTES}\r\n\r\n${'y'.repeat(200_000)}`)
+      setTimeout(() => received.socket.destroy(), 50)
+    } else respond(received, 'behind')
+  })
+  const { entry } = await startEntry([server])
+  const bytes = await readWhileSending(entry.port, get('/read?1') + get('/read?2'), get('/read?3'), 512 * 1024)
+  expect(bytes).toBeGreaterThan(LONG_BODY_BYTES)
+})
+
+test('a caller that reads nothing does not hold up a stop beyond the response that breaks off', async () => {
+  const server = await startFakeServer((received) => {
+    received.socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${2 * LONG_BODY_BYTES}\r\n\r\n`)
+    received.socket.write('x'.repeat(LONG_BODY_BYTES))
+  })
+  const { entry, results } = await startEntry([server])
+  const socket = connect(entry.port, '127.0.0.1')
+  onTestFinished(() => {
+    socket.destroy()
+  })
+  socket.pause().write('GET /brief HTTP/1.1\r\nhost: x\r\n\r\n')
+  await waitUntil(() => results.length === 1)
+  const start = performance.now()
+  expect(await entry.drain(10_000)).toBe(true)
+  expect(performance.now() - start).toBeLessThan(5_000)
+})
+
 test('a CONNECT behind a request does not cost the caller the response to that request', async () => {
   const server = await startFakeServer((received) => {
     setTimeout(() => {
