Accept no request behind another one once an entry has stopped to listen

A request behind a response that was begun before a stop was passed on in the last second of the stop, and answered 502 at its end although its server was at work.

Cause: such a response cannot announce the close any more, so that the connection accepted one request after the other for as long as the time that is left exceeded the usual latency.

A stop has two phases now. Until the entry stops to listen, and for what had arrived then, a request behind a response that cannot announce the close is accepted, and its own response does. After that none is accepted behind another one; the connection closes behind what is in progress, and callers send what was not accepted again.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -14,16 +14,24 @@
  */
 const LINGER_MS = 2_000
 
+export type StopPhase =
+  /** The entry accepts connections, and responses keep theirs open. */
+  | 'serving'
+  /** Responses announce the close of their connections. */
+  | 'announcing'
+  /** Connections close as soon as the requests that were accepted on them have their responses. */
+  | 'closing'
+
 export interface CallerConnectionOptions {
   readonly socket: Socket
-  readonly isDraining: () => boolean
+  readonly phase: () => StopPhase
   /** Monotonic milliseconds. */
   readonly now: () => number
 }
 
 export class CallerConnection {
   readonly #socket: Socket
-  readonly #isDraining: () => boolean
+  readonly #phase: () => StopPhase
   readonly #now: () => number
   /** Responses that were not sent completely yet, in the order of their requests, with who waits for their end. */
   readonly #responses = new Map<ServerResponse, (() => void)[]>()
@@ -34,9 +42,9 @@
   /** Monotonic time in ms until which callers wait for their responses. */
   #awaitedUntil = Number.NEGATIVE_INFINITY
 
-  constructor({ socket, isDraining, now }: CallerConnectionOptions) {
+  constructor({ socket, phase, now }: CallerConnectionOptions) {
     this.#socket = socket
-    this.#isDraining = isDraining
+    this.#phase = phase
     this.#now = now
     // Node.js calls it behind a response that closes the connection.
     socket.destroySoon = () => {
@@ -50,7 +58,7 @@
 
   /** Returns false for a request that must not be handled, because the connection closes before its response. */
   accept(response: ServerResponse): boolean {
-    if (this.#canAnnounceClose) this.stopAccepting()
+    if (this.#closesBehindLast) this.stopAccepting()
     if (!this.#acceptsRequests || this.#socket.destroyed) {
       this.#discardInput()
       return false
@@ -64,11 +72,19 @@
   }
 
   /**
-   * Whether a drain can end the connection behind the requests in progress. A caller that always has several in progress
-   * would otherwise keep it open.
+   * Whether the connection closes behind the requests in progress. A caller that always has several in progress would
+   * otherwise keep it open. While the close can still be announced later, a response that could not do so any more does
+   * not end the connection.
    */
-  get #canAnnounceClose(): boolean {
-    return this.#isDraining() && this.#last?.headersSent === false && this.#responses.has(this.#last)
+  get #closesBehindLast(): boolean {
+    switch (this.#phase()) {
+      case 'serving':
+        return false
+      case 'announcing':
+        return this.#last?.headersSent === false && this.#responses.has(this.#last)
+      case 'closing':
+        return this.#responses.size > 0
+    }
   }
 
   /** Number of requests whose responses were not sent completely yet. */
@@ -110,7 +126,7 @@
    */
   closesBehind(response: ServerResponse, isBodyReceived: boolean): boolean {
     const isLast = this.#last === response
-    const closes = !isBodyReceived || (isLast && (this.#isDraining() || !this.#acceptsRequests))
+    const closes = !isBodyReceived || (isLast && (this.#phase() !== 'serving' || !this.#acceptsRequests))
     if (closes) this.stopAccepting()
     return closes
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -20,7 +20,7 @@
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
-import { CallerConnection } from './caller-connection'
+import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
 import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
@@ -70,6 +70,8 @@
   #callSweep: NodeJS.Timeout | undefined
   /** Monotonic time in ms at which a planned stop began. */
   #stopStartedAt: number | undefined
+  /** Whether a planned stop has read what had arrived when it stopped listening. */
+  #isClosing = false
   /** Monotonic time in ms at which a planned stop ends the calls in flight. */
   #endsAt = Number.POSITIVE_INFINITY
 
@@ -129,6 +131,11 @@
     return this.#calls.size
   }
 
+  get #phase(): StopPhase {
+    if (this.#isClosing) return 'closing'
+    return this.#stopStartedAt === undefined ? 'serving' : 'announcing'
+  }
+
   /** Port of the listener for calls of other entries. */
   get relayPort(): number {
     return (this.#relayHttp?.address() as AddressInfo | null | undefined)?.port ?? 0
@@ -200,6 +207,7 @@
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining(timeoutMs)
     await readArrived()
+    this.#isClosing = true
     this.#closeIdleConnections((server) => server.close())
     const start = this.#clock.monotonic()
     for (;;) {
@@ -371,11 +379,7 @@
   #callerConnection(socket: Socket): CallerConnection {
     const known = this.#callerConnections.get(socket)
     if (known !== undefined) return known
-    const connection = new CallerConnection({
-      socket,
-      isDraining: () => this.#stopStartedAt !== undefined,
-      now: this.#clock.monotonic,
-    })
+    const connection = new CallerConnection({ socket, phase: () => this.#phase, now: this.#clock.monotonic })
     this.#callerConnections.set(socket, connection)
     socket.once('close', () => this.#callerConnections.delete(socket))
     return connection
