--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -9,24 +9,43 @@
 import { respondToParseError } from './parse-error'
 
 /**
- * Time in which a closed connection still reads what its caller sends. Closing a socket with unread bytes resets the
- * connection, and a reset discards the responses that the caller has not received.
+ * Time for which a closed connection waits for its caller, which sends nothing, to close it as well. Closing a socket
+ * with unread bytes resets the connection, and a reset discards the responses that the caller has not received.
  */
 const LINGER_MS = 2_000
 
+export type StopPhase =
+  /** The entry accepts connections, and responses keep theirs open. */
+  | 'serving'
+  /** Responses announce the close of their connections. */
+  | 'announcing'
+  /** Connections close as soon as the requests that were accepted on them have their responses. */
+  | 'closing'
+
+export interface CallerConnectionOptions {
+  readonly socket: Socket
+  readonly phase: () => StopPhase
+  /** Monotonic milliseconds. */
+  readonly now: () => number
+}
+
 export class CallerConnection {
   readonly #socket: Socket
-  readonly #isDraining: () => boolean
+  readonly #phase: () => StopPhase
+  readonly #now: () => number
   /** Responses that were not sent completely yet, in the order of their requests, with who waits for their end. */
   readonly #responses = new Map<ServerResponse, (() => void)[]>()
   #last: ServerResponse | undefined
   #acceptsRequests = true
   #isLingering = false
   #isDiscarding = false
+  /** Monotonic time in ms until which callers wait for their responses. */
+  #awaitedUntil = Number.NEGATIVE_INFINITY
 
-  constructor(socket: Socket, isDraining: () => boolean) {
+  constructor({ socket, phase, now }: CallerConnectionOptions) {
     this.#socket = socket
-    this.#isDraining = isDraining
+    this.#phase = phase
+    this.#now = now
     // Node.js calls it behind a response that closes the connection.
     socket.destroySoon = () => {
       this.#close()
@@ -39,7 +58,7 @@
 
   /** Returns false for a request that must not be handled, because the connection closes before its response. */
   accept(response: ServerResponse): boolean {
-    if (this.#canAnnounceClose) this.stopAccepting()
+    if (this.#closesBehindLast) this.stopAccepting()
     if (!this.#acceptsRequests || this.#socket.destroyed) {
       this.#discardInput()
       return false
@@ -53,11 +72,19 @@
   }
 
   /**
-   * Whether a drain can end the connection behind the requests in progress. A caller that always has several in progress
-   * would otherwise keep it open.
+   * Whether the connection closes behind the requests in progress. A caller that always has several in progress would
+   * otherwise keep it open. While the close can still be announced later, a response that could not do so any more does
+   * not end the connection.
    */
-  get #canAnnounceClose(): boolean {
-    return this.#isDraining() && this.#last?.headersSent === false && this.#responses.has(this.#last)
+  get #closesBehindLast(): boolean {
+    switch (this.#phase()) {
+      case 'serving':
+        return false
+      case 'announcing':
+        return this.#last?.headersSent === false && this.#responses.has(this.#last)
+      case 'closing':
+        return this.#responses.size > 0
+    }
   }
 
   /** Number of requests whose responses were not sent completely yet. */
@@ -80,6 +107,11 @@
     this.#responses.get(response)?.push(listener)
   }
 
+  /** The caller waits for a response until `deadline`, in monotonic ms. */
+  awaitUntil(deadline: number): void {
+    this.#awaitedUntil = Math.max(this.#awaitedUntil, deadline)
+  }
+
   #onResponseClosed(response: ServerResponse): void {
     const listeners = this.#responses.get(response) ?? []
     this.#responses.delete(response)
@@ -94,7 +126,7 @@
    */
   closesBehind(response: ServerResponse, isBodyReceived: boolean): boolean {
     const isLast = this.#last === response
-    const closes = !isBodyReceived || (isLast && (this.#isDraining() || !this.#acceptsRequests))
+    const closes = !isBodyReceived || (isLast && (this.#phase() !== 'serving' || !this.#acceptsRequests))
     if (closes) this.stopAccepting()
     return closes
   }
@@ -124,22 +156,54 @@
   #discardInput(): void {
     if (this.#isDiscarding) return
     this.#isDiscarding = true
-    this.#socket.resume()
-    // The parser may be running now, and Node.js has to resume the socket before the parser is detached.
-    process.nextTick(() => this.#socket.removeAllListeners('data').on('data', () => undefined))
+    // The parser may be running now.
+    process.nextTick(() => {
+      this.#socket.removeAllListeners('data').on('data', () => undefined)
+      this.#socket.resume()
+      // Node.js may have stopped to read because much is to be sent, and then starts only for a parser to read again.
+      this.#socket.push('')
+    })
+  }
+
+  /**
+   * Breaks off a response whose head was written. Its caller sees that it ends early, as it has a length or chunks, and
+   * still gets the responses before it. Those behind it are not sent any more.
+   */
+  breakOff(response: ServerResponse): void {
+    this.stopAccepting()
+    if (!this.#responses.has(response)) return
+    const responses = [...this.#responses.keys()]
+    const rest = responses.slice(responses.indexOf(response))
+    if (response.socket !== null) this.#close()
+    // Node.js writes what it has of a response in the same turn, once the responses before it have ended.
+    else
+      response.once('socket', () => {
+        process.nextTick(() => {
+          this.#close()
+        })
+      })
+    for (const cut of rest) this.#onResponseClosed(cut)
   }
 
+  /** Closes the connection and waits until its caller has closed it as well. */
   #close(): void {
     if (this.#isLingering || this.#socket.destroyed) return
     this.#isLingering = true
     this.stopAccepting()
     this.#discardInput()
+    const destroy = () => this.#socket.destroy()
+    const awaitedMs = this.#awaitedUntil - this.#now()
+    const limit = setTimeout(destroy, Math.max(LINGER_MS, awaitedMs))
+    let silence: NodeJS.Timeout | undefined
+    this.#socket.once('close', () => {
+      clearTimeout(limit)
+      clearTimeout(silence)
+    })
     this.#socket.end(() => {
       if (this.#socket.destroyed) return
-      const linger = setTimeout(() => this.#socket.destroy(), LINGER_MS)
-      this.#socket.once('close', () => {
-        clearTimeout(linger)
-      })
+      silence = setTimeout(destroy, LINGER_MS)
+      // A caller that sends on may still read its responses.
+      this.#socket.on('data', () => silence?.refresh())
     })
   }
 }
