Find requests for which a process goes back to an older version

Besides requests that run as only a superseded version allows, `route-runs` finds those that do so after a newer version was seen in force at the same process. The mover records moves without an acknowledgement, which may be in force, and sends a change to another node after the 4 s within which one acknowledges it.

--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -24,8 +24,8 @@
 const REMAINING_ABSTENTION_MS = 2500
 const MAX_REPORTED_LINES = 10
 const API_TIMEOUT_MS = 1000
-/** Longer than a node takes to answer that a change may or may not be in force. */
-const CHANGE_TIMEOUT_MS = 11_000
+/** Time within which a change is acknowledged; operators try another node after it. */
+const CHANGE_TIMEOUT_MS = 4000
 
 export interface NodeOptions {
   readonly name: string
--- a/packages/testkit/src/route-mover.ts
+++ b/packages/testkit/src/route-mover.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Cluster, ClusterNode, FakeServerProcess } from './cluster'
 import { sendCall } from './load'
-import type { RouteMove, RouteRun } from './superseded-runs'
+import type { RouteMove, RouteRun } from './route-runs'
 import { APPOINTMENT_HOST, workloadDocument } from './workloads'
 
 const PATH = '/moving'
@@ -24,22 +24,23 @@
   return [workloadDocument(title), ...services, '[route.moving]', ...route].join('\n')
 }
 
-type SentCall = Omit<RouteRun, 'service'>
+type SentCall = { -readonly [Key in Exclude<keyof RouteRun, 'service'>]: RouteRun[Key] }
+type Move = { -readonly [Key in keyof RouteMove]: RouteMove[Key] }
 
 export class RouteMover {
-  /** Moves in the order of their responses; the first is that of the document in force at the start. */
+  /** All changes that may be in force; the first is that of the document in force at the start. */
   readonly moves: RouteMove[]
   readonly #cluster: Cluster
   readonly #servers: readonly FakeServerProcess[]
   readonly #calls: SentCall[] = []
-  readonly #stopCalling = new AbortController()
+  readonly #stopped = new AbortController()
   #position = 0
   #base = 1
 
   private constructor(cluster: Cluster, servers: readonly FakeServerProcess[]) {
     this.#cluster = cluster
     this.#servers = servers
-    this.moves = [{ base: 0, service: SERVICES[0] ?? '', acknowledgedAt: performance.now() }]
+    this.moves = [{ base: 0, service: this.service, acknowledgedAt: performance.now() }]
   }
 
   /** Starts the servers. The first document of the cluster, with `movingDocument`, must be in force. */
@@ -50,42 +51,35 @@
     return mover
   }
 
-  /** Sends calls on the route to every entry until `stopCalling`. */
+  /** Service that the last move names. */
+  get service(): string {
+    return SERVICES[this.#position % SERVICES.length] ?? ''
+  }
+
+  /** Sends calls on the route to every entry until `stop`. */
   startCalling(): void {
     for (const entry of this.#cluster.entries) void this.#callPeriodically(entry)
   }
 
-  stopCalling(): void {
-    this.#stopCalling.abort()
+  /** Ends the calls, and a move that is not acknowledged. */
+  stop(): void {
+    this.#stopped.abort()
   }
 
   /**
    * Moves the route to the next service. Without a response the same change is sent to the next node, until one
-   * acknowledges it. Returns the time of the acknowledgement.
+   * acknowledges it. Returns the time of the acknowledgement, undefined if it was stopped before.
    */
-  async move(nodes: readonly ClusterNode[]): Promise<number> {
+  async move(nodes: readonly ClusterNode[]): Promise<number | undefined> {
     this.#position += 1
-    const service = SERVICES[this.#position % SERVICES.length] ?? ''
-    const document = movingDocument('moving', service)
-    let changeId: string = randomUUID()
-    for (let attempt = 0; ; attempt += 1) {
-      const node = nodes[attempt % nodes.length]
-      if (node === undefined) throw new Error('a move needs a control node')
-      const change = { kind: 'submit', changeId, environment: 'production', baseRevision: this.#base, document }
-      const response = await this.#cluster.postChange(node, change)
-      if (response?.status === 200) {
-        const acknowledgedAt = performance.now()
-        this.moves.push({ base: this.#base, service, acknowledgedAt })
-        this.#base += 1
-        return acknowledgedAt
-      }
-      if (response?.currentRevision === undefined) {
-        await sleep(RETRY_DELAY_MS)
-        continue
-      }
+    for (;;) {
+      const move: Move = { base: this.#base, service: this.service, acknowledgedAt: undefined }
+      this.moves.push(move)
+      const currentRevision = await this.#submit(move, nodes)
+      if (currentRevision === undefined) return move.acknowledgedAt
       // Another operator was first.
-      this.#base = response.currentRevision
-      changeId = randomUUID()
+      this.moves.splice(this.moves.indexOf(move), 1)
+      this.#base = currentRevision
     }
   }
 
@@ -100,12 +94,44 @@
     )
   }
 
+  /** Sends the change until it is acknowledged; returns the current revision if it was refused. */
+  async #submit(move: Move, nodes: readonly ClusterNode[]): Promise<number | undefined> {
+    const { base, service } = move
+    const document = movingDocument('moving', service)
+    const change = { kind: 'submit', changeId: randomUUID(), environment: 'production', baseRevision: base, document }
+    for (let attempt = 0; !this.#stopped.signal.aborted; attempt += 1) {
+      const node = nodes[attempt % nodes.length]
+      const response = node === undefined ? undefined : await this.#cluster.postChange(node, change)
+      if (response?.status === 200) {
+        move.acknowledgedAt = performance.now()
+        this.#base = base + 1
+        return undefined
+      }
+      if (response?.currentRevision !== undefined) return response.currentRevision
+      await sleep(RETRY_DELAY_MS)
+    }
+    return undefined
+  }
+
   async #callPeriodically(entry: ClusterNode): Promise<void> {
-    while (!this.#stopCalling.signal.aborted) {
-      const requestId = randomUUID()
-      this.#calls.push({ requestId, entry: entry.name, sentAt: performance.now() })
-      void sendCall(entry.addresses.callers, { method: 'GET', host: APPOINTMENT_HOST, path: PATH, requestId })
+    while (!this.#stopped.signal.aborted) {
+      void this.#call(entry)
       await sleep(CALL_INTERVAL_MS)
     }
   }
+
+  async #call(entry: ClusterNode): Promise<void> {
+    const { name, addresses, runningProcess } = entry
+    const process = `${name} pid ${runningProcess.pid}`
+    const call = { requestId: randomUUID(), entry: name, process, sentAt: performance.now(), endedAt: Infinity }
+    this.#calls.push(call)
+    const { requestId } = call
+    const { status } = await sendCall(addresses.callers, {
+      method: 'GET',
+      host: APPOINTMENT_HOST,
+      path: PATH,
+      requestId,
+    })
+    if (status > 0) call.endedAt = performance.now()
+  }
 }
--- a/packages/testkit/test/session/acknowledged-change.red.ts
+++ b/packages/testkit/test/session/acknowledged-change.red.ts
@@ -35,12 +35,13 @@
   }
   await mover.move(cluster.controls)
   await sleep(APPLY_MS)
-  mover.stopCalling()
+  mover.stop()
   const runs = await mover.readRuns()
+  const superseded = findSupersededRuns({ moves: mover.moves, runs, applyMs: APPLY_MS })
   const ranEverywhere = new Set(runs.map(({ entry }) => entry)).size === cluster.entries.length
   expect({
     ranEverywhere,
-    superseded: summarise(findSupersededRuns(mover.moves, runs, APPLY_MS), runs.length),
+    superseded: summarise(superseded, runs.length),
   }).toEqual({
     ranEverywhere: true,
     superseded: `0 of ${runs.length}`,
--- a/packages/testkit/test/session/acknowledgement-time.test.ts
+++ b/packages/testkit/test/session/acknowledgement-time.test.ts
@@ -46,7 +46,7 @@
   const durations: number[] = []
   for (let move = 0; move < MOVES; move += 1) {
     const sentAt = performance.now()
-    durations.push((await mover.move(cluster.controls)) - sentAt)
+    durations.push(((await mover.move(cluster.controls)) ?? Infinity) - sentAt)
   }
   expect(Math.max(...durations)).toBeLessThan(ACKNOWLEDGEMENT_LIMIT_MS)
 })
