Move a route in the soak, and check what runs against the acknowledged versions

An operator now moves a route in series while kills, freezes, isolations, planned stops and SIGHUP overlap, and all control nodes are killed right after an acknowledgement where one comes within 0.5 s. Two invariants: a request sent later than 2 s after an acknowledgement is not run as only an older version allows, and a version seen in force at a process is not followed there by an older one. The first one excuses entries that a fault affected in the last 3 s, and entries that one affected when the change was acknowledged while control was affected in the last 3 s.

Races and moves take turns, as a move between the read and the submit of a race would refuse both of its changes.

--- a/packages/testkit/src/soak/invariants.ts
+++ b/packages/testkit/src/soak/invariants.ts
@@ -2,6 +2,14 @@
 import type { CallResult } from '../load'
 import type { Exchange } from '../pipelining-caller'
 import { findBrokenOff, findWrong } from '../planned-stop-losses'
+import { findRevertedRuns, findSupersededRuns, type RouteMove, type RouteRun } from '../route-runs'
+
+/** Time after its acknowledgement at which a change must be in force at every entry. */
+const APPLY_MS = 2000
+/** Time after a fault for which nodes need not meet time bounds. */
+const STABILITY_MS = 3000
+/** Time after the response to a request in which another request may still have an older version of the document. */
+const REVERT_SLACK_MS = 250
 
 export interface SoakCall {
   readonly result: CallResult
@@ -22,6 +30,21 @@
   readonly overlapsOtherFault: boolean
 }
 
+/** Time in which a fault affected a node, in ms. */
+export interface Disturbance {
+  readonly node: string
+  readonly from: number
+  readonly until: number
+}
+
+/** Observations on the route that moves between services, with monotonic times. */
+export interface RouteObservations {
+  readonly moves: readonly RouteMove[]
+  readonly runs: readonly RouteRun[]
+  readonly disturbances: readonly Disturbance[]
+  readonly controls: readonly string[]
+}
+
 export interface SoakObservations {
   readonly calls: readonly SoakCall[]
   /** Exchanges on kept connections, with names of entries and times in ms after the start of the run. */
@@ -34,6 +57,7 @@
   readonly reportedRevisions: ReadonlyMap<string, readonly number[]>
   readonly finalRevision: number
   readonly plannedStops: readonly PlannedStop[]
+  readonly route: RouteObservations
 }
 
 /** Returns a description of each violation; empty if all invariants hold. */
@@ -44,9 +68,50 @@
     ...checkRevisions(observations),
     ...[...observations.reportedRevisions].flatMap(([process, revisions]) => checkRevisionOrder(process, revisions)),
     ...observations.plannedStops.flatMap((stop) => checkPlannedStop(observations, stop)),
+    ...checkRoute(observations.route),
   ]
 }
 
+function checkRoute({ moves, runs, disturbances, controls }: RouteObservations): readonly string[] {
+  const isCalm = (nodes: readonly string[], from: number, until: number) =>
+    disturbances.every((each) => !nodes.includes(each.node) || each.until < from || each.from > until)
+  const superseded = findSupersededRuns({
+    moves,
+    runs,
+    applyMs: APPLY_MS,
+    // An entry that was affected while a change was acknowledged learns of it only while control is stable.
+    isExcused: ({ entry, sentAt, endedAt }, acknowledgedAt) =>
+      !isCalm([entry], acknowledgedAt - STABILITY_MS, endedAt) &&
+      !isCalm([entry, ...controls], sentAt - STABILITY_MS, endedAt),
+  })
+  const reverted = findRevertedRuns(moves, runs, REVERT_SLACK_MS)
+  return [
+    ...groupBy(superseded, ({ process, service, revision }) => [process, service, revision].join()).map(
+      ([first, ...rest]) => {
+        const { requestId, process, service, revision, sentAfterMs } = first
+        const latestMs = Math.round((rest.at(-1) ?? first).sentAfterMs)
+        return `${rest.length + 1} requests ran at ${service} ${Math.round(sentAfterMs)} to ${latestMs} ms after revision ${revision}, which supersedes it, was acknowledged (${process}, first ${requestId})`
+      },
+    ),
+    ...groupBy(reverted, ({ process, service, revision }) => [process, service, revision].join()).map(
+      ([first, ...rest]) => {
+        const { requestId, process, service, revision } = first
+        return `${rest.length + 1} requests ran at ${service} although revision ${revision} had been in force at ${process} (first ${requestId})`
+      },
+    ),
+  ]
+}
+
+function groupBy<Run>(runs: readonly Run[], keyOf: (run: Run) => string): readonly (readonly [Run, ...Run[]])[] {
+  const groups = new Map<string, [Run, ...Run[]]>()
+  for (const run of runs) {
+    const group = groups.get(keyOf(run))
+    if (group === undefined) groups.set(keyOf(run), [run])
+    else group.push(run)
+  }
+  return [...groups.values()]
+}
+
 function checkCall({ executions }: SoakObservations, { result, repeatable }: SoakCall): readonly string[] {
   const { requestId, outcome } = result
   const executionCount = executions.get(requestId) ?? 0
--- a/packages/testkit/src/soak/main.ts
+++ b/packages/testkit/src/soak/main.ts
@@ -10,10 +10,12 @@
 for (const seed of seeds) {
   const harness = await Harness.create()
   try {
-    const { faults, calls, exchanges, stopsMs, acceptedChanges, violations } = await runSoak(harness, seed)
+    const { faults, calls, exchanges, stopsMs, acceptedChanges, acknowledgedMoves, routeRuns, violations } =
+      await runSoak(harness, seed)
     const verdict = violations.length === 0 ? 'passed' : 'FAILED'
     process.stdout.write(
-      `seed ${seed}: ${verdict}; ${faults.length} faults, ${acceptedChanges} accepted changes, ${JSON.stringify(calls)}, ` +
+      `seed ${seed}: ${verdict}; ${faults.length} faults, ${acceptedChanges} accepted changes, ` +
+        `${acknowledgedMoves} moves, ${routeRuns} requests on the route, ${JSON.stringify(calls)}, ` +
         `on kept connections ${JSON.stringify(exchanges)}, planned stops of ${stopsMs.join(', ')} ms\n`,
     )
     for (const violation of violations) process.stdout.write(`  ${violation}\n`)
--- a/packages/testkit/src/soak/schedule.ts
+++ b/packages/testkit/src/soak/schedule.ts
@@ -13,11 +13,16 @@
     }
   /** SIGTERM followed by a new start; no call may be aborted. */
   | { readonly kind: 'planned-stop'; readonly startMs: number; readonly node: string }
+  /** All control nodes are killed, right after a change was acknowledged if one is in time. */
   | { readonly kind: 'kill-all-control'; readonly startMs: number; readonly durationMs: number }
   /** Planned stops of all entries, each as soon as the one before is back; no request may be broken off. */
   | { readonly kind: 'stop-series'; readonly startMs: number }
   /** A server stops for a while with open connections and then goes on. */
   | { readonly kind: 'pause-server'; readonly startMs: number; readonly durationMs: number; readonly server: string }
+  /** An operator moves a route to another service. */
+  | { readonly kind: 'move'; readonly startMs: number }
+  /** SIGHUP to a node that runs. */
+  | { readonly kind: 'reload'; readonly startMs: number; readonly node: string }
   /** Two operators submit changes with the same base revision at the same time. */
   | { readonly kind: 'race'; readonly startMs: number }
 
@@ -39,11 +44,37 @@
 const MAX_SERIES_START_MS = 4000
 const MAX_SERVER_PAUSE_MS = 2400
 const MEAN_SERVER_PAUSE_INTERVAL_MS = 700
+const MEAN_MOVE_INTERVAL_MS = 700
+const MEAN_RELOAD_INTERVAL_MS = 1500
 /** Added to the seed of these faults, whose number must not change the other ones of a seed. */
 const SERIES_SEED = 0x51f7
+const MOVE_SEED = 0x3d0e
+const RELOAD_SEED = 0x2b91
 
 export function drawSchedule(options: ScheduleOptions): readonly SoakFault[] {
-  return [...drawOverlapping(options), ...drawSeries(options)]
+  return [...drawOverlapping(options), ...drawSeries(options), ...drawMoves(options), ...drawReloads(options)]
+}
+
+function drawMoves({ seed, loadDurationMs }: ScheduleOptions): readonly SoakFault[] {
+  const random = seededRandom(seed + MOVE_SEED)
+  return drawTimes(random, MEAN_MOVE_INTERVAL_MS, loadDurationMs).map((startMs) => ({ kind: 'move', startMs }))
+}
+
+function drawReloads({ seed, loadDurationMs, entries }: ScheduleOptions): readonly SoakFault[] {
+  const random = seededRandom(seed + RELOAD_SEED)
+  return drawTimes(random, MEAN_RELOAD_INTERVAL_MS, loadDurationMs).map((startMs) => ({
+    kind: 'reload',
+    startMs,
+    node: pickRandom(random, entries),
+  }))
+}
+
+function drawTimes(random: RandomSource, meanIntervalMs: number, endMs: number): readonly number[] {
+  const times: number[] = []
+  for (let at = randomInt(random, 2 * meanIntervalMs); at < endMs; at += randomInt(random, 2 * meanIntervalMs)) {
+    times.push(at)
+  }
+  return times
 }
 
 /** One series of planned stops, and pauses of servers during the whole load. */
--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -5,12 +5,14 @@
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { RESULT_CODES } from '@bilberrystall/base'
 import { Cluster, type ClusterNode, type NodeOptions, type FakeServerProcess } from '../cluster'
 import { sendCall, type Call } from '../load'
 import type { Exchange } from '../pipelining-caller'
 import type { Harness } from '../processes'
-import { APPOINTMENT_HOST, workloadDocument } from '../workloads'
-import { findViolations, type PlannedStop, type SoakCall } from './invariants'
+import { movingDocument, RouteMover } from '../route-mover'
+import { APPOINTMENT_HOST } from '../workloads'
+import { findViolations, type Disturbance, type PlannedStop, type SoakCall } from './invariants'
 import { KeptConnections } from './kept-connections'
 import { drawSchedule, type SoakFault } from './schedule'
 
@@ -21,6 +23,8 @@
 const CALL_COMPLETION_TIMEOUT_MS = 10_000
 /** Time for all nodes to recover after the faults: the limit for a change to be in force while a leader is lost. */
 const RECOVERY_TIMEOUT_MS = 11_000
+/** Longest wait for an acknowledgement before control nodes are killed. */
+const MAX_KILL_DELAY_MS = 500
 /** Number of fake servers of each service. */
 const SERVER_COUNTS = { calendar: 3, booking: 3 } as const
 
@@ -45,7 +49,11 @@
   readonly exchanges: Readonly<Record<string, number>>
   /** Duration of each planned stop in ms. */
   readonly stopsMs: readonly number[]
+  /** Changes of the operators that race each other. */
   readonly acceptedChanges: number
+  readonly acknowledgedMoves: number
+  /** Requests that ran on the route that moves. */
+  readonly routeRuns: number
   readonly violations: readonly string[]
 }
 
@@ -54,10 +62,10 @@
   await cluster.add(...NODES)
   await cluster.startAll()
   await cluster.waitUntilAllJoined()
-  await cluster.putInForce('production', workloadDocument())
+  await cluster.putInForce('production', movingDocument())
   await Promise.all(cluster.entries.map((entry) => entry.waitUntilHealthy()))
   const servers = await startServers(cluster)
-  return new Soak(cluster, servers, seed).run()
+  return new Soak(cluster, servers, await RouteMover.start(cluster, servers.length), seed).run()
 }
 
 async function startServers(cluster: Cluster): Promise<readonly FakeServerProcess[]> {
@@ -72,21 +80,27 @@
 class Soak {
   readonly #cluster: Cluster
   readonly #servers: readonly FakeServerProcess[]
+  readonly #mover: RouteMover
   readonly #seed: number
   readonly #startedAt = performance.now()
   readonly #calls: SoakCall[] = []
-  readonly #acceptedRevisions: number[] = []
   readonly #reportedRevisions = new Map<string, number[]>()
   readonly #plannedStops: { -readonly [Key in keyof PlannedStop]: PlannedStop[Key] }[] = []
   /** Nodes that a fault stopped, paused or isolated and that have not recovered; further faults skip them. */
   readonly #faultyNodes = new Set<string>()
+  readonly #disturbances: { -readonly [Key in keyof Disturbance]: Disturbance[Key] }[] = []
   readonly #pausedServers = new Set<string>()
+  /** Settles when the operators have no more changes to submit. */
+  #operating = Promise.resolve()
+  #operatorQueue = 0
+  #acceptedChanges = 0
   #conflictCount = 0
   #finished = false
 
-  constructor(cluster: Cluster, servers: readonly FakeServerProcess[], seed: number) {
+  constructor(cluster: Cluster, servers: readonly FakeServerProcess[], mover: RouteMover, seed: number) {
     this.#cluster = cluster
     this.#servers = servers
+    this.#mover = mover
     this.#seed = seed
   }
 
@@ -102,23 +116,28 @@
     }
     const faults = drawSchedule(options)
     const polling = this.#pollRevisions()
-    const load = this.#runLoad()
-    const exchanging = this.#runKeptConnections()
-    await Promise.all(faults.map((fault) => this.#inject(fault)))
-    await load
-    const exchanges = await exchanging
+    this.#mover.startCalling()
+    const load = this.#runLoad().finally(() => {
+      this.#mover.stop()
+    })
+    const injecting = faults.map((fault) => this.#inject(fault))
+    const [exchanges] = await Promise.all([this.#runKeptConnections(), load, ...injecting])
     this.#cluster.network.heal()
     const finalRevision = await this.#waitForRecovery()
     this.#finished = true
     await polling
+    const { moves } = this.#mover
+    const runs = await this.#mover.readRuns()
+    const acknowledged = moves.filter(({ acknowledgedAt }) => acknowledgedAt !== undefined)
     const violations = findViolations({
       calls: this.#calls,
       exchanges,
       executions: await this.#countExecutions(),
-      acceptedRevisions: this.#acceptedRevisions,
+      acceptedRevisions: acknowledged.map(({ base }) => base + 1),
       reportedRevisions: this.#reportedRevisions,
       finalRevision,
       plannedStops: this.#plannedStops,
+      route: { moves, runs, disturbances: this.#disturbances, controls: namesOf(controls) },
     })
     return {
       seed: this.#seed,
@@ -126,7 +145,9 @@
       calls: countBy(this.#calls.map(({ result }) => result.outcome)),
       exchanges: countBy(exchanges.map(({ end, status }) => (end === 'answered' ? String(status) : end))),
       stopsMs: this.#plannedStops.map(({ from, until }) => Math.round(until - from)),
-      acceptedChanges: this.#acceptedRevisions.length,
+      acceptedChanges: this.#acceptedChanges,
+      acknowledgedMoves: acknowledged.length - this.#acceptedChanges - 1,
+      routeRuns: runs.length,
       violations,
     }
   }
@@ -165,11 +186,18 @@
     await sleep(fault.startMs)
     switch (fault.kind) {
       case 'race':
-        await this.#submitConflictingChanges()
+        await this.#whenOperatorIsFree(() => this.#submitConflictingChanges())
         return
       case 'kill-all-control':
+        await Promise.race([this.#move(), sleep(MAX_KILL_DELAY_MS)])
         await this.#killAllControl(fault.durationMs)
         return
+      case 'move':
+        if (this.#operatorQueue === 0) await this.#move()
+        return
+      case 'reload':
+        await this.#withUnaffectedNode(fault.node, async (node) => this.#reload(node), false)
+        return
       case 'planned-stop':
         await this.#withUnaffectedNode(fault.node, (node) => this.#stopAndRestart(node))
         return
@@ -203,6 +231,25 @@
     }
   }
 
+  async #move(): Promise<void> {
+    await this.#whenOperatorIsFree(async () => {
+      await this.#mover.move(this.#cluster.controls)
+    })
+  }
+
+  /** Lets moves and races take turns: a move would make both changes of a race conflict with it. */
+  async #whenOperatorIsFree(act: () => Promise<void>): Promise<void> {
+    const before = this.#operating
+    this.#operatorQueue += 1
+    this.#operating = before.then(act).finally(() => (this.#operatorQueue -= 1))
+    await this.#operating
+  }
+
+  /** SIGHUP ends a process that is still starting. */
+  async #reload(node: ClusterNode): Promise<void> {
+    if ((await node.health()).status === 200) node.runningProcess.signal('SIGHUP')
+  }
+
   async #pauseServer(name: string, durationMs: number): Promise<void> {
     if (this.#pausedServers.has(name)) return
     this.#pausedServers.add(name)
@@ -214,10 +261,17 @@
   }
 
   /** Injects a fault into a node unless another fault still affects it. */
-  async #withUnaffectedNode(name: string, inject: (node: ClusterNode) => Promise<void>): Promise<void> {
+  async #withUnaffectedNode(
+    name: string,
+    inject: (node: ClusterNode) => Promise<void>,
+    disturbs = true,
+  ): Promise<void> {
     if (this.#faultyNodes.has(name)) return
     this.#faultyNodes.add(name)
+    const disturbance = { node: name, from: performance.now(), until: Infinity }
+    if (disturbs) this.#disturbances.push(disturbance)
     await inject(this.#cluster.node(name))
+    disturbance.until = performance.now()
     this.#faultyNodes.delete(name)
   }
 
@@ -253,10 +307,18 @@
 
   async #submit(title: string, base: number): Promise<void> {
     const file = `${title}.ini`
-    await writeFile(join(this.#cluster.harness.folder, file), workloadDocument(title))
+    const { service, moves } = this.#mover
+    await writeFile(join(this.#cluster.harness.folder, file), movingDocument(title, service))
     const target = ['--environment', 'production', '--base', String(base), '--json']
     const result = await this.#cluster.runCommand(['document', 'submit', file, ...target])
-    if (result.status === 0) this.#acceptedRevisions.push((JSON.parse(result.stdout) as { revision: number }).revision)
+    if (result.status === RESULT_CODES.revisionConflict.number) return
+    if (result.status !== 0) {
+      moves.push({ base, service, acknowledgedAt: undefined })
+      return
+    }
+    const { revision } = JSON.parse(result.stdout) as { revision: number }
+    moves.push({ base: revision - 1, service, acknowledgedAt: performance.now() })
+    this.#acceptedChanges += 1
   }
 
   async #readRevision(nodes: readonly ClusterNode[]): Promise<number | undefined> {
--- a/packages/testkit/test/soak-invariants.test.ts
+++ b/packages/testkit/test/soak-invariants.test.ts
@@ -26,6 +26,15 @@
   ...change,
 })
 
+const routeRun = (service: string, sentAt: number) => ({
+  requestId: `${service} at ${sentAt}`,
+  entry: 'entry-1',
+  process: 'entry-1 pid 7',
+  service,
+  sentAt,
+  endedAt: sentAt + 10,
+})
+
 const VALID_OBSERVATIONS: SoakObservations = {
   calls: [
     soakCall('a', 'complete'),
@@ -49,6 +58,15 @@
   reportedRevisions: new Map([['entry-1 pid 7', [1, 2, 2, 3]]]),
   finalRevision: 3,
   plannedStops: [{ entry: 'entry-1', from: 150, until: 400, overlapsOtherFault: false }],
+  route: {
+    moves: [
+      { base: 0, service: 'old', acknowledgedAt: 0 },
+      { base: 1, service: 'new', acknowledgedAt: 10_000 },
+    ],
+    runs: [routeRun('old', 12_000), routeRun('new', 12_100)],
+    disturbances: [],
+    controls: ['control-1', 'control-2'],
+  },
 }
 const plannedStop = { entry: 'entry-1', from: 150, until: 400, overlapsOtherFault: false }
 const BROKEN_OFF = [
@@ -106,6 +124,16 @@
     { exchanges: [exchange('a', { isOwn: false })] },
     'a received the response to another request',
   ],
+  [
+    'a request that is run as only an older version allows',
+    { route: { ...VALID_OBSERVATIONS.route, runs: [routeRun('old', 12_001)] } },
+    '1 requests ran at old 2001 to 2001 ms after revision 2, which supersedes it, was acknowledged (entry-1 pid 7, first old at 12001)',
+  ],
+  [
+    'an entry that goes back to an older version',
+    { route: { ...VALID_OBSERVATIONS.route, runs: [routeRun('new', 9000), routeRun('old', 9300)] } },
+    '1 requests ran at old although revision 2 had been in force at entry-1 pid 7 (first old at 9300)',
+  ],
   ['a second execution on a kept connection', { exchanges: [exchange('d')] }, 'd was executed 2 times'],
 ])('%s is detected', (_, faulty, message) => {
   expect(findViolations(VALID_OBSERVATIONS)).toEqual([])
@@ -117,6 +145,41 @@
   expect(findViolations({ ...VALID_OBSERVATIONS, calls: [soakCall('x', 'aborted')], plannedStops })).toEqual([])
 })
 
+test.each<[string, boolean, readonly (readonly [node: string, from: number, until: number])[]]>([
+  [
+    'the entry was affected at the acknowledgement and control shortly before',
+    true,
+    [
+      ['entry-1', 6000, 7500],
+      ['control-1', 13_000, 13_500],
+    ],
+  ],
+  ['the entry was affected shortly before', true, [['entry-1', 14_000, 15_500]]],
+  ['the entry was affected within the request', true, [['entry-1', 16_005, 17_000]]],
+  [
+    'the entry was affected at the acknowledgement, control not since',
+    false,
+    [
+      ['entry-1', 6000, 7500],
+      ['control-1', 6000, 12_900],
+    ],
+  ],
+  [
+    'control was affected, the entry not',
+    false,
+    [
+      ['control-1', 10_000, 17_000],
+      ['control-2', 10_000, 17_000],
+    ],
+  ],
+  ['the entry was affected long before', false, [['entry-1', 1000, 6900]]],
+  ['another entry was affected', false, [['entry-2', 1000, 17_000]]],
+])('a request that runs as an older version allows, where %s: excused %s', (_, isExcused, faults) => {
+  const disturbances = faults.map(([node, from, until]) => ({ node, from, until }))
+  const route = { ...VALID_OBSERVATIONS.route, runs: [routeRun('old', 16_000)], disturbances }
+  expect(findViolations({ ...VALID_OBSERVATIONS, route })).toHaveLength(isExcused ? 0 : 1)
+})
+
 test('the same seed draws the same faults', () => {
   const options = { loadDurationMs: 20_000, entries: ['entry-1'], controls: ['control-1'], servers: ['server-1'] }
   expect(drawSchedule({ seed: 7, ...options })).toEqual(drawSchedule({ seed: 7, ...options }))
