--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -18,10 +18,10 @@
 } from '@bilberrystall/base'
 import { sha256 } from '@bilberrystall/control'
 import { DeliveryService, type DeliveredDocument, type FollowResponse, type RpcClients } from '@bilberrystall/rpc'
-import type { DocumentStore, PublishedDocument } from './document-store'
+import type { DocumentSource, DocumentStore, PublishedDocument } from './document-store'
 
 /** Polling interval: a fifth of the 2 s within which a change or a departure must be in force on every node. */
-const FOLLOW_INTERVAL_MS = 400
+export const FOLLOW_INTERVAL_MS = 400
 /** Request timeout; a healthy replica responds within a few milliseconds. */
 const FOLLOW_TIMEOUT_MS = 350
 /** Polling interval of an entry without a document, which rejects every call until it finds a replica. */
@@ -35,8 +35,12 @@
 const RETRY_DELAY_MS = 20
 /** Time for which a replica that did not respond is tried last. */
 const DEPRIORITIZED_MS = 3_000
+/** Polls after a notification, the first of the nearest replica, which may not know yet that the change is committed. */
+const CATCH_UP_ATTEMPTS = 3
 const ENTRY_FETCH_INTERVAL_MS = 500
 const FETCH_TIMEOUT_MS = 2_000
+/** Fetches in progress of a revision that several nodes announce: one more than needed, as one node may not respond. */
+const MAX_CONCURRENT_FETCHES = 2
 
 export interface DepartedServer {
   readonly server: ServerId
@@ -51,6 +55,13 @@
   readonly confirmed: boolean
 }
 
+/** State that a replica has and notifies an entry of. */
+export interface Notification {
+  readonly revision: number
+  readonly departurePosition: number
+  readonly node: NodeId
+}
+
 export interface FollowerOptions {
   readonly environment: Environment
   readonly self: NodeId
@@ -70,6 +81,9 @@
   readonly #options: FollowerOptions
   readonly #abort = new AbortController()
   readonly #fetching = new Set<NodeId>()
+  /** Nodes that announced a newer revision and were not asked for it yet. */
+  readonly #announcers = new Set<NodeId>()
+  #announcedFetches = 0
   readonly #deprioritizedUntil = new Map<NodeId, number>()
   readonly #startedAt: number
   #departurePosition = 0n
@@ -89,6 +103,26 @@
     this.#abort.abort()
   }
 
+  /** Polls until this entry has what the notifying replica has, and returns what it has then. */
+  async catchUp(notification: Notification): Promise<Omit<Notification, 'node'>> {
+    const { environment, documentStore } = this.#options
+    let [next = notification.node] = this.#nextReplicas(1)
+    for (let attempt = 0; attempt < CATCH_UP_ATTEMPTS && !this.#hasReached(notification); attempt += 1) {
+      await this.#poll(next)
+      next = notification.node
+    }
+    const revisionInForce = documentStore.inForce(environment)?.revision ?? 0
+    return { revision: revisionInForce, departurePosition: Number(this.#departurePosition) }
+  }
+
+  #hasReached({ revision: notified, departurePosition }: Notification): boolean {
+    const { environment, documentStore } = this.#options
+    // An entry without a document reads from a majority before it uses one.
+    if (!documentStore.isReady(environment)) return true
+    const inForce = documentStore.inForce(environment)?.revision ?? 0
+    return inForce >= notified && this.#departurePosition >= BigInt(departurePosition)
+  }
+
   /** Fetches the document from a node that announced it; rejects revisions below the floor of the document store. */
   async fetch(node: NodeId): Promise<void> {
     const { environment, documentStore, clients, addressOf, now } = this.#options
@@ -100,7 +134,7 @@
       const request = { environment, minimumRevision: BigInt(documentStore.floor(environment)) }
       const options = { timeoutMs: FETCH_TIMEOUT_MS, signal: this.#abort.signal }
       const response = await clients.client(DeliveryService, address).fetch(request, options)
-      const document = decodeDocument(response.document)
+      const document = decodeDocument(response.document, 'node')
       if (document === undefined || documentStore.offer(document).isErr()) return
       const confirmedAt = sentAt - response.confirmedAgeMs
       if (confirmedAt >= this.#startedAt) documentStore.confirm(environment, document.revision, confirmedAt)
@@ -111,6 +145,19 @@
     }
   }
 
+  /** Fetches a newer revision from `node`, or from another node that announced one if that has not delivered it. */
+  async fetchAnnounced(node: NodeId): Promise<void> {
+    const { environment, documentStore } = this.#options
+    this.#announcers.add(node)
+    if (this.#announcedFetches >= MAX_CONCURRENT_FETCHES) return
+    this.#announcedFetches += 1
+    for (const next of this.#announcers) {
+      this.#announcers.delete(next)
+      if (documentStore.isBehind(environment)) await this.fetch(next)
+    }
+    this.#announcedFetches -= 1
+  }
+
   /** Fetches from a control node, after a lease reported a newer revision than this node has. */
   async fetchFromControl(): Promise<void> {
     const [node] = this.#nextReplicas(1)
@@ -172,7 +219,7 @@
 
   #applyResponse(response: FollowResponse, sentAt: number): void {
     const { environment, documentStore, onDepartures } = this.#options
-    const document = decodeDocument(response.document)
+    const document = decodeDocument(response.document, 'replica')
     if (document !== undefined) documentStore.offer(document)
     if (response.revision > 0n) documentStore.confirm(environment, revision(Number(response.revision)), sentAt)
     if (response.departurePosition > this.#departurePosition) this.#departurePosition = response.departurePosition
@@ -211,11 +258,14 @@
 }
 
 /** Returns undefined if there is no document or if its text does not match its digest. */
-export function decodeDocument(message: DeliveredDocument | undefined): PublishedDocument | undefined {
+export function decodeDocument(
+  message: DeliveredDocument | undefined,
+  source: DocumentSource,
+): PublishedDocument | undefined {
   if (message === undefined) return undefined
   const { digest, text } = message
   if (sha256(text) !== digest) return undefined
   const environment = environmentName(message.environment)
   const version = Number(message.version)
-  return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text, version }
+  return { environment, revision: revision(Number(message.revision)), digest: digest as Digest, text, version, source }
 }
