Reset a proxied connection only after its shutdown has ended

Cause: the fault proxy resets connections whose end it has just passed on. libuv refuses to reset a socket that is being shut down (EINVAL), but Node.js 20.19 already regards the handle as closing and never closes it. Such a handle keeps the event loop alive, and once its peer is gone the natural end of the process waits for it in a loop without a pause.

With process.exit() instead of a natural end it ends. fault-proxy.test.ts, "a connection that is reset while its end is passed on is closed", before: timed out after 1000 ms; after: 4 of 4 passed, beside load average 25.

--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -214,10 +214,24 @@
   }
 
   reset(): void {
-    for (const socket of [this.#downstream, this.#upstream]) {
-      if (!socket.destroyed) socket.resetAndDestroy()
-    }
+    for (const socket of [this.#downstream, this.#upstream]) resetSocket(socket)
+  }
+}
+
+/**
+ * A reset fails with EINVAL while a shutdown is in progress, and Node.js 20 then never closes the handle: the process can
+ * not end, or uses a whole core in `CleanupHandles`. The reset therefore follows the end of the shutdown.
+ */
+function resetSocket(socket: Socket): void {
+  if (socket.destroyed) return
+  const isShuttingDown = socket.writableEnded && !socket.writableFinished && socket.writableLength === 0
+  if (!isShuttingDown || socket.connecting) {
+    socket.resetAndDestroy()
+    return
   }
+  socket.once('finish', () => {
+    resetSocket(socket)
+  })
 }
 
 /** One direction of a connection. Delivers chunks in order, each after the delay, and none while frozen. */
--- a/packages/testkit/test/fault-proxy.test.ts
+++ b/packages/testkit/test/fault-proxy.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Agent } from 'undici'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import {
@@ -61,6 +64,26 @@
   expect((await sendCall(proxy.address, slow)).outcome).toBe('aborted')
 })
 
+// Node.js never closed such a connection, and a process that had one spun in `CleanupHandles` at its end.
+test('a connection that is reset while its end is passed on is closed', async () => {
+  const ending = createServer({ allowHalfOpen: true }, (socket) => socket.on('error', () => undefined).end())
+  await once(ending.listen(0, '127.0.0.1'), 'listening')
+  const { port } = ending.address() as AddressInfo
+  const delayMs = 200
+  proxy.target = `127.0.0.1:${port}`
+  proxy.set({ delayMs })
+  const caller = connect({ host: '127.0.0.1', port: Number(proxy.address.split(':')[1]), allowHalfOpen: true })
+  caller.on('error', () => undefined)
+  await eventually('the connection is open', () => proxy.connections.length === 1)
+  await sleep(delayMs / 2)
+  proxy.freeze()
+  await sleep(delayMs)
+  proxy.heal()
+  proxy.resetConnections()
+  await eventually('the connection is closed', () => proxy.connections.length === 0, 1000)
+  ending.close()
+})
+
 test('the control endpoint sets and lists faults', async () => {
   const control = await proxy.startControlServer()
   const body = JSON.stringify({ kind: 'set', faults: { delayMs: 5 } })
