--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -207,3 +207,11 @@
     })
   }
 }
+
+/**
+ * Lets this process accept the connections and read the requests that have arrived. Closing a connection or a listener
+ * before that would reset them.
+ */
+export function readArrived(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve))
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,7 +12,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
-import type { CallDependencies, LostCall } from './call-dependencies'
+import type { CallDependencies } from './call-dependencies'
 import type { Address } from './connection'
 import { DEFAULT_DIALECT, type Dialect } from './dialect'
 import { ContextCodec } from './context'
@@ -20,14 +20,14 @@
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
-import { CallerConnection, type StopPhase } from './caller-connection'
+import { CallerConnection, readArrived, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
 import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
 import { OPEN_GATE } from './request-gate'
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
-import { ServerChecks } from './server-check'
+import { LostCallReports } from './lost-call-reports'
 import { RelayPeers } from './relay-peers'
 import { relayResponseFields } from './relay-response'
 
@@ -61,9 +61,7 @@
   readonly #pools = new Map<ServerId, ConnectionPool>()
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
-  readonly #serverChecks: ServerChecks
-  /** Checks of lost calls that have not been reported yet. */
-  readonly #lostCallReports = new Set<Promise<void>>()
+  readonly #lostCalls: LostCallReports
   /** Open connections of callers. */
   readonly #callerConnections = new Map<Socket, CallerConnection>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -103,7 +101,11 @@
       },
       serverChanged: (change) => options.events?.serverChanged?.(change),
     })
-    this.#serverChecks = new ServerChecks(this.#limits.connectMs)
+    this.#lostCalls = new LostCallReports({
+      connectMs: this.#limits.connectMs,
+      serverOf: (id) => this.#servers.get(id),
+      onChecked: (lost, start, check) => this.#options.events?.callLost?.(lost, start, check),
+    })
     this.#reachability = new ReachabilityMonitor({
       servers: () => this.#readyServers(),
       serverCount: () => this.#servers.size,
@@ -229,8 +231,8 @@
   }
 
   /** Resolves once each call that was lost so far has been reported. */
-  async lostCallsReported(): Promise<void> {
-    await Promise.all(this.#lostCallReports)
+  lostCallsReported(): Promise<void> {
+    return this.#lostCalls.settled()
   }
 
   /**
@@ -340,8 +342,7 @@
       stopStartedAt: () => this.#stopStartedAt,
       onRelayed: () => this.#options.events?.callRelayed?.(),
       onLost: (lost) => {
-        const report = this.#reportLost(lost).finally(() => this.#lostCallReports.delete(report))
-        this.#lostCallReports.add(report)
+        this.#lostCalls.add(lost)
       },
       onClosed: (call) => {
         this.#calls.delete(call)
@@ -434,13 +435,6 @@
       .map(({ id, address }) => ({ id, address, path: this.#healthPath(id) }))
   }
 
-  async #reportLost(lost: LostCall): Promise<void> {
-    const server = this.#servers.get(lost.server)
-    if (server === undefined) return
-    const check = await this.#serverChecks.check(server.id, server.address)
-    this.#options.events?.callLost?.(lost, server.start, check)
-  }
-
   #connectionShare(id: ServerId): number {
     const limit = this.#servers.get(id)?.connectionLimit ?? 1
     return Math.max(1, Math.floor(limit / Math.max(1, this.#options.liveEntries())))
@@ -485,11 +479,3 @@
     }, this.#limits.sweepIntervalMs)
   }
 }
-
-/**
- * Lets this process accept the connections and read the requests that have arrived. Closing a connection or a listener
- * before that would reset them.
- */
-function readArrived(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve))
-}
