Close the connections that a stop no longer waits for

A request that was the first on its connection, or whose head was half received, was passed on at any time up to the end of a stop that other calls held open, and answered 502 at that end while its server was at work.

Cause: the wait for a head decided only whether the stop goes on, not whether the connection still accepts a request.

late-call.test.ts on, two new cases, both: passed on, 502.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -222,6 +222,8 @@
       )
       if (!isWaiting) return true
       if (elapsed >= timeoutMs) return this.callsInFlight === 0
+      // A request that came later might not end before the entry does.
+      if (!waitsForHead) for (const connection of this.#callerConnections.values()) connection.closeIfIdle()
       await sleep(DRAIN_POLL_INTERVAL_MS)
     }
   }
--- a/packages/entry/test/late-call.test.ts
+++ b/packages/entry/test/late-call.test.ts
@@ -102,3 +102,24 @@
   await entry.drain(50)
   await Promise.race([entry.stop(), sleep(2_000).then(() => Promise.reject(new Error('stop did not end')))])
 })
+
+// It was read at any time up to the end of the stop, passed on, and answered 502 while its server worked.
+test.each([
+  ['nothing', ''],
+  ['half of a head', 'POST /short HTTP/1.1\r\n'],
+])('a connection that has brought %s is closed when a stop waits for heads no more', async (_, sent) => {
+  const server = await startServer(5_000)
+  const { entry } = await startEntry([server], { document: () => DOCUMENT })
+  const busy = connectCaller(entry.port)
+  busy.send(post('/short'))
+  const late = connectCaller(entry.port)
+  late.send(sent)
+  await waitUntil(() => server.received.length === 1)
+  const drained = entry.drain(2_500)
+  await sleep(1_300)
+  late.send(post('/short').slice(sent.length))
+  await drained
+  await entry.stop()
+  await Promise.race([late.closed, sleep(1_000)])
+  expect({ passedOn: server.received.length - 1, text: late.text() }).toEqual({ passedOn: 0, text: '' })
+})
