Accept the whole queue of the listener before a stop closes it

Cause: the stop let one turn of the event loop pass before it closed the listener. Node.js 20 (libuv 1.46) accepts one connection of a listener in a turn, and the operating system resets those that are left when it closes.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,6 +10,7 @@
 import { errorMessage, failure, type Failure, type ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
+import { acceptArrived, LISTEN_BACKLOG, readArrived } from './arrived'
 import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies, LostCall } from './call-dependencies'
@@ -62,6 +63,7 @@
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
   readonly #serverChecks: ServerChecks
+  #acceptedConnections = 0
   /** Open connections of callers. */
   readonly #callerConnections = new Map<Socket, CallerConnection>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -161,7 +163,7 @@
         clearInterval(this.#poolSweep)
         resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
       })
-      server.listen(port, host, () => {
+      server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
         resolve(ok(undefined))
       })
     })
@@ -206,7 +208,7 @@
    */
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining(timeoutMs)
-    await readArrived()
+    await acceptArrived(() => this.#acceptedConnections)
     this.#isClosing = true
     this.#closeIdleConnections((server) => server.close())
     const start = this.#clock.monotonic()
@@ -297,6 +299,7 @@
       },
     )
     server.on('connection', (socket: Socket) => {
+      this.#acceptedConnections += 1
       this.#callerConnection(socket)
     })
     // Without a listener Node.js destroys the connection with the responses in progress.
@@ -477,11 +480,3 @@
     }, this.#limits.sweepIntervalMs)
   }
 }
-
-/**
- * Lets this process accept the connections and read the requests that have arrived. Closing a connection or a listener
- * before that would reset them.
- */
-function readArrived(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve))
-}
--- a/packages/entry/test/arrived-at-stop.test.ts
+++ b/packages/entry/test/arrived-at-stop.test.ts
@@ -1,9 +1,11 @@
 /** Guards against a planned stop that cuts off requests which have arrived but which this process has not read yet. */
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import { createInterface } from 'node:readline'
 import { expect, test } from 'vitest'
 import { respond, startEntry, startFakeServer } from './harness'
+import { get, statusesOf } from './support/raw-caller'
 
 /** Sends a request, and after a pause one on the same connection and one on a new connection. Prints the statuses. */
 const CLIENT = `
@@ -50,3 +52,33 @@
   expect(answers).toBe('200 200')
   expect(await drained).toBe(true)
 })
+
+/** More than a process accepts in one turn of the event loop. */
+const QUEUED_CONNECTIONS = 50
+
+/** Sends a request on a new connection; resolves to the statuses, or the error of the connection. */
+function sendOnce(port: number): Promise<string> {
+  const socket = connect(port, '127.0.0.1')
+  let text = ''
+  let error = ''
+  socket.on('data', (part) => (text += part.toString('latin1')))
+  socket.on('error', (cause: NodeJS.ErrnoException) => (error = cause.code ?? cause.message))
+  socket.write(get('/read'))
+  return new Promise((resolve) => {
+    socket.once('close', () => {
+      resolve(error === '' ? statusesOf(text).join(' ') : error)
+    })
+  })
+}
+
+// Node.js accepts one connection in a turn, and closing the listener reset all others in its queue.
+test('requests on connections that wait in the queue of the listener when a drain begins get an answer', async () => {
+  const server = await startFakeServer((received) => {
+    respond(received, 'ok')
+  })
+  const { entry } = await startEntry([server])
+  const answers = Array.from({ length: QUEUED_CONNECTIONS }, () => sendOnce(entry.port))
+  const drained = entry.drain(2_000)
+  expect(new Set(await Promise.all(answers))).toEqual(new Set(['200']))
+  expect(await drained).toBe(true)
+})
