Test a long upload whose response comes first

closing-caller.test.ts, two new cases, on the entry of: no response (EPIPE for the caller) in a stop and at another time, as the closed connection was destroyed after 2 s; 200 in both since.

--- a/packages/entry/test/closing-caller.test.ts
+++ b/packages/entry/test/closing-caller.test.ts
@@ -73,6 +73,35 @@
   expect(statusesOf(await sendThenRead(entry.port, head + body))).toEqual(['200'])
 })
 
+// A closed connection was destroyed after 2 s, while its caller was still sending.
+test.each([
+  ['in a stop', true],
+  ['at another time', false],
+])(
+  'a caller that needs over two seconds for its body gets a response that its server gives before: %s',
+  async (_, isStopping) => {
+    const server = await startEarlyServer()
+    const document = parseDocument(DOCUMENT.replace('256KiB', '64MiB').replaceAll('deadline = 5s', 'deadline = 20s'))
+    const { entry } = await startEntry([server], { document: () => document._unsafeUnwrap() })
+    const socket = connect(entry.port, '127.0.0.1')
+    onTestFinished(() => {
+      socket.destroy()
+    })
+    const parts: Buffer[] = []
+    socket.on('error', () => undefined).pause()
+    socket.write(`POST /write HTTP/1.1\r\nhost: x\r\ncontent-length: ${40 * CHUNK_BYTES}\r\n\r\n`)
+    for (let chunk = 0; chunk < 40; chunk += 1) {
+      if (isStopping && chunk === 3) void entry.drain(10_000)
+      socket.write('x'.repeat(CHUNK_BYTES))
+      await sleep(100)
+    }
+    const closed = new Promise((resolve) => socket.once('close', resolve))
+    socket.on('data', (part: Buffer) => parts.push(part)).resume()
+    await Promise.race([closed, sleep(1_000)])
+    expect(statusesOf(Buffer.concat(parts).toString('latin1'))).toEqual(['200'])
+  },
+)
+
 test('a caller that sends its whole head first gets the refusal of a head that is too large', async () => {
   const { entry } = await startEntry([])
   const head = `GET /read HTTP/1.1\r\nhost: x\r\nlong: ${'x'.repeat(LONG_BODY_BYTES)}\r\n\r\n`
