--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -10,6 +10,7 @@
 import { errorMessage, failure, type Failure, type ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
+import { acceptArrived, LISTEN_BACKLOG, readArrived } from './arrived'
 import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies } from './call-dependencies'
@@ -20,7 +21,7 @@
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
 import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
-import { CallerConnection, readArrived, type StopPhase } from './caller-connection'
+import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
 import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
@@ -62,6 +63,7 @@
   readonly #servers = new Map<ServerId, EntryServer>()
   readonly #calls = new Set<Call>()
   readonly #lostCalls: LostCallReports
+  #acceptedConnections = 0
   /** Open connections of callers. */
   readonly #callerConnections = new Map<Socket, CallerConnection>()
   readonly #handleInternal: (request: IncomingMessage, response: ServerResponse) => unknown
@@ -83,7 +85,7 @@
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
     this.#preparation = new CallPreparation({
       document: options.document,
-      revision: () => this.#revision(),
+      revision: () => this.#options.revision?.() ?? 0,
       codec: this.#codec,
       clock: this.#clock,
       random: options.random,
@@ -165,7 +167,7 @@
         clearInterval(this.#poolSweep)
         resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
       })
-      server.listen(port, host, () => {
+      server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
         resolve(ok(undefined))
       })
     })
@@ -210,7 +212,7 @@
    */
   async drain(timeoutMs: number): Promise<boolean> {
     this.startDraining(timeoutMs)
-    await readArrived()
+    await acceptArrived(() => this.#acceptedConnections)
     this.#isClosing = true
     this.#closeIdleConnections((server) => server.close())
     const start = this.#clock.monotonic()
@@ -226,6 +228,8 @@
       )
       if (!isWaiting) return true
       if (elapsed >= timeoutMs) return this.callsInFlight === 0
+      // A request that came later might not end before the entry does.
+      if (!waitsForHead) for (const connection of this.#callerConnections.values()) connection.closeIfIdle()
       await sleep(DRAIN_POLL_INTERVAL_MS)
     }
   }
@@ -304,6 +308,7 @@
       },
     )
     server.on('connection', (socket: Socket) => {
+      this.#acceptedConnections += 1
       this.#callerConnection(socket)
     })
     // Without a listener Node.js destroys the connection with the responses in progress.
@@ -338,7 +343,7 @@
       gate: this.#options.gate ?? OPEN_GATE,
       reachability: this.#reachability,
       relayPeers: this.#relayPeers,
-      revision: () => this.#revision(),
+      revision: () => this.#options.revision?.() ?? 0,
       stopStartedAt: () => this.#stopStartedAt,
       onRelayed: () => this.#options.events?.callRelayed?.(),
       onLost: (lost) => {
@@ -425,10 +430,6 @@
     return code === 'notReady' ? { 'retry-after': this.#dialect.retryAfter(NOT_READY_RETRY_MS) } : {}
   }
 
-  #revision(): number {
-    return this.#options.revision?.() ?? 0
-  }
-
   #readyServers(): readonly ProbedServer[] {
     return [...this.#servers.values()]
       .filter(({ id }) => this.#driver.accepts(id))
