--- a/packages/testkit/src/soak/main.ts
+++ b/packages/testkit/src/soak/main.ts
@@ -1,4 +1,7 @@
-/** `npm run soak -- SEED...`: runs one soak test per seed in turn; exits with 1 if an invariant was violated. */
+/**
+ * `npm run soak -- SEED...`: runs one soak test per seed in turn; exits with 1 if an invariant was violated or a test could
+ * not be completed.
+ */
 import { Harness } from '../processes'
 import { runSoak } from './soak'
 
@@ -20,10 +23,13 @@
     )
     for (const violation of violations) process.stdout.write(`  ${violation}\n`)
     if (violations.length > 0) process.exitCode = 1
+  } catch (cause) {
+    process.stdout.write(`seed ${seed}: NOT COMPLETED; ${String(cause)}\n`)
+    process.exitCode = 1
   } finally {
     await harness.end()
   }
 }
-// All processes have ended. A natural end frees the environment of Node.js 20, which can wait for ever and use a whole
-// core if an operation of it never completes (seen in `CleanupHandles`); an explicit one does not free it.
+// All processes have ended. An explicit exit does not free the environment of Node.js 20, which can wait for ever and use a
+// whole core if a handle of it is never closed (see `resetSocket` in the fault proxy).
 process.exit()
