--- a/packages/testkit/test/session/acknowledged-change.test.ts
+++ b/packages/testkit/test/session/acknowledged-change.test.ts
@@ -46,7 +46,7 @@
     ranEverywhere: true,
     superseded: `0 of ${runs.length}`,
   })
-})
+}, 180_000)
 
 function summarise(superseded: readonly SupersededRun[], total: number): string {
   if (superseded.length === 0) return `0 of ${total}`
