Check in the soak that no node returns an older version to an operator

A read that is sent later than 2 s after an acknowledgement returns no older version, at any node and during any fault. A run that could not be completed no longer polls beside the next one.

--- a/packages/testkit/src/soak/invariants.ts
+++ b/packages/testkit/src/soak/invariants.ts
@@ -37,12 +37,20 @@
   readonly until: number
 }
 
+/** Revision that a node returned to an operator, and the time of the question. */
+export interface RevisionRead {
+  readonly node: string
+  readonly revision: number
+  readonly sentAt: number
+}
+
 /** Observations on the route that moves between services, with monotonic times. */
 export interface RouteObservations {
   readonly moves: readonly RouteMove[]
   readonly runs: readonly RouteRun[]
   readonly disturbances: readonly Disturbance[]
   readonly controls: readonly string[]
+  readonly reads: readonly RevisionRead[]
 }
 
 export interface SoakObservations {
@@ -69,6 +77,7 @@
     ...[...observations.reportedRevisions].flatMap(([process, revisions]) => checkRevisionOrder(process, revisions)),
     ...observations.plannedStops.flatMap((stop) => checkPlannedStop(observations, stop)),
     ...checkRoute(observations.route),
+    ...observations.route.reads.flatMap((read) => checkRead(observations.route, read)),
   ]
 }
 
@@ -102,6 +111,13 @@
   ]
 }
 
+/** No fault excuses a node that returns an older version; it may return none. */
+function checkRead({ moves }: RouteObservations, { node, revision, sentAt }: RevisionRead): readonly string[] {
+  const due = moves.filter(({ acknowledgedAt = Infinity }) => acknowledgedAt + APPLY_MS < sentAt)
+  const newest = Math.max(0, ...due.map(({ base }) => base + 1))
+  return revision < newest ? [`${node} returned revision ${revision} after revision ${newest} was acknowledged`] : []
+}
+
 function groupBy<Run>(runs: readonly Run[], keyOf: (run: Run) => string): readonly (readonly [Run, ...Run[]])[] {
   const groups = new Map<string, [Run, ...Run[]]>()
   for (const run of runs) {
--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -12,7 +12,7 @@
 import type { Harness } from '../processes'
 import { movingDocument, RouteMover } from '../route-mover'
 import { APPOINTMENT_HOST } from '../workloads'
-import { findViolations, type Disturbance, type PlannedStop, type SoakCall } from './invariants'
+import { findViolations, type Disturbance, type PlannedStop, type RevisionRead, type SoakCall } from './invariants'
 import { KeptConnections } from './kept-connections'
 import { drawSchedule, type SoakFault } from './schedule'
 
@@ -84,6 +84,7 @@
   readonly #seed: number
   readonly #startedAt = performance.now()
   readonly #calls: SoakCall[] = []
+  readonly #reads: RevisionRead[] = []
   readonly #reportedRevisions = new Map<string, number[]>()
   readonly #plannedStops: { -readonly [Key in keyof PlannedStop]: PlannedStop[Key] }[] = []
   /** Nodes that a fault stopped, paused or isolated and that have not recovered; further faults skip them. */
@@ -105,6 +106,15 @@
   }
 
   async run(): Promise<SoakReport> {
+    try {
+      return await this.#run()
+    } finally {
+      this.#finished = true
+      this.#mover.stop()
+    }
+  }
+
+  async #run(): Promise<SoakReport> {
     const namesOf = (nodes: readonly ClusterNode[]) => nodes.map(({ name }) => name)
     const { entries, controls } = this.#cluster
     const options = {
@@ -137,7 +147,7 @@
       reportedRevisions: this.#reportedRevisions,
       finalRevision,
       plannedStops: this.#plannedStops,
-      route: { moves, runs, disturbances: this.#disturbances, controls: namesOf(controls) },
+      route: { moves, runs, disturbances: this.#disturbances, controls: namesOf(controls), reads: this.#reads },
     })
     return {
       seed: this.#seed,
@@ -337,8 +347,10 @@
 
   async #recordRevision(node: ClusterNode): Promise<void> {
     const process = `${node.name} pid ${node.runningProcess.pid}`
+    const sentAt = performance.now()
     const revision = await this.#readRevision([node])
     if (revision === undefined) return
+    this.#reads.push({ node: node.name, revision, sentAt })
     const revisions = this.#reportedRevisions.get(process) ?? []
     revisions.push(revision)
     this.#reportedRevisions.set(process, revisions)
--- a/packages/testkit/test/soak-invariants.test.ts
+++ b/packages/testkit/test/soak-invariants.test.ts
@@ -66,6 +66,10 @@
     runs: [routeRun('old', 12_000), routeRun('new', 12_100)],
     disturbances: [],
     controls: ['control-1', 'control-2'],
+    reads: [
+      { node: 'control-1', revision: 1, sentAt: 12_000 },
+      { node: 'control-1', revision: 2, sentAt: 12_001 },
+    ],
   },
 }
 const plannedStop = { entry: 'entry-1', from: 150, until: 400, overlapsOtherFault: false }
@@ -134,6 +138,11 @@
     { route: { ...VALID_OBSERVATIONS.route, runs: [routeRun('new', 9000), routeRun('old', 9300)] } },
     '1 requests ran at old although revision 2 had been in force at entry-1 pid 7 (first old at 9300)',
   ],
+  [
+    'an older version that a node returns',
+    { route: { ...VALID_OBSERVATIONS.route, reads: [{ node: 'control-1', revision: 1, sentAt: 12_001 }] } },
+    'control-1 returned revision 1 after revision 2 was acknowledged',
+  ],
   ['a second execution on a kept connection', { exchanges: [exchange('d')] }, 'd was executed 2 times'],
 ])('%s is detected', (_, faulty, message) => {
   expect(findViolations(VALID_OBSERVATIONS)).toEqual([])
