--- a/packages/testkit/src/route-mover.ts
+++ b/packages/testkit/src/route-mover.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { Agent } from 'undici'
 import type { Cluster, ClusterNode, FakeServerProcess } from './cluster'
 import { sendCall } from './load'
 import type { RouteMove, RouteRun } from './route-runs'
@@ -34,6 +35,8 @@
   readonly #servers: readonly FakeServerProcess[]
   readonly #calls: SentCall[] = []
   readonly #stopped = new AbortController()
+  /** Connections of its own, so that other callers of a test keep the ones that they had without a mover. */
+  readonly #agent = new Agent()
   #position = 0
   #base = 1
 
@@ -47,6 +50,7 @@
   static async start(cluster: Cluster, otherServers = 0): Promise<RouteMover> {
     const servers = SERVICES.map((service) => cluster.startFakeServer({ service, server: service }))
     const mover = new RouteMover(cluster, await Promise.all(servers))
+    cluster.harness.onEnd(() => mover.#agent.destroy())
     await cluster.waitUntilServersKnown(SERVICES.length + otherServers)
     return mover
   }
@@ -125,13 +129,8 @@
     const process = `${name} pid ${runningProcess.pid}`
     const call = { requestId: randomUUID(), entry: name, process, sentAt: performance.now(), endedAt: Infinity }
     this.#calls.push(call)
-    const { requestId } = call
-    const { status } = await sendCall(addresses.callers, {
-      method: 'GET',
-      host: APPOINTMENT_HOST,
-      path: PATH,
-      requestId,
-    })
+    const request = { method: 'GET', host: APPOINTMENT_HOST, path: PATH, requestId: call.requestId } as const
+    const { status } = await sendCall(addresses.callers, request, this.#agent)
     if (status > 0) call.endedAt = performance.now()
   }
 }
