Name the process in an order to drain a node

An acknowledged order to drain a node was not carried out if the clock of the node was ahead of the leader's when it started. If the leader's clock was or had been ahead, each later process of the node was drained again.

Cause: whether an order was older than a process was decided by comparing the time of the leader with the start on the clock of the node.

Evidence: new tests, before the change: "expected false to be true" (clock of the node ahead), "expected true to be false" (clock of the leader ahead), "expected vi.fn() to be called 1 times, but got 0 times".

Fix: the node that takes the order adds the start of the process that runs, which gossip carries already, and exactly this process is drained. An order for a node that is not in view, or from an earlier build, is decided by the times as before; earlier builds ignore the field.

--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -93,7 +93,8 @@
   state.audit.append({ at: state.clock, operation, requester, source, target: node, result: 'ok' })
   if (command.action === 'drain') {
     const others = state.drains.filter((drain) => drain.node !== node)
-    state.drains = [...others, { node, at: state.clock }].slice(-MAX_NODE_DRAINS)
+    const process = command.start === undefined ? {} : { start: command.start }
+    state.drains = [...others, { node, at: state.clock, ...process }].slice(-MAX_NODE_DRAINS)
   } else if (state.replicas.some((replica) => replica.node === node) && !state.replacing.includes(node)) {
     state.replacing = [...state.replacing, node]
   }
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -105,7 +105,14 @@
     environment: environmentSchema.optional(),
     digest: digestSchema.optional(),
   }),
-  z.object({ kind: z.literal('node'), ...originFields, action: z.enum(['drain', 'replace']), node: nodeIdSchema }),
+  z.object({
+    kind: z.literal('node'),
+    ...originFields,
+    action: z.enum(['drain', 'replace']),
+    node: nodeIdSchema,
+    /** Start of the process that ran when the order was given, in Unix ms on the clock of the node. */
+    start: timeSchema.exactOptional(),
+  }),
   z.object({
     kind: z.literal('release'),
     ...originFields,
--- a/packages/control/src/snapshot.ts
+++ b/packages/control/src/snapshot.ts
@@ -66,7 +66,7 @@
   replicaSteps: z.array(stepSchema.extend({ at: z.number() })),
   replicaIntent: stepSchema.exactOptional(),
   replicas: z.array(z.object({ replica: replicaIdSchema, node: nodeIdSchema, role: z.enum(['voter', 'learner']) })),
-  drains: z.array(z.object({ node: nodeIdSchema, at: z.number() })),
+  drains: z.array(z.object({ node: nodeIdSchema, at: z.number(), start: z.number().exactOptional() })),
   replacing: z.array(nodeIdSchema),
   // Absent in snapshots of versions that did not record departures.
   departures: z.array(z.object({ position: z.number(), server: serverIdSchema, start: z.number() })).default([]),
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -126,6 +126,8 @@
 export interface NodeDrain {
   readonly node: NodeId
   readonly at: number
+  /** Start of the process to which the request applies, in Unix ms on the clock of the node, if it was known. */
+  readonly start?: number
 }
 
 export interface ControlState {
@@ -170,6 +172,16 @@
   }
 }
 
+/**
+ * Whether an operator asked the process of a node that started at `start` to drain. The start identifies the process, as
+ * the clocks of the node and of the leader may differ.
+ */
+export function isDrainOrdered({ drains }: ControlState, node: NodeId, start: number): boolean {
+  return drains.some(
+    (drain) => drain.node === node && (drain.start === undefined ? drain.at > start : drain.start === start),
+  )
+}
+
 /** Newest accepted document of an environment. */
 export function documentInForce(state: ControlState, environment: Environment): AcceptedDocument | undefined {
   return state.environments.get(environment)?.at(-1)
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -61,6 +61,11 @@
     return this.#nodes
   }
 
+  /** Start of the process of a live node in Unix ms on its own clock; undefined if the node is not known. */
+  startOf(node: NodeId): number | undefined {
+    return this.#nodes.has(node) ? this.#origins.get(node)?.incarnation : undefined
+  }
+
   /** Records or renews a server that announced itself to this node. */
   announce(server: Server, now: number): Result<readonly DirectoryChange[], Failure> {
     const key = serverKey(server)
--- a/packages/membership/test/directory.test.ts
+++ b/packages/membership/test/directory.test.ts
@@ -9,7 +9,7 @@
 } from '@bilberrystall/base'
 import * as fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { Directory, SERVER_RENEWAL_MS, type Server, type ServerState } from '../src/index'
+import { Directory, NODE_LEASE_MS, SERVER_RENEWAL_MS, type Node, type Server, type ServerState } from '../src/index'
 
 const LEAVING_LIMIT_MS = 3000
 const GOSSIP_INTERVAL_MS = 250
@@ -29,6 +29,21 @@
   }
 }
 
+function node(id: string): Node {
+  return {
+    node: nodeId(id),
+    roles: ['entry'],
+    address: '127.0.0.1:9001',
+    failureDomain: failureDomain('fd-a'),
+    region: 'default',
+    environment: environmentName('production'),
+    state: 'serving',
+    disk: '',
+    documents: [],
+    ejected: [],
+  }
+}
+
 function directories(count: number): Directory[] {
   return Array.from(
     { length: count },
@@ -57,6 +72,17 @@
   expect(states(all)).toEqual(['ready', 'ready', 'ready'])
 })
 
+test('the start of a process is known while its node is live', () => {
+  const own = new Directory({ self: nodeId('e0'), incarnation: 7, now: 0 })
+  const other = new Directory({ self: nodeId('e1'), incarnation: 8, now: 0 })
+  expect(other.startOf(nodeId('e0'))).toBeUndefined()
+  own.announceSelf(node('e0'), 0)
+  exchange(own, other, 10)
+  expect([own, other].map((directory) => directory.startOf(nodeId('e0')))).toEqual([7, 7])
+  other.expire(10 + NODE_LEASE_MS)
+  expect(other.startOf(nodeId('e0'))).toBeUndefined()
+})
+
 test('a late ready does not replace draining, even at another entry', () => {
   const all = directories(2)
   all[0]?.announce(server('draining', 5), 0)
--- a/packages/node/src/control-lease-server.ts
+++ b/packages/node/src/control-lease-server.ts
@@ -11,7 +11,7 @@
   type NodeId,
   type ServiceName,
 } from '@bilberrystall/base'
-import { documentInForce, type ControlState, type RosterEpoch } from '@bilberrystall/control'
+import { documentInForce, isDrainOrdered, type ControlState, type RosterEpoch } from '@bilberrystall/control'
 import { parseDocument, type Document } from '@bilberrystall/document'
 import type { Node, Server } from '@bilberrystall/membership'
 import { MeasuringLedger } from '@bilberrystall/routing'
@@ -72,7 +72,7 @@
       rosterVersion: BigInt(state.rosterVersion),
       roster: changed ? encodeRoster(state.roster) : [],
       grants: this.#grantTokens(request, environment, state),
-      drain: state.drains.some((drain) => drain.node === request.node && drain.at > Number(request.start)),
+      drain: isDrainOrdered(state, request.node as NodeId, Number(request.start)),
     })
   }
 
--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -236,7 +236,9 @@
     return rejectAndRecord(options, requestOrigin(context), 'notFound', `node ${node} does not exist`)
   }
   const origin = requestOrigin(context)
-  const outcome = await options.changes.submit({ kind: 'node', ...origin, action, node })
+  const start = options.cluster.startOf?.(node)
+  const order = { kind: 'node' as const, ...origin, action, node, ...(start === undefined ? {} : { start }) }
+  const outcome = await options.changes.submit(order)
   if (outcome.kind !== 'recorded') return outcomeResponse(options, outcome)
   options.onRequest('ok')
   return context.json({ node, action })
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -8,7 +8,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { CodeName, Environment, Failure, NodeId, RandomSource, ReplicaId } from '@bilberrystall/base'
 import type { Limits, Role } from '@bilberrystall/consensus'
-import { documentInForce, type Command } from '@bilberrystall/control'
+import { documentInForce, isDrainOrdered, type Command } from '@bilberrystall/control'
 import { checkDocument } from '@bilberrystall/document'
 import type { Clearance } from '@bilberrystall/quarantine'
 import type { FileSystem } from '@bilberrystall/storage'
@@ -284,8 +284,7 @@
   /** The order may have arrived in a snapshot, without its command. */
   #reportDrain(): void {
     const { node, start, onDrain } = this.#options
-    const isOrdered = this.host.state.drains.some((drain) => drain.node === node && drain.at > start)
-    if (!isOrdered || this.#drainReported) return
+    if (this.#drainReported || !isDrainOrdered(this.host.state, node, start)) return
     this.#drainReported = true
     onDrain()
   }
--- a/packages/node/src/control-views.ts
+++ b/packages/node/src/control-views.ts
@@ -11,6 +11,8 @@
 export interface ClusterView {
   readonly nodes: ReadonlyMap<NodeId, Node>
   readonly servers: ReadonlyMap<string, Server>
+  /** Start of the process of a live node in Unix ms on its own clock. */
+  readonly startOf?: (node: NodeId) => number | undefined
 }
 
 /** Sorts lists by node, so that successive responses can be compared. */
--- a/packages/node/test/control-lease-server.test.ts
+++ b/packages/node/test/control-lease-server.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { failure, failureDomain, nodeId, replicaId, revision, serverId, serviceName } from '@bilberrystall/base'
 import type { Status } from '@bilberrystall/consensus'
-import { applyCommand, emptyState } from '@bilberrystall/control'
+import { applyCommand, decodeSnapshot, emptyState, encodeSnapshot } from '@bilberrystall/control'
 import type { Node, Server } from '@bilberrystall/membership'
 import { LeaseServer, MEASURING_WINDOW_MS } from '../src/control-lease-server'
 import { TRIAL_ENVIRONMENT, submitBody } from './control-cluster'
@@ -80,3 +80,18 @@
   expect((await leader.requestLease('e', 600)).drain).toBe(false)
   expect((await leader.requestLease('f', 400)).drain).toBe(false)
 })
+
+// The clocks of the node and of the leader differ.
+test.each([
+  ['before', 100],
+  ['after', 5_000],
+])('a drain request that names a process applies to this one, also if its time is %s the start', async (_name, at) => {
+  const leader = new FakeLeader()
+  const origin = { at, requester: 'asha', source: '10.0.0.1' }
+  applyCommand(leader.state, { kind: 'node', ...origin, action: 'drain', node: nodeId('e'), start: 900 })
+  const restored = decodeSnapshot(encodeSnapshot(leader.state))._unsafeUnwrap()
+  expect(restored.drains).toEqual(leader.state.drains)
+  expect((await leader.requestLease('e', 900)).drain).toBe(true)
+  expect((await leader.requestLease('e', 1_200)).drain).toBe(false)
+  expect((await leader.requestLease('e', 50)).drain).toBe(false)
+})
--- a/packages/node/test/drain-order.test.ts
+++ b/packages/node/test/drain-order.test.ts
@@ -43,3 +43,20 @@
   await call(restarted, '/v1/changes', submitBody('c1', 0))
   expect(onDrain).not.toHaveBeenCalled()
 })
+
+test('an order names the process that runs when it is given, whatever the clocks say', async () => {
+  const start = Date.now() + 60_000
+  const onDrain = vi.fn()
+  const view = { nodes: cluster.nodes, servers: cluster.servers, startOf: () => start }
+  const only = await cluster.start('a', { bootstrap: true, start, onDrain, cluster: view })
+  await waitUntil(() => cluster.leader())
+  expect(await call(only, '/v1/nodes/a/drain', {})).toMatchObject({ status: 200 })
+  expect(onDrain).toHaveBeenCalledTimes(1)
+  await cluster.kill(only)
+  const onSecondDrain = vi.fn()
+  // The clock of the node was set back before the restart.
+  await cluster.start('a', { folder: only.folder, start: start - 90_000, onDrain: onSecondDrain })
+  const restarted = await waitUntil(() => cluster.leader())
+  await call(restarted, '/v1/changes', submitBody('c1', 0))
+  expect(onSecondDrain).not.toHaveBeenCalled()
+})
