Tell servers the renewal and the lease in force

Callers saw: nothing yet; found on the way. With `[entry] renewal` set, the status listener told servers to renew every 500 ms and that their lease was 2.8 s. Servers that leave thus also announced that three times as often as needed, and each of these announcements is a command of the log now.

Cause: the response held the times of the mode without control.

Evidence: the new test, before the change: "expected { renewMs: 500, leaseMs: 2800 } to deeply equal { renewMs: 1500, leaseMs: 24000 }".

Fix: the response follows the setting. The lease is the time until the entry drops the server plus the time until other nodes drop that entry's records, as it was for the default.

--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -26,6 +26,11 @@
  */
 const MISSED_RENEWALS = 8
 
+/** Returns the lease times; `renewalMs` is undefined if control does not decide departures. */
+export function leaseTimes(renewalMs: number | undefined): LeaseTimes {
+  return renewalMs === undefined ? DEFAULT_LEASE_TIMES : slowLeaseTimes(renewalMs)
+}
+
 /** Returns the lease times for servers whose departures control decides, so that expiry need not be fast. */
 export function slowLeaseTimes(renewalMs: number): LeaseTimes {
   const leaseMs = renewalMs * MISSED_RENEWALS
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,14 +4,7 @@
  */
 import { randomInt } from 'node:crypto'
 import { failure, resultCode, seededRandom, type CodeName, type Failure, type NodeId } from '@bilberrystall/base'
-import {
-  DEFAULT_LEASE_TIMES,
-  Directory,
-  serverKey,
-  slowLeaseTimes,
-  type DirectoryChange,
-  type Node,
-} from '@bilberrystall/membership'
+import { Directory, leaseTimes, serverKey, type DirectoryChange, type Node } from '@bilberrystall/membership'
 import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
@@ -278,6 +271,7 @@
       health: () => this.#health(),
       metrics: () => this.#metrics.render(),
       serverKey: this.#settings.entry?.serverKey,
+      renewalMs: this.#settings.entry?.renewalMs,
       announce: (announcement) => this.#postedAnnouncement(announcement),
     })
     const listening = await listen(status, this.#settings.statusListen)
@@ -407,7 +401,7 @@
     const now = () => performance.now()
     const random = seededRandom(randomInt(RANDOM_SEED_RANGE))
     const renewalMs = this.#settings.entry?.renewalMs
-    const leases = renewalMs === undefined ? DEFAULT_LEASE_TIMES : slowLeaseTimes(renewalMs)
+    const leases = leaseTimes(renewalMs)
     const directory = new Directory({ self: node, incarnation: startedAt, now: now(), leases })
     const clients = new RpcClients({ nodeKey, traffic: this.#traffic })
     const gossip = new Gossip({
--- a/packages/node/src/status-listener.ts
+++ b/packages/node/src/status-listener.ts
@@ -1,6 +1,6 @@
 /** Status listener of a node: server announcements, the health endpoint for the platform's balancer, and metrics. */
 import { failure, toProblem, resultCode, type Failure } from '@bilberrystall/base'
-import { SERVER_RENEWAL_MS, SERVER_LEASE_MS } from '@bilberrystall/membership'
+import { leaseTimes, SERVER_RENEWAL_MS } from '@bilberrystall/membership'
 import { bearerHeader, secretsEqual } from '@bilberrystall/rpc'
 import { Hono, type Context } from 'hono'
 import { bodyLimit } from 'hono/body-limit'
@@ -21,6 +21,8 @@
   readonly metrics: () => Promise<string>
   /** Undefined on nodes that accept no announcements here: those without the entry role or without a server key. */
   readonly serverKey: string | undefined
+  /** Interval at which servers renew their announcements if control decides departures. */
+  readonly renewalMs?: number | undefined
   readonly announce: (announcement: Announcement) => Result<unknown, Failure> | Promise<Result<unknown, Failure>>
 }
 
@@ -51,11 +53,17 @@
   if (parsed.isErr()) return problemResponse(parsed.error)
   const announced = await options.announce(parsed.value)
   return announced.match(
-    () => context.json({ renewMs: SERVER_RENEWAL_MS, leaseMs: SERVER_LEASE_MS }),
+    () => context.json(renewalTerms(options.renewalMs)),
     (cause) => problemResponse(cause),
   )
 }
 
+/** What a server is told: when to renew, and the time after its last renewal from which no entry sends it new calls. */
+function renewalTerms(renewalMs: number | undefined): { renewMs: number; leaseMs: number } {
+  const { renewalTimeoutMs, originLeaseMs } = leaseTimes(renewalMs)
+  return { renewMs: renewalMs ?? SERVER_RENEWAL_MS, leaseMs: renewalTimeoutMs + originLeaseMs }
+}
+
 function tooLargeResponse(): Response {
   return problemResponse(failure('announcementInvalid', `the body exceeds ${ANNOUNCEMENT_LIMIT_BYTES} bytes`))
 }
--- a/packages/node/test/announced-departure.test.ts
+++ b/packages/node/test/announced-departure.test.ts
@@ -45,7 +45,11 @@
 }
 
 async function announce(state: 'ready' | 'draining' | 'stopped', sequence: number, environment = 'production') {
-  const response = await fetch(`http://${settings.statusListen}/v1/announcements`, {
+  return (await post(state, sequence, environment)).status
+}
+
+function post(state: string, sequence: number, environment: string): Promise<Response> {
+  return fetch(`http://${settings.statusListen}/v1/announcements`, {
     method: 'POST',
     headers: { authorization: `Bearer ${SERVER_KEY}`, 'content-type': 'application/json' },
     body: JSON.stringify({
@@ -61,7 +65,6 @@
       connectionLimit: 10,
     }),
   })
-  return response.status
 }
 
 async function serverStates(): Promise<unknown> {
@@ -99,6 +102,15 @@
   expect(await announce('ready', 1)).not.toBe(200)
 })
 
+test.each([
+  // Time until the entry and then the other nodes drop a server that no longer renews.
+  { renewalMs: undefined, told: { renewMs: 500, leaseMs: 2_800 } },
+  { renewalMs: 1_500, told: { renewMs: 1_500, leaseMs: 24_000 } },
+])('servers are told the renewal and the lease in force with the setting $renewalMs', async ({ renewalMs, told }) => {
+  await start({ renewalMs, isControl: false })
+  expect(await (await post('ready', 1, 'production')).json()).toEqual(told)
+})
+
 test('a server of another environment cannot announce its departure', async () => {
   await start({ renewalMs: 1_500, isControl: true })
   await expect.poll(() => announce('draining', 1), { timeout: 5_000 }).toBe(200)
