Pass on small chunks of a response together

Fix: pieces of a body below 1 KiB are collected until the part of 2 KiB in which they arrived is parsed, and passed on as one. This happens in the same turn, as part of the work that the budget counts; larger pieces are passed on as before.

--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -107,8 +107,9 @@
     this.#socket.once('close', listener)
   }
 
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-    this.#socket.expectHead()
+  /** `passOn` is called after each part of the received bytes that was parsed. */
+  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, passOn: () => void): void {
+    this.#socket.expectHead(passOn)
     this.#client.dispatch(options, handler)
   }
 
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -33,6 +33,8 @@
 
 const FIRST_FINAL_STATUS = 200
 const MAX_INTERIM_RESPONSES = 16
+/** Smaller pieces of a body are collected until the part in which they arrived is parsed. */
+const MIN_PIECE_BYTES = 1_024
 
 /** Prevents undici from deriving the server name from the host header; only TLS uses it. */
 const UNUSED_SERVER_NAME = 'none'
@@ -51,6 +53,8 @@
   #interimResponses = 0
   #bodyBytes = 0
   #maxBodyBytes = Infinity
+  #pieces: Buffer[] = []
+  #pieceBytes = 0
   /** Time in ms at which the server last sent data. */
   progressAt: number
   paused = false
@@ -77,7 +81,9 @@
     this.#attemptId = request.attemptId
     this.#maxBodyBytes = request.maxResponseBytes ?? Infinity
     const options = { method, path, headers, body, idempotent: false, servername: UNUSED_SERVER_NAME }
-    this.connection.dispatch(options as Dispatcher.DispatchOptions, this)
+    this.connection.dispatch(options as Dispatcher.DispatchOptions, this, () => {
+      this.#passOn()
+    })
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -108,23 +114,37 @@
     controller.abort(new Error(`the server sent more than ${MAX_INTERIM_RESPONSES} interim responses`))
   }
 
-  onResponseData(controller: Dispatcher.DispatchController, part: Buffer): void {
-    this.#progress()
+  onResponseData(_: Dispatcher.DispatchController, piece: Buffer): void {
     if (this.#finished) return
-    this.connection.onBody(part.length)
-    this.#bodyBytes += part.length
+    this.connection.onBody(piece.length)
+    this.#bodyBytes += piece.length
     if (this.#bodyBytes > this.#maxBodyBytes) {
       this.onResponseError()
       return
     }
+    this.#pieces.push(piece)
+    this.#pieceBytes += piece.length
+    if (this.#pieceBytes >= MIN_PIECE_BYTES) this.#passOn()
+    // undici pauses behind the piece.
+    if (this.paused) this.connection.onPause()
+  }
+
+  /** Passes on what was collected. Each piece on its own would cost a write to the caller. */
+  #passOn(): void {
+    if (this.#finished || this.#pieceBytes === 0) return
+    this.#progress()
+    const [first, ...others] = this.#pieces
+    const part = first === undefined || others.length > 0 ? Buffer.concat(this.#pieces, this.#pieceBytes) : first
+    this.#pieces = []
+    this.#pieceBytes = 0
     if (this.#events.data(part)) return
     this.paused = true
-    this.connection.onPause()
-    controller.pause()
+    this.#controller?.pause()
   }
 
   onResponseEnd(): void {
     this.#progress()
+    this.#passOn()
     if (this.#finished) return
     if (this.#head?.delimited !== false) {
       this.#end()
--- a/packages/entry/src/server-socket.ts
+++ b/packages/entry/src/server-socket.ts
@@ -28,13 +28,18 @@
   /** Bytes of the current head, or of the framing of the current body. */
   #overheadBytes = 0
   #maxOverheadBytes = MAX_HEAD_BYTES
+  #passOn: (() => void) | undefined
 
   constructor() {
     super({ noDelay: true, keepAlive: true } as ConstructorParameters<typeof Socket>[0])
   }
 
-  /** A request was sent: the next bytes are the head of its response. */
-  expectHead(): void {
+  /**
+   * A request was sent: the next bytes are the head of its response. `passOn` is called after each part that was parsed;
+   * its work counts as that of the part.
+   */
+  expectHead(passOn: () => void): void {
+    this.#passOn = passOn
     this.#partBytes = PART_BYTES
     this.#overheadBytes = 0
     this.#maxOverheadBytes = MAX_HEAD_BYTES
@@ -52,8 +57,11 @@
 
   /** Called by the next read, and when the parser pauses within a part. */
   onPartParsed(): void {
-    if (this.#parsedSince !== undefined) readBudget.end(this.#parsedSince)
+    const parsedSince = this.#parsedSince
+    if (parsedSince === undefined) return
     this.#parsedSince = undefined
+    this.#passOn?.()
+    readBudget.end(parsedSince)
   }
 
   /** The parser calls it without a size until it returns null. */
