Repeat notifications until an entry confirms, and bound the wait for each entry

Now the leader repeats a notification until the entry has confirmed what is committed or has left. A change waits for its own position only, up to 2 s from the first notification that the entry has not confirmed, and not for an entry whose process refuses connections. State belongs to the process, not to the name. An entry without a document polls as well before it responds. A further node that announced a revision is asked after 0.5 s, so that two that do not respond do not hold up the others.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -1,25 +1,39 @@
 /**
- * Tells the live entries of committed changes before the leader acknowledges them. A majority of replicas keeps a
- * change, but an entry asks for it only at its next poll, and in vain if the replicas are lost by then. Once it was told,
- * an entry also passes the change on to entries that were not. Changes do not wait for an entry that could not be told,
- * or did not confirm in time, until it responds again: it may be frozen or cut off.
+ * Notifies the live entries of committed changes before the leader acknowledges them. A majority of replicas stores a
+ * change, but an entry would ask for it only at its next poll, and in vain if the replicas are lost by then. A
+ * notification is repeated until the entry has confirmed it or has left. A change waits for an entry up to the time
+ * within which changes must be in force, counted from the first notification that the entry has not confirmed, so
+ * repeated submissions and further changes do not extend the wait for a frozen entry.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Environment, NodeId } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
 import type { Node } from '@bilberrystall/membership'
 import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
+import { Code, ConnectError } from '@connectrpc/connect'
+import type { ClusterView } from './control-views'
 
 /** Time within which a change must be in force on every node. */
 const CONFIRMATION_LIMIT_MS = 2_000
-/** An entry that was frozen for longer than the limit still responds to the notification that it missed. */
-const NOTIFICATION_TIMEOUT_MS = 2 * CONFIRMATION_LIMIT_MS
+const RETRY_DELAY_MS = 100
 
 export interface ChangeDeliveryOptions {
   readonly self: NodeId
-  readonly nodes: ReadonlyMap<NodeId, Node>
+  readonly cluster: Pick<ClusterView, 'nodes' | 'startOf'>
   readonly clients: RpcClients
   readonly state: () => ControlState
+  /** A replica that no longer leads stops to repeat notifications. */
+  readonly isLeader: () => boolean
+  /** Monotonic milliseconds. */
+  readonly now: () => number
+}
+
+/** What an entry must have for a change to be in force there. */
+export interface DeliveryPosition {
+  /** Undefined if the change concerns the entries of every environment. */
+  readonly environment: Environment | undefined
+  readonly revision: number
+  readonly departurePosition: number
 }
 
 export interface DeliveryReport {
@@ -28,111 +42,151 @@
   readonly unconfirmed: readonly NodeId[]
 }
 
-interface Target {
-  readonly environment: Environment
-  readonly revision: number
-  readonly departurePosition: number
-}
+type NotificationResult = 'confirmed' | 'behind' | 'unable'
 
 interface Peer {
+  /** Start of the process that the state belongs to; undefined if the directory does not know it. */
+  readonly start: number | undefined
   /** Newest state that the entry confirmed. */
   revision: number
   departurePosition: number
-  /** Whether changes wait for the entry. */
-  responsive: boolean
-  notification: Promise<boolean> | undefined
+  /** Time of the first notification that the entry has not confirmed. */
+  behindSince: number | undefined
+  /** Whether notifications are being repeated. */
+  notifying: boolean
+  /** Whether no process listens at its address, or one of a build without notifications. */
+  unable: boolean
 }
 
 export class ChangeDelivery {
   readonly #options: ChangeDeliveryOptions
   readonly #peers = new Map<NodeId, Peer>()
+  /** Resolves the promises of `#nextResult`. */
+  #onResult: (() => void)[] = []
+  #stopped = false
 
   constructor(options: ChangeDeliveryOptions) {
     this.#options = options
   }
 
-  /** Resolves when every responsive entry uses what is committed now, at the latest after the limit. */
-  async deliver(): Promise<DeliveryReport> {
-    const entries = this.#liveEntries()
-    this.#forgetLostPeers()
-    const unconfirmed = new Set(entries.map(({ node }) => node))
-    const waiting = entries.map(async (entry) => {
-      const { responsive } = this.#peer(entry.node)
-      const delivered = this.#bringUpToDate(entry, this.#target(entry)).then((isUpToDate) => {
-        if (isUpToDate) unconfirmed.delete(entry.node)
-      })
-      if (responsive) await delivered
-    })
-    const limit = new AbortController()
-    const timer = sleep(CONFIRMATION_LIMIT_MS, undefined, { signal: limit.signal }).catch(() => undefined)
-    await Promise.race([Promise.all(waiting), timer])
-    limit.abort()
-    for (const node of unconfirmed) this.#peer(node).responsive = false
-    return { entries: entries.length, unconfirmed: [...unconfirmed].sort() }
+  stop(): void {
+    this.#stopped = true
+    this.#reportResult()
   }
 
-  async #bringUpToDate(entry: Node, target: Target): Promise<boolean> {
-    const peer = this.#peer(entry.node)
-    while (!isReached(peer, target)) {
-      // Changes that are committed meanwhile share the next notification.
-      peer.notification ??= this.#notify(entry, peer).finally(() => {
-        peer.notification = undefined
-      })
-      if (!(await peer.notification)) return false
+  /** Resolves when every entry that can confirm the change has done so, or has had the time to. */
+  async deliver(position: DeliveryPosition): Promise<DeliveryReport> {
+    this.#removeLostPeers()
+    const entries = this.#entriesOf(position.environment)
+    const unconfirmed = () => entries.filter((node) => !isReached(this.#peer(node), position))
+    for (const node of unconfirmed()) void this.#keepNotifying(node)
+    for (;;) {
+      const remaining = unconfirmed().map((node) => this.#remainingMs(node))
+      const next = Math.max(0, ...remaining)
+      if (next === 0) return { entries: entries.length, unconfirmed: unconfirmed().sort() }
+      await this.#nextResult(Math.min(...remaining.filter((ms) => ms > 0)))
     }
-    return true
   }
 
-  /** Returns false if the entry did not respond or is still behind. */
-  async #notify(entry: Node, peer: Peer): Promise<boolean> {
-    const { clients, self } = this.#options
-    const target = this.#target(entry)
+  async #keepNotifying(node: NodeId): Promise<void> {
+    const peer = this.#peer(node)
+    if (peer.notifying) return
+    peer.notifying = true
+    peer.unable = false
+    for (;;) {
+      const entry = this.#options.cluster.nodes.get(node)
+      if (this.#stopped || entry === undefined || this.#peer(node) !== peer) break
+      const target = this.#committed(entry)
+      const isWaitedFor = this.#remainingMs(node) > 0
+      if (isReached(peer, target) || !(isWaitedFor || this.#options.isLeader())) break
+      const result = await this.#notify(entry, peer, target)
+      if (result === 'confirmed') peer.behindSince = undefined
+      peer.unable = result === 'unable'
+      this.#reportResult()
+      if (peer.unable) break
+      if (result === 'behind') await sleep(RETRY_DELAY_MS)
+    }
+    peer.notifying = false
+    this.#reportResult()
+  }
+
+  async #notify(entry: Node, peer: Peer, target: DeliveryPosition): Promise<NotificationResult> {
+    const { clients, self, now } = this.#options
     const request = {
-      environment: target.environment,
+      environment: entry.environment,
       revision: BigInt(target.revision),
       departurePosition: BigInt(target.departurePosition),
       node: self,
     }
+    peer.behindSince ??= now()
     try {
-      const options = { timeoutMs: NOTIFICATION_TIMEOUT_MS }
+      const options = { timeoutMs: CONFIRMATION_LIMIT_MS }
       const response = await clients.client(DeliveryService, entry.address).notify(request, options)
-      peer.responsive = true
-      // A starting entry reads from a majority before it serves, which includes this change.
-      const confirmed = response.revision === 0n ? target : response
-      peer.revision = Number(confirmed.revision)
-      peer.departurePosition = Number(confirmed.departurePosition)
-      return isReached(peer, target)
-    } catch {
-      // The entry left, does not respond or runs a build without notifications.
-      peer.responsive = false
-      return false
+      peer.revision = Number(response.revision)
+      peer.departurePosition = Number(response.departurePosition)
+      return isReached(peer, target) ? 'confirmed' : 'behind'
+    } catch (cause) {
+      return isUnable(ConnectError.from(cause)) ? 'unable' : 'behind'
     }
   }
 
-  #target({ environment }: Node): Target {
+  /** Time for which a change still waits for an entry that has not confirmed it. */
+  #remainingMs(node: NodeId): number {
+    const peer = this.#peer(node)
+    if (this.#stopped || peer.unable || !this.#options.cluster.nodes.has(node)) return 0
+    const since = peer.behindSince ?? this.#options.now()
+    return Math.max(0, since + CONFIRMATION_LIMIT_MS - this.#options.now())
+  }
+
+  #nextResult(limitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, limitMs)
+      this.#onResult.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
+  #reportResult(): void {
+    for (const resolve of this.#onResult.splice(0)) resolve()
+  }
+
+  #committed({ environment }: Node): DeliveryPosition {
     const state = this.#options.state()
     const revision = documentInForce(state, environment)?.revision ?? 0
     return { environment, revision, departurePosition: state.departurePosition }
   }
 
-  #liveEntries(): readonly Node[] {
-    const { nodes, self } = this.#options
-    return [...nodes.values()].filter(({ node, roles }) => node !== self && roles.includes('entry'))
+  #entriesOf(environment: Environment | undefined): NodeId[] {
+    const { cluster, self } = this.#options
+    return [...cluster.nodes.values()]
+      .filter(({ node, roles }) => node !== self && roles.includes('entry'))
+      .filter((entry) => environment === undefined || entry.environment === environment)
+      .map(({ node }) => node)
   }
 
+  /** A process that replaced another one has confirmed nothing. */
   #peer(node: NodeId): Peer {
+    const start = this.#options.cluster.startOf?.(node)
     const known = this.#peers.get(node)
-    if (known !== undefined) return known
-    const peer: Peer = { revision: -1, departurePosition: -1, responsive: true, notification: undefined }
+    if (known !== undefined && known.start === start) return known
+    const unknown = { revision: -1, departurePosition: -1, behindSince: undefined, notifying: false, unable: false }
+    const peer: Peer = { start, ...unknown }
     this.#peers.set(node, peer)
     return peer
   }
 
-  #forgetLostPeers(): void {
-    for (const node of this.#peers.keys()) if (!this.#options.nodes.has(node)) this.#peers.delete(node)
+  #removeLostPeers(): void {
+    for (const node of this.#peers.keys()) if (!this.#options.cluster.nodes.has(node)) this.#peers.delete(node)
   }
 }
 
-function isReached(peer: Peer, target: Target): boolean {
-  return peer.revision >= target.revision && peer.departurePosition >= target.departurePosition
+function isReached(peer: Peer, { revision, departurePosition }: DeliveryPosition): boolean {
+  return peer.revision >= revision && peer.departurePosition >= departurePosition
+}
+
+/** Where no process listens, no entry serves with an older state, and a process that starts reads from a majority. */
+function isUnable({ code, cause }: ConnectError): boolean {
+  return code === Code.Unimplemented || (cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED')
 }
--- a/packages/node/src/change-submitter.ts
+++ b/packages/node/src/change-submitter.ts
@@ -105,8 +105,11 @@
    * Requests are accepted only with at least this many voters, so that they survive the configured number of losses.
    */
   readonly minVoters?: number
-  /** Called on the leader before it acknowledges an accepted change or a departure. */
-  readonly beforeAcknowledgement?: (command: AcknowledgedCommand) => void | Promise<void>
+  /**
+   * Called on the leader before it acknowledges an accepted change or a departure. `revision` is that of the accepted
+   * change, 0 for a departure.
+   */
+  readonly beforeAcknowledgement?: (command: AcknowledgedCommand, revision: number) => Promise<void>
 }
 
 export class ChangeSubmitter {
@@ -167,7 +170,10 @@
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return { kind: 'retry', sent: false, leader: undefined }
     const outcome = await this.#propose(command)
-    if (isAcknowledgedCommand(command) && isAccepted(outcome)) await this.#options.beforeAcknowledgement?.(command)
+    const acceptedRevision = revisionOf(outcome)
+    if (isAcknowledgedCommand(command) && acceptedRevision !== undefined) {
+      await this.#options.beforeAcknowledgement?.(command, acceptedRevision)
+    }
     return outcome
   }
 
@@ -295,8 +301,10 @@
   return { section: truncate(fault.section), key: truncate(fault.key), reason: truncate(fault.reason) }
 }
 
-function isAccepted(outcome: AttemptOutcome): boolean {
-  return outcome.kind === 'recorded' || (outcome.kind === 'change' && outcome.result.kind === 'accepted')
+/** Undefined unless the request was accepted; 0 if its result has no revision. */
+function revisionOf(outcome: AttemptOutcome): number | undefined {
+  if (outcome.kind === 'recorded') return 0
+  return outcome.kind === 'change' && outcome.result.kind === 'accepted' ? outcome.result.revision : undefined
 }
 
 function attemptOutcome(proposed: ProposalOutcome): AttemptOutcome {
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -35,12 +35,14 @@
 const RETRY_DELAY_MS = 20
 /** Time for which a replica that did not respond is tried last. */
 const DEPRIORITIZED_MS = 3_000
-/** Polls after a notification, the first of the nearest replica, which may not know yet that the change is committed. */
+/** Maximum number of polls after a notification. The first goes to the nearest replica, which may lag. */
 const CATCH_UP_ATTEMPTS = 5
 const ENTRY_FETCH_INTERVAL_MS = 500
 const FETCH_TIMEOUT_MS = 2_000
-/** Fetches in progress of a revision that several nodes announce: one more than needed, as one node may not respond. */
+/** Fetches of an announced revision that start at the same time. */
 const MAX_CONCURRENT_FETCHES = 2
+/** Time after which the next node that announced a revision is asked as well. */
+const FETCH_HEDGE_MS = 500
 
 export interface DepartedServer {
   readonly server: ServerId
@@ -117,8 +119,6 @@
 
   #hasReached({ revision: notified, departurePosition }: Notification): boolean {
     const { environment, documentStore } = this.#options
-    // An entry without a document reads from a majority before it uses one.
-    if (!documentStore.isReady(environment)) return true
     const inForce = documentStore.inForce(environment)?.revision ?? 0
     return inForce >= notified && this.#departurePosition >= BigInt(departurePosition)
   }
@@ -153,7 +153,7 @@
     this.#announcedFetches += 1
     for (const next of this.#announcers) {
       this.#announcers.delete(next)
-      if (documentStore.isBehind(environment)) await this.fetch(next)
+      if (documentStore.isBehind(environment)) await Promise.race([this.fetch(next), this.#sleep(FETCH_HEDGE_MS)])
     }
     this.#announcedFetches -= 1
   }
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -102,7 +102,14 @@
     const wallClock = () => Date.now()
     const addressOf = (other: NodeId) => cluster.nodes.get(other)?.address
     const controlNodes = () => controlNodesOf(cluster)
-    this.#delivery = new ChangeDelivery({ self: node, nodes: cluster.nodes, clients, state: () => host.state })
+    this.#delivery = new ChangeDelivery({
+      self: node,
+      cluster,
+      clients,
+      state: () => host.state,
+      isLeader: () => this.#isLeader,
+      now,
+    })
     this.#changes = new ChangeSubmitter({
       host,
       node,
@@ -112,7 +119,7 @@
       checkDocument,
       wallClock,
       minVoters: settings.minVoters,
-      beforeAcknowledgement: (command) => this.#deliver(command),
+      beforeAcknowledgement: (command, acceptedRevision) => this.#deliver(command, acceptedRevision),
       ...(options.submitTimeoutMs === undefined ? {} : { timeoutMs: options.submitTimeoutMs }),
     })
     this.#leases = new LeaseServer({ host, directory: cluster, now })
@@ -234,6 +241,7 @@
     this.#stopped = true
     clearTimeout(this.#confirmTimer)
     this.#leaderTasks.stop()
+    this.#delivery.stop()
     this.#transport.stop()
     await this.host.stop()
   }
@@ -278,12 +286,24 @@
     this.#metrics?.recordSync(duration)
   }
 
-  async #deliver(command: AcknowledgedCommand): Promise<void> {
-    const { entries, unconfirmed } = await this.#delivery.deliver()
-    if (command.kind === 'depart') return
+  async #deliver(command: AcknowledgedCommand, acceptedRevision: number): Promise<void> {
+    const { departures, departurePosition } = this.host.state
+    const { log } = this.#options
+    if (command.kind === 'depart') {
+      const { server, start } = command
+      const position = departures.get(server)?.position ?? departurePosition
+      const delivered = await this.#delivery.deliver({
+        environment: undefined,
+        revision: 0,
+        departurePosition: position,
+      })
+      if (delivered.unconfirmed.length > 0) log.info('changeAcknowledged', { server, start, ...delivered })
+      return
+    }
     const { environment } = command
-    const { revision = 0, version = 0 } = documentInForce(this.host.state, environment) ?? {}
-    this.#options.log.info('changeAcknowledged', { environment, revision, version, entries, unconfirmed })
+    const delivered = await this.#delivery.deliver({ environment, revision: acceptedRevision, departurePosition: 0 })
+    const { version = 0 } = documentInForce(this.host.state, environment) ?? {}
+    log.info('changeAcknowledged', { environment, revision: acceptedRevision, version, ...delivered })
   }
 
   #reportDepartures(): void {
