--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -59,8 +59,11 @@
     if (session === undefined || session.destroyed || session === this.#pingedSession) return
     this.#pingedSession = session
     const timer = setTimeout(() => {
-      // Requests that wait for the library's check of this session continue only if it ends with an error.
-      session.destroy(new Error('ping timed out'))
+      // After a long turn of the event loop, timers run before a response that has arrived is read.
+      setImmediate(() => {
+        // Requests that wait for the library's check of this session continue only if it ends with an error.
+        if (this.#pingedSession === session) session.destroy(new Error('ping timed out'))
+      })
     }, PING_TIMEOUT_MS)
     session.ping(() => {
       clearTimeout(timer)
