Stop to accept after one turn that brings no connection

One quiet turn is enough where a node begins to drain, in a timer: the turn polls behind it. The test of the queue begins its drain there as well.

--- a/packages/entry/src/arrived.ts
+++ b/packages/entry/src/arrived.ts
@@ -2,8 +2,6 @@
 
 /** Longest queue of connections that the operating system has accepted for a listener. */
 export const LISTEN_BACKLOG = 511
-/** Turns of the event loop without a new connection after which none is left: one may have begun behind the polling. */
-const QUIET_TURNS = 2
 
 /** Lets this process accept connections and read requests for one turn of the event loop. */
 export function readArrived(): Promise<void> {
@@ -12,13 +10,12 @@
 
 /**
  * Lets this process accept all connections in the queues of its listeners. Node.js accepts one of a listener in each
- * turn of the event loop.
+ * turn of the event loop, and none between the call and the first turn if it is called behind the polling of a turn.
  */
 export async function acceptArrived(acceptedConnections: () => number): Promise<void> {
-  let quietTurns = 0
-  for (let turn = 0; turn < LISTEN_BACKLOG && quietTurns < QUIET_TURNS; turn += 1) {
+  for (let turn = 0; turn < LISTEN_BACKLOG; turn += 1) {
     const before = acceptedConnections()
     await readArrived()
-    quietTurns = acceptedConnections() === before ? quietTurns + 1 : 0
+    if (acceptedConnections() === before) return
   }
 }
--- a/packages/entry/test/arrived-at-stop.test.ts
+++ b/packages/entry/test/arrived-at-stop.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { createInterface } from 'node:readline'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect, test } from 'vitest'
 import { respond, startEntry, startFakeServer } from './harness'
 import { get, statusesOf } from './support/raw-caller'
@@ -77,6 +78,8 @@
     respond(received, 'ok')
   })
   const { entry } = await startEntry([server])
+  // A node begins to drain in a timer, before the turn polls.
+  await sleep(1)
   const answers = Array.from({ length: QUEUED_CONNECTIONS }, () => sendOnce(entry.port))
   const drained = entry.drain(2_000)
   expect(new Set(await Promise.all(answers))).toEqual(new Set(['200']))
