--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -196,7 +196,10 @@
     await sleep(fault.startMs)
     switch (fault.kind) {
       case 'race':
-        await this.#whenOperatorIsFree(() => this.#submitConflictingChanges())
+        await this.#whenOperatorIsFree(async () => {
+          await this.#submitConflictingChanges()
+          await this.#mover.move(this.#cluster.controls)
+        })
         return
       case 'kill-all-control':
         await Promise.race([this.#move(), sleep(MAX_KILL_DELAY_MS)])
@@ -247,7 +250,10 @@
     })
   }
 
-  /** Lets moves and races take turns: a move would make both changes of a race conflict with it. */
+  /**
+   * Lets moves and races take turns: a move would make both changes of a race conflict with it. Each race is followed by a
+   * move, as races can occupy all turns.
+   */
   async #whenOperatorIsFree(act: () => Promise<void>): Promise<void> {
     const before = this.#operating
     this.#operatorQueue += 1
