Continue a response when one behind it ends in the meantime

Callers saw: a caller that has several requests in progress on a connection got a part of a long response and then nothing until its deadline, which cut it off.

Cause: the entry pauses the connection to the server while its caller reads slowly, and resumes it on `drain` of the response. Node.js emits `drain` on the response that is being sent also when one behind it is written (updateOutgoingData in _http_server). That happens while the parser of the other server runs, where undici refuses to resume ("assert(currentParser === null)"). The error was caught as one of the other response, the listener was gone, and nothing resumed the connection again. It needs neither a stop nor load: load only made the order more likely.

Evidence: a trace of a stalled run ends with "pause; drain; resume" inside the parse of the response behind, the parser of the long one still paused.

Fix: the connection is resumed in the next tick, when no parser runs. An early `drain` does no harm, as the next part pauses again.

--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -148,7 +148,11 @@
 
   #write(part: Buffer, drained: (() => void) | undefined): boolean {
     if (this.#response.write(part)) return true
-    if (drained !== undefined) this.#response.once('drain', drained)
+    // Node.js also emits it when a response behind this one is written, which happens within the parser of its server.
+    if (drained !== undefined)
+      this.#response.once('drain', () => {
+        process.nextTick(drained)
+      })
     return false
   }
 
