Pass on responses that end with their connection without a length

Causes: the error with which undici destroys the socket after such a response counted as a reset. And neither can the end be trusted: libuv reports an end in order for a connection that is reset together with its last bytes (a hang-up after a partial read), and a process that ends closes its connections too.

Fix: at the end the entry asks the operating system for the peer, which it knows only if the connection was not reset. A response that ended in order is passed on as it came: without a length, with the end of the caller's connection. Where that can't be (a part was sent, other requests are in progress on the connection, or a key keeps it for replays) it is refused as before.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -22,6 +22,8 @@
   /** Returns false to discard the response: the server did not run the request. */
   readonly head: (head: ResponseHead) => boolean
   readonly data: (part: Buffer, drained: () => void) => boolean
+  /** Returns false if a response that ended with its connection, and may be cut off, has to count as truncated. */
+  readonly mayEndWithConnection: () => boolean
   readonly ended: (head: ResponseHead) => void
   readonly failed: (failure: AttemptFailure) => void
   /** The connection has made no progress for some time. The attempt continues, since its server may still respond. */
@@ -170,6 +172,11 @@
   #onExchangeEnded(exchange: Exchange): void {
     const { head, connection } = exchange
     if (head === undefined) return
+    if (!head.delimited && !this.#discardResponse && !this.#options.events.mayEndWithConnection()) {
+      connection.destroy()
+      this.#onExchangeFailed(true)
+      return
+    }
     if (this.#options.body.received && !isUnnamedRefusal(head)) this.#pool?.release(connection)
     else connection.destroy()
     if (this.#discardResponse) {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -228,6 +228,7 @@
         this.#idempotency.onResponseData(part)
         return this.#callerResponse.data(part, drained)
       },
+      mayEndWithConnection: () => this.#mayEndWithConnection(),
       ended: (responseHead: ResponseHead) => {
         this.#onComplete(responseHead)
       },
@@ -345,6 +346,14 @@
     return true
   }
 
+  /**
+   * A response that ended with its connection may be cut off, because a server that crashes closes its connections as
+   * well. It can be passed on without a length, but not stored as a whole one.
+   */
+  #mayEndWithConnection(): boolean {
+    return !this.#idempotency.hasClaim && this.#callerResponse.canEndWithConnection
+  }
+
   #onComplete(head: ResponseHead): void {
     const { gate } = this.#dependencies
     if (gate.isActive() && !head.notRun && head.status < SERVER_ERROR) gate.completed(this.#requestId)
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -61,6 +61,11 @@
     return this.#response.writableEnded
   }
 
+  /** Whether nothing was sent, and no other request would lose its response with the connection. */
+  get canEndWithConnection(): boolean {
+    return !this.#response.headersSent && !this.#connection.isShared
+  }
+
   problem(cause: Failure, fields: Readonly<Record<string, string>> = {}, members: object = {}): void {
     this.reset()
     const body = { ...toProblem(cause), ...members }
@@ -106,6 +111,7 @@
   end(): void {
     clearTimeout(this.#flushTimer)
     const buffered = this.#takeBuffered()
+    if (this.#head?.delimited === false) this.#endWithConnection()
     this.#writeHead()
     if (buffered === undefined) this.#response.end()
     // Node.js joins the head and a string body in one write; a buffer would be written separately by a slower call.
@@ -152,6 +158,13 @@
     return false
   }
 
+  /** The response gets neither a length nor chunks, which would say that it is complete. */
+  #endWithConnection(): void {
+    this.#connection.stopAccepting()
+    this.#response.useChunkedEncodingByDefault = false
+    this.#response.shouldKeepAlive = false
+  }
+
   #closesConnection(): boolean {
     return this.#connection.closesBehind(this.#response, this.#isBodyReceived())
   }
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -26,7 +26,7 @@
   usedAt: number
   /** Set when the connection is silent: its exchange may finish, but the connection is not reused. */
   retired = false
-  /** Set when the socket failed, so that a body delimited only by the close is not treated as complete. */
+  /** Set when the socket failed before the server closed its side. */
   broken = false
   /** Set when the server closed its side cleanly (FIN). */
   ended = false
@@ -43,8 +43,10 @@
       if (socket.readableLength === 0) socket.read()
     }
     socket.on('readable', detectClose)
-    socket.once('end', () => {
-      this.ended = true
+    // libuv reports the end of a connection also if it was reset together with its last bytes. The operating system knows
+    // the peer of a connection only as long as it was not reset.
+    socket.prependOnceListener('end', () => {
+      this.ended = socket.remoteAddress !== undefined
     })
     let socketUsed = false
     this.#client = new Client(originOf(address), {
@@ -86,7 +88,8 @@
       })
       socket.on('error', (cause) => {
         clearTimeout(timer)
-        if (connection !== undefined) connection.broken = true
+        // undici destroys the socket with an error of its own after a response that ends with the connection.
+        if (connection?.ended === false) connection.broken = true
         resolve(err(failure('connectFailed', errorMessage(cause))))
       })
     })
--- a/packages/entry/src/idempotency-handler.ts
+++ b/packages/entry/src/idempotency-handler.ts
@@ -59,6 +59,11 @@
     })
   }
 
+  /** Whether the response will be stored for a replay. */
+  get hasClaim(): boolean {
+    return this.#claim !== undefined
+  }
+
   onResponseHead(head: ResponseHead): void {
     if (this.#claim !== undefined) this.#responseHead = head
   }
--- a/packages/entry/src/relay-attempt.ts
+++ b/packages/entry/src/relay-attempt.ts
@@ -20,6 +20,7 @@
 export interface RelayAttemptEvents {
   readonly head: (head: ResponseHead) => void
   readonly data: (part: Buffer, drained: () => void) => boolean
+  readonly mayEndWithConnection: () => boolean
   readonly ended: (head: ResponseHead) => void
   readonly failed: (failure: RelayFailure) => void
 }
@@ -119,7 +120,8 @@
       this.#fail(this.#failureCode ?? 'connectionLost')
       return
     }
-    if (this.#end(false)) this.#options.events.ended(head)
+    if (!head.delimited && !this.#options.events.mayEndWithConnection()) this.#fail('responseTruncated')
+    else if (this.#end(false)) this.#options.events.ended(head)
   }
 
   #codeOfBrokenExchange(sent: boolean): CodeName {
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -19,6 +19,7 @@
   /** Returns false to discard the response: the server did not run the request. */
   readonly head: (head: ResponseHead) => boolean
   readonly data: (part: Buffer, drained: () => void) => boolean
+  readonly mayEndWithConnection: () => boolean
   readonly ended: (head: ResponseHead) => void
   readonly failed: (failure: AttemptFailure) => void
   /** The router found no server in time. */
@@ -102,6 +103,7 @@
       events: {
         head: events.head,
         data: events.data,
+        mayEndWithConnection: events.mayEndWithConnection,
         ended: (head) => {
           this.#end()
           events.ended(head)
