Accept responses to HEAD that have no length

Callers saw: 502 response-truncated for each HEAD request whose server names no length in its response.

Cause: such a response counted as one that ends with its connection, which stays open.

Fix: a response to HEAD has no body, so that it is complete with its head. Its connection is not used again, as undici closes it.

Before: the call of the new test got 502 (trial: "502 responseTruncated"). After: 14 of 14 tests of the file; connection, outcome and dialect tests passed (59 of 60; the other was an assertion of the new test that the connection is kept, which undici does not do, and which is removed).

--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -53,6 +53,7 @@
   #interimResponses = 0
   #bodyBytes = 0
   #maxBodyBytes = Infinity
+  #expectsBody = true
   #pieces: Buffer[] = []
   #pieceBytes = 0
   /** Time in ms at which the server last sent data. */
@@ -79,6 +80,7 @@
   start(request: ExchangeRequest): void {
     const { method, target: path, fields: headers, body = null } = request
     this.#attemptId = request.attemptId
+    this.#expectsBody = method !== 'HEAD'
     this.#maxBodyBytes = request.maxResponseBytes ?? Infinity
     const options = { method, path, headers, body, idempotent: false, servername: UNUSED_SERVER_NAME }
     this.connection.dispatch(options as Dispatcher.DispatchOptions, this, () => {
@@ -97,7 +99,8 @@
       this.#onInterimResponse(controller)
       return
     }
-    const head = parseResponseHead(status, controller.rawHeaders as Buffer[], this.#dialect)
+    const parsed = parseResponseHead(status, controller.rawHeaders as Buffer[], this.#dialect)
+    const head = this.#expectsBody ? parsed : { ...parsed, delimited: true }
     this.connection.onHeadComplete(head.length !== undefined)
     if (!this.#matchesRequest(head)) {
       this.onResponseError()
--- a/packages/entry/test/close-delimited-response.test.ts
+++ b/packages/entry/test/close-delimited-response.test.ts
@@ -79,6 +79,18 @@
   expect(results).toEqual(['complete'])
 })
 
+/** Guards against refusing a response to HEAD, which has no body, because it has no length. */
+test('a response to HEAD needs no length', async () => {
+  const server = await startFakeServer(({ socket }) => {
+    socket.write(HEADS['no length'])
+  })
+  const { origin, results } = await startEntry([server])
+  for (let index = 0; index < 2; index += 1) {
+    expect(await sendCall(`${origin}/read`, { method: 'HEAD' })).toMatchObject({ status: 200, text: '' })
+  }
+  expect(results).toEqual(['complete', 'complete'])
+})
+
 test('other requests on the connection keep their responses', async () => {
   const server = await startFakeServer((received) => {
     if (received.head.startsWith('POST')) received.socket.end(`${HEADS['no length']}first`)
