--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -229,7 +229,8 @@
         this.#idempotency.onResponseData(part)
         return this.#callerResponse.data(part, drained)
       },
-      mayEndWithConnection: () => this.#mayEndWithConnection(),
+      // Such a response may be cut off, because a server that crashes closes its connections as well, so it is not stored.
+      mayEndWithConnection: () => !this.#idempotency.hasClaim && this.#callerResponse.canEndWithConnection,
       ended: (responseHead: ResponseHead) => {
         this.#onComplete(responseHead)
       },
@@ -347,14 +348,6 @@
     return true
   }
 
-  /**
-   * A response that ended with its connection may be cut off, because a server that crashes closes its connections as
-   * well. It can be passed on without a length, but not stored as a whole one.
-   */
-  #mayEndWithConnection(): boolean {
-    return !this.#idempotency.hasClaim && this.#callerResponse.canEndWithConnection
-  }
-
   #onComplete(head: ResponseHead): void {
     const { gate } = this.#dependencies
     if (gate.isActive() && !head.notRun && head.status < SERVER_ERROR) gate.completed(this.#requestId)
