Back off polls while no replica is current

Cause: after a rejected round an entry polled two replicas again after 20 ms, twenty times, and then every 100 ms, so the replicas' load grew with the fleet just when they were starting: 404 polls a second each with 130 entries. Intervals now double from 20 ms to 500 ms. They count from the start of a round, so an entry whose poll is held until there is a leader asks again as early as before.

--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -34,11 +34,15 @@
  * starting. A higher number would transfer a large document over slow links too often.
  */
 const DISCOVERY_FANOUT = 2
-/** Delay before polling the next replica after one did not respond. */
-const RETRY_DELAY_MS = 20
-/** The same after several rounds without a response, in which replicas may be waiting for a leader. */
-const LONG_RETRY_DELAY_MS = 100
-const MAX_FAST_RETRIES = 20
+/**
+ * Shortest interval between the starts of rounds without a response. It doubles with each such round, because in a
+ * fleet of hundreds the replicas have to answer all entries at the same time. Polls that a replica holds until there is
+ * a leader last about as long as the longest interval, so they follow each other closely.
+ */
+const MIN_RETRY_INTERVAL_MS = 20
+const MAX_RETRY_INTERVAL_MS = 500
+/** Delay before the next round after polls that took longer than the interval. */
+const MIN_RETRY_DELAY_MS = 20
 /** Time for which an address that did not respond is tried last. */
 const DEPRIORITIZED_MS = 3_000
 /** Rounds without a response after which addresses outside the directory are polled as well. */
@@ -232,17 +236,22 @@
   async #pollLoop(): Promise<void> {
     while (!this.#abort.signal.aborted) {
       const isReady = this.#options.documentStore.isReady(this.#options.environment)
+      const startedAt = this.#options.now()
       const contacts = this.#nextContacts(isReady && this.#failedRounds === 0 ? 1 : DISCOVERY_FANOUT)
       const responded = await anyTrue(contacts.map((contact) => this.#poll(contact)))
       this.#failedRounds = responded ? 0 : this.#failedRounds + 1
       if (!responded) this.#reportLostContact()
       if (responded) await this.#sleep(FOLLOW_INTERVAL_MS)
-      else if (contacts.length > 0)
-        await this.#sleep(this.#failedRounds > MAX_FAST_RETRIES ? LONG_RETRY_DELAY_MS : RETRY_DELAY_MS)
+      else if (contacts.length > 0) await this.#sleep(this.#retryDelay(this.#options.now() - startedAt))
       else await this.#sleep(isReady ? FOLLOW_INTERVAL_MS : DISCOVERY_INTERVAL_MS)
     }
   }
 
+  #retryDelay(roundMs: number): number {
+    const interval = Math.min(MIN_RETRY_INTERVAL_MS * 2 ** (this.#failedRounds - 1), MAX_RETRY_INTERVAL_MS)
+    return Math.max(MIN_RETRY_DELAY_MS, interval - roundMs)
+  }
+
   /**
    * Returns the next addresses to poll: `count` of the replicas in the directory. If all of these failed recently, the
    * other known addresses are polled at the same time, and the seeds if those failed as well.
