--- a/packages/node/src/gossip.ts
+++ b/packages/node/src/gossip.ts
@@ -70,11 +70,18 @@
   readonly buckets: readonly number[] | undefined
 }
 
+/** Numbers of exchanges that peers began with this node, by what they compare. */
+export interface GossipExchanges {
+  readonly digests: number
+  readonly versions: number
+}
+
 export class Gossip {
   readonly #options: GossipOptions
   readonly #streams: GossipStreams
   #timer: NodeJS.Timeout | undefined
   #rounds = 0
+  #handled: GossipExchanges = { digests: 0, versions: 0 }
   #lastExchangeAt = Number.NEGATIVE_INFINITY
   /** Time of the last round trip by the address of the peer. */
   readonly #roundTripMs = new Map<string, number>()
@@ -91,6 +98,10 @@
     return this.#lastExchangeAt
   }
 
+  get handled(): GossipExchanges {
+    return this.#handled
+  }
+
   routes(router: ConnectRouter): void {
     router.service(GossipService, {
       exchange: (request) => this.#handleExchange(request),
@@ -218,6 +229,7 @@
 
   #handleSummary(request: ExchangeRequest): ExchangeResponseInit {
     const { directory, now } = this.#options
+    this.#handled = { ...this.#handled, digests: this.#handled.digests + 1 }
     const at = now()
     const { differing, changes } = directory.mergeSummary(request, at)
     this.#applyMerge(changes, at)
@@ -227,6 +239,7 @@
 
   #handleVersions(request: ExchangeRequest): ExchangeResponseInit {
     const { directory, now } = this.#options
+    this.#handled = { ...this.#handled, versions: this.#handled.versions + 1 }
     const at = now()
     const buckets = request.buckets.length > 0 ? request.buckets : undefined
     const peerVersions = request.versions.map(decodeVersion)
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -8,6 +8,11 @@
 /** The default of 10 ms wakes up an idle process a hundred times a second. */
 const EVENT_LOOP_SAMPLING_MS = 1_000
 
+export interface Total<Label extends string> {
+  readonly labels: Record<Label, string>
+  readonly total: number
+}
+
 export class Metrics {
   readonly #registry = new Registry()
 
@@ -35,6 +40,25 @@
     })
   }
 
+  /** Registers a counter whose totals are kept elsewhere and read when the metrics are rendered. */
+  totals<Label extends string>(
+    name: string,
+    help: string,
+    options: { readonly labelNames: readonly Label[]; readonly read: () => readonly Total<Label>[] },
+  ): void {
+    const { labelNames, read } = options
+    new Counter({
+      name: `bilberrystall_${name}`,
+      help,
+      labelNames,
+      registers: [this.#registry],
+      collect() {
+        this.reset()
+        for (const { labels, total } of read()) this.inc(labels, total)
+      },
+    })
+  }
+
   /** Registers a latency in microseconds, recorded with three significant digits and exported as quantiles. */
   latency(name: string, help: string): Histogram {
     const histogram = build({ highestTrackableValue: MAX_LATENCY_US, numberOfSignificantValueDigits: 3 })
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -30,6 +30,7 @@
 import { closeParts, finishWork, stopEnd, type NodeParts } from './node-shutdown'
 import type { ControlSettings, Settings } from './settings'
 import { statusApp, type Health } from './status-listener'
+import { registerTrafficMetrics } from './traffic-metrics'
 
 /** Maximum delay of lease expiry: a small fraction of the shortest lease, 1.3 s, and of the slow ones, 12 s and 5 s. */
 const EXPIRY_INTERVAL_MS = 100
@@ -415,7 +416,7 @@
         this.#applyChanges(changes)
       },
     })
-    this.#metrics.gauge('control_bytes', 'Bytes exchanged with other nodes', () => this.#traffic.totalBytes())
+    registerTrafficMetrics(this.#metrics, this.#traffic, gossip)
     this.#metrics.gauge('nodes', 'Known live nodes', () => directory.nodes.size)
     return {
       settings: this.#settings,
--- a/packages/node/test/metrics.test.ts
+++ b/packages/node/test/metrics.test.ts
@@ -22,3 +22,14 @@
   const { stdout } = await promisify(execFile)(process.execPath, args)
   expect(Number(stdout)).toBeLessThanOrEqual(MAX_WAKE_UPS)
 })
+
+test('totals that are kept elsewhere are rendered as they are at that time', async () => {
+  const { Metrics } = await import('../src/metrics')
+  const metrics = new Metrics()
+  const total = { labels: { method: 'Follow' }, total: 2 }
+  metrics.totals('rpc_calls_total', 'Calls', { labelNames: ['method'], read: () => [total] })
+  const rendered = async () => /^bilberrystall_rpc_calls_total.*$/m.exec(await metrics.render())?.[0]
+  expect(await rendered()).toBe('bilberrystall_rpc_calls_total{method="Follow"} 2')
+  total.total = 5
+  expect(await rendered()).toBe('bilberrystall_rpc_calls_total{method="Follow"} 5')
+})
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -62,8 +62,8 @@
 
   #connect(address: string): Peer {
     const baseUrl = `http://${address}`
-    const sessions = new PeerSessions(baseUrl, this.#options.traffic)
-    const { nodeKey } = this.#options
+    const { nodeKey, traffic } = this.#options
+    const sessions = new PeerSessions(baseUrl, traffic)
     const authorization = bearerHeader(nodeKey)
     const withNodeKey: Interceptor = (next) => (request) => {
       if (nodeKey !== '') request.header.set('authorization', authorization)
@@ -80,6 +80,7 @@
     // A call that ends while no session is ready is never sent.
     const whenReady: Interceptor = (next) => async (request) => {
       await sessions.ready(request.signal)
+      traffic.called('client', request.method.name)
       return next(request)
     }
     const transport = createConnectTransport({
--- a/packages/rpc/src/server.ts
+++ b/packages/rpc/src/server.ts
@@ -42,6 +42,7 @@
       routes: options.routes,
       interceptors: [
         (next) => (request) => {
+          options.traffic.called('server', request.method.name)
           if (
             options.nodeKey !== '' &&
             !secretsEqual(request.header.get('authorization') ?? '', bearerHeader(options.nodeKey))
--- a/packages/rpc/test/rpc.test.ts
+++ b/packages/rpc/test/rpc.test.ts
@@ -32,13 +32,14 @@
   return { rpc, traffic }
 }
 
-test('a call with the node key succeeds and its bytes are counted', async () => {
+test('a call with the node key succeeds, and its bytes and its method are counted', async () => {
   const { rpc, traffic } = createClients('right')
   const response = await rpc
     .client(GossipService, await startServer())
     .exchange({ from: 'a', versions: [{ origin: 'a', counter: 7n }] })
   expect(response.versions[0]?.counter).toBe(7n)
   expect(traffic.totalBytes()).toBeGreaterThan(0)
+  expect(traffic.calls()).toEqual([{ side: 'client', method: 'Exchange', calls: 1 }])
 })
 
 test('a call with a wrong node key is rejected, so that unauthorized nodes cannot join', async () => {
