--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -36,8 +36,8 @@
 const DISCOVERY_FANOUT = 2
 /**
  * Shortest interval between the starts of rounds without a response. It doubles with each such round, because in a
- * fleet of hundreds the replicas have to answer all entries at the same time. Polls that a replica holds until there is
- * a leader last about as long as the longest interval, so they follow each other closely.
+ * fleet of hundreds the replicas have to answer all entries at the same time. It includes the time of the polls, which
+ * a replica without a leader may hold until they time out.
  */
 const MIN_RETRY_INTERVAL_MS = 20
 const MAX_RETRY_INTERVAL_MS = 500
