Import the client of undici without its other parts

Cause: the index of undici loads fetch, WebSocket, cookies and the mock agent, of which a node uses nothing.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -7,7 +7,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { errorMessage, failure, RESULT_CODES, type CodeName, type Failure } from '@bilberrystall/base'
 import { err, ok, type Result } from 'neverthrow'
-import { request } from 'undici'
 import type { z } from 'zod'
 import { acceptedSchema, problemSchema, type AcceptedChange, type Change, type ProblemBody } from './operator-api'
 
@@ -120,6 +119,8 @@
 
   async #attempt(node: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Attempt> {
     try {
+      // Imported here, because running a node does not need it and its import takes long.
+      const { request } = await import('undici')
       const response = await request(`http://${node}${path}`, {
         method,
         headers: { authorization: `Bearer ${this.#key}`, 'content-type': 'application/json' },
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -5,7 +5,9 @@
  */
 import { errorMessage, failure, type Failure } from '@bilberrystall/base'
 import { err, ok, type Result } from 'neverthrow'
-import { Client, type Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
+// The index of the library loads its fetch and WebSocket implementations as well.
+import Client from 'undici/lib/dispatcher/client.js'
 import { ServerSocket } from './server-socket'
 
 /** Keep-alive timeout of undici: far above the idle limit of the pool, which closes idle connections first. */
