Exchange gossip by packets where the messages fit

Cause of this part: each exchange of directories, five a second at a node, passes HTTP/2, RPC streams and their buffers, although it carries half a kilobyte; each pair of partners keeps a session in memory for it. Change: messages of at most 1,200 B travel as one UDP packet on the address of RPC, with a code by the node key. What does not fit, and peers that do not answer packets, use the streams as before.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,7 +5,7 @@
 import { randomInt } from 'node:crypto'
 import { failure, resultCode, seededRandom, type CodeName, type Failure } from '@bilberrystall/base'
 import { Directory, leaseTimes, serverKey, type DirectoryChange, type Node } from '@bilberrystall/membership'
-import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
+import { RpcClients, TrafficCounter, type RpcServer } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
 import type { Adapter, Gateway } from './adapter'
@@ -21,10 +21,11 @@
 import { createNodeRecord } from './node-record'
 import { Gossip } from './gossip'
 import { computeHealth } from './health'
-import { listen, splitAddress, type Listener } from './listener'
+import { listen, type Listener } from './listener'
 import { createLog, type Log } from './log'
 import { createClusterBootstrap, createGateway, openPlatformListeners } from './platform-role'
 import { Metrics } from './metrics'
+import { openPeerListeners } from './peer-listeners'
 import { PeerTracker } from './peer-tracker'
 import { createQuarantineExchange, type QuarantineExchange } from './quarantine-exchange'
 import { closeParts, finishWork, stopEnd, type NodeParts } from './node-shutdown'
@@ -249,25 +250,25 @@
   }
 
   async #openRpcServer(): Promise<Result<void, Failure>> {
-    const { host, port } = splitAddress(this.#settings.rpcListen)
-    const rpc = await RpcServer.listen({
-      host,
-      port,
+    const context = this.#context
+    const opened = await openPeerListeners({
+      address: this.#settings.rpcListen,
       nodeKey: this.#settings.nodeKey,
       traffic: this.#traffic,
       routes: (router) => {
-        this.#context.gossip.routes(router)
+        context.gossip.routes(router)
         this.#entry?.routes(router)
         controlRoutes(router, {
           documentStore: this.#documentStore,
-          now: this.#context.now,
+          now: context.now,
           control: () => this.#control,
           entry: (environment) => this.#entry?.notified(environment),
         })
       },
     })
-    return rpc.map((server) => {
-      this.#rpc = server
+    return opened.map(({ rpc, packets }) => {
+      this.#rpc = rpc
+      context.gossip.usePackets(packets)
     })
   }
 
