Read bodies of announcements without a body stream

Cause: hono's body limit asks each request for its body, for which the server creates a request of the fetch API with a web stream. Change: a length that the request states is compared without it; other bodies are limited as before. Measured, x86-64, one listener on loopback, CPU time of its process for a request: of the first 100 requests 0.75, 1.26 and 1.13 ms before, 0.34, 0.34 and 0.31 ms after; of 3,000 requests 0.52 and 0.28 ms.

--- a/packages/node/src/status-listener.ts
+++ b/packages/node/src/status-listener.ts
@@ -3,9 +3,9 @@
 import { leaseTimes, SERVER_RENEWAL_MS } from '@bilberrystall/membership'
 import { bearerHeader, secretsEqual } from '@bilberrystall/rpc'
 import { Hono, type Context } from 'hono'
-import { bodyLimit } from 'hono/body-limit'
 import type { Result } from 'neverthrow'
 import { parseAnnouncement, type Announcement } from './announcement'
+import { limitBody } from './body-limit'
 
 const ANNOUNCEMENT_LIMIT_BYTES = 4096
 
@@ -36,7 +36,7 @@
   app.get('/metrics', async (context) => context.text(await options.metrics()))
   app.post(
     '/v1/announcements',
-    bodyLimit({ maxSize: ANNOUNCEMENT_LIMIT_BYTES, onError: tooLargeResponse }),
+    limitBody({ maxBytes: ANNOUNCEMENT_LIMIT_BYTES, onExceeded: tooLargeResponse }),
     (context) => handleAnnouncement(context, options),
   )
   app.notFound(() => problemResponse(failure('notFound')))
