Vote for a founder only once a majority of the seeds is known

Seen: 96 nodes started at once on loopback, on 8 busy cores, formed no cluster in 37 s; each node with a replica knew only itself when its turn to vote came, and all 4,911 calls failed. Read off the code: a seed votes for the first replica that it knows at a fixed time after its start, and a vote is final. Seeds that have not seen each other by then vote for three replicas, and the fleet stays without a cluster until it is restarted. Change: a seed votes once it knows a majority of the seeds, and then in turn as before. Without a majority no replica can be elected, so nothing is lost by waiting. Three tests of cluster-bootstrap.test.ts failed first: delays of 3 s and more, random delays, and a lost seed beside late gossip. The one that allows at most one founder whatever crashes passes as before. Ruled out by a test: preferring the replicas of seeds as candidates; a seed that is lost before its vote then prevents the bootstrap. The other class, a candidate that dies before it founds the cluster, is unchanged.

--- a/packages/node/src/cluster-bootstrap.ts
+++ b/packages/node/src/cluster-bootstrap.ts
@@ -2,7 +2,8 @@
  * Bootstraps a cluster whose nodes initially know only the seeds. Each seed votes for one replica, once in the lifetime
  * of its process, and publishes the vote in its node record; the replica with the votes of a majority of the seeds
  * bootstraps the cluster. Two majorities of the same seeds overlap, so at most one replica is elected. Seeds vote in
- * turn and adopt a vote that they have observed, to avoid split votes.
+ * turn and adopt a vote that they have observed, to avoid split votes: a vote is final, so split ones leave the nodes
+ * without a cluster. For the same reason a seed votes only once it knows a majority of the seeds.
  */
 import type { NodeId, ReplicaId } from '@bilberrystall/base'
 import type { Node } from '@bilberrystall/membership'
@@ -31,6 +32,8 @@
 export class ClusterBootstrap {
   readonly #options: ClusterBootstrapOptions
   #vote: ReplicaId | undefined
+  /** Uptime at which this node first knew a majority of the seeds. */
+  #seedsKnownAtMs: number | undefined
   #done = false
 
   constructor(options: ClusterBootstrapOptions) {
@@ -40,18 +43,30 @@
   /** Must be called at short intervals with the process uptime in milliseconds. */
   tick(uptimeMs: number): void {
     if (this.#done) return
-    const { address, seeds, publishVote, bootstrapCluster } = this.#options
+    const { publishVote, bootstrapCluster } = this.#options
     const replica = this.#options.replica()
-    const seedIndex = seeds.indexOf(address)
-    if (seedIndex >= 0 && this.#vote === undefined && uptimeMs >= DISCOVERY_MS + seedIndex * VOTE_INTERVAL_MS) {
+    if (this.#vote === undefined && this.#mayVote(uptimeMs)) {
       this.#vote = this.#observedVote() ?? this.#candidate()
       if (this.#vote !== undefined) publishVote(this.#vote)
     }
-    if (replica === undefined || this.#votesFor(replica) <= seeds.length / 2) return
+    if (replica === undefined || !this.#isMajority(this.#votesFor(replica))) return
     this.#done = true
     bootstrapCluster()
   }
 
+  /** Seeds vote one after the other, as soon as each knows a majority of them. */
+  #mayVote(uptimeMs: number): boolean {
+    const { address, seeds } = this.#options
+    const position = seeds.indexOf(address)
+    if (position < 0 || !this.#isMajority(this.#seedNodes().length)) return false
+    this.#seedsKnownAtMs ??= uptimeMs
+    return uptimeMs >= Math.max(DISCOVERY_MS, this.#seedsKnownAtMs) + position * VOTE_INTERVAL_MS
+  }
+
+  #isMajority(count: number): boolean {
+    return count > this.#options.seeds.length / 2
+  }
+
   #seedNodes(): Node[] {
     const { nodes, seeds } = this.#options
     return [...nodes()]
--- a/packages/node/test/cluster-bootstrap.test.ts
+++ b/packages/node/test/cluster-bootstrap.test.ts
@@ -127,3 +127,37 @@
   simulation.run(5_000)
   expect(bootstrapCount(simulation)).toBe(1)
 })
+
+// Guards against a fleet whose first start never ends: seeds that had not seen each other voted for themselves.
+test.each([
+  ['with replicas', ['n0:1', 'n1:1', 'n2:1']],
+  ['without replicas', ['n5:1', 'n6:1', 'n7:1']],
+])('seeds %s that learn of each other late bootstrap one cluster', (_, seeds) => {
+  for (const delayMs of [1_500, 3_000, 6_000, 12_000]) {
+    const simulation = new BootstrapSimulation()
+    for (let index = 0; index < 9; index += 1) simulation.add(`n${index}`, seeds, index < 4, index * 30, delayMs)
+    simulation.run(40_000)
+    expect(bootstrapCount(simulation), `delay ${delayMs} ms`).toBe(1)
+  }
+})
+
+test('seeds with replicas that learn of other nodes at different times bootstrap one cluster', () => {
+  const seeds = ['n3:1', 'n1:1', 'n2:1']
+  for (let seed = 0; seed < 300; seed += 1) {
+    const random = seededRandom(seed)
+    const simulation = new BootstrapSimulation()
+    for (let index = 0; index < 6; index += 1) {
+      simulation.add(`n${index}`, seeds, index < 5, randomInt(random, 300), randomInt(random, 10_000))
+    }
+    simulation.run(40_000)
+    expect(bootstrapCount(simulation), `seed ${seed}`).toBe(1)
+  }
+})
+
+test('the loss of one seed before its vote does not prevent the bootstrap by seeds that learn of each other late', () => {
+  const simulation = new BootstrapSimulation()
+  for (let index = 0; index < 5; index += 1) simulation.add(`n${index}`, ['n2:1', 'n3:1', 'n4:1'], true, 0, 4_000)
+  simulation.members[2]!.alive = false
+  simulation.run(30_000)
+  expect(bootstrapCount(simulation)).toBe(1)
+})
