Revert "Exchange gossip by packets where the messages fit"

The directories of 130 nodes hardly ever match: a response lists the versions of each bucket that differs, 36 B for each origin, and three buckets of sixteen fill a packet.

--- a/packages/node/src/gossip.ts
+++ b/packages/node/src/gossip.ts
@@ -18,14 +18,11 @@
   type ExchangeRequest,
   type ExchangeResponse,
   type OriginDelta as OriginDeltaMessage,
-  type PacketSocket,
   type RpcClients,
 } from '@bilberrystall/rpc'
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
 import { decodeDelta, decodeVersion, encodeDelta, encodeVersion } from './gossip-codec'
-import { GossipPackets, type PacketCounts } from './gossip-packets'
-import type { ExchangeResponseInit } from './gossip-stream'
-import { GossipTransport } from './gossip-transport'
+import { GossipStreams, type ExchangeResponseInit } from './gossip-stream'
 
 const EXCHANGE_INTERVAL_MS = 250
 /** Used when control distributes departures: gossip then only renews node leases of 5 s and announces new servers. */
@@ -81,7 +78,7 @@
 
 export class Gossip {
   readonly #options: GossipOptions
-  readonly #transport: GossipTransport
+  readonly #streams: GossipStreams
   #timer: NodeJS.Timeout | undefined
   #rounds = 0
   #handled: GossipExchanges = { digests: 0, versions: 0 }
@@ -93,7 +90,7 @@
 
   constructor(options: GossipOptions) {
     this.#options = options
-    this.#transport = new GossipTransport(options)
+    this.#streams = new GossipStreams(options.clients)
   }
 
   /** Monotonic time of the last exchange with any node. */
@@ -105,15 +102,6 @@
     return this.#handled
   }
 
-  get packetCounts(): PacketCounts {
-    return this.#transport.packetCounts
-  }
-
-  /** Exchanges messages that fit in a packet over `socket`, which `stop` closes. */
-  usePackets(socket: PacketSocket): void {
-    this.#transport.usePackets(new GossipPackets({ socket, handle: (request) => this.#handleExchange(request) }))
-  }
-
   routes(router: ConnectRouter): void {
     router.service(GossipService, {
       exchange: (request) => this.#handleExchange(request),
@@ -137,7 +125,7 @@
 
   stop(): void {
     clearTimeout(this.#timer)
-    this.#transport.close()
+    this.#streams.close()
   }
 
   /** Exchanges with several peers immediately, for urgent changes. */
@@ -191,7 +179,7 @@
     try {
       const sentAt = now()
       const summary = directory.summary(sentAt, this.#expectedTransitMs(peer))
-      const response = await this.#transport.exchange(peer, { from: self, ...encodeSummary(summary) })
+      const response = await this.#streams.exchange(peer, { from: self, ...encodeSummary(summary) })
       const at = now()
       const transitMs = at - sentAt
       this.#roundTripMs.set(peer, transitMs)
@@ -217,7 +205,7 @@
     const deltas = ageDeltas(directory.deltasFor(peerVersions, at, buckets), transitMs).map(encodeDelta)
     const versions = ageVersions(directory.versions(at, buckets), transitMs).map(encodeVersion)
     const request = { from: self, versions, deltas, buckets: [...(buckets ?? [])] }
-    const response = await this.#transport.exchange(peer, request)
+    const response = await this.#streams.exchange(peer, request)
     const answeredAt = now()
     const answerMs = answeredAt - at
     if (answerMs > MAX_MESSAGE_DELAY_MS) return
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,7 +5,7 @@
 import { randomInt } from 'node:crypto'
 import { failure, resultCode, seededRandom, type CodeName, type Failure } from '@bilberrystall/base'
 import { Directory, leaseTimes, serverKey, type DirectoryChange, type Node } from '@bilberrystall/membership'
-import { RpcClients, TrafficCounter, type RpcServer } from '@bilberrystall/rpc'
+import { RpcClients, RpcServer, TrafficCounter } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
 import type { Announcement } from './announcement'
 import type { Adapter, Gateway } from './adapter'
@@ -21,11 +21,10 @@
 import { createNodeRecord } from './node-record'
 import { Gossip } from './gossip'
 import { computeHealth } from './health'
-import { listen, type Listener } from './listener'
+import { listen, splitAddress, type Listener } from './listener'
 import { createLog, type Log } from './log'
 import { createClusterBootstrap, createGateway, openPlatformListeners } from './platform-role'
 import { Metrics } from './metrics'
-import { openPeerListeners } from './peer-listeners'
 import { PeerTracker } from './peer-tracker'
 import { createQuarantineExchange, type QuarantineExchange } from './quarantine-exchange'
 import { closeParts, finishWork, stopEnd, type NodeParts } from './node-shutdown'
@@ -250,25 +249,25 @@
   }
 
   async #openRpcServer(): Promise<Result<void, Failure>> {
-    const context = this.#context
-    const opened = await openPeerListeners({
-      address: this.#settings.rpcListen,
+    const { host, port } = splitAddress(this.#settings.rpcListen)
+    const rpc = await RpcServer.listen({
+      host,
+      port,
       nodeKey: this.#settings.nodeKey,
       traffic: this.#traffic,
       routes: (router) => {
-        context.gossip.routes(router)
+        this.#context.gossip.routes(router)
         this.#entry?.routes(router)
         controlRoutes(router, {
           documentStore: this.#documentStore,
-          now: context.now,
+          now: this.#context.now,
           control: () => this.#control,
           entry: (environment) => this.#entry?.notified(environment),
         })
       },
     })
-    return opened.map(({ rpc, packets }) => {
-      this.#rpc = rpc
-      context.gossip.usePackets(packets)
+    return rpc.map((server) => {
+      this.#rpc = server
     })
   }
 
--- a/packages/node/src/traffic-metrics.ts
+++ b/packages/node/src/traffic-metrics.ts
@@ -16,8 +16,4 @@
       { labels: { compared: 'versions' }, total: gossip.handled.versions },
     ],
   })
-  metrics.totals('gossip_packets_total', 'Gossip exchanges that this node began by packet, by how they ended', {
-    labelNames: ['outcome'],
-    read: () => Object.entries(gossip.packetCounts).map(([outcome, total]) => ({ labels: { outcome }, total })),
-  })
 }
--- a/packages/rpc/src/traffic-counter.ts
+++ b/packages/rpc/src/traffic-counter.ts
@@ -1,4 +1,4 @@
-/** Counts the bytes that a process sends and receives on its RPC sockets, packets included, and its calls by method. */
+/** Counts the bytes that a process sends and receives on its RPC sockets, and its calls by method. */
 import type { Socket } from 'node:net'
 
 type CountedSocket = Pick<Socket, 'bytesRead' | 'bytesWritten' | 'once'>
@@ -16,7 +16,6 @@
   readonly #openSockets = new Set<CountedSocket>()
   readonly #calls: Readonly<Record<CallSide, Map<string, number>>> = { client: new Map(), server: new Map() }
   #closedBytes = 0
-  #packetBytes = 0
 
   track(socket: CountedSocket): void {
     this.#openSockets.add(socket)
@@ -25,10 +24,6 @@
     })
   }
 
-  packet(bytes: number): void {
-    this.#packetBytes += bytes
-  }
-
   called(side: CallSide, method: string): void {
     this.#calls[side].set(method, (this.#calls[side].get(method) ?? 0) + 1)
   }
@@ -41,7 +36,7 @@
 
   /** Bytes read and written since the process started. */
   totalBytes(): number {
-    let total = this.#closedBytes + this.#packetBytes
+    let total = this.#closedBytes
     for (const socket of this.#openSockets) total += socketBytes(socket)
     return total
   }
