Split the submission of changes from the leader's proposals and the codec

change-submitter.ts held the search for the leader, the validation on the leader, and the encoding of outcomes. No behaviour changed; the tests of changes pass.

--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -9,7 +9,7 @@
 import type { Hono } from 'hono'
 import type { Result } from 'neverthrow'
 import type { PublishedDocument } from './document-store'
-import type { SubmitOutcome } from './change-submitter'
+import type { SubmitOutcome } from './change-outcome'
 import type { Health } from './status-listener'
 
 /** A document change with a version number chosen by the operator. */
--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -35,7 +35,8 @@
   type Command,
 } from '@bilberrystall/control'
 import { secretsEqual } from '@bilberrystall/rpc'
-import type { ChangeSubmitter, SubmitOutcome } from './change-submitter'
+import type { SubmitOutcome } from './change-outcome'
+import type { ChangeSubmitter } from './change-submitter'
 import type { ReplicaHost } from './control-replica'
 import { environmentView, nodeViews, quarantineViews, serverViews, statusView, type ClusterView } from './control-views'
 import type { QuarantineExchange } from './quarantine-exchange'
--- a/packages/node/test/control-entries.ts
+++ b/packages/node/test/control-entries.ts
@@ -13,7 +13,7 @@
   type Lease,
 } from '../src/index'
 import type { Node } from '@bilberrystall/membership'
-import { NON_LEADER_HOST } from '../src/change-submitter'
+import { NON_LEADER_HOST } from '../src/change-proposals'
 import { NODE_KEY, TRIAL_ENVIRONMENT, type TestCluster } from './control-cluster'
 
 /** Several attempts at a control node. */
