Log the outcome of each change at the node it was sent to, with every attempt

A node that does not settle a request states why (too few voters, changes not applied, not committed), on the wire as the message of its response, which earlier builds ignore. No decision changed.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -135,6 +135,7 @@
   leaderElected: code(153, 'leader-elected', 0, 'This replica became leader.'),
   leaderLost: code(154, 'leader-lost', 0, 'This replica is no longer leader.'),
   changeAcknowledged: code(183, 'change-acknowledged', 0, 'This leader acknowledges a committed change of a document.'),
+  changeSettled: code(185, 'change-settled', 0, 'This node responded to a request for a change, or gave it up.'),
   documentInForce: code(155, 'document-in-force', 0, 'A document revision is in force on this node.'),
   serverJoined: code(156, 'server-joined', 0, 'A server became available.'),
   serverLeft: code(157, 'server-left', 0, 'A server is draining, stopped or expired.'),
--- a/packages/node/src/change-outcome.ts
+++ b/packages/node/src/change-outcome.ts
@@ -20,15 +20,58 @@
   /** The request took no effect. */
   | { readonly kind: 'failed'; readonly failure: Failure }
 
-/** The leader is another node; both fields are empty if it is unknown. */
+/** Why a node did not settle a request. */
+const RETRY_REASONS = [
+  'not-leader',
+  'too-few-voters',
+  'changes-not-applied',
+  'not-committed',
+  'not-proposed',
+  'no-response',
+  'address-unknown',
+] as const
+
+export type RetryReason = (typeof RETRY_REASONS)[number]
+
+/** The request is not settled at a node; `leader` and `address` are empty if it does not know another leader. */
 export interface NotLeader {
   readonly kind: 'not-leader'
+  readonly reason: RetryReason
   readonly leader: string
   readonly address: string
 }
 
-export type AttemptOutcome =
-  SubmitOutcome | { readonly kind: 'retry'; readonly sent: boolean; readonly leader: NodeId | undefined }
+export interface Retry {
+  readonly kind: 'retry'
+  readonly reason: RetryReason
+  /** Whether the request may have taken effect. */
+  readonly sent: boolean
+  readonly leader: NodeId | undefined
+}
+
+export type AttemptOutcome = SubmitOutcome | Retry
+
+/** An attempt of a request at one node, with times in milliseconds since the request arrived. */
+export interface AttemptReport {
+  readonly node: NodeId | undefined
+  readonly startedMs: number
+  readonly endedMs: number
+  readonly result: RetryReason | 'settled' | 'unknown'
+}
+
+export interface SubmitReport {
+  readonly command: Command
+  readonly outcome: SubmitOutcome
+  readonly ms: number
+  readonly attempts: readonly AttemptReport[]
+}
+
+export function retry(
+  reason: RetryReason,
+  { sent = false, leader }: Partial<Pick<Retry, 'sent' | 'leader'>> = {},
+): Retry {
+  return { kind: 'retry', reason, sent, leader }
+}
 
 const CODE_NAMES = new Map(Object.entries(RESULT_CODES).map(([name, code]) => [code.number, name as CodeName]))
 
@@ -57,10 +100,12 @@
       if (unknown) return { kind: 'unknown' }
       const name = codeName(code)
       if (name !== 'notLeader') return { kind: 'failed', failure: failure(name, message) }
-      return { kind: 'retry', sent: false, leader: leader === '' ? undefined : nodeId(leader) }
+      // Earlier builds state no reason.
+      const reason = RETRY_REASONS.find((known) => known === message) ?? 'not-leader'
+      return retry(reason, { leader: leader === '' ? undefined : nodeId(leader) })
     }
     case undefined:
-      return { kind: 'retry', sent: true, leader: undefined }
+      return retry('no-response', { sent: true })
   }
 }
 
@@ -85,7 +130,10 @@
     case 'failed':
       return encodeFailure(outcome.failure, {})
     case 'not-leader':
-      return encodeFailure(failure('notLeader'), { leader: outcome.leader, leaderAddress: outcome.address })
+      return encodeFailure(failure('notLeader', outcome.reason), {
+        leader: outcome.leader,
+        leaderAddress: outcome.address,
+      })
   }
 }
 
--- a/packages/node/src/change-proposals.ts
+++ b/packages/node/src/change-proposals.ts
@@ -21,7 +21,7 @@
 } from '@bilberrystall/control'
 import type { Status } from '@bilberrystall/consensus'
 import type { Result } from 'neverthrow'
-import { isAcknowledgedCommand, type AcknowledgedCommand, type AttemptOutcome } from './change-outcome'
+import { isAcknowledgedCommand, retry, type AcknowledgedCommand, type AttemptOutcome } from './change-outcome'
 import type { ProposalOutcome, ReplicaHost } from './control-replica'
 import { nodeIdOf } from './control-transport'
 
@@ -62,11 +62,16 @@
    * Requests are accepted only with at least this many voters, so that they survive the configured number of losses.
    */
   readonly minVoters?: number
-  /**
-   * Called on the leader before it acknowledges an accepted change or a departure. `revision` is that of the accepted
-   * change, 0 for a departure.
-   */
-  readonly beforeAcknowledgement?: (command: AcknowledgedCommand, revision: number) => Promise<void>
+  /** Called on the leader before it acknowledges an accepted change or a departure. */
+  readonly beforeAcknowledgement?: (commit: Commit) => Promise<void>
+}
+
+export interface Commit {
+  readonly command: AcknowledgedCommand
+  /** Revision of the accepted change, 0 for a departure. */
+  readonly revision: number
+  /** Time until the request was committed and applied. */
+  readonly commitMs: number
 }
 
 export class ChangeProposals {
@@ -84,13 +89,15 @@
   async propose(command: Command): Promise<AttemptOutcome> {
     const { host } = this.#options
     const { role, leader, replicas } = host.status()
-    if (role !== 'leader') return { kind: 'retry', sent: false, leader: leader && nodeIdOf(leader) }
+    if (role !== 'leader') return retry('not-leader', { leader: leader && nodeIdOf(leader) })
     const voters = replicas.filter((replica) => replica.role === 'voter').length
-    if (voters < (this.#options.minVoters ?? 1)) return { kind: 'retry', sent: false, leader: undefined }
+    if (voters < (this.#options.minVoters ?? 1)) return retry('too-few-voters')
+    const startedAt = performance.now()
     const outcome = await this.#propose(command)
-    const acceptedRevision = revisionOf(outcome)
-    if (isAcknowledgedCommand(command) && acceptedRevision !== undefined) {
-      await this.#options.beforeAcknowledgement?.(command, acceptedRevision)
+    const revision = revisionOf(outcome)
+    if (isAcknowledgedCommand(command) && revision !== undefined) {
+      const commitMs = Math.round(performance.now() - startedAt)
+      await this.#options.beforeAcknowledgement?.({ command, revision, commitMs })
     }
     return outcome
   }
@@ -108,7 +115,7 @@
       await sleep(APPLIED_POLL_INTERVAL_MS)
       const { role, term: currentTerm } = host.status()
       const isStale = role !== 'leader' || currentTerm !== startTerm || performance.now() > giveUpAt
-      if (isStale) return { kind: 'retry', sent: false, leader: undefined }
+      if (isStale) return retry('changes-not-applied')
     }
     const proposed = host.propose({ ...this.#prepare(command), at: wallClock() })
     if (dependsOnDocument || command.kind === 'submit') this.#lastChange = host.status().lastIndex
@@ -207,11 +214,12 @@
       return { kind: 'change', result: applied.result, repeated: applied.repeated }
     }
     case 'unknown':
-      return { kind: 'retry', sent: true, leader: undefined }
+      return retry('not-committed', { sent: true })
     case 'failed': {
       const { failure: cause, leader } = proposed
       if (cause.code === 'requestInvalid' || cause.code === 'changeTooLarge') return { kind: 'failed', failure: cause }
-      return { kind: 'retry', sent: false, leader: leader && nodeIdOf(leader) }
+      const reason = cause.code === 'notLeader' ? 'not-leader' : 'not-proposed'
+      return retry(reason, { leader: leader && nodeIdOf(leader) })
     }
   }
 }
--- a/packages/node/src/change-submitter.ts
+++ b/packages/node/src/change-submitter.ts
@@ -12,9 +12,12 @@
 import {
   decodeSubmitResponse,
   isAcknowledgedCommand,
+  retry,
   type AttemptOutcome,
+  type AttemptReport,
   type NotLeader,
   type SubmitOutcome,
+  type SubmitReport,
 } from './change-outcome'
 import { ATTEMPT_TIMEOUT_MS, ChangeProposals, type ChangeProposalsOptions } from './change-proposals'
 import type { NamedAddress } from './control-contacts'
@@ -34,6 +37,8 @@
   /** Called with the address of the leader that another control node named. */
   readonly onLeaderNamed?: (leader: NamedAddress) => void
   readonly timeoutMs?: number
+  /** Called with the outcome of each request and how it came about. */
+  readonly onSettled?: (report: SubmitReport) => void
 }
 
 export class ChangeSubmitter {
@@ -47,11 +52,23 @@
 
   /** Submits a command to the current leader, locally or over RPC. */
   async submit(command: Command): Promise<SubmitOutcome> {
-    const giveUpAt = performance.now() + (this.#options.timeoutMs ?? SUBMIT_TIMEOUT_MS)
+    const startedAt = performance.now()
+    const attempts: AttemptReport[] = []
+    const outcome = await this.#settle(command, attempts)
+    this.#options.onSettled?.({ command, outcome, ms: performance.now() - startedAt, attempts })
+    return outcome
+  }
+
+  async #settle(command: Command, attempts: AttemptReport[]): Promise<SubmitOutcome> {
+    const startedAt = performance.now()
+    const giveUpAt = startedAt + (this.#options.timeoutMs ?? SUBMIT_TIMEOUT_MS)
     let sent = false
     let hint: NodeId | undefined
     for (let round = 0; ; round += 1) {
-      const attempt = await this.#attempt(command, hint, round)
+      const target = this.#target(hint, round)
+      const startedMs = performance.now() - startedAt
+      const attempt = await this.#attempt(command, target)
+      attempts.push({ node: target, startedMs, endedMs: performance.now() - startedAt, result: attemptResult(attempt) })
       if (attempt.kind !== 'retry') {
         if (attempt.kind !== 'unknown') return attempt
         sent = true
@@ -74,23 +91,31 @@
     const attempt = await this.#proposals.propose(command.value)
     if (attempt.kind !== 'retry') return ok(attempt)
     if (attempt.sent) return ok({ kind: 'unknown' })
-    const { leader } = attempt
-    return ok({ kind: 'not-leader', leader: leader ?? '', address: (leader && this.#options.addressOf(leader)) ?? '' })
+    const { reason, leader } = attempt
+    return ok({
+      kind: 'not-leader',
+      reason,
+      leader: leader ?? '',
+      address: (leader && this.#options.addressOf(leader)) ?? '',
+    })
   }
 
-  #attempt(command: Command, hint: NodeId | undefined, round: number): Promise<AttemptOutcome> {
-    const { host, node, controlNodes } = this.#options
+  #target(hint: NodeId | undefined, round: number): NodeId | undefined {
+    const { host, controlNodes } = this.#options
     const { leader } = host.status()
     const others = controlNodes()
-    const target = leader === undefined ? (hint ?? others[round % Math.max(1, others.length)]) : nodeIdOf(leader)
-    if (target === undefined || target === node) return this.#proposals.propose(command)
+    return leader === undefined ? (hint ?? others[round % Math.max(1, others.length)]) : nodeIdOf(leader)
+  }
+
+  #attempt(command: Command, target: NodeId | undefined): Promise<AttemptOutcome> {
+    if (target === undefined || target === this.#options.node) return this.#proposals.propose(command)
     return this.#forward(command, target)
   }
 
   async #forward(command: Command, target: NodeId): Promise<AttemptOutcome> {
     const { clients, addressOf } = this.#options
     const address = addressOf(target)
-    if (address === undefined) return { kind: 'retry', sent: false, leader: undefined }
+    if (address === undefined) return retry('address-unknown')
     const leaderWatch = this.#abortOnNewLeader()
     try {
       const request = { command: encodeCommand(command) }
@@ -105,7 +130,7 @@
       if (ConnectError.from(cause).code === Code.InvalidArgument) {
         return { kind: 'failed', failure: failure('requestInvalid', ConnectError.from(cause).rawMessage) }
       }
-      return { kind: 'retry', sent: true, leader: undefined }
+      return retry('no-response', { sent: true })
     } finally {
       leaderWatch.stop()
     }
@@ -131,3 +156,8 @@
     }
   }
 }
+
+function attemptResult(attempt: AttemptOutcome): AttemptReport['result'] {
+  if (attempt.kind === 'retry') return attempt.reason
+  return attempt.kind === 'unknown' ? 'unknown' : 'settled'
+}
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -14,7 +14,8 @@
 import type { FileSystem } from '@bilberrystall/storage'
 import type { RpcClients } from '@bilberrystall/rpc'
 import { ChangeDelivery } from './change-delivery'
-import type { AcknowledgedCommand } from './change-outcome'
+import { logSettled } from './change-log'
+import type { Commit } from './change-proposals'
 import { ChangeSubmitter } from './change-submitter'
 import type { NamedAddress } from './control-contacts'
 import { deliveryRoutes, type DeliveryOptions } from './control-delivery'
@@ -125,7 +126,10 @@
       checkDocument,
       wallClock,
       minVoters: settings.minVoters,
-      beforeAcknowledgement: (command, acceptedRevision) => this.#deliver(command, acceptedRevision),
+      beforeAcknowledgement: (commit) => this.#deliver(commit),
+      onSettled: (report) => {
+        logSettled(log, report)
+      },
       ...(options.submitTimeoutMs === undefined ? {} : { timeoutMs: options.submitTimeoutMs }),
     })
     this.#leases = new LeaseServer({ host, directory: cluster, addressOf, clocks, now })
@@ -300,9 +304,11 @@
     this.#metrics?.recordSync(duration)
   }
 
-  async #deliver(command: AcknowledgedCommand, acceptedRevision: number): Promise<void> {
+  async #deliver({ command, revision, commitMs }: Commit): Promise<void> {
     const { departures, departurePosition } = this.host.state
     const { log } = this.#options
+    const startedAt = performance.now()
+    const times = () => ({ commitMs, deliveryMs: Math.round(performance.now() - startedAt) })
     if (command.kind === 'depart') {
       const { server, start } = command
       const position = departures.get(server)?.position ?? departurePosition
@@ -311,13 +317,13 @@
         revision: 0,
         departurePosition: position,
       })
-      if (delivered.unconfirmed.length > 0) log.info('changeAcknowledged', { server, start, ...delivered })
+      if (delivered.unconfirmed.length > 0) log.info('changeAcknowledged', { server, start, ...delivered, ...times() })
       return
     }
     const { environment } = command
-    const delivered = await this.#delivery.deliver({ environment, revision: acceptedRevision, departurePosition: 0 })
+    const delivered = await this.#delivery.deliver({ environment, revision, departurePosition: 0 })
     const { version = 0 } = documentInForce(this.host.state, environment) ?? {}
-    log.info('changeAcknowledged', { environment, revision: acceptedRevision, version, ...delivered })
+    log.info('changeAcknowledged', { environment, revision, version, ...delivered, ...times() })
   }
 
   #reportDepartures(): void {
--- a/packages/node/src/platform-role.ts
+++ b/packages/node/src/platform-role.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Adapter, Gateway } from './adapter'
 import type { ControlRole } from './control-role'
+import { logSettled } from './change-log'
 import { NON_LEADER_HOST } from './change-proposals'
 import { ChangeSubmitter } from './change-submitter'
 import type { DepartedServer } from './control-follower'
@@ -64,6 +65,9 @@
     wallClock: context.wallClock,
     timeoutMs: GATEWAY_TIMEOUT_MS,
     attemptTimeoutMs: GATEWAY_ATTEMPT_TIMEOUT_MS,
+    onSettled: (report) => {
+      logSettled(context.log, report)
+    },
   })
   return new NodeGateway({
     self,
