Ask further control nodes beside one that does not respond to a change

Callers saw: an order of the operator got no response within a second, again and again, through every node whose nearest control node was silent, and through every node while the leader took over 600 ms. Cause: a node sent a change to one control node at a time, 600 ms each of 950, beginning with the nearest one for each change, and cut an attempt at a leader that was still working. It forgot which node led, and a node with a replica kept an order for 10 s that its caller had left after one. Change: an attempt lasts as long as the request; after 150 ms the next control node is asked beside it, and a follower names the leader at once. The node remembers who led, also from notifications, and who was silent. A platform's request is given up after the time that platforms wait on all nodes, longer for a large one. Requests that are not idempotent still go to one node at a time. A leader does not propose what its sender has given up.

--- a/packages/node/src/change-log.ts
+++ b/packages/node/src/change-log.ts
@@ -56,5 +56,5 @@
 
 /** For example `n1 0-612 no-response`, with the milliseconds since the request arrived. */
 function describeAttempt({ node, startedMs, endedMs, result }: AttemptReport): string {
-  return `${node ?? 'this node'} ${Math.round(startedMs)}-${Math.round(endedMs)} ${result}`
+  return `${node} ${Math.round(startedMs)}-${Math.round(endedMs)} ${result}`
 }
--- a/packages/node/src/change-outcome.ts
+++ b/packages/node/src/change-outcome.ts
@@ -29,6 +29,7 @@
   'not-proposed',
   'no-response',
   'address-unknown',
+  'abandoned',
 ] as const
 
 export type RetryReason = (typeof RETRY_REASONS)[number]
@@ -53,10 +54,10 @@
 
 /** An attempt of a request at one node, with times in milliseconds since the request arrived. */
 export interface AttemptReport {
-  readonly node: NodeId | undefined
+  readonly node: NodeId
   readonly startedMs: number
   readonly endedMs: number
-  readonly result: RetryReason | 'settled' | 'unknown'
+  readonly result: RetryReason | 'settled' | 'unknown' | 'pending'
 }
 
 export interface SubmitReport {
--- a/packages/node/src/change-proposals.ts
+++ b/packages/node/src/change-proposals.ts
@@ -25,7 +25,7 @@
 import type { ProposalOutcome, ReplicaHost } from './control-replica'
 import { nodeIdOf } from './control-transport'
 
-export const ATTEMPT_TIMEOUT_MS = 6_000
+const ATTEMPT_TIMEOUT_MS = 6_000
 const APPLIED_POLL_INTERVAL_MS = 5
 const MAX_FAULT_TEXT_LENGTH = 300
 
@@ -85,15 +85,18 @@
     this.#options = options
   }
 
-  /** Proposes the command if this replica leads, and waits until its effect may be acknowledged. */
-  async propose(command: Command): Promise<AttemptOutcome> {
+  /**
+   * Proposes the command if this replica leads, and waits until its effect may be acknowledged. Once `signal` is aborted
+   * the command is no longer proposed: its sender may have told the operator something else by then.
+   */
+  async propose(command: Command, signal?: AbortSignal): Promise<AttemptOutcome> {
     const { host } = this.#options
     const { role, leader, replicas } = host.status()
     if (role !== 'leader') return retry('not-leader', { leader: leader && nodeIdOf(leader) })
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return retry('too-few-voters')
     const startedAt = performance.now()
-    const outcome = await this.#propose(command)
+    const outcome = await this.#propose(command, signal)
     const revision = revisionOf(outcome)
     if (isAcknowledgedCommand(command) && revision !== undefined) {
       const commitMs = Math.round(performance.now() - startedAt)
@@ -106,7 +109,7 @@
    * The document that results from a partial change or a promotion depends on the changes before it, so it is checked
    * and proposed once all of them are applied.
    */
-  async #propose(command: Command): Promise<AttemptOutcome> {
+  async #propose(command: Command, signal: AbortSignal | undefined): Promise<AttemptOutcome> {
     const { host, wallClock, attemptTimeoutMs = ATTEMPT_TIMEOUT_MS } = this.#options
     const startTerm = host.status().term
     const giveUpAt = performance.now() + attemptTimeoutMs
@@ -117,6 +120,7 @@
       const isStale = role !== 'leader' || currentTerm !== startTerm || performance.now() > giveUpAt
       if (isStale) return retry('changes-not-applied')
     }
+    if (signal?.aborted === true) return retry('abandoned')
     const proposed = host.propose({ ...this.#prepare(command), at: wallClock() })
     if (dependsOnDocument || command.kind === 'submit') this.#lastChange = host.status().lastIndex
     return attemptOutcome(await proposed)
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -112,6 +112,7 @@
 
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
   async catchUp(notification: Notification): Promise<Position> {
+    this.#options.context.leaders.leads(notification.node)
     const { revision, departurePosition } = await this.#follower.catchUp(notification)
     return { revision: Math.min(revision, this.#documentRevision), departurePosition }
   }
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -63,8 +63,10 @@
       const reached = await notified.catchUp({ ...position, node: nodeId(node), address })
       return { revision: BigInt(reached.revision), departurePosition: BigInt(reached.departurePosition) }
     },
-    submit: async (request) =>
-      encodeSubmitResponse(unwrapOrThrow(await requireControlRole(control()).changes.handle(request.command))),
+    submit: async (request, { signal }) => {
+      const { changes } = requireControlRole(control())
+      return encodeSubmitResponse(unwrapOrThrow(await changes.handle(request.command, signal)))
+    },
     lease: async (request) => unwrapOrThrow(await requireControlRole(control()).leases.lease(request)),
   })
 }
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -22,6 +22,7 @@
 import type { DepartedServer } from './control-follower'
 import { openReplicaStorage, type OpenedReplicaStorage } from './replica-storage'
 import type { DocumentStore } from './document-store'
+import type { LeaderMemory } from './leader-memory'
 import { LeaderTasks } from './leader-tasks'
 import { LeaseServer } from './control-lease-server'
 import type { ControlMetrics } from './control-metrics'
@@ -45,6 +46,7 @@
   readonly node: NodeId
   readonly settings: ControlSettings
   readonly clients: RpcClients
+  readonly leaders?: LeaderMemory
   /** Directory of live nodes and servers. */
   readonly cluster: ClusterView
   readonly documentStore: DocumentStore
@@ -126,6 +128,7 @@
       checkDocument,
       wallClock,
       minVoters: settings.minVoters,
+      ...(options.leaders === undefined ? {} : { leaders: options.leaders }),
       beforeAcknowledgement: (commit) => this.#deliver(commit),
       onSettled: (report) => {
         logSettled(log, report)
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { performance } from 'node:perf_hooks'
 import { failure, revision, type Environment, type Failure, type NodeId, type ServerId } from '@bilberrystall/base'
-import { sha256, type Command } from '@bilberrystall/control'
+import { encodeCommand, sha256, type Command } from '@bilberrystall/control'
 import { renderSections } from '@bilberrystall/document'
 import { chooseAnnouncementNode, type Directory, type Server } from '@bilberrystall/membership'
 import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
@@ -18,7 +18,10 @@
 import { splitAddress } from './listener'
 import type { Health } from './status-listener'
 
-/** Platforms try another node if they get no response within a second. */
+/** Platforms try another node if they get no response within a second; a later response is wasted work. */
+const CHANGE_TIMEOUT_MS = 950
+/** Platforms wait longer for a large request. */
+const CHANGE_BYTES_PER_MS = 128
 const READ_TIMEOUT_MS = 900
 /** Timeout for one replica, so that two can be tried within the total timeout. */
 const READ_ATTEMPT_TIMEOUT_MS = 400
@@ -70,7 +73,7 @@
   readonly depart = async (server: ServerId, start: number | undefined): Promise<Result<void, Failure>> => {
     const processStart = start ?? this.#newestStart(server)
     const origin = { at: 0, requester: REQUESTER, source: 'server' }
-    const outcome = await this.#options.changes().submit({ kind: 'depart', ...origin, server, start: processStart })
+    const outcome = await this.#submit({ kind: 'depart', ...origin, server, start: processStart })
     if (outcome.kind === 'failed') return err(outcome.failure)
     if (outcome.kind !== 'recorded') return err(failure('noQuorum'))
     this.#options.onDeparted(server, processStart)
@@ -78,7 +81,7 @@
   }
 
   readonly change = (change: VersionedChange, source: string): Promise<SubmitOutcome> =>
-    this.#options.changes().submit(toCommand(change, this.#options.environment, source))
+    this.#submit(toCommand(change, this.#options.environment, source))
 
   readonly readDocument = async (): Promise<Result<PublishedDocument | undefined, Failure>> => {
     const { environment, clients, controlNodes, addressOf } = this.#options
@@ -99,6 +102,11 @@
     return err(failure('noQuorum'))
   }
 
+  #submit(command: Command): Promise<SubmitOutcome> {
+    const timeoutMs = CHANGE_TIMEOUT_MS + encodeCommand(command).byteLength / CHANGE_BYTES_PER_MS
+    return this.#options.changes().submit(command, { timeoutMs })
+  }
+
   #newestStart(server: ServerId): number {
     let newest = 0
     for (const record of this.#options.directory.servers.values()) {
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -4,6 +4,7 @@
 import type { RpcClients } from '@bilberrystall/rpc'
 import type { ControlContacts } from './control-contacts'
 import type { Gossip } from './gossip'
+import type { LeaderMemory } from './leader-memory'
 import type { Log } from './log'
 import type { Metrics } from './metrics'
 import type { Settings } from './settings'
@@ -16,6 +17,7 @@
   readonly directory: Directory
   readonly gossip: Gossip
   readonly contacts: ControlContacts
+  readonly leaders: LeaderMemory
   readonly clients: RpcClients
   readonly log: Log
   readonly metrics: Metrics
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -24,6 +24,7 @@
 import { listen, splitAddress, type Listener } from './listener'
 import { createLog, type Log } from './log'
 import { createClusterBootstrap, createGateway, openPlatformListeners } from './platform-role'
+import { LeaderMemory } from './leader-memory'
 import { Metrics } from './metrics'
 import { PeerTracker } from './peer-tracker'
 import { createQuarantineExchange, type QuarantineExchange } from './quarantine-exchange'
@@ -207,6 +208,7 @@
       node: this.#settings.node,
       settings,
       clients: this.#context.clients,
+      leaders: this.#context.leaders,
       cluster: this.#context.directory,
       documentStore: this.#documentStore,
       log: this.#context.log,
@@ -425,6 +427,7 @@
       directory,
       gossip,
       contacts: new ControlContacts({ self: node, cluster: directory, seeds: () => this.#seeds, now }),
+      leaders: new LeaderMemory(),
       clients,
       log,
       metrics: this.#metrics,
--- a/packages/node/src/platform-role.ts
+++ b/packages/node/src/platform-role.ts
@@ -15,10 +15,6 @@
 import { listen, type Listener } from './listener'
 import type { Health } from './status-listener'
 
-/** Platforms wait one second for a response; a later response is wasted work. */
-const GATEWAY_TIMEOUT_MS = 950
-const GATEWAY_ATTEMPT_TIMEOUT_MS = 600
-
 export interface PlatformRoleOptions {
   readonly context: NodeContext
   /** Returns undefined while the node has no replica. */
@@ -46,7 +42,7 @@
 }
 
 export function createGateway({ context, control, health, onAnnounced, onDeparted }: PlatformRoleOptions): Gateway {
-  const { directory, contacts, clients, self, settings } = context
+  const { directory, contacts, leaders, clients, self, settings } = context
   const controlNodes = () => {
     const nodes = contacts.candidates().map(({ node }) => node)
     return sortByDistance([...new Set(nodes)], directory, self, settings.failureDomain)
@@ -63,8 +59,7 @@
     },
     checkDocument,
     wallClock: context.wallClock,
-    timeoutMs: GATEWAY_TIMEOUT_MS,
-    attemptTimeoutMs: GATEWAY_ATTEMPT_TIMEOUT_MS,
+    leaders,
     onSettled: (report) => {
       logSettled(context.log, report)
     },
--- a/packages/node/test/change-log.test.ts
+++ b/packages/node/test/change-log.test.ts
@@ -20,7 +20,7 @@
 const attempts: AttemptReport[] = [
   { node: nodeId('a'), startedMs: 0, endedMs: 600.4, result: 'no-response' },
   { node: nodeId('b'), startedMs: 650.2, endedMs: 655, result: 'not-leader' },
-  { node: undefined, startedMs: 700, endedMs: 701, result: 'too-few-voters' },
+  { node: nodeId('c'), startedMs: 700, endedMs: 701, result: 'too-few-voters' },
 ]
 
 function logged(command: Command, outcome: SubmitOutcome): LogFields[] {
@@ -37,7 +37,7 @@
         "attempts": [
           "a 0-600 no-response",
           "b 650-655 not-leader",
-          "this node 700-701 too-few-voters",
+          "c 700-701 too-few-voters",
         ],
         "base": 7,
         "change": "c0ffee00c0ff",
