Pause before an ended process is notified of a change again

Callers saw: changes and departures that wait for one silent entry kept the event loop of the leader busy, so that it answered nobody in time, whenever the process of another entry had just ended. Cause: each result of a notification wakes the changes that wait, and each of them notified every entry again that had not confirmed, also one whose address refuses connections at once. Its result woke the changes again: a loop without a pause, for up to 2 s. Change: such an entry is notified again after 100 ms, the delay that entries have which are behind.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -60,6 +60,8 @@
   notifying: boolean
   /** Whether no process listens at its address, or one of a build without notifications. */
   unable: boolean
+  /** Time until which a peer that is unable is not notified again. */
+  unableUntil: number
 }
 
 export class ChangeDelivery {
@@ -118,7 +120,7 @@
 
   async #keepNotifying(node: NodeId): Promise<void> {
     const peer = this.#peer(node)
-    if (peer.notifying) return
+    if (peer.notifying || this.#options.now() < peer.unableUntil) return
     peer.notifying = true
     peer.unable = false
     for (;;) {
@@ -130,6 +132,7 @@
       const result = await this.#notify(entry, peer, target)
       if (result === 'confirmed') peer.behindSince = undefined
       peer.unable = result === 'unable'
+      if (peer.unable) peer.unableUntil = this.#options.now() + RETRY_DELAY_MS
       this.#reportResult()
       if (peer.unable) break
       if (result === 'behind') await sleep(isWaitedFor ? RETRY_DELAY_MS : LATE_RETRY_DELAY_MS)
@@ -202,7 +205,15 @@
     const known = this.#peers.get(node)
     if (known !== undefined && known.start === start) return known
     const behindSince = known?.start === undefined ? known?.behindSince : undefined
-    const peer: Peer = { start, revision: -1, departurePosition: -1, behindSince, notifying: false, unable: false }
+    const peer: Peer = {
+      start,
+      revision: -1,
+      departurePosition: -1,
+      behindSince,
+      notifying: false,
+      unable: false,
+      unableUntil: 0,
+    }
     this.#peers.set(node, peer)
     return peer
   }
--- a/packages/node/test/change-delivery.test.ts
+++ b/packages/node/test/change-delivery.test.ts
@@ -152,6 +152,16 @@
   expect(notified.length - count).toBeLessThanOrEqual(4)
 })
 
+// Guards against a leader that connects to an ended process without a pause while it waits for another entry.
+test('an entry whose process has ended is not notified without a pause', async () => {
+  const { commit, notified } = startDelivery({
+    e: () => Promise.reject(refused),
+    f: () => new Promise(() => undefined),
+  })
+  await commit()
+  expect(notified.filter((name) => name === 'e').length).toBeLessThanOrEqual(IN_FORCE_LIMIT_MS / 100)
+})
+
 test('a process that replaced another one has confirmed nothing', async () => {
   const { commit, delivery, notified, state, starts } = startDelivery()
   await commit()
