Notify the entries of a large fleet by way of one another

Callers saw: with 130 nodes each change took about a second from its commit to its acknowledgement, one after the other, and while servers left no change and no departure was acknowledged for seconds. Cause: the leader, one of the smallest VMs, notified each entry itself, 129 messages for each change and departure, and each result made every change that waited look through all entries again. Class: work of one node that grows with the fleet (and, for changes that wait together, with its square). Change: entries of a failure domain form groups of at most the square root of the fleet; the leader notifies one entry of each, which notifies the others and responds with what they have, after 0.3 s without those that are silent. The leader notifies these itself, as before. A change looks at each entry once. Fleets of up to 24 entries are notified as before.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -9,17 +9,18 @@
 import type { Environment, NodeId } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
 import type { Node } from '@bilberrystall/membership'
-import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
+import { DeliveryService, type NotifyResponse, type RpcClients } from '@bilberrystall/rpc'
 import { Code, ConnectError } from '@connectrpc/connect'
 import type { ClusterView } from './control-views'
+import { RELAY_TIMEOUT_MS, notificationGroups, relayedPositions } from './notification-relay'
 
 /** Time within which a change must be in force on every node. */
 const CONFIRMATION_LIMIT_MS = 2_000
 const RETRY_DELAY_MS = 100
-/** Interval at which the directory is checked for entries that it did not contain. */
-const JOIN_CHECK_INTERVAL_MS = 100
 /** The same for an entry that no change waits for. */
 const LATE_RETRY_DELAY_MS = 1_000
+/** Interval at which the directory is checked for entries that it did not contain. */
+const JOIN_CHECK_INTERVAL_MS = 100
 
 export interface ChangeDeliveryOptions {
   readonly self: NodeId
@@ -89,15 +90,20 @@
     const expected = this.#expectedEntries()
     this.#removeLostPeers(expected)
     const entries = [...joined, ...expected]
-    const unconfirmed = () => entries.filter((node) => !isReached(this.#peer(node), position))
-    for (;;) {
-      for (const node of unconfirmed()) this.#startNotifying(node)
-      const remaining = unconfirmed().map((node) => this.#remainingMs(node))
-      const next = Math.max(0, ...remaining)
-      if (next === 0) return { entries: entries.length, unconfirmed: unconfirmed().sort() }
-      const waitMs = Math.min(...remaining.filter((ms) => ms > 0))
-      await this.#nextResult(expected.length > 0 ? Math.min(waitMs, JOIN_CHECK_INTERVAL_MS) : waitMs)
+    for (const node of entries) {
+      const peer = this.#peer(node)
+      if (!isReached(peer, position)) peer.behindSince ??= this.#options.now()
     }
+    this.#startNotifying()
+    for (const node of entries) {
+      for (;;) {
+        const remainingMs = this.#remainingMs(node)
+        if (isReached(this.#peer(node), position) || remainingMs <= 0) break
+        await this.#nextResult(expected.length > 0 ? Math.min(remainingMs, JOIN_CHECK_INTERVAL_MS) : remainingMs)
+      }
+    }
+    const unconfirmed = entries.filter((node) => !isReached(this.#peer(node), position))
+    return { entries: entries.length, unconfirmed: unconfirmed.sort() }
   }
 
   /**
@@ -110,17 +116,69 @@
     return nodes.filter((node) => node !== this.#options.self && !this.#joined.has(node))
   }
 
-  #startNotifying(node: NodeId): void {
-    const peer = this.#peer(node)
-    peer.behindSince ??= this.#options.now()
-    if (!this.#options.cluster.nodes.has(node)) return
-    this.#joined.add(node)
-    void this.#keepNotifying(node)
+  /** Notifies the entries that lack what is committed, unless that is under way. */
+  #startNotifying(): void {
+    const now = this.#options.now()
+    const entries = this.#otherEntries()
+    const due = new Set<NodeId>()
+    for (const entry of entries) {
+      const peer = this.#peer(entry.node)
+      if (peer.notifying || now < peer.unableUntil || isReached(peer, this.#committed(entry))) continue
+      this.#joined.add(entry.node)
+      peer.behindSince ??= now
+      due.add(entry.node)
+    }
+    if (due.size === 0) return
+    for (const group of notificationGroups(entries)) {
+      const [first, ...others] = group.filter(({ node }) => due.has(node))
+      if (first === undefined) continue
+      if (others.length === 0) void this.#keepNotifying(first.node)
+      else void this.#notifyGroup(first, others)
+    }
+  }
+
+  /** Notifies the entries by way of the first one, and then those that have not confirmed. */
+  async #notifyGroup(relay: Node, members: readonly Node[]): Promise<void> {
+    const group = [relay, ...members]
+    const peers = group.map(({ node }) => this.#peer(node))
+    for (const peer of peers) peer.notifying = true
+    const target = this.#committed(relay)
+    const positions = await this.#notifyRelay(relay, members, target)
+    const direct: NodeId[] = []
+    for (const [index, { node }] of group.entries()) {
+      const peer = peers[index]
+      if (peer === undefined) continue
+      peer.notifying = false
+      const position = positions.get(node)
+      if (position !== undefined) updatePosition(peer, position)
+      if (isReached(peer, target)) peer.behindSince = undefined
+      else if (this.#peer(node) === peer) direct.push(node)
+    }
+    for (const node of direct) void this.#keepNotifying(node)
+    this.#reportResult()
+  }
+
+  async #notifyRelay(
+    relay: Node,
+    members: readonly Node[],
+    target: DeliveryPosition,
+  ): Promise<ReadonlyMap<NodeId, ConfirmedPosition>> {
+    const request = {
+      ...this.#notification(relay, target),
+      members: members.map(({ node, address }) => ({ node, address })),
+    }
+    try {
+      const options = { timeoutMs: RELAY_TIMEOUT_MS }
+      const response = await this.#options.clients.client(DeliveryService, relay.address).notify(request, options)
+      return new Map<NodeId, ConfirmedPosition>([[relay.node, response], ...relayedPositions(response.members)])
+    } catch {
+      return new Map()
+    }
   }
 
   async #keepNotifying(node: NodeId): Promise<void> {
     const peer = this.#peer(node)
-    if (peer.notifying || this.#options.now() < peer.unableUntil) return
+    if (peer.notifying) return
     peer.notifying = true
     peer.unable = false
     for (;;) {
@@ -142,26 +200,30 @@
   }
 
   async #notify(entry: Node, peer: Peer, target: DeliveryPosition): Promise<NotificationResult> {
-    const { clients, self, now } = this.#options
-    const request = {
-      environment: entry.environment,
-      revision: BigInt(target.revision),
-      departurePosition: BigInt(target.departurePosition),
-      node: self,
-      address: this.#options.cluster.nodes.get(self)?.address ?? '',
-    }
+    const { clients, now } = this.#options
     peer.behindSince ??= now()
     try {
       const options = { timeoutMs: CONFIRMATION_LIMIT_MS }
-      const response = await clients.client(DeliveryService, entry.address).notify(request, options)
-      peer.revision = Number(response.revision)
-      peer.departurePosition = Number(response.departurePosition)
+      const notification = this.#notification(entry, target)
+      const response = await clients.client(DeliveryService, entry.address).notify(notification, options)
+      updatePosition(peer, response)
       return isReached(peer, target) ? 'confirmed' : 'behind'
     } catch (cause) {
       return isUnable(ConnectError.from(cause)) ? 'unable' : 'behind'
     }
   }
 
+  #notification({ environment }: Node, { revision, departurePosition }: DeliveryPosition) {
+    const { self, cluster } = this.#options
+    return {
+      environment,
+      revision: BigInt(revision),
+      departurePosition: BigInt(departurePosition),
+      node: self,
+      address: cluster.nodes.get(self)?.address ?? '',
+    }
+  }
+
   /** Time for which a change still waits for an entry that has not confirmed it. */
   #remainingMs(node: NodeId): number {
     const peer = this.#peer(node)
@@ -173,7 +235,11 @@
 
   #nextResult(limitMs: number): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, limitMs)
+      const timer = setTimeout(() => {
+        // Entries may have joined meanwhile.
+        this.#startNotifying()
+        resolve()
+      }, limitMs)
       this.#onResult.push(() => {
         clearTimeout(timer)
         resolve()
@@ -182,7 +248,9 @@
   }
 
   #reportResult(): void {
-    for (const resolve of this.#onResult.splice(0)) resolve()
+    const waiting = this.#onResult.splice(0)
+    if (waiting.length > 0) this.#startNotifying()
+    for (const resolve of waiting) resolve()
   }
 
   #committed({ environment }: Node): DeliveryPosition {
@@ -191,10 +259,13 @@
     return { environment, revision, departurePosition: state.departurePosition }
   }
 
-  #entriesOf(environment: Environment | undefined): NodeId[] {
+  #otherEntries(): Node[] {
     const { cluster, self } = this.#options
-    return [...cluster.nodes.values()]
-      .filter(({ node, roles }) => node !== self && roles.includes('entry'))
+    return [...cluster.nodes.values()].filter(({ node, roles }) => node !== self && roles.includes('entry'))
+  }
+
+  #entriesOf(environment: Environment | undefined): NodeId[] {
+    return this.#otherEntries()
       .filter((entry) => environment === undefined || entry.environment === environment)
       .map(({ node }) => node)
   }
@@ -225,6 +296,13 @@
   }
 }
 
+type ConfirmedPosition = Pick<NotifyResponse, 'revision' | 'departurePosition'>
+
+function updatePosition(peer: Peer, { revision, departurePosition }: ConfirmedPosition): void {
+  peer.revision = Number(revision)
+  peer.departurePosition = Number(departurePosition)
+}
+
 function isReached(peer: Peer, { revision, departurePosition }: DeliveryPosition): boolean {
   return peer.revision >= revision && peer.departurePosition >= departurePosition
 }
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -5,7 +5,7 @@
 import { Code, ConnectError, type ConnectRouter } from '@connectrpc/connect'
 import { environmentName, nodeId, type Environment, type Failure } from '@bilberrystall/base'
 import { documentInForce, type ControlState } from '@bilberrystall/control'
-import { DeliveryService } from '@bilberrystall/rpc'
+import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
 import type { Result } from 'neverthrow'
 import { encodeSubmitResponse } from './change-outcome'
 import type { ChangeSubmitter } from './change-submitter'
@@ -14,6 +14,7 @@
 import { NOT_CURRENT_MESSAGE, type FollowQuery, type Notification, type Position } from './control-follower'
 import type { LeaseServer } from './control-lease-server'
 import type { ReplicaHost } from './control-replica'
+import { relayNotification, withinMemberLimit } from './notification-relay'
 
 const MAX_AGE_MS = 2 ** 32 - 1
 
@@ -22,6 +23,7 @@
 export interface DeliveryOptions {
   readonly documentStore: DocumentStore
   readonly now: () => number
+  readonly clients: RpcClients
   /** Returns undefined on nodes without the control role, and while the replica of a node cannot be opened. */
   readonly control: () =>
     | {
@@ -41,7 +43,7 @@
 }
 
 export function deliveryRoutes(router: ConnectRouter, options: DeliveryOptions): void {
-  const { documentStore, now, control, entry } = options
+  const { documentStore, now, clients, control, entry } = options
   router.service(DeliveryService, {
     fetch: (request) => {
       const environment = environmentName(request.environment)
@@ -56,12 +58,15 @@
       const { host, replicaAddresses } = requireControlRole(control())
       return handleFollow(host, request, replicaAddresses)
     },
-    notify: async ({ environment, revision, departurePosition, node, address }) => {
+    notify: async (request) => {
+      const { environment, revision, departurePosition, node, address } = request
       const notified = entry(environmentName(environment))
       if (notified === undefined) throw new ConnectError(`no entry of ${environment}`, Code.Unimplemented)
       const position = { revision: Number(revision), departurePosition: Number(departurePosition) }
-      const reached = await notified.catchUp({ ...position, node: nodeId(node), address })
-      return { revision: BigInt(reached.revision), departurePosition: BigInt(reached.departurePosition) }
+      const reaching = notified.catchUp({ ...position, node: nodeId(node), address })
+      if (request.members.length === 0) return encodePosition(await reaching)
+      const [reached, members] = await Promise.all([withinMemberLimit(reaching), relayNotification(request, clients)])
+      return { ...encodePosition(reached ?? { revision: 0, departurePosition: 0 }), members }
     },
     submit: async (request, { signal }) => {
       const { changes } = requireControlRole(control())
@@ -71,6 +76,10 @@
   })
 }
 
+function encodePosition({ revision, departurePosition }: Position) {
+  return { revision: BigInt(revision), departurePosition: BigInt(departurePosition) }
+}
+
 export function encodeDocument(document: Omit<PublishedDocument, 'source'>) {
   const { environment, revision, digest, text, version } = document
   return { environment, revision: BigInt(revision), digest, text, version: BigInt(version) }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -263,6 +263,7 @@
         controlRoutes(router, {
           documentStore: this.#documentStore,
           now: this.#context.now,
+          clients: this.#context.clients,
           control: () => this.#control,
           entry: (environment) => this.#entry?.notified(environment),
         })
--- a/packages/node/test/control-cluster.ts
+++ b/packages/node/test/control-cluster.ts
@@ -82,7 +82,7 @@
     const control = opened._unsafeUnwrap()
     const routes = (router: ConnectRouter) => {
       const now = () => performance.now()
-      controlRoutes(router, { documentStore, now, control: () => control, entry: () => undefined })
+      controlRoutes(router, { documentStore, now, clients, control: () => control, entry: () => undefined })
     }
     const rpc = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
     const api = await listen(control.operatorApp(quarantine), '127.0.0.1:0')
--- a/packages/node/test/control-entries.ts
+++ b/packages/node/test/control-entries.ts
@@ -76,7 +76,7 @@
   const onLease = (lease: Lease) => leases.push(lease)
   const client = new LeaseClient({ ...peers, node, incarnations, tokenDemands, wallClock, onLease })
   const routes: Parameters<typeof RpcServer.listen>[0]['routes'] = (router) => {
-    deliveryRoutes(router, { documentStore, now, control: () => undefined, entry: () => follower })
+    deliveryRoutes(router, { documentStore, now, clients, control: () => undefined, entry: () => follower })
   }
   const listening = await RpcServer.listen({ host: '127.0.0.1', port: 0, nodeKey: NODE_KEY, traffic, routes })
   const rpc = listening._unsafeUnwrap()
