Bound how long a change waits for all entries together

Callers saw: a change that is committed has no acknowledgement while entries restart one after the other. Cause: a process that replaced another one got its own 2 s, so with enough restarts a change waited without a bound. Change: a change waits 2 s in all, counted from its first delivery by this leader, also when it is submitted again. A process that starts reads from a majority before it serves, so it needs no more than that.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -3,7 +3,8 @@
  * change, but an entry would ask for it only at its next poll, and in vain if the replicas are lost by then. A
  * notification is repeated until the entry has confirmed it or has left. A change waits for an entry up to the time
  * within which changes must be in force, counted from the first notification that the entry has not confirmed, so
- * repeated submissions and further changes do not extend the wait for a frozen entry.
+ * repeated submissions and further changes do not extend the wait for a frozen entry. It waits no longer than that for all
+ * entries together, however many restart meanwhile: a process that starts reads from a majority before it serves.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Environment, NodeId } from '@bilberrystall/base'
@@ -21,6 +22,8 @@
 const LATE_RETRY_DELAY_MS = 1_000
 /** Interval at which the directory is checked for entries that it did not contain. */
 const JOIN_CHECK_INTERVAL_MS = 100
+/** Time for which an operator may submit a change again that it got no response to. */
+const START_RETENTION_MS = 30_000
 
 export interface ChangeDeliveryOptions {
   readonly self: NodeId
@@ -70,6 +73,8 @@
   readonly #peers = new Map<NodeId, Peer>()
   /** Entries that the directory of this process has contained. */
   readonly #joined = new Set<NodeId>()
+  /** Start of each delivery of the last seconds. */
+  readonly #startedAt = new Map<string, number>()
   /** Resolves the promises of `#nextResult`. */
   #onResult: (() => void)[] = []
   #stopped = false
@@ -90,6 +95,7 @@
     const expected = this.#expectedEntries()
     this.#removeLostPeers(expected)
     const entries = [...joined, ...expected]
+    const limitAt = this.#startOf(position) + CONFIRMATION_LIMIT_MS
     for (const node of entries) {
       const peer = this.#peer(node)
       if (!isReached(peer, position)) peer.behindSince ??= this.#options.now()
@@ -97,7 +103,7 @@
     this.#startNotifying()
     for (const node of entries) {
       for (;;) {
-        const remainingMs = this.#remainingMs(node)
+        const remainingMs = Math.min(limitAt - this.#options.now(), this.#remainingMs(node))
         if (isReached(this.#peer(node), position) || remainingMs <= 0) break
         await this.#nextResult(expected.length > 0 ? Math.min(remainingMs, JOIN_CHECK_INTERVAL_MS) : remainingMs)
       }
@@ -106,6 +112,18 @@
     return { entries: entries.length, unconfirmed: unconfirmed.sort() }
   }
 
+  /** Time at which this process began to deliver the change, which may be submitted again meanwhile. */
+  #startOf({ environment, revision, departurePosition }: DeliveryPosition): number {
+    const now = this.#options.now()
+    const change = `${environment ?? ''} ${revision} ${departurePosition}`
+    for (const [other, startedAt] of this.#startedAt) {
+      if (startedAt + START_RETENTION_MS < now) this.#startedAt.delete(other)
+    }
+    const startedAt = this.#startedAt.get(change) ?? now
+    this.#startedAt.set(change, startedAt)
+    return startedAt
+  }
+
   /**
    * Entries of the roster that have not joined since this process started. A leader that has just started knows few
    * entries, and those that it does not know may serve with an older document.
--- a/packages/node/test/change-delivery-fleet.test.ts
+++ b/packages/node/test/change-delivery-fleet.test.ts
@@ -14,6 +14,8 @@
 const ENVIRONMENT = environmentName('production')
 /** Time within which a valid change must be acknowledged while no entry is lost. */
 const ACKNOWLEDGEMENT_MS = 1_000
+/** Time within which a change must be in force. */
+const IN_FORCE_LIMIT_MS = 2_000
 
 type Behaviour = 'confirms' | 'silent' | 'refuses' | 'ignores-members'
 
@@ -116,6 +118,20 @@
   },
 )
 
+// Guards against a change that waits for each of the entries that restart one after the other.
+test('entries that restart one after the other delay a change as long as one', async () => {
+  const { behaviours, commit, starts } = startFleet()
+  await commit()
+  for (const name of ['e1', 'e2', 'e3']) behaviours.set(name, 'silent')
+  const change = commit()
+  for (const name of ['e1', 'e2', 'e3']) {
+    await sleep(IN_FORCE_LIMIT_MS / 2)
+    starts.set(nodeId(name), 2)
+  }
+  const { ms } = await change
+  expect(ms).toBeLessThan(IN_FORCE_LIMIT_MS + ACKNOWLEDGEMENT_MS / 2)
+})
+
 // Guards against a leader whose event loop is busy with many departures at once, beside an entry that has just ended.
 test('departures of many servers at once are acknowledged in time beside an entry whose process has ended', async () => {
   const { behaviours, commit, sentByLeader } = startFleet()
