--- a/packages/node/src/notification-relay.ts
+++ b/packages/node/src/notification-relay.ts
@@ -47,10 +47,9 @@
 >
 
 /** Notifies the members, and returns what those have that respond in time. */
-export async function relayNotification(
-  { members, ...notification }: RelayedNotification,
-  clients: RpcClients,
-): Promise<MemberPosition[]> {
+export async function relayNotification(request: RelayedNotification, clients: RpcClients): Promise<MemberPosition[]> {
+  const { environment, revision, departurePosition, node: leader, address: leaderAddress } = request
+  const notification = { environment, revision, departurePosition, node: leader, address: leaderAddress }
   const positions: MemberPosition[] = []
   const notify = async ({ node, address }: { readonly node: string; readonly address: string }) => {
     try {
@@ -62,7 +61,7 @@
       // The leader notifies a member itself that is not among the positions.
     }
   }
-  await Promise.all(members.map(notify))
+  await Promise.all(request.members.map(notify))
   return positions
 }
 
--- a/packages/node/test/acknowledged-change.test.ts
+++ b/packages/node/test/acknowledged-change.test.ts
@@ -6,6 +6,8 @@
 import { TRIAL_ENVIRONMENT, TestCluster, call, submitBody, waitUntil, type Member } from './control-cluster'
 
 const CHANGES = 5
+/** More than a leader notifies itself. */
+const RELAYING_ENTRIES = 30
 /** Time within which a valid change must be acknowledged. */
 const ACKNOWLEDGEMENT_LIMIT_MS = 4_000
 
@@ -96,3 +98,19 @@
     expect(inForce).toEqual([revision, revision])
   }
 })
+
+// Guards against entries of a large fleet that are left out because another entry notifies them.
+test('an acknowledged change is in force at every entry of a fleet that relays it', async () => {
+  const names = Array.from({ length: RELAYING_ENTRIES }, (_, index) => `e${index}`)
+  const entries = await Promise.all(names.map((name) => startEntry(cluster, cleanups, name)))
+  for (let revision = 1; revision <= CHANGES; revision += 1) {
+    const { status } = await call(leader, '/v1/changes', submitBody(`c${revision}`, revision - 1))
+    expect(status).toBe(200)
+    const inForce = entries.map(({ documentStore }) => documentStore.inForce(TRIAL_ENVIRONMENT)?.revision)
+    expect(new Set(inForce)).toEqual(new Set([revision]))
+  }
+  expect((await leader.control.changes.submit(depart('s1', 7))).kind).toBe('recorded')
+  for (const { departures } of entries) expect(departures).toContainEqual({ server: 's1', start: 7 })
+  const notifications = leader.traffic.calls().find(({ side, method }) => side === 'client' && method === 'Notify')
+  expect(notifications?.calls).toBeLessThan((RELAYING_ENTRIES * (CHANGES + 1)) / 2)
+})
