--- a/packages/node/src/change-search.ts
+++ b/packages/node/src/change-search.ts
@@ -21,8 +21,14 @@
 const LEADER_HEDGE_DELAY_MS = 250
 /** A larger request is given the time that it takes on a link of 1 Mbit/s. */
 const LINK_BYTES_PER_MS = 128
-/** Time after which a control node is asked again, and interval at which a change of the known leader is looked for. */
+/**
+ * Time after which the next control node is asked when one names no other leader. It doubles with each of them: while there
+ * is no leader, the requests of all nodes arrive at the same few replicas.
+ */
 const RETRY_DELAY_MS = 50
+const MAX_RETRY_DELAY_MS = 200
+/** Interval at which a change of the leader known to the replica of this node is looked for. */
+const LEADER_POLL_INTERVAL_MS = 50
 
 export interface ChangeSearchOptions {
   readonly command: Command
@@ -53,6 +59,8 @@
   readonly #pending = new Map<NodeId, number>()
   readonly #askedAt = new Map<NodeId, number>()
   readonly #reports: AttemptReport[] = []
+  /** Attempts that ended without a result. */
+  #fruitless = 0
   /** Whether the request may have taken effect. */
   #sent = false
   #outcome: SubmitOutcome | undefined
@@ -68,7 +76,8 @@
     const giveUpAt = this.#startedAt + this.#options.limitMs
     while (this.#outcome === undefined && performance.now() < giveUpAt) {
       const target = this.#nextTarget()
-      if (target === undefined) await this.#attemptEnded(Math.min(RETRY_DELAY_MS, giveUpAt - performance.now()))
+      if (target === undefined)
+        await this.#attemptEnded(Math.min(LEADER_POLL_INTERVAL_MS, giveUpAt - performance.now()))
       else this.#start(target)
     }
     this.#abort.abort()
@@ -84,14 +93,16 @@
   /** Returns the node to ask now; undefined while none is due. */
   #nextTarget(): NodeId | undefined {
     const now = performance.now()
-    const isDue = (node: NodeId) => !this.#pending.has(node) && now - this.#lastAskedAt(node) >= RETRY_DELAY_MS
+    const retryDelayMs = Math.min(RETRY_DELAY_MS * 2 ** (this.#fruitless - 1), MAX_RETRY_DELAY_MS)
+    const isDue = (node: NodeId) => !this.#pending.has(node) && now - this.#lastAskedAt(node) >= retryDelayMs
     if (!this.#isIdempotent && this.#pending.size > 0) {
       if (this.#isLeaderReplaced()) this.#outcome = { kind: 'unknown' }
       return undefined
     }
     const leader = this.#leader()
     if (leader !== undefined && isDue(leader)) return leader
-    if (this.#pending.size > 0 && now < this.#hedgeAt()) return undefined
+    const nextAt = this.#pending.size > 0 ? this.#hedgeAt() : this.#newestStart() + retryDelayMs
+    if (now < nextAt) return undefined
     const nodes = this.#options.leaders.rank(this.#options.controlNodes()).filter(isDue)
     return nodes.toSorted((left, right) => this.#lastAskedAt(left) - this.#lastAskedAt(right))[0]
   }
@@ -113,7 +124,11 @@
     const leader = this.#leader()
     const waitsForLeader = leader !== undefined && this.#pending.has(leader)
     const delayMs = waitsForLeader ? LEADER_HEDGE_DELAY_MS : HEDGE_DELAY_MS
-    return Math.max(...this.#askedAt.values()) + delayMs + this.#transferMs
+    return this.#newestStart() + delayMs + this.#transferMs
+  }
+
+  #newestStart(): number {
+    return Math.max(...this.#askedAt.values())
   }
 
   #lastAskedAt(node: NodeId): number {
@@ -136,6 +151,7 @@
     this.#pending.delete(target)
     switch (result.kind) {
       case 'retry':
+        this.#fruitless += 1
         this.#learn(target, result)
         this.#sent ||= result.sent
         break
--- a/packages/node/test/change-search.test.ts
+++ b/packages/node/test/change-search.test.ts
@@ -128,3 +128,10 @@
   expect(sent.filter((name) => name === 'b')).toHaveLength(1)
   expect(sent.length).toBeLessThanOrEqual(4)
 })
+
+// Guards against replicas without a leader that are busy with the requests of all nodes, and so elect none.
+test('while no control node leads, they are asked less and less often', async () => {
+  const { measure, sent } = startSearch({ a: follower(), b: follower(), c: follower() })
+  expect(await measure()).toEqual({ kind: 'failed', isInTime: true })
+  expect(sent.length).toBeLessThanOrEqual(8)
+})
