--- a/packages/node/test/unparsed-document.test.ts
+++ b/packages/node/test/unparsed-document.test.ts
@@ -5,6 +5,7 @@
 import { expect, onTestFinished, test } from 'vitest'
 import { ControlClient } from '../src/control-client'
 import { ControlContacts, DocumentStore } from '../src/index'
+import { LeaderMemory } from '../src/leader-memory'
 import type { NodeContext } from '../src/node-context'
 import { NODE_KEY, TRIAL_ENVIRONMENT } from './control-cluster'
 
@@ -22,7 +23,7 @@
   const log = { info: () => undefined, warn: () => undefined, error: () => undefined }
   const contacts = new ControlContacts({ self, cluster: { nodes }, seeds: () => [], now })
   const settings = { failureDomain: failureDomain('north') }
-  const context = { self, startedAt: 0, settings, clients, contacts, directory: { nodes }, log, now }
+  const context = { self, startedAt: 0, settings, clients, contacts, leaders: new LeaderMemory(), directory: { nodes }, log, now }
   const documentStore = new DocumentStore()
   const client = new ControlClient({
     context: context as unknown as NodeContext,
