Announce a series of changes of a large fleet together

Change: in fleets of more than 24 nodes a node announces at most every 2 s, the first change at once and the newest one in the end. Entries learn of changes by notification and by polls, as before; the operator's view of such a fleet may lag by 2 s during a series.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -15,6 +15,7 @@
 import { ControlRole, controlRoutes } from './control-role'
 import type { DepartedServer } from './control-follower'
 import { setAsideLog, type FileSystem } from '@bilberrystall/storage'
+import { announceDocuments } from './document-announcer'
 import { DocumentStore } from './document-store'
 import { EntryRole } from './entry-role'
 import type { NodeContext } from './node-context'
@@ -159,9 +160,7 @@
 
   async #openRoles(): Promise<Result<void, Failure>> {
     const { control, entry } = this.#settings
-    this.#documentStore.subscribe(() => {
-      this.#announce({ documents: this.#documentStore.versions() })
-    })
+    announceDocuments(this.#documentStore, this.#context)
     if (entry !== undefined) {
       this.#entry = new EntryRole({
         context: this.#context,
