Acknowledge a recorded departure without another entry of the log

A server repeats its announcement until it is acknowledged, and each repetition was committed again. What is applied is committed, so the leader only waits for the entries again.

--- a/packages/node/src/change-proposals.ts
+++ b/packages/node/src/change-proposals.ts
@@ -96,7 +96,7 @@
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return retry('too-few-voters')
     const startedAt = performance.now()
-    const outcome = await this.#propose(command, signal)
+    const outcome = this.#isRecorded(command) ? { kind: 'recorded' as const } : await this.#propose(command, signal)
     const revision = revisionOf(outcome)
     if (isAcknowledgedCommand(command) && revision !== undefined) {
       const commitMs = Math.round(performance.now() - startedAt)
@@ -126,6 +126,12 @@
     return attemptOutcome(await proposed)
   }
 
+  /** A server repeats its announcement until it is acknowledged; what is applied is committed. */
+  #isRecorded(command: Command): boolean {
+    if (command.kind !== 'depart') return false
+    return this.#options.host.state.departures.get(command.server)?.start === command.start
+  }
+
   #areChangesApplied(): boolean {
     const { term: currentTerm, applied, lastIndex } = this.#options.host.status()
     if (this.#term !== currentTerm) {
--- a/packages/node/test/change-rules.test.ts
+++ b/packages/node/test/change-rules.test.ts
@@ -2,7 +2,7 @@
  * Guards against rules that hold for some orders only: documents that an older build accepted, and that a submission
  * could not bring into force today, are in the log of trial.
  */
-import { environmentName, nodeId, revision } from '@bilberrystall/base'
+import { environmentName, nodeId, revision, serverId } from '@bilberrystall/base'
 import {
   applyCommand,
   currentRevision,
@@ -223,3 +223,20 @@
   ])
   expect(currentVersion(log.state, PRODUCTION)).toBe(10)
 })
+
+// Guards against a log that grows with each announcement that a leaving server repeats.
+test('a departure that is recorded is acknowledged again without another entry of the log', async () => {
+  const state = emptyState()
+  const proposed: Command[] = []
+  const submitter = submitterOf({
+    status: () => ({ ...LEADER, term: 1, applied: 0, lastIndex: 0 }) as never,
+    state,
+    propose: (command) => {
+      proposed.push(command)
+      return Promise.resolve({ kind: 'applied', applied: applyCommand(state, command).result })
+    },
+  })
+  const departure = (start: number): Command => ({ kind: 'depart', ...ORIGIN, server: serverId('s1'), start })
+  for (const start of [7, 7, 8]) expect((await submitter.submit(departure(start))).kind).toBe('recorded')
+  expect(proposed).toHaveLength(2)
+})
