Send small documents and departures with the notification

Cause: a notification made each entry ask its replica, and then the leader if the replica was behind: two calls for each entry and change, at replicas that are the smallest VMs. Change: notifications contain a document of up to 8 KiB and up to 64 departures that the entries of a group lack. An entry applies departures only if it has those before them, and asks as before if anything is missing, also in a fleet with earlier builds.

--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -12,6 +12,7 @@
 import type { Node } from '@bilberrystall/membership'
 import { DeliveryService, type NotifyResponse, type RpcClients } from '@bilberrystall/rpc'
 import { Code, ConnectError } from '@connectrpc/connect'
+import { departuresAfter, encodeDocument } from './control-delivery'
 import type { ClusterView } from './control-views'
 import { RELAY_TIMEOUT_MS, notificationGroups, relayedPositions } from './notification-relay'
 
@@ -20,6 +21,9 @@
 const RETRY_DELAY_MS = 100
 /** The same for an entry that no change waits for. */
 const LATE_RETRY_DELAY_MS = 1_000
+/** Length of a document up to which notifications contain it; entries ask their replica for a larger one. */
+const MAX_NOTIFIED_DOCUMENT = 8_192
+const MAX_NOTIFIED_DEPARTURES = 64
 /** Interval at which the directory is checked for entries that it did not contain. */
 const JOIN_CHECK_INTERVAL_MS = 100
 /** Time for which an operator may submit a change again that it got no response to. */
@@ -182,7 +186,7 @@
     target: DeliveryPosition,
   ): Promise<ReadonlyMap<NodeId, ConfirmedPosition>> {
     const request = {
-      ...this.#notification(relay, target),
+      ...this.#notification([relay, ...members], target),
       members: members.map(({ node, address }) => ({ node, address })),
     }
     try {
@@ -222,7 +226,7 @@
     peer.behindSince ??= now()
     try {
       const options = { timeoutMs: CONFIRMATION_LIMIT_MS }
-      const notification = this.#notification(entry, target)
+      const notification = this.#notification([entry], target)
       const response = await clients.client(DeliveryService, entry.address).notify(notification, options)
       updatePosition(peer, response)
       return isReached(peer, target) ? 'confirmed' : 'behind'
@@ -231,9 +235,22 @@
     }
   }
 
-  #notification({ environment }: Node, { revision, departurePosition }: DeliveryPosition) {
-    const { self, cluster } = this.#options
+  /** Notification of entries of the same environment, with what all of them lack as far as that is small. */
+  #notification(entries: readonly [Node, ...Node[]], { revision, departurePosition }: DeliveryPosition) {
+    const { self, cluster, state } = this.#options
+    const [{ environment }] = entries
+    const peers = entries.map(({ node }) => this.#peer(node))
+    const document = documentInForce(state(), environment)
+    const lacksDocument = peers.some((peer) => peer.revision < revision)
+    const isDocumentSmall = document !== undefined && document.text.length <= MAX_NOTIFIED_DOCUMENT
+    const departuresFrom = Math.min(...peers.map((peer) => peer.departurePosition))
+    const departures = departuresFrom < 0 ? [] : departuresAfter(state(), departuresFrom)
     return {
+      ...(lacksDocument && isDocumentSmall
+        ? { document: encodeDocument({ environment, version: 0, ...document }) }
+        : {}),
+      departures: departures.length <= MAX_NOTIFIED_DEPARTURES ? departures : [],
+      departuresAfter: BigInt(Math.max(0, departuresFrom)),
       environment,
       revision: BigInt(revision),
       departurePosition: BigInt(departurePosition),
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -11,7 +11,14 @@
 import type { ChangeSubmitter } from './change-submitter'
 import type { NamedAddress } from './control-contacts'
 import type { DocumentStore, PublishedDocument } from './document-store'
-import { NOT_CURRENT_MESSAGE, type FollowQuery, type Notification, type Position } from './control-follower'
+import {
+  NOT_CURRENT_MESSAGE,
+  decodeDepartures,
+  decodeDocument,
+  type FollowQuery,
+  type Notification,
+  type Position,
+} from './control-follower'
 import type { LeaseServer } from './control-lease-server'
 import type { ReplicaHost } from './control-replica'
 import { relayNotification, withinMemberLimit } from './notification-relay'
@@ -59,11 +66,16 @@
       return handleFollow(host, request, replicaAddresses)
     },
     notify: async (request) => {
-      const { environment, revision, departurePosition, node, address } = request
+      const { environment, revision, departurePosition, node, address, document } = request
       const notified = entry(environmentName(environment))
       if (notified === undefined) throw new ConnectError(`no entry of ${environment}`, Code.Unimplemented)
       const position = { revision: Number(revision), departurePosition: Number(departurePosition) }
-      const reaching = notified.catchUp({ ...position, node: nodeId(node), address })
+      const content = {
+        document: decodeDocument(document, 'replica'),
+        departures: decodeDepartures(request.departures),
+        departuresAfter: Number(request.departuresAfter),
+      }
+      const reaching = notified.catchUp({ ...position, node: nodeId(node), address, content })
       if (request.members.length === 0) return encodePosition(await reaching)
       const [reached, members] = await Promise.all([withinMemberLimit(reaching), relayNotification(request, clients)])
       return { ...encodePosition(reached ?? { revision: 0, departurePosition: 0 }), members }
@@ -112,7 +124,7 @@
   }
 }
 
-function departuresAfter(state: ControlState, position: number) {
+export function departuresAfter(state: ControlState, position: number) {
   if (position >= state.departurePosition) return []
   return [...state.departures.values()]
     .filter((departure) => departure.position > position)
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -83,6 +83,15 @@
   readonly node: NodeId
   /** RPC address of the replica; undefined if it did not state one. */
   readonly address?: string
+  /** What the notification contains of that state. */
+  readonly content?: NotifiedContent
+}
+
+export interface NotifiedContent {
+  readonly document: PublishedDocument | undefined
+  /** All departures after the position `departuresAfter`, or none. */
+  readonly departures: readonly DepartedServer[]
+  readonly departuresAfter: number
 }
 
 /** What an entry has. */
@@ -170,6 +179,7 @@
     const { environment, documentStore, contacts, addressOf } = this.#options
     const { node, address = '' } = notification
     contacts.learn([{ node, address }])
+    this.#applyContent(notification)
     const notifierAddress = address === '' ? (addressOf(node) ?? contacts.addressOf(node)) : address
     const notifier = notifierAddress === undefined ? undefined : { node, address: notifierAddress }
     let next: Polled | undefined = this.#nextContacts(1)[0] ?? notifier
@@ -182,6 +192,17 @@
     return { revision: revisionInForce, departurePosition: Number(this.#departurePosition) }
   }
 
+  #applyContent({ content, departurePosition }: Notification): void {
+    const { environment, documentStore, onDepartures } = this.#options
+    if (content === undefined) return
+    const { document, departures, departuresAfter } = content
+    if (document?.environment === environment) documentStore.offer(document)
+    const isComplete = departures.length > 0 && this.#departurePosition >= BigInt(departuresAfter)
+    if (!isComplete || this.#departurePosition >= BigInt(departurePosition)) return
+    this.#departurePosition = BigInt(departurePosition)
+    onDepartures(departures)
+  }
+
   #hasReached({ revision: notified, departurePosition }: Position): boolean {
     const { environment, documentStore } = this.#options
     const inForce = documentStore.inForce(environment)?.revision ?? 0
@@ -356,7 +377,7 @@
     if (response.revision > 0n) documentStore.confirm(environment, revision(Number(response.revision)), sentAt)
     if (response.departurePosition > this.#departurePosition) this.#departurePosition = response.departurePosition
     if (response.departures.length === 0) return
-    onDepartures(response.departures.map(({ server, start }) => ({ server: serverId(server), start: Number(start) })))
+    onDepartures(decodeDepartures(response.departures))
   }
 
   async #fetchFromEntries(): Promise<void> {
@@ -400,6 +421,10 @@
   })
 }
 
+export function decodeDepartures(departures: FollowResponse['departures']): DepartedServer[] {
+  return departures.map(({ server, start }) => ({ server: serverId(server), start: Number(start) }))
+}
+
 /** Returns undefined if there is no document or if its text does not match its digest. */
 export function decodeDocument(
   message: DeliveredDocument | undefined,
--- a/packages/node/src/notification-relay.ts
+++ b/packages/node/src/notification-relay.ts
@@ -41,15 +41,22 @@
   return left.node < right.node ? -1 : left.node > right.node ? 1 : 0
 }
 
-export type RelayedNotification = Pick<
-  NotifyRequest,
-  'environment' | 'revision' | 'departurePosition' | 'node' | 'address' | 'members'
->
+export type RelayedNotification = Omit<NotifyRequest, '$typeName' | '$unknown'>
 
 /** Notifies the members, and returns what those have that respond in time. */
 export async function relayNotification(request: RelayedNotification, clients: RpcClients): Promise<MemberPosition[]> {
-  const { environment, revision, departurePosition, node: leader, address: leaderAddress } = request
-  const notification = { environment, revision, departurePosition, node: leader, address: leaderAddress }
+  // A received message without a part of its fields is no request.
+  const { environment, revision, departurePosition, document, departures, departuresAfter } = request
+  const notification = {
+    environment,
+    revision,
+    departurePosition,
+    node: request.node,
+    address: request.address,
+    departures,
+    departuresAfter,
+    ...(document === undefined ? {} : { document }),
+  }
   const positions: MemberPosition[] = []
   const notify = async ({ node, address }: { readonly node: string; readonly address: string }) => {
     try {
