Take a response with an invalid status for none

But 600, 700 and 999 were passed on as answers. RFC 9110 calls statuses above 599 invalid. Check replaced: odd-response.test.ts expected 600 to be passed on; it now expects 502, as for the other invalid ones, and has 700 and 999 besides. The six new cases, three for each bundle, failed before. Change: the exchange with a server ends there as for bytes that are no response: 502, outcome unknown, and the connection is closed. Calls, calls passed on to another entry, load queries and probes share it, and a keyed request keeps no response that it did not accept.

--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -32,6 +32,8 @@
 }
 
 const FIRST_FINAL_STATUS = 200
+/** RFC 9110 calls higher statuses invalid, so a response with one is none. */
+const LAST_STATUS = 599
 const MAX_INTERIM_RESPONSES = 16
 /** Smaller pieces of a body are collected until the part in which they arrived is parsed. */
 const MIN_PIECE_BYTES = 1_024
@@ -99,6 +101,10 @@
       this.#onInterimResponse(controller)
       return
     }
+    if (status > LAST_STATUS) {
+      this.onResponseError()
+      return
+    }
     const parsed = parseResponseHead(status, controller.rawHeaders as Buffer[], this.#dialect)
     const head = this.#expectsBody ? parsed : { ...parsed, delimited: true }
     this.connection.onHeadComplete(head.length !== undefined)
--- a/packages/entry/test/odd-response.test.ts
+++ b/packages/entry/test/odd-response.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against responses of servers that stop the event loop of the entry: a failed assertion in a library made
- * Node.js parse the whole bundle, which took seconds. Runs the entry as it is bundled for each way to run it.
+ * Node.js parse the whole bundle, which took seconds. Guards as well against a status that no HTTP response has, which a
+ * caller would take for an answer. Runs the entry as it is bundled for each way to run it.
  */
 import { afterAll, beforeAll, describe, expect, test } from 'vitest'
 import { BUNDLE, SERVICE_BUNDLE } from '../../../scripts/bundle'
@@ -15,7 +16,9 @@
   ['HTTP/1.1 100 Continue', 502],
   ['HTTP/1.1 101 Switching Protocols', 502],
   ['HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other', 502],
-  ['HTTP/1.1 600 Odd', 600],
+  ['HTTP/1.1 600 Odd', 502],
+  ['HTTP/1.1 700 Odd', 502],
+  ['HTTP/1.1 999 Odd', 502],
   ['HTTP/1.1 1000 Odd', 502],
   ['HTTP/9.9 200 OK', 502],
   ['bytes that are no response', 502],
