--- a/packages/testkit/src/transcript.ts
+++ b/packages/testkit/src/transcript.ts
@@ -13,6 +13,7 @@
   { name: 'digest', pattern: /\b[0-9a-f]{64}\b/g },
   { name: 'digest', pattern: /\b[0-9a-f]{12}\b/g },
   { name: 'epoch', pattern: /\b1[6-9]\d{11}\b/g },
+  { name: 'change', pattern: /(?<="change":")[^"]+/g },
   { name: 'duration', pattern: /(?<="(?:commitMs|deliveryMs|ms)":)\d+|\b\d+-\d+(?= (?:settled|pending)\b)/g },
   { name: 'port', pattern: /(?<=\b127\.0\.0\.1:)\d+\b/g },
 ]
