Acknowledge a repeated change that was accepted without waiting for the log again

Cause: a repetition is an entry of the log, for its audit record, and the response waited for it. Change: the leader responds from its state, in which the change is committed, once the entries have it, and proposes the audit record beside that. Only versioned changes, whose id is derived from their content.

--- a/packages/control/src/change.ts
+++ b/packages/control/src/change.ts
@@ -62,6 +62,12 @@
   return { kind: 'change', result: refuseChange(state, change, 'changeIdReused'), repeated: false }
 }
 
+/** Result of a versioned change that was accepted. Its id is derived from its content, so it is the same change. */
+export function acceptedVersionedChange(state: ControlState, change: Change): AcceptedChange | undefined {
+  const result = versionNumbersOf(change) === undefined ? undefined : state.results.get(change.changeId)?.result
+  return result?.kind === 'accepted' ? result : undefined
+}
+
 function versionNumbersOf(change: Change): VersionNumbers | undefined {
   return change.kind === 'promote' ? undefined : change.numbering
 }
--- a/packages/node/src/change-proposals.ts
+++ b/packages/node/src/change-proposals.ts
@@ -8,6 +8,7 @@
   MAX_DOCUMENT_BYTES,
   MAX_REPORTED_FAULTS,
   TRIAL_ENVIRONMENT,
+  acceptedVersionedChange,
   amendedDocument,
   currentRevision,
   currentVersion,
@@ -96,7 +97,7 @@
     const voters = replicas.filter((replica) => replica.role === 'voter').length
     if (voters < (this.#options.minVoters ?? 1)) return retry('too-few-voters')
     const startedAt = performance.now()
-    const outcome = this.#isRecorded(command) ? { kind: 'recorded' as const } : await this.#propose(command, signal)
+    const outcome = this.#knownOutcome(command) ?? (await this.#propose(command, signal))
     const revision = revisionOf(outcome)
     if (isAcknowledgedCommand(command) && revision !== undefined) {
       const commitMs = Math.round(performance.now() - startedAt)
@@ -126,10 +127,20 @@
     return attemptOutcome(await proposed)
   }
 
-  /** A server repeats its announcement until it is acknowledged; what is applied is committed. */
-  #isRecorded(command: Command): boolean {
-    if (command.kind !== 'depart') return false
-    return this.#options.host.state.departures.get(command.server)?.start === command.start
+  /**
+   * Outcome of a request that was sent again until it is acknowledged; what is applied is committed. A repeated change is
+   * proposed for its audit record, which the response does not wait for.
+   */
+  #knownOutcome(command: Command): AttemptOutcome | undefined {
+    const { state } = this.#options.host
+    if (command.kind === 'depart') {
+      return state.departures.get(command.server)?.start === command.start ? { kind: 'recorded' } : undefined
+    }
+    if (command.kind !== 'submit' && command.kind !== 'amend') return undefined
+    const result = acceptedVersionedChange(state, command)
+    if (result === undefined) return undefined
+    void this.#propose(command, undefined)
+    return { kind: 'change', result, repeated: true }
   }
 
   #areChangesApplied(): boolean {
--- a/packages/node/test/change-rules.test.ts
+++ b/packages/node/test/change-rules.test.ts
@@ -71,6 +71,10 @@
     })
   }
 
+  get length(): number {
+    return this.#entries.length
+  }
+
   /** Appends a command as the leader of an earlier term did. */
   append(command: Command, onApplied: (result: CommandResult) => void = () => undefined): void {
     this.#entries.push(() => {
@@ -240,3 +244,22 @@
   for (const start of [7, 7, 8]) expect((await submitter.submit(departure(start))).kind).toBe('recorded')
   expect(proposed).toHaveLength(2)
 })
+
+// Guards against an accepted change that is never acknowledged, as each attempt of the operator waits for the log again.
+test('a versioned change that was accepted is acknowledged again before the log has recorded the repetition', async () => {
+  const log = new DelayedLog()
+  const numbered: Command = {
+    kind: 'submit',
+    ...ORIGIN,
+    changeId: 'c1',
+    environment: PRODUCTION,
+    numbering: { version: 7, base: 0 },
+    content: { validity: 'valid', text: text('/') },
+  }
+  expect(await log.submit(numbered)).toMatchObject({ result: { kind: 'accepted' }, repeated: false })
+  const entries = log.length
+  const startedAt = performance.now()
+  expect(await log.submit(numbered)).toMatchObject({ result: { kind: 'accepted' }, repeated: true })
+  expect(performance.now() - startedAt).toBeLessThan(APPLY_DELAY_MS)
+  expect(log.length).toBe(entries + 1)
+})
