Send calls to servers on trial only after a load query

Change: with load queries, a server on trial is queried like any other and gets a call only if its answer is good; a trial without a query is the substitute. The new case of load-query.test.ts failed before.

--- a/packages/routing/src/eligibility.ts
+++ b/packages/routing/src/eligibility.ts
@@ -31,6 +31,11 @@
   }
 }
 
+/** Whether a load query may choose the server: also one on trial, as its answer tells whether it has recovered. */
+export function isQueryCandidate(record: ServerRecord, use: 'call' | 'load-query', now: number): boolean {
+  return isEligible(record, use, now) || isEligible(record, 'trial', now)
+}
+
 /** Whether anything at all may be sent to the server now. */
 export function acceptsRequests(record: ServerRecord, now: number): boolean {
   return isStaying(record) && now >= record.requestedPauseUntil
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -5,7 +5,7 @@
  */
 import { randomInt, type RandomSource, type ServerId } from '@bilberrystall/base'
 import type { Call, CallId, Effect, Load } from './call'
-import { isEligible } from './eligibility'
+import { isEligible, isQueryCandidate } from './eligibility'
 import type { ServerRecord } from './server-record'
 
 /**
@@ -283,7 +283,7 @@
     now: number,
   ): readonly ServerRecord[] {
     const ranked = records
-      .filter((record) => isEligible(record, 'load-query', now) && !queried.has(record.server.id))
+      .filter((record) => isQueryCandidate(record, 'load-query', now) && !queried.has(record.server.id))
       .filter(
         (record) => call.triedServers?.includes(record.server.id) !== true && record.mayQuery(rate, QUERY_BURST, now),
       )
@@ -338,7 +338,7 @@
 function bestAnswer({ answers }: LoadQuery, now: number): Answer | undefined {
   let best: Answer | undefined
   for (const answer of answers) {
-    if (!isEligible(answer.record, 'call', now)) continue
+    if (!isQueryCandidate(answer.record, 'call', now)) continue
     if (best === undefined || answer.cost < best.cost) best = answer
   }
   return best
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -106,7 +106,7 @@
     hasRateLimits: () => this.rateLimits.hasLimits,
     maxRamp: () => this.stats.maxRamp,
     send: (call, record, now, effects) => {
-      this.#dispatch(call, record, false, now, effects)
+      this.#dispatch(call, record, record.health.kind === 'trial', now, effects)
     },
     shed: (call, effects) => {
       this.#options.shed(call, OVERLOADED, effects)
@@ -192,13 +192,14 @@
       this.#options.shed(call, refusal, effects)
       return
     }
+    const mayQuery = this.waiting === 0 && this.inFlight < this.#concurrency
+    if (mayQuery && this.#options.queryLoad(call, this.#loadQueryHost, now, effects)) return
+    // A load query tells whether a server has recovered, so a trial call without one is only a substitute.
     const trial = this.inFlight < this.#concurrency ? this.#trialFor(call, now) : undefined
     if (trial !== undefined) {
       this.#dispatch(call, trial, true, now, effects)
       return
     }
-    const mayQuery = this.waiting === 0 && this.inFlight < this.#concurrency
-    if (mayQuery && this.#options.queryLoad(call, this.#loadQueryHost, now, effects)) return
     if (call.onlyIfFree === true) this.#options.shed(call, OVERLOADED, effects)
     else this.#submitByEstimate(call, now, effects)
   }
--- a/packages/routing/test/load-query.test.ts
+++ b/packages/routing/test/load-query.test.ts
@@ -118,3 +118,35 @@
   expect(router.answered(callId(1), leaving!, load(), 2)).toEqual([])
   expect(dispatched(router.answered(callId(1), other!, load(), 3))).toBe(other)
 })
+
+// Guards against calls, also those that must not repeat, that are sent unseen to a server that is still slow.
+test('a server that returns from an ejection gets a call only if it reports to be fast', () => {
+  const router = makeRouter(3)
+  let now = 0
+  let id = 0
+  const runCall = (slowness: (server: ServerId) => number, outcome: 'ok' | 'error'): ServerId | undefined => {
+    id += 1
+    now += 100
+    const first = router.submit(call(id, { repeatable: false, deadline: now + 1000 }), now)
+    const chosen = [dispatched(first)].filter((server) => server !== undefined)
+    let pending = [...queried(first)]
+    while (pending.length > 0 && chosen.length === 0) {
+      const effects = pending.flatMap((server) =>
+        router.answered(callId(id), server, load({ slowness: slowness(server) }), now),
+      )
+      chosen.push(...effects.flatMap((effect) => (effect.kind === 'dispatch' ? [effect.server] : [])))
+      pending = [...queried(effects)]
+    }
+    router.finished(callId(id), outcome, 10, undefined, now + 10)
+    router.tick(now + 50)
+    return chosen[0]
+  }
+  const preferred = serverId('s0')
+  for (let failures = 0; failures < 3; failures += 1) runCall((server) => (server === preferred ? 1 : 1.5), 'error')
+  now += 1_100
+  router.tick(now)
+  const whileSlow = Array.from({ length: 10 }, () => runCall((server) => (server === preferred ? 7 : 1), 'ok'))
+  expect(whileSlow).not.toContain(preferred)
+  const afterwards = Array.from({ length: 10 }, () => runCall((server) => (server === preferred ? 1 : 7), 'ok'))
+  expect(afterwards).toContain(preferred)
+})
