--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** Server selection, load estimation, outlier ejection, queues, admission, retry budgets and the measuring budget. */
 export * from './call'
+export * from './hedging'
 export type { LoadQueryResult } from './load-query'
 export * from './ledger'
 export { callInterval, type LimitedServer, type LimitSharing } from './rate-limit'
@@ -8,3 +9,4 @@
 export * from './router'
 export * from './tokens'
 export * from './tuning'
+export * from './unanswered'
