Apply hedging decisions to calls and repeat unanswered requests

Where load queries are allowed, a repeatable call without a target at a server that discarded its request ended with 504 at its deadline: a second attempt was made only for connections known to be silent. On the test "with load queries, a repeatable call is answered by another server" of mute-server.test.ts fails for that reason.

call-hedging.ts takes the hedging code out of call.ts and follows the policy of the service. Requests that stay unanswered are tried at another server, within attempts, the retry budget and free slots, also when hedging is denied. Without a limit, hedging behaves as before.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -28,6 +28,8 @@
   readonly failed: (failure: AttemptFailure) => void
   /** The connection has made no progress for some time. The attempt continues, since its server may still respond. */
   readonly silent: () => void
+  /** The request got no response for so long that its server may have discarded it. The attempt continues. */
+  readonly unanswered: () => void
 }
 
 export interface AttemptOptions {
@@ -35,6 +37,8 @@
   readonly server: ServerId
   readonly repeatable: boolean
   readonly silenceMs: number
+  /** Time in ms after which the request counts as unanswered. It is reported again at doubling intervals. */
+  readonly unansweredMs: number
   /** Connection on which the server has just answered a load query; undefined takes one from the pool. */
   readonly connection: Connection | undefined
   readonly dependencies: CallDependencies
@@ -51,11 +55,13 @@
   #exchange: Exchange | undefined
   #finished = false
   #suspected = false
+  #unansweredMs: number
   #respondedAt: number | undefined
   #discardResponse = false
 
   constructor(options: AttemptOptions) {
     this.#options = options
+    this.#unansweredMs = options.unansweredMs
     this.#pool = options.dependencies.pool(options.server)
     this.#sentAt = options.dependencies.clock.monotonic()
   }
@@ -70,6 +76,10 @@
     return this.#exchange?.connection.retired === true
   }
 
+  get unanswered(): boolean {
+    return this.#unansweredMs > this.#options.unansweredMs && this.#exchange?.head === undefined
+  }
+
   start(): void {
     if (this.#pool === undefined) {
       this.#onConnectFailed()
@@ -94,10 +104,14 @@
   sweep(now: number): void {
     const exchange = this.#exchange
     const { body, silenceMs } = this.#options
-    if (exchange === undefined || this.#finished || this.#suspected || exchange.paused) return
+    if (exchange === undefined || this.#finished || exchange.paused) return
     if (body.waitingSince !== undefined) return
     const progressAt = Math.max(exchange.progressAt, body.acceptedAt)
-    if (now - progressAt <= silenceMs) return
+    if (exchange.head === undefined && now - progressAt > this.#unansweredMs) {
+      this.#unansweredMs *= 2
+      this.#options.events.unanswered()
+    }
+    if (this.#suspected || now - progressAt <= silenceMs) return
     this.#suspected = true
     void this.#testConnection(progressAt)
   }
--- a/packages/entry/src/call-options.ts
+++ b/packages/entry/src/call-options.ts
@@ -3,6 +3,7 @@
 import type { AttemptId, RequestId, ServerId } from '@bilberrystall/base'
 import type { Document, Organisation, Route } from '@bilberrystall/document'
 import type { CallerConnection } from './caller-connection'
+import type { CallDependencies } from './call-dependencies'
 import type { CallContext } from './context'
 import type { RequestHead } from './head'
 
@@ -37,3 +38,21 @@
   /** Ms from the start of a planned stop to the acceptance of the call, negative if it was accepted before. */
   readonly acceptedInStopMs?: number
 }
+
+/** Describes an ended call; `acceptedAt` in monotonic ms. */
+export function describeCall(
+  { route, head, behind }: CallOptions,
+  { stopStartedAt }: Pick<CallDependencies, 'stopStartedAt'>,
+  { acceptedAt, request, servers }: Pick<EndedCall, 'request' | 'servers'> & { readonly acceptedAt: number },
+): EndedCall {
+  const stopAt = stopStartedAt()
+  return {
+    route: route.name,
+    service: route.service,
+    attempt: head.attemptId,
+    request,
+    servers,
+    behind,
+    ...(stopAt === undefined ? {} : { acceptedInStopMs: Math.round(acceptedAt - stopAt) }),
+  }
+}
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -11,7 +11,8 @@
 import { IdempotencyHandler } from './idempotency-handler'
 import { requestForEntry, requestForServer, type RequestSource } from './call-request'
 import { isRefusal, type ResponseHead } from './head'
-import type { CallOptions, EndedCall } from './call-options'
+import { describeCall, type CallOptions, type EndedCall } from './call-options'
+import { CallHedging } from './call-hedging'
 import { CallerResponse } from './caller-response'
 import { RelayAttempt, type RelayFailure } from './relay-attempt'
 import type { RelayPeer } from './relay-peers'
@@ -20,8 +21,9 @@
 import { relayResponseFields } from './relay-response'
 import { RequestBody } from './request-body'
 import { identifyRequest } from './request-identity'
-import { retryAfterMs } from './retry-after'
+import { failureFields } from './retry-after'
 import { RoutedAttempt } from './routed-attempt'
+import { routerCallOf, type AttemptKind } from './router-call'
 
 const SERVER_ERROR = 500
 /** Entries that a call is passed on to, one after the other, before it fails. */
@@ -30,9 +32,6 @@
 /** Further servers tried after refused connections, beside the retries that the budget allows. */
 const MAX_RECONNECTS = 2
 
-/** Fraction of the target latency after which a hedged attempt starts. */
-const HEDGE_DELAY_FACTOR = 0.5
-
 export class Call {
   /** Monotonic ms. */
   readonly acceptedAt: number
@@ -41,18 +40,18 @@
   readonly #body: RequestBody
   readonly #callerResponse: CallerResponse
   readonly #idempotency: IdempotencyHandler
+  readonly #hedging: CallHedging
   readonly #triedServers: ServerId[] = []
   /** Monotonic ms. */
   readonly #deadline: number
   readonly #timer: NodeJS.Timeout
   #attemptsLeft: number
   #reconnectsLeft = MAX_RECONNECTS
-  /** Attempts in progress; a second one only for a repeatable call. */
+  /** Attempts in progress; more than one only for a repeatable call. */
   readonly #attempts = new Set<CallAttempt>()
   readonly #triedPeers: NodeId[] = []
   /** Attempts after which it is unknown whether the server ran the call. */
   #unknownAttempts = 0
-  #hedgeTimer: NodeJS.Timeout | undefined
   #done = false
   /** Result code of the first attempt with an unknown outcome. */
   #unknownCode: CodeName | undefined
@@ -81,6 +80,17 @@
       ...(options.isRelayed ? { added: (result) => relayResponseFields(result, head, dependencies) } : {}),
     })
     this.#idempotency = new IdempotencyHandler({ head, route, document: options.document, dependencies })
+    this.#hedging = new CallHedging({
+      dependencies,
+      route,
+      acceptedAt: this.acceptedAt,
+      deadline: this.#deadline,
+      canHelp: () => !this.#done && this.#attempts.size === 1 && this.#callerResponse.isUntouched,
+      canSend: () => this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#standing.kind === 'clear',
+      start: () => {
+        this.#submitToRouter('hedged')
+      },
+    })
     this.#timer = setTimeout(
       () => {
         this.#onDeadline()
@@ -95,17 +105,12 @@
   }
 
   describe(): EndedCall {
-    const { route, head, behind } = this.#options
-    const stopStartedAt = this.#dependencies.stopStartedAt()
-    return {
-      route: route.name,
-      service: route.service,
-      attempt: head.attemptId,
+    const { acceptedAt } = this
+    return describeCall(this.#options, this.#dependencies, {
+      acceptedAt,
       request: this.#requestId,
       servers: this.#triedServers,
-      behind,
-      ...(stopStartedAt === undefined ? {} : { acceptedInStopMs: Math.round(this.acceptedAt - stopStartedAt) }),
-    }
+    })
   }
 
   get #requestId(): RequestId {
@@ -148,7 +153,7 @@
    * one that was sent is passed on as well, and its attempt continues in case the response still arrives.
    */
   onCutOff(): void {
-    if (this.#done || this.#callerResponse.hasStarted || !this.#callerResponse.isEmpty) return
+    if (this.#done || !this.#callerResponse.isUntouched) return
     const attempts = [...this.#attempts]
     const isRelayed = attempts.some((attempt) => attempt instanceof RelayAttempt)
     if (attempts.length === 0 || isRelayed || !this.#mayRelay()) return
@@ -261,30 +266,28 @@
   }
 
   /** Submits an attempt to the router. An extra attempt runs beside the first one and never ends the call. */
-  #submitToRouter({ isExtra = false, onlyIfFree = false } = {}): void {
-    const { route, context } = this.#options
+  #submitToRouter(kind: AttemptKind = 'regular'): void {
     const attempt: RoutedAttempt = new RoutedAttempt({
       dependencies: this.#dependencies,
       body: this.#body,
       silenceMs: Math.min(this.#dependencies.limits.silenceMs, this.#remaining() / 4),
-      routerCall: {
-        service: route.service,
-        urgency: context.urgency,
+      routerCall: routerCallOf({
+        call: this.#options,
+        kind,
         deadline: this.#deadline,
-        ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
-        repeatable: route.repeatable,
         // Only a call that can be sent again may go to a full server, which may refuse it.
         resendable: this.#body.buffered !== undefined && this.#attemptsLeft > 1,
-        onlyIfFree,
-        triedServers: [...this.#triedServers],
-      },
+        queriesLoad: this.#dependencies.queriesLoad,
+        triedServers: this.#triedServers,
+      }),
       request: (instance, queueLimit) => {
         const state = { attemptsLeft: this.#attemptsLeft, remainingMs: this.#remaining(), instance, queueLimit }
         return requestForServer(this.#requestSource, state)
       },
       events: {
         serverChosen: (server) => {
-          const isSent = this.#onServerChosen(server, isExtra)
+          const mayBeSent = () => this.#onServerChosen(server, kind !== 'regular')
+          const isSent = this.#hedging.send({ attempt, server, kind }, mayBeSent)
           if (!isSent) this.#attempts.delete(attempt)
           return isSent
         },
@@ -295,10 +298,14 @@
         },
         shed: (refusal) => {
           this.#attempts.delete(attempt)
-          this.#onShed(refusal)
+          this.#onShed(refusal, kind)
         },
         silent: () => {
-          this.#onSilent(attempt)
+          // When hedged attempts are possible, only a connection that is known to be silent gets a second attempt.
+          if (!this.#dependencies.queriesLoad || attempt.silent) this.#repeat('silent')
+        },
+        unanswered: () => {
+          this.#repeat('unanswered')
         },
       },
     })
@@ -306,7 +313,8 @@
     attempt.start()
   }
 
-  #onShed({ code, retryAfterMs: waitMs }: Shed): void {
+  #onShed({ code, retryAfterMs: waitMs }: Shed, kind: AttemptKind): void {
+    this.#hedging.onShed(kind)
     // The other attempt is still in progress.
     if (this.#attempts.size > 0) return
     const { dialect } = this.#dependencies
@@ -319,29 +327,14 @@
     if (isExtra ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
-    if (!isExtra) this.#armHedge()
     return true
   }
 
-  /**
-   * Starts a hedged attempt for a repeatable call after half of its target latency, because the server has become slow.
-   * The first attempt continues, since its server may still respond first.
-   */
-  #armHedge(): void {
-    const { route } = this.#options
-    clearTimeout(this.#hedgeTimer)
-    if (!this.#dependencies.queriesLoad || !route.repeatable || route.targetMs === undefined) return
-    this.#hedgeTimer = setTimeout(() => {
-      const canHelp = this.#attempts.size === 1 && !this.#callerResponse.hasStarted && this.#callerResponse.isEmpty
-      const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#standing.kind === 'clear'
-      if (!this.#done && canHelp && canSend) this.#submitToRouter({ isExtra: true, onlyIfFree: true })
-    }, route.targetMs * HEDGE_DELAY_FACTOR)
-  }
-
   /** Returns whether the response is forwarded; otherwise it is discarded and the attempt ends as shed. */
   #onHead(head: ResponseHead, winner: CallAttempt): boolean {
     if (isRefusal(head)) return false
-    for (const other of this.#attempts) if (other !== winner) this.#cancel(other, 'callerCancelled')
+    this.#hedging.onHead(winner)
+    for (const other of this.#attempts) if (other !== winner) this.#cancel(other, this.#hedging.onOvertaken(other))
     this.#idempotency.onResponseHead(head)
     this.#callerResponse.head(head)
     return true
@@ -388,15 +381,14 @@
   }
 
   /**
-   * Starts a second attempt for a repeatable call whose connection makes no progress. The first one continues: if its
-   * server is only slow, its response is still delivered. When hedged attempts are possible, only a connection that is
-   * known to be silent gets a second attempt.
+   * Starts a further attempt for a repeatable call whose connection makes no progress, or none of whose requests was
+   * answered for long. Those in progress continue: if a server is only slow, its response is still delivered.
    */
-  #onSilent(attempt: CallAttempt): void {
-    if (this.#done || this.#attempts.size > 1 || this.#callerResponse.hasStarted) return
-    const isSilent = !this.#dependencies.queriesLoad || attempt.silent
+  #repeat(kind: AttemptKind): void {
+    if (this.#done || this.#callerResponse.hasStarted) return
+    if (this.#attempts.size > 1 && ![...this.#attempts].every(({ unanswered }) => unanswered)) return
     const canSend = this.#attemptsLeft > 0 && this.#body.buffered !== undefined && this.#remaining() > 0
-    if (isSilent && canSend && this.#options.route.repeatable) this.#submitToRouter({ isExtra: true })
+    if (canSend && this.#options.route.repeatable) this.#submitToRouter(kind)
   }
 
   #mayRetry(): boolean {
@@ -432,7 +424,12 @@
     this.#finish(code)
     this.#idempotency.settle(this.#unknownCode === undefined ? 'not-run' : 'unknown')
     if (code === 'callerCancelled' || this.#callerResponse.hasStarted) this.#callerResponse.abort()
-    else this.#callerResponse.problem(failure(code), { ...this.#retryAfter(code), ...fields }, members)
+    else
+      this.#callerResponse.problem(
+        failure(code),
+        { ...failureFields(code, this.#dependencies.dialect), ...fields },
+        members,
+      )
   }
 
   #reportedCode(cause: CodeName): CodeName {
@@ -462,16 +459,11 @@
   #finish(result: CodeName | 'complete'): void {
     this.#done = true
     clearTimeout(this.#timer)
-    clearTimeout(this.#hedgeTimer)
+    this.#hedging.end()
     this.#dependencies.onEnded(this, result)
   }
 
   #remaining(): number {
     return this.#deadline - this.#dependencies.clock.monotonic()
   }
-
-  #retryAfter(code: CodeName): Readonly<Record<string, string>> {
-    const isRefused = resultCode(code).status === 503 || code === 'keyInProgress'
-    return isRefused ? { 'retry-after': this.#dependencies.dialect.retryAfter(retryAfterMs(code)) } : {}
-  }
 }
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -57,6 +57,11 @@
     return this.#head === undefined
   }
 
+  /** Whether another server could still provide the response. */
+  get isUntouched(): boolean {
+    return !this.hasStarted && this.isEmpty
+  }
+
   get finished(): boolean {
     return this.#response.writableEnded
   }
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -1,7 +1,7 @@
 /** Options and events of an entry, and the servers that it is told about. */
 import type { CodeName, NodeId, RandomSource, ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
-import type { Router, Server, ServerChange } from '@bilberrystall/routing'
+import type { HedgingPolicies, Router, Server, ServerChange } from '@bilberrystall/routing'
 import type { CallAdmission } from './call-admission'
 import type { EndedCall } from './call-options'
 import type { LostCall } from './call-dependencies'
@@ -47,6 +47,8 @@
   readonly node: NodeId
   readonly nodeKey: string
   readonly router: Router
+  /** Limits on hedged attempts; absent: no service has one. */
+  readonly hedging?: HedgingPolicies
   readonly random: RandomSource
   readonly dialect?: Dialect
   /** Returns the document in force, or undefined until control has confirmed one. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
  * force and forwards them to servers. Calls use the request and response objects of Node.js directly; hono routes only
  * the internal endpoints under `/.bilberrystall/`.
  */
-import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { getRequestListener } from '@hono/node-server'
@@ -20,7 +20,8 @@
 import { ContextCodec } from './context'
 import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
-import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
+import { createListener } from './listener'
+import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
@@ -100,6 +101,7 @@
     this.#driver = new RouterDriver({
       router: options.router,
       now: this.#clock.monotonic,
+      hedging: options.hedging,
       probe: (server, timeoutMs) => {
         this.#probe(server, timeoutMs)
       },
@@ -295,32 +297,16 @@
   }
 
   #createServer(isRelay: boolean): HttpServer {
-    const server = createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        headersTimeout: this.#limits.headMs,
-        requestTimeout: 0,
-        connectionsCheckingInterval: Math.min(1_000, this.#limits.headMs),
-        // `parseRequestHead` checks it and responds with a problem document.
-        requireHostHeader: false,
-        noDelay: true,
-      },
-      (request, response) => {
+    return createListener({
+      headMs: this.#limits.headMs,
+      onRequest: (request, response) => {
         this.#accept(request, response, isRelay)
       },
-    )
-    server.on('connection', (socket: Socket) => {
-      this.#acceptedConnections += 1
-      this.#callerConnection(socket)
-    })
-    // Without a listener Node.js destroys the connection with the responses in progress.
-    server.on('connect', (_request, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(new Error('CONNECT is not supported'))
-    })
-    server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(cause)
+      onConnection: () => {
+        this.#acceptedConnections += 1
+      },
+      connectionOf: (socket) => this.#callerConnection(socket),
     })
-    return server
   }
 
   #createCallDependencies(): CallDependencies {
--- /dev/null
+++ b/packages/entry/src/listener.ts
@@ -0,0 +1,41 @@
+/** HTTP server of a listener of the entry, for callers or for other entries. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { CallerConnection } from './caller-connection'
+import { MAX_HEAD_BYTES } from './limits'
+
+export interface ListenerOptions {
+  /** Timeout for receiving the request head from a caller. */
+  readonly headMs: number
+  readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void
+  /** Called when a connection was accepted. */
+  readonly onConnection: () => void
+  readonly connectionOf: (socket: Socket) => CallerConnection
+}
+
+export function createListener({ headMs, onRequest, onConnection, connectionOf }: ListenerOptions): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEAD_BYTES,
+      headersTimeout: headMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: Math.min(1_000, headMs),
+      // `parseRequestHead` checks it and responds with a problem document.
+      requireHostHeader: false,
+      noDelay: true,
+    },
+    onRequest,
+  )
+  server.on('connection', (socket: Socket) => {
+    onConnection()
+    connectionOf(socket)
+  })
+  // Without a listener Node.js destroys the connection with the responses in progress.
+  server.on('connect', (_request, socket: Socket) => {
+    connectionOf(socket).onParseError(new Error('CONNECT is not supported'))
+  })
+  server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
+    connectionOf(socket).onParseError(cause)
+  })
+  return server
+}
--- a/packages/entry/src/relay-attempt.ts
+++ b/packages/entry/src/relay-attempt.ts
@@ -37,6 +37,7 @@
 
 export class RelayAttempt implements CallAttempt {
   readonly silent = false
+  readonly unanswered = false
   readonly #options: RelayAttemptOptions
   #pool: ConnectionPool | undefined
   #exchange: Exchange | undefined
--- a/packages/entry/src/retry-after.ts
+++ b/packages/entry/src/retry-after.ts
@@ -1,5 +1,5 @@
 /** Values of `retry-after`: those sent to callers with a refusal, and those that servers send. */
-import type { CodeName, Failure } from '@bilberrystall/base'
+import { resultCode, type CodeName, type Failure } from '@bilberrystall/base'
 import type { Dialect } from './dialect'
 
 /** A server is likely to be free after the duration of a typical call. */
@@ -13,9 +13,13 @@
 const REJECTION_RETRY_MS: Partial<Record<CodeName, number>> = { entryLeaving: 0, notReady: 1_000, keyUnconfirmed: 200 }
 const MS_PER_SECOND = 1000
 
-/** Returns the time in ms after which a caller may send a refused request again. */
-export function retryAfterMs(code: CodeName): number {
-  return RETRY_AFTER_MS[code] ?? DEFAULT_RETRY_AFTER_MS
+/** Returns the field that tells a caller whose call failed when to send it again. */
+export function failureFields(
+  code: CodeName,
+  { retryAfter }: Pick<Dialect, 'retryAfter'>,
+): Readonly<Record<string, string>> {
+  const isRefused = resultCode(code).status === 503 || code === 'keyInProgress'
+  return isRefused ? { 'retry-after': retryAfter(RETRY_AFTER_MS[code] ?? DEFAULT_RETRY_AFTER_MS) } : {}
 }
 
 /** Returns the field that tells a caller whose call is rejected before it is routed when to send it again, if known. */
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -1,6 +1,6 @@
 /**
  * One attempt of a call including its routing: queries the load of servers if the router requests it, waits until the
- * router has chosen a server, and runs an `Attempt` there. A repeatable call can have two routed attempts in progress.
+ * router has chosen a server, and runs an `Attempt` there. A repeatable call can have several routed attempts in progress.
  */
 import type { CodeName, ServerId } from '@bilberrystall/base'
 import type { Call as RouterCall, CallId, Shed } from '@bilberrystall/routing'
@@ -26,6 +26,8 @@
   readonly shed: (refusal: Shed) => void
   /** The connection has made no progress for some time. */
   readonly silent: () => void
+  /** The request got no response for so long that its server may have discarded it. */
+  readonly unanswered: () => void
 }
 
 export interface RoutedAttemptOptions {
@@ -61,6 +63,10 @@
     return this.#attempt?.silent ?? false
   }
 
+  get unanswered(): boolean {
+    return this.#attempt?.unanswered ?? false
+  }
+
   start(): void {
     this.#options.dependencies.driver.submit({ ...this.#options.routerCall, id: this.id })
   }
@@ -96,6 +102,7 @@
       server,
       repeatable: routerCall.repeatable,
       silenceMs,
+      unansweredMs: dependencies.driver.unansweredAfterMs(routerCall, server, silenceMs),
       connection,
       dependencies,
       body,
@@ -113,6 +120,7 @@
           events.failed(attemptFailure)
         },
         silent: events.silent,
+        unanswered: events.unanswered,
       },
     })
     this.#attempt.start()
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -2,18 +2,22 @@
 import type { ServerId, ServiceName } from '@bilberrystall/base'
 import {
   callId,
+  HedgingPolicies,
+  unansweredAfterMs,
   type Call,
   type CallId,
   type Effect,
   type ExchangeOutcome,
   type LoadQueryResult,
   type Load,
+  type LoadReport,
   type Router,
   type ServerChange,
   type Shed,
 } from '@bilberrystall/routing'
 
 import { MISDIRECTED, type ResponseHead } from './head'
+import { LoadReports } from './load-reports'
 import { parseRetryAfter } from './retry-after'
 import { SlotMap } from './slot-map'
 
@@ -27,6 +31,8 @@
 export interface RouterDriverOptions {
   readonly router: Router
   readonly now: () => number
+  /** Absent: no service has a limit on hedged attempts. */
+  readonly hedging?: HedgingPolicies | undefined
   readonly probe: (server: ServerId, timeoutMs: number) => void
   /** The use of a server changed. */
   readonly serverChanged: (change: ServerChange) => void
@@ -37,13 +43,16 @@
 const MIN_TIMER_MS = 1
 
 export class RouterDriver {
+  readonly hedging: HedgingPolicies
   readonly #options: RouterDriverOptions
+  readonly #loadReports = new LoadReports()
   readonly #calls = new SlotMap<RoutedCall>()
   #timer: NodeJS.Timeout | undefined
   #wakeAt = Infinity
 
   constructor(options: RouterDriverOptions) {
     this.#options = options
+    this.hedging = options.hedging ?? new HedgingPolicies()
   }
 
   /** Assigns an id that is valid until `unregister`, also across several submissions. */
@@ -71,8 +80,9 @@
    * Takes from a response what the server says of itself: that it leaves, that it wants nothing for some time, and its
    * rate limit. A refusal without a rate limit does not say that the limit has ended.
    */
-  responded(server: ServerId, { status, notRun, rateLimit, isLeaving, retryAfter }: ResponseHead): void {
+  responded(server: ServerId, { status, notRun, rateLimit, isLeaving, retryAfter, load }: ResponseHead): void {
     if (status === MISDIRECTED) return
+    if (load !== undefined) this.#loadReports.add(server, load, this.#now())
     const { router } = this.#options
     const pauseMs = status === UNAVAILABLE && retryAfter !== undefined ? parseRetryAfter(retryAfter) : undefined
     if (isLeaving || pauseMs !== undefined) {
@@ -103,6 +113,22 @@
     return this.#options.router.mayRetry(service, this.#now())
   }
 
+  /** Returns the 95th percentile of the latency of the service in ms, as the router estimates it. */
+  p95Latency(service: ServiceName): number {
+    return this.#options.router.p95Latency(service)
+  }
+
+  /** Returns the last load that the server reported to this entry. */
+  loadReport(server: ServerId): LoadReport | undefined {
+    return this.#loadReports.last(server, this.#now())
+  }
+
+  /** Returns the time in ms after which a request of the call at the server counts as unanswered. */
+  unansweredAfterMs({ service, target }: Omit<Call, 'id'>, server: ServerId, silenceMs: number): number {
+    const tailLatency = this.hedging.of(service).tailLatency(this.#now())
+    return unansweredAfterMs({ tailLatency, target, silenceMs, report: this.loadReport(server) })
+  }
+
   apply(effects: readonly Effect[]): void {
     for (const effect of effects) this.#execute(effect)
     this.#armTimer()
