Add the limit on hedged attempts to settings and documents

hedge-limit in [entry] applies to all services, in a service of the document it precedes the setting; without both nothing changes.

--- a/packages/document/src/document.ts
+++ b/packages/document/src/document.ts
@@ -54,6 +54,8 @@
   readonly warmUpMs: number | undefined
   /** Requests per second that a cold server bears from all entries together; undefined without a limit. */
   readonly warmUpRate: number | undefined
+  /** Largest share of the calls that may get a hedged attempt; undefined if the setting of the entry applies. */
+  readonly hedgeLimit: number | undefined
 }
 
 /** An organisation whose callers identify themselves by a key. */
@@ -144,6 +146,7 @@
   tls: flag.default(false),
   'warm-up': duration(0, DAY_MS).optional(),
   'warm-up-rate': decimal(MAX_RATE).optional(),
+  'hedge-limit': percentage.optional(),
 })
 
 const routeSchema = z.strictObject({
@@ -301,6 +304,7 @@
       tls: value.tls,
       warmUpMs: value['warm-up'],
       warmUpRate: value['warm-up-rate'],
+      hedgeLimit: value['hedge-limit'],
     },
   ])
   const { document } = raw
--- a/packages/document/test/document.test.ts
+++ b/packages/document/test/document.test.ts
@@ -1,3 +1,4 @@
+import { serviceName } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
 import { checkDocument, formatFaults, matchRoute, parseDocument } from '../src/index'
 
@@ -61,6 +62,16 @@
   expect(formatFaults(parseDocument(text)._unsafeUnwrapErr())).toMatchSnapshot()
 })
 
+test('a service may limit hedged attempts, and 0% is kept apart from no limit', () => {
+  const limitOf = (line: string) => {
+    const { services } = parseDocument(
+      VALID.replace('[service.availability]', `[service.availability]\n${line}`),
+    )._unsafeUnwrap()
+    return services.get(serviceName('availability'))?.hedgeLimit
+  }
+  expect([limitOf(''), limitOf('hedge-limit = 0%'), limitOf('hedge-limit = 5%')]).toEqual([undefined, 0, 0.05])
+})
+
 test('a route matches whole path segments, its host and its methods', () => {
   const document = parseDocument(VALID)._unsafeUnwrap()
   const match = (host: string, method: string, path: string) => {
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -12,7 +12,7 @@
   type RelayPeer,
 } from '@bilberrystall/entry'
 import type { DirectoryChange, Server } from '@bilberrystall/membership'
-import { Router, type RetryLimits, type ServerChange } from '@bilberrystall/routing'
+import { HedgingPolicies, Router, type RetryLimits, type ServerChange } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -25,6 +25,7 @@
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
 import { FailureLog } from './failure-log'
+import { registerHedgingMetrics } from './hedging-metrics'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
 import type { QuarantineExchange } from './quarantine-exchange'
@@ -51,6 +52,7 @@
 export class EntryRole {
   readonly #entry: Entry
   readonly #router: Router
+  readonly #hedging: HedgingPolicies
   readonly #controlClient: ControlClient
   readonly #claimTable: ClaimTable
   readonly #options: EntryRoleOptions
@@ -98,6 +100,8 @@
       limitSharing: { entry: context.self, entries: () => this.#liveEntries() },
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
+    this.#hedging = new HedgingPolicies({ defaultLimit: settings.hedgeLimit })
+    registerHedgingMetrics(context.metrics, { hedging: this.#hedging, now: context.now })
     this.#controlClient = new ControlClient({
       context,
       environment: settings.environment,
@@ -117,6 +121,7 @@
       node: context.self,
       nodeKey: context.settings.nodeKey,
       router: this.#router,
+      hedging: this.#hedging,
       document: () => this.#controlClient.document(),
       liveEntries: () => this.#liveEntries().length,
       claims: this.#createClaimCoordinator(),
@@ -315,6 +320,7 @@
     for (const service of document.services.values()) {
       const { concurrency } = service
       this.#router.configure(service.name, { retries: this.#retries(service), concurrency }, now)
+      this.#hedging.configure(service.name, service.hedgeLimit)
     }
     this.#entry.configure(document)
   }
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -13,6 +13,11 @@
   readonly total: number
 }
 
+export interface Value<Label extends string> {
+  readonly labels: Record<Label, string>
+  readonly value: number
+}
+
 export class Metrics {
   readonly #registry = new Registry()
 
@@ -40,6 +45,25 @@
     })
   }
 
+  /** Registers a gauge with labels whose values are read when the metrics are rendered. */
+  gauges<Label extends string>(
+    name: string,
+    help: string,
+    options: { readonly labelNames: readonly Label[]; readonly read: () => readonly Value<Label>[] },
+  ): void {
+    const { labelNames, read } = options
+    new Gauge({
+      name: `bilberrystall_${name}`,
+      help,
+      labelNames,
+      registers: [this.#registry],
+      collect() {
+        this.reset()
+        for (const { labels, value } of read()) this.set(labels, value)
+      },
+    })
+  }
+
   /** Registers a counter whose totals are kept elsewhere and read when the metrics are rendered. */
   totals<Label extends string>(
     name: string,
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -37,6 +37,8 @@
    * detected by short leases.
    */
   readonly renewalMs: number | undefined
+  /** Largest share of the calls of a service that may get a hedged attempt; undefined without a limit. */
+  readonly hedgeLimit: number | undefined
 }
 
 export interface ControlSettings {
@@ -106,6 +108,7 @@
       renewal: field.duration(100, 60_000).optional(),
       'balancer-grace': field.duration(0, 60_000).default(3000),
       'stop-limit': field.duration(100, 600_000).default(30_000),
+      'hedge-limit': field.percentage.optional(),
     })
     .optional(),
   control: z
@@ -182,6 +185,7 @@
     balancerGraceMs: raw['balancer-grace'],
     stopLimitMs: raw['stop-limit'],
     renewalMs: raw.renewal,
+    hedgeLimit: raw['hedge-limit'],
   }))
 }
 
--- a/packages/node/test/node-settings.ts
+++ b/packages/node/test/node-settings.ts
@@ -33,6 +33,7 @@
       balancerGraceMs: 0,
       stopLimitMs: 100,
       renewalMs: undefined,
+      hedgeLimit: undefined,
     },
     control: {
       listen: await address(),
