--- a/packages/entry/test/mute-server.test.ts
+++ b/packages/entry/test/mute-server.test.ts
@@ -134,3 +134,16 @@
   expect(others.map(({ head }) => head)).toEqual([])
   await waitUntil(() => received?.socket.destroyed === true || received?.socket.readableEnded === true)
 })
+
+test('a call that two servers discard is answered by a third one', async () => {
+  const mute = [await startMuteServer(), await startMuteServer()]
+  const { origin } = await start([...mute, await startAnsweringServer()], true)
+  const targets = (server: FakeServer) => callsAt(server).map(({ head }) => /^GET (\S+)/.exec(head)?.[1])
+  const isDiscardedByBoth = (target: string) => mute.every((server) => targets(server).includes(target))
+  let isFound = false
+  for (let call = 0; call < 60 && !isFound; call += 1) {
+    expect(await sendCall(`${origin}/read?${call}`)).toMatchObject({ status: 200, text: 'answered' })
+    isFound = isDiscardedByBoth(`/read?${call}`)
+  }
+  expect(isFound).toBe(true)
+})
