Bound what all entries together send to a cold server

Cause: a server that is cold got as many calls as its load reports allowed; a domain that returned cold under a burst got 12 and more calls a second per server where its servers bear 2. Change: the cold time that servers announce reaches the router of each entry by gossip, and the one in responses directly. Services with a warm-up-rate have a limit for cold servers: the entries of highest rendezvous weight send at fixed intervals, with a reserve for entries that disagree on the list of entries or learn late. Entries count lost entries for an hour, so a cut does not make both sides use the whole bound. Calls beyond the limits are refused with Retry-After.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -152,6 +152,8 @@
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
   serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
+  serverCold: code(192, 'server-cold', 0, 'A server is cold; entries limit their calls to it.'),
+  serverWarm: code(193, 'server-warm', 0, 'A server is no longer cold.'),
   quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
   quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
--- a/packages/bench/src/routing/router-policy.ts
+++ b/packages/bench/src/routing/router-policy.ts
@@ -145,6 +145,8 @@
       case 'restored':
       case 'limited':
       case 'unlimited':
+      case 'cold':
+      case 'warm':
       case 'leaving':
       case 'paused':
         return
--- a/packages/entry/src/router-driver.ts
+++ b/packages/entry/src/router-driver.ts
@@ -68,12 +68,13 @@
   }
 
   /**
-   * Takes from a response what the server says of itself: that it leaves, that it wants nothing for some time, and its
-   * rate limit. A refusal without a rate limit does not say that the limit has ended.
+   * Takes from a response what the server says of itself: that it leaves, that it wants nothing for some time, for how
+   * long it is cold, and its rate limit. A refusal without a rate limit does not say that the limit has ended.
    */
-  responded(server: ServerId, { status, notRun, rateLimit, isLeaving, retryAfter }: ResponseHead): void {
+  responded(server: ServerId, { status, notRun, rateLimit, warmUpMs, isLeaving, retryAfter }: ResponseHead): void {
     if (status === MISDIRECTED) return
     const { router } = this.#options
+    if (warmUpMs !== undefined) router.warmUpReported(server, warmUpMs, this.#now())
     const pauseMs = status === UNAVAILABLE && retryAfter !== undefined ? parseRetryAfter(retryAfter) : undefined
     if (isLeaving || pauseMs !== undefined) {
       this.apply(router.statementReceived(server, { isLeaving, pauseMs }, this.#now()))
@@ -139,6 +140,8 @@
       case 'restored':
       case 'limited':
       case 'unlimited':
+      case 'cold':
+      case 'warm':
       case 'leaving':
       case 'paused':
         this.#options.serverChanged(effect)
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -11,7 +11,7 @@
 import { Origin, type OriginDelta, type OriginVersion } from './origin'
 import { BUCKET_COUNT, OriginIndex, type DirectorySummary } from './origin-index'
 import { ProcessIdentity } from './process-identity'
-import { compareAnnouncements, hasSameContent, serverKey, type Node, type Server } from './record'
+import { agreesWithWarmUp, compareAnnouncements, hasSameContent, serverKey, type Node, type Server } from './record'
 
 /** A change of the servers or nodes in view, for routing and the log. */
 export type DirectoryChange =
@@ -38,6 +38,8 @@
   readonly #origins = new OriginIndex()
   /** Time of the last renewal of each server that announced itself to this node. */
   readonly #renewedAt = new Map<string, number>()
+  /** Time at which the cold time in the own record of a server ends. */
+  readonly #coldUntil = new Map<string, number>()
   readonly #originsByServer = new Map<string, Set<Origin>>()
   readonly #servers = new Map<string, Server>()
   readonly #nodes = new Map<NodeId, Node>()
@@ -91,16 +93,26 @@
     this.#renewedAt.set(key, now)
     const ownRecord = this.#ownOrigin.servers.get(key)
     // Another origin may have a record with a newer state than the own record, so both have to match.
-    const visible = this.#departures.include(server) ? { ...server, state: 'draining' as const } : server
+    const announced = ownRecord === undefined ? server : this.#countedDown(ownRecord.value, server, now)
+    const visible = this.#departures.include(server) ? { ...announced, state: 'draining' as const } : announced
     const matches = (record: Server | undefined, other: Server) => record !== undefined && hasSameContent(record, other)
-    const unchanged = matches(ownRecord?.value, server) && matches(known, visible)
+    const unchanged = matches(ownRecord?.value, announced) && matches(known, visible)
     if (!unchanged) {
       this.#ownOrigin.counter += 1
+      this.#coldUntil.set(key, now + (server.warmUpMs ?? 0))
       this.#putServer(this.#ownOrigin, server, this.#ownOrigin.counter)
     }
     return ok(this.#takeChanges())
   }
 
+  /** Returns the announcement with the cold time of the record if it differs only by the time that has passed. */
+  #countedDown(record: Server, server: Server, now: number): Server {
+    const { warmUpMs } = record
+    const coldUntil = this.#coldUntil.get(serverKey(server)) ?? now
+    if (warmUpMs === undefined || !agreesWithWarmUp(record, server, coldUntil, now)) return server
+    return { ...server, warmUpMs }
+  }
+
   /** Applies a decision of control: this process of the server and earlier ones get no new calls in any case. */
   depart(server: ServerId, start: number, now: number): readonly DirectoryChange[] {
     if (!this.#departures.add(server, start, now)) return []
@@ -218,6 +230,7 @@
       const isLeaving = record?.value.state === 'draining' || record?.value.state === 'stopped'
       if (now - renewedAt < (isLeaving ? LEAVING_RETENTION_MS : this.#leases.renewalTimeoutMs)) continue
       this.#renewedAt.delete(key)
+      this.#coldUntil.delete(key)
       this.#ownOrigin.counter += 1
       this.#ownOrigin.remove(key, this.#ownOrigin.counter, now)
       this.#originsByServer.get(key)?.delete(this.#ownOrigin)
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,6 +2,7 @@
 export * from './announcement-node'
 export * from './directory'
 export * from './gossip-partners'
+export * from './known-entries'
 export * from './lease'
 export { ageDeltas, ageVersions } from './origin'
 export type { Versioned, OriginDelta, OriginVersion } from './origin'
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -32,6 +32,11 @@
   readonly failureDomain: FailureDomain
   readonly slots: number
   readonly connectionLimit: number
+  /**
+   * Remaining time in ms for which the server was cold when it announced itself. It counts from the receipt of the
+   * record. Absent or 0: the server is warm, or a node of an earlier build left the time out.
+   */
+  readonly warmUpMs?: number
 }
 
 export interface DocumentVersion {
@@ -74,7 +79,8 @@
 /** Whether a record received from another node can be used. Its fields have been read without a check of their values. */
 export function isValidServer(server: Server): boolean {
   const names = [server.environment, server.service, server.server, server.failureDomain]
-  const numbers = [server.start, server.sequence, server.slots - 1, server.connectionLimit - 1]
+  const { start, sequence, slots, connectionLimit, warmUpMs = 0 } = server
+  const numbers = [start, sequence, slots - 1, connectionLimit - 1, warmUpMs]
   return (
     names.every((name) => name !== '') &&
     numbers.every((number) => Number.isSafeInteger(number) && number >= 0) &&
@@ -107,6 +113,25 @@
   return left.start !== right.start ? left.start - right.start : left.sequence - right.sequence
 }
 
+/**
+ * Differences in ms up to which a cold time agrees with an earlier one. A later end must be told soon, as the server may
+ * get more than it bears until then; an earlier one costs little.
+ */
+const MAX_LATER_END_MS = 250
+const MAX_EARLIER_END_MS = 2000
+
+/**
+ * Whether an announcement only counts down the cold time of the record, whose cold time ends at `coldUntil`. Receivers
+ * count it down by themselves.
+ */
+export function agreesWithWarmUp(record: Server, announced: Server, coldUntil: number, now: number): boolean {
+  const { warmUpMs: recordedMs = 0 } = record
+  const { warmUpMs = 0 } = announced
+  if (recordedMs === 0 || warmUpMs === 0) return recordedMs === warmUpMs
+  const later = now + warmUpMs - coldUntil
+  return later <= MAX_LATER_END_MS && later >= -MAX_EARLIER_END_MS
+}
+
 /** Whether two announcements are equal apart from their sequence numbers. */
 export function hasSameContent(left: Server, right: Server): boolean {
   return (
@@ -115,6 +140,7 @@
     left.address === right.address &&
     left.failureDomain === right.failureDomain &&
     left.slots === right.slots &&
-    left.connectionLimit === right.connectionLimit
+    left.connectionLimit === right.connectionLimit &&
+    (left.warmUpMs ?? 0) === (right.warmUpMs ?? 0)
   )
 }
--- a/packages/node/src/announcement.ts
+++ b/packages/node/src/announcement.ts
@@ -27,6 +27,8 @@
   failureDomain: field.name,
   slots: z.int().min(1).max(MAX_SLOTS),
   connectionLimit: z.int().min(1).max(MAX_CONNECTIONS),
+  /** Remaining time in ms for which the server is cold. */
+  warmUpMs: z.int().nonnegative().optional(),
   /** Running and queued calls as reported by the server; may be stale or wrong. */
   load: z.number().nonnegative().optional(),
 })
@@ -44,13 +46,14 @@
     )
     return err(failure('announcementInvalid', faults.join('; ')))
   }
-  const { load, ...raw } = parsed.data
+  const { load, warmUpMs = 0, ...raw } = parsed.data
   const server: Server = {
     ...raw,
     environment: environmentName(raw.environment),
     service: serviceName(raw.service),
     server: serverId(raw.server),
     failureDomain: failureDomain(raw.failureDomain),
+    ...(warmUpMs === 0 ? {} : { warmUpMs }),
   }
   return ok({ server, load })
 }
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,5 +1,5 @@
 /** Entry role of a node: updates the HTTP entry and its router from the directory and the document in force. */
-import { serverId, type CodeName, type Environment, type Failure, type NodeId } from '@bilberrystall/base'
+import { serverId, type CodeName, type Environment, type Failure } from '@bilberrystall/base'
 import { warmUpParser, type Document, type Service } from '@bilberrystall/document'
 import { ClaimTable } from '@bilberrystall/claims'
 import {
@@ -12,7 +12,7 @@
   type RelayPeer,
 } from '@bilberrystall/entry'
 import type { DirectoryChange, Server } from '@bilberrystall/membership'
-import { Router, type RetryLimits, type ServerChange } from '@bilberrystall/routing'
+import { Router, type RetryLimits, type ServerChange, type WarmUp } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -24,6 +24,7 @@
 import type { DocumentStore } from './document-store'
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
+import { EntryList } from './entry-list'
 import { FailureLog } from './failure-log'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -64,8 +65,7 @@
   /** Servers that name a rate limit. */
   readonly #limited = new Set<string>()
   readonly #pauses: Counter
-  /** Ids of the live entries, sorted; undefined after a change of the known nodes. */
-  #entries: readonly NodeId[] | undefined
+  readonly #entries: EntryList
   /** Time at which each server process was first seen, so that a restarted server is ramped up again. */
   readonly #firstSeen = new Map<string, { readonly start: number; readonly at: number }>()
 
@@ -93,9 +93,11 @@
       },
     })
     const allowance = options.adapter?.loadQueries
+    this.#entries = new EntryList(context, settings.environment)
     this.#router = new Router({
       random: context.random,
-      limitSharing: { entry: context.self, entries: () => this.#liveEntries() },
+      limitSharing: { entry: context.self, entries: () => this.#entries.live() },
+      coldSharing: { entry: context.self, entries: () => this.#entries.known() },
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
     this.#controlClient = new ControlClient({
@@ -118,7 +120,7 @@
       nodeKey: context.settings.nodeKey,
       router: this.#router,
       document: () => this.#controlClient.document(),
-      liveEntries: () => this.#liveEntries().length,
+      liveEntries: () => this.#entries.live().length,
       claims: this.#createClaimCoordinator(),
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
@@ -162,6 +164,9 @@
     context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
     this.#pauses = context.metrics.counter('server_pauses_total', 'Pauses that servers asked for')
     context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
+    context.metrics.gauge('servers_cold', 'Servers that are cold and limited', () =>
+      this.#router.coldServers(context.now()),
+    )
     context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
   }
 
@@ -245,26 +250,11 @@
     return new ClaimCoordinator({ environment: settings.environment, transport, roster, clock: SYSTEM_CLOCK })
   }
 
-  /** Sorted ids of the live entries of the environment, including this one. Collected again only after nodes changed. */
-  #liveEntries(): readonly NodeId[] {
-    this.#entries ??= this.#collectEntries()
-    return this.#entries
-  }
-
-  #collectEntries(): readonly NodeId[] {
-    const { context, settings } = this.#options
-    const others = [...context.directory.nodes.values()].filter(
-      ({ node, roles, environment, cutOff }) =>
-        node !== context.self && roles.includes('entry') && environment === settings.environment && cutOff !== true,
-    )
-    return [context.self, ...others.map(({ node }) => node)].sort()
-  }
-
   /** Entries to which calls can be passed on while this one reaches no server. */
   #relayPeers(): readonly RelayPeer[] {
     const { context } = this.#options
     const peers: RelayPeer[] = []
-    for (const node of this.#liveEntries()) {
+    for (const node of this.#entries.live()) {
       const record = context.directory.nodes.get(node)
       if (node === context.self || record?.relay === undefined || record.state !== 'serving') continue
       const isNear = record.failureDomain === context.settings.failureDomain
@@ -289,11 +279,11 @@
           this.#serverLeft(change.key, change.server)
           break
         case 'node-changed':
-          this.#entries = undefined
+          this.#entries.nodeChanged(change)
           this.#observePeer(change.node.node, change.node.ejected)
           break
         case 'node-lost':
-          this.#entries = undefined
+          this.#entries.nodeChanged(change)
           break
         case 'node-refused':
           break
@@ -313,8 +303,8 @@
   #configure(document: Document): void {
     const now = this.#options.context.now()
     for (const service of document.services.values()) {
-      const { concurrency } = service
-      this.#router.configure(service.name, { retries: this.#retries(service), concurrency }, now)
+      const limits = { retries: this.#retries(service), concurrency: service.concurrency, warmUp: warmUpOf(service) }
+      this.#router.configure(service.name, limits, now)
     }
     this.#entry.configure(document)
   }
@@ -324,7 +314,7 @@
     return {
       entry: context.self,
       domain: context.settings.failureDomain,
-      perServerPerSecond: () => (perServerPerSecond * ALLOWANCE_FRACTION) / this.#liveEntries().length,
+      perServerPerSecond: () => (perServerPerSecond * ALLOWANCE_FRACTION) / this.#entries.live().length,
     }
   }
 
@@ -332,7 +322,7 @@
   #retries({ retryBudget }: Service): RetryLimits {
     const allowance = this.#options.adapter?.retries
     if (allowance === undefined) return { share: retryBudget }
-    const fixedRetries = (allowance.extraRetries * ALLOWANCE_FRACTION) / this.#liveEntries().length
+    const fixedRetries = (allowance.extraRetries * ALLOWANCE_FRACTION) / this.#entries.live().length
     const minimum = (fixedRetries * MS_PER_SECOND) / allowance.windowMs
     return { share: allowance.share * ALLOWANCE_FRACTION, minimum, burst: Math.max(1, fixedRetries) }
   }
@@ -354,6 +344,7 @@
       slots: server.slots,
       state: server.state,
       firstSeen: at,
+      coldMs: server.warmUpMs ?? 0,
       address: splitAddress(server.address),
       instance: server.server,
       start: server.start,
@@ -411,6 +402,12 @@
         this.#limited.delete(server)
         log.info('serverUnlimited', { server })
         return
+      case 'cold':
+        log.info('serverCold', { server, forMs: Math.round(change.coldMs) })
+        return
+      case 'warm':
+        log.info('serverWarm', { server })
+        return
       case 'leaving':
         log.info('serverLeaving', { server })
         return
@@ -423,3 +420,8 @@
     this.#options.context.announce({ ejected: [...this.#ejected].slice(0, MAX_EJECTED_ANNOUNCED) })
   }
 }
+
+/** Returns undefined if the document names no rate for cold servers, which are then used like others. */
+function warmUpOf({ warmUpMs = 0, warmUpRate }: Service): WarmUp | undefined {
+  return warmUpRate === undefined ? undefined : { lengthMs: warmUpMs, rate: warmUpRate }
+}
--- a/packages/node/src/gossip-codec.ts
+++ b/packages/node/src/gossip-codec.ts
@@ -35,6 +35,8 @@
 } from '@bilberrystall/rpc'
 import { create } from '@bufbuild/protobuf'
 
+const MAX_UINT32 = 0xffffffff
+
 export function encodeVersion(version: OriginVersion): OriginVersionMessage {
   return create(OriginVersionSchema, {
     origin: version.origin,
@@ -88,6 +90,8 @@
     ...value,
     start: BigInt(value.start),
     sequence: BigInt(value.sequence),
+    // An earlier end than announced would let calls through too soon.
+    warmUpMs: Math.min(Math.ceil(value.warmUpMs ?? 0), MAX_UINT32),
     counter: BigInt(counter),
   })
 }
@@ -105,6 +109,7 @@
       failureDomain: failureDomain(message.failureDomain),
       slots: message.slots,
       connectionLimit: message.connectionLimit,
+      ...(message.warmUpMs === 0 ? {} : { warmUpMs: message.warmUpMs }),
     },
     counter: Number(message.counter),
   }
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -55,6 +55,8 @@
   readonly start?: number
   /** Time in ms at which this start of the server was first seen; a later value starts a new ramp. */
   readonly firstSeen: number
+  /** Remaining time in ms for which the server is cold by its announcement; 0 or absent if it is warm or does not say. */
+  readonly coldMs?: number
   /** Load carried by the announcement. */
   readonly load?: Load
 }
@@ -97,6 +99,10 @@
   | { readonly kind: 'limited'; readonly server: ServerId; readonly rate: number }
   /** The server no longer names a rate limit. */
   | { readonly kind: 'unlimited'; readonly server: ServerId }
+  /** The server is cold for `coldMs` by what is known now, and its service limits cold servers. */
+  | { readonly kind: 'cold'; readonly server: ServerId; readonly coldMs: number }
+  /** The server is no longer cold. */
+  | { readonly kind: 'warm'; readonly server: ServerId }
   /** The server has said that it leaves. */
   | { readonly kind: 'leaving'; readonly server: ServerId }
   /** The server has asked for a pause. */
@@ -105,7 +111,7 @@
 /** A change in how the calls of this entry use a server. */
 export type ServerChange = Extract<
   Effect,
-  { kind: 'ejected' | 'restored' | 'limited' | 'unlimited' | 'leaving' | 'paused' }
+  { kind: 'ejected' | 'restored' | 'limited' | 'unlimited' | 'cold' | 'warm' | 'leaving' | 'paused' }
 >
 
 /** What a response of a server says of the server itself. */
--- a/packages/routing/src/eligibility.ts
+++ b/packages/routing/src/eligibility.ts
@@ -1,7 +1,7 @@
 /**
  * Decides, for all parts of the router, which servers may be used for what. A server is excluded by its announced state,
- * by what its responses say of it (it leaves, asks for a pause, or names a rate limit), and by what this entry has seen
- * of it (an ejection, or a failure a moment ago).
+ * by what its responses say of it (it leaves, asks for a pause, names a rate limit, or is cold), and by what this entry
+ * has seen of it (an ejection, or a failure a moment ago).
  */
 import type { Call } from './call'
 import type { ServerRecord } from './server-record'
@@ -9,7 +9,7 @@
 /**
  * - `call`: a call, a retry or a hedged attempt.
  * - `load-query`: a query before a call.
- * - `limit-query`: a query that tells whether a rate limit has ended.
+ * - `limit-query`: a query that tells whether a rate limit or a warm-up has ended.
  * - `trial`: a call to a server that returns from an ejection.
  * - `probe`: the end of an ejection, with or without a probe.
  */
@@ -17,15 +17,16 @@
 
 export function isEligible(record: ServerRecord, use: ServerUse, now: number): boolean {
   if (!acceptsRequests(record, now)) return false
-  const { health, rateLimit } = record
+  const { health } = record
   switch (use) {
     case 'call':
+      return isHealthy(record, now) && record.isWithinLimits(now) && !record.isUnheard(now)
     case 'load-query':
-      return isHealthy(record, now) && record.isWithinRateLimit(now)
+      return isHealthy(record, now) && record.isWithinLimits(now)
     case 'limit-query':
-      return isHealthy(record, now) && rateLimit?.isStale(now) === true && !record.isWithinRateLimit(now)
+      return isHealthy(record, now) && record.isLimitStale(now) && !record.isWithinLimits(now)
     case 'trial':
-      return health.kind === 'trial' && isIdle(record) && record.isWithinRateLimit(now)
+      return health.kind === 'trial' && isIdle(record) && record.isWithinLimits(now)
     case 'probe':
       return health.kind === 'ejected' && now >= health.until
   }
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -2,7 +2,8 @@
  * Outlier ejection. An ejected server returns through a probe (if tokens are available), trial calls one at a time, and
  * a ramp. The share of ejected servers is limited, so that a failing service keeps servers.
  */
-import type { EjectReason } from './call'
+import type { Effect, EjectReason } from './call'
+import { isStaying } from './eligibility'
 import { SLOW_CALL_EVIDENCE, type ServerRecord } from './server-record'
 
 export interface OutlierBaseline {
@@ -23,7 +24,7 @@
 const MIN_BACKOFF_MS = 1000
 const MAX_BACKOFF_MS = 20_000
 /** Number of successful trial calls after which a server is restored. */
-export const TRIAL_CALLS = 3
+const TRIAL_CALLS = 3
 
 /**
  * Time in ms after an ejection by a peer during which a single failure suffices here. This does not apply to slowness,
@@ -54,6 +55,32 @@
   return records.length > 1 && ejected < limit
 }
 
+/** Restores all ready servers if none of them is healthy, since an ejected server is better than none. */
+export function restoreWhenNoneHealthy(records: readonly ServerRecord[], now: number, effects: Effect[]): void {
+  const ready = records.filter(isStaying)
+  if (ready.some((record) => record.health.kind === 'healthy')) return
+  for (const record of ready) {
+    record.restore(now)
+    effects.push({ kind: 'restored', server: record.server.id })
+  }
+}
+
+/** Applies the result of a trial call; enough successes restore the server. */
+export function endTrial(record: ServerRecord, isSuccess: boolean, now: number, effects: Effect[]): void {
+  if (record.health.kind !== 'trial') return
+  if (!isSuccess) {
+    eject(record, now)
+    return
+  }
+  const successes = record.health.successes + 1
+  if (successes < TRIAL_CALLS) {
+    record.health = { ...record.health, successes }
+    return
+  }
+  record.restore(now)
+  effects.push({ kind: 'restored', server: record.server.id })
+}
+
 export function eject(record: ServerRecord, now: number): void {
   const previous = record.health.kind === 'healthy' ? 0 : record.health.backoff
   const backoff = Math.min(MAX_BACKOFF_MS, Math.max(MIN_BACKOFF_MS, previous * 2))
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** Server selection, load estimation, outlier ejection, queues, admission, retry budgets and the measuring budget. */
 export * from './call'
+export { coldShare, type ColdShare, type ColdSharing, type WarmUp } from './cold-limits'
 export type { LoadQueryResult } from './load-query'
 export * from './ledger'
 export { callInterval, type LimitedServer, type LimitSharing } from './rate-limit'
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -70,8 +70,8 @@
   readonly records: readonly ServerRecord[]
   /** Servers that this entry queries first. */
   readonly subset: () => readonly ServerRecord[]
-  /** Whether a server of the service may have a rate limit. */
-  readonly hasRateLimits: () => boolean
+  /** Whether a server of the service may have a rate limit or be cold. */
+  readonly hasLimits: () => boolean
   /** Largest ramp of any server of the service. */
   readonly maxRamp: () => number
   /** Sends the call to the server. */
@@ -265,12 +265,12 @@
   }
 
   /**
-   * Load queries per ms that this entry may send to one server. Servers that their rate limit keeps from calls are not
+   * Load queries per ms that this entry may send to one server. Servers that their limit keeps from calls are not
    * queried, so the others may be queried more often.
    */
   #queryRate(host: LoadQueryHost, subset: readonly ServerRecord[], now: number): number {
     const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
-    if (!host.hasRateLimits()) return rate
+    if (!host.hasLimits()) return rate
     const callable = subset.filter((record) => isEligible(record, 'load-query', now)).length
     return (rate * subset.length) / Math.max(1, callable)
   }
@@ -294,9 +294,9 @@
     return ranked.map(({ record }) => record)
   }
 
-  /** Returns servers whose rate limit keeps calls away but may have ended: one, or several if no other is callable. */
+  /** Returns servers whose limit keeps calls away but may have ended: one, or several if no other is callable. */
   #limitsToRefresh({ host, queried }: LoadQuery, callable: number, now: number): readonly ServerRecord[] {
-    if (!host.hasRateLimits()) return []
+    if (!host.hasLimits()) return []
     const rate = this.#options.perServerPerSecond() / MS_PER_SECOND
     const servers = host
       .subset()
@@ -329,9 +329,9 @@
   }
 }
 
-/** Cost factor of a new server, which is slow at first. It is 1 if all are new, as after a restart of the entry. */
+/** Cost factor of a cold or new server, which is slow at first. It is 1 if all are new, as after a restart of the entry. */
 function coldCostFactor(host: LoadQueryHost, record: ServerRecord, now: number): number {
-  return record.ramp(now) < host.maxRamp() * WARM_RAMP_SHARE ? COLD_COST_FACTOR : 1
+  return record.warmth.isCold(now) || record.ramp(now) < host.maxRamp() * WARM_RAMP_SHARE ? COLD_COST_FACTOR : 1
 }
 
 /** Answers of servers that may not get a call now do not count. */
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -6,7 +6,7 @@
  * `cancelled`. To retry a call, the driver asks `mayRetry` and submits the call again with the same id and the servers
  * that it was already sent to.
  */
-import type { RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
+import type { FailureDomain, RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
 import type {
   Call,
   CallId,
@@ -19,13 +19,16 @@
   ServerStatement,
 } from './call'
 import type { QueuedCall } from './call-queue'
+import type { ColdSharing, WarmUp } from './cold-limits'
 import { acceptsRequests, isEligible, isStaying } from './eligibility'
 import { LeavingServers } from './leaving-servers'
+import { addObservation, ownObservations } from './observations'
 import { LoadQueries, type LoadQueriesOptions, type LoadQueryResult } from './load-query'
-import { eject, mayEject, outlierReason, TRIAL_CALLS } from './health'
+import { eject, endTrial, mayEject, outlierReason, restoreWhenNoneHealthy } from './health'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
 import type { RetryLimits } from './retry-budget'
 import type { LimitSharing } from './rate-limit'
+import { ServerProcesses } from './server-processes'
 import { ServerRecord } from './server-record'
 import type { SubsetOptions } from './server-subset'
 import { MeasuringTokens } from './tokens'
@@ -42,6 +45,8 @@
   readonly tuning?: Partial<Tuning>
   /** Live entries, with which this one shares the rate limits of servers. Absent: it is the only one. */
   readonly limitSharing?: LimitSharing
+  /** Entries with which this one shares the bound for cold servers. Absent: those of `limitSharing`. */
+  readonly coldSharing?: ColdSharing
   /** Options for querying the load of servers before a call is sent. Absent: servers are chosen by estimates alone. */
   readonly loadQueries?: Omit<LoadQueriesOptions, 'random'>
 }
@@ -52,6 +57,8 @@
   readonly queue?: number
   /** Largest number of calls in flight from this entry, unlimited by default. */
   readonly concurrency?: number
+  /** Limit for servers that are cold. Absent: they are used like others. */
+  readonly warmUp?: WarmUp | undefined
 }
 
 interface QueuedInPool {
@@ -63,6 +70,7 @@
 /** Interval in ms at which waiting calls are tried again, because estimates change with time even without events. */
 const DRAIN_INTERVAL_MS = 2
 const NO_EFFECTS: readonly Effect[] = []
+const SINGLE_ENTRY: readonly string[] = ['']
 
 export class Router {
   readonly tokens: MeasuringTokens
@@ -78,6 +86,8 @@
   readonly #loadQueries: LoadQueries | undefined
   readonly #subset: SubsetOptions
   readonly #limitSharing: LimitSharing
+  readonly #coldSharing: ColdSharing
+  readonly #processes = new ServerProcesses()
   readonly #leaving = new LeavingServers()
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
@@ -91,7 +101,8 @@
     this.#tuning = { ...DEFAULT_TUNING, ...options.tuning }
     const { loadQueries, random } = options
     this.#loadQueries = loadQueries === undefined ? undefined : new LoadQueries({ ...loadQueries, random })
-    this.#limitSharing = options.limitSharing ?? { entry: '', entries: () => [''] }
+    this.#limitSharing = options.limitSharing ?? { entry: '', entries: () => SINGLE_ENTRY }
+    this.#coldSharing = options.coldSharing ?? this.#limitSharing
     this.#subset = { entry: loadQueries?.entry ?? '', domain: loadQueries?.domain ?? '' }
   }
 
@@ -104,7 +115,7 @@
   configure(service: ServiceName, limits: ServiceLimits, now: number): void {
     this.#limits.set(service, limits)
     const { retries = {}, queue = DEFAULT_QUEUE, concurrency = Number.POSITIVE_INFINITY } = limits
-    this.#pools.get(service)?.configure(retries, queue, concurrency, now)
+    this.#pools.get(service)?.configure(retries, queue, concurrency, limits.warmUp, now)
   }
 
   /** Adds a server or updates a known one. */
@@ -113,8 +124,11 @@
     const pool = this.#pool(server.service, now)
     const known = this.#records.get(server.id)
     const isLeaving = this.#leaving.has(server)
+    const { warmth, isNew } = this.#processes.see(server, now)
+    warmth.announced(server.coldMs ?? 0, now)
+    const record = known ?? new ServerRecord(server)
+    record.warmth = warmth
     if (known === undefined) {
-      const record = new ServerRecord(server)
       record.isLeaving = isLeaving
       this.#records.set(server.id, record)
       pool.add(record, now)
@@ -126,7 +140,9 @@
       known.server = server
       known.isLeaving = isLeaving
     }
-    if (server.load !== undefined) this.#records.get(server.id)?.addRemoteReport(server.load, now)
+    if (server.load !== undefined) record.addRemoteReport(server.load, now)
+    pool.coldLimits.update(record, now)
+    if (isNew && !warmth.isCold(now)) pool.coldLimits.assumeCold(record, now)
     this.#drain(pool, now, effects)
     return effects
   }
@@ -192,6 +208,32 @@
     return effects
   }
 
+  /** Called with the time in ms for which a response says that the server is cold, 0 if it is warm. */
+  warmUpReported(server: ServerId, coldMs: number, now: number): void {
+    const record = this.#records.get(server)
+    if (record === undefined) return
+    record.warmth.responded(coldMs, now)
+    this.#pools.get(record.server.service)?.coldLimits.update(record, now)
+    this.#scheduleTick(now)
+  }
+
+  /**
+   * Called when servers of a failure domain are used again after they got no calls, which may have left them cold. The
+   * ready ones count as cold for the warm-up of their service unless they state otherwise afterwards.
+   */
+  domainReturned(domain: FailureDomain, now: number): void {
+    for (const record of this.#records.values()) {
+      if (record.server.domain !== domain || !isStaying(record)) continue
+      this.#pools.get(record.server.service)?.coldLimits.assumeCold(record, now)
+    }
+    this.#scheduleTick(now)
+  }
+
+  /** Returns the number of servers that are cold and that their service limits while they are. */
+  coldServers(now: number): number {
+    return [...this.#pools.values()].reduce((count, { coldLimits }) => count + coldLimits.count(now), 0)
+  }
+
   /** Called with what a response of a server says of the server. */
   statementReceived(server: ServerId, { isLeaving, pauseMs }: ServerStatement, now: number): readonly Effect[] {
     const record = this.#records.get(server)
@@ -259,23 +301,13 @@
   /** Adds information from a peer or an announcement. */
   observe(observation: Observation, now: number): readonly Effect[] {
     const record = this.#records.get(observation.server)
-    if (record === undefined) return NO_EFFECTS
-    if (observation.load !== undefined) record.addRemoteReport(observation.load, now - observation.age)
-    if (observation.ejected === true) record.suspectedByPeerAt = now - observation.age
+    if (record !== undefined) addObservation(record, observation, now)
     return NO_EFFECTS
   }
 
   /** Returns the observations of this entry itself, for its peers. */
   observations(now: number): readonly Observation[] {
-    const seen: Observation[] = []
-    for (const record of this.#records.values()) {
-      const isEjected = record.health.kind === 'ejected'
-      if (record.lastLoad === undefined && !isEjected) continue
-      const age = Math.max(0, now - record.lastLoadAt)
-      const base = { server: record.server.id, age: isEjected ? 0 : age, ejected: isEjected }
-      seen.push(record.lastLoad === undefined || isEjected ? base : { ...base, load: record.lastLoad })
-    }
-    return seen
+    return ownObservations(this.#records.values(), now)
   }
 
   /** Called when a probe ended. */
@@ -303,7 +335,7 @@
     if (now >= this.#refreshAt) {
       this.#refreshAt = Number.POSITIVE_INFINITY
       for (const pool of this.#pools.values()) this.#refresh(pool, now, effects)
-      this.#hasEjected = this.#anyEjected()
+      this.#hasEjected = [...this.#records.values()].some(({ health }) => health.kind !== 'healthy')
     }
     this.#loadQueries?.tick(now, effects)
     this.#drainAt = Number.POSITIVE_INFINITY
@@ -317,11 +349,6 @@
     return Math.min(this.#drainAt, this.#refreshAt, this.#loadQueries?.nextWake() ?? Number.POSITIVE_INFINITY)
   }
 
-  #anyEjected(): boolean {
-    for (const record of this.#records.values()) if (record.health.kind !== 'healthy') return true
-    return false
-  }
-
   #pool(service: ServiceName, now: number): ServicePool {
     const known = this.#pools.get(service)
     if (known !== undefined) return known
@@ -346,6 +373,8 @@
         // With load queries, the server has already reported its queue.
         limitsServerQueue: this.#loadQueries === undefined,
         limitSharing: this.#limitSharing,
+        coldSharing: this.#coldSharing,
+        warmUp: limits?.warmUp,
         queriesLoad: this.queriesLoad,
         subset: this.#subset,
         queryLoad: (call, host, at, effects) => this.#loadQueries?.start(call, host, at, effects) === true,
@@ -408,19 +437,7 @@
       this.#ejectOutlier(record, pool, now, effects)
       return
     }
-    if (record.health.kind !== 'trial') return
-    const isSuccess = outcome === 'ok' && latency <= pool.stats.p95Latency
-    if (!isSuccess) {
-      eject(record, now)
-      return
-    }
-    const successes = record.health.successes + 1
-    if (successes < TRIAL_CALLS) {
-      record.health = { ...record.health, successes }
-      return
-    }
-    record.restore(now)
-    effects.push({ kind: 'restored', server: record.server.id })
+    endTrial(record, outcome === 'ok' && latency <= pool.stats.p95Latency, now, effects)
   }
 
   #ejectOutlier(record: ServerRecord, pool: ServicePool, now: number, effects: Effect[]): void {
@@ -439,7 +456,8 @@
 
   #refresh(pool: ServicePool, now: number, effects: Effect[]): void {
     pool.refresh(now)
-    this.#restoreWhenNoneHealthy(pool, now, effects)
+    pool.coldLimits.refresh(now, effects)
+    restoreWhenNoneHealthy(pool.records, now, effects)
     for (const record of pool.records) {
       this.#ejectOutlier(record, pool, now, effects)
       const { health } = record
@@ -453,16 +471,6 @@
     }
   }
 
-  /** Restores all ready servers if none of them is healthy, since an ejected server is better than none. */
-  #restoreWhenNoneHealthy(pool: ServicePool, now: number, effects: Effect[]): void {
-    const ready = pool.records.filter(isStaying)
-    if (ready.some((record) => record.health.kind === 'healthy')) return
-    for (const record of ready) {
-      record.restore(now)
-      effects.push({ kind: 'restored', server: record.server.id })
-    }
-  }
-
   #drain(pool: ServicePool, now: number, effects: Effect[]): void {
     if (pool.waiting > 0) pool.drain(now, effects)
     this.#scheduleTick(now)
@@ -470,7 +478,9 @@
 
   #scheduleTick(now: number): void {
     if (this.#queued.size > 0) this.#drainAt = Math.min(this.#drainAt, now + DRAIN_INTERVAL_MS)
+    if (this.#refreshAt !== Number.POSITIVE_INFINITY) return
     const isBusy = this.#inFlightCalls.size > 0 || this.#queued.size > 0 || this.#hasEjected
-    if (this.#refreshAt === Number.POSITIVE_INFINITY && isBusy) this.#refreshAt = now + REFRESH_INTERVAL_MS
+    const hasCold = () => [...this.#pools.values()].some(({ coldLimits }) => coldLimits.hasCold)
+    if (isBusy || hasCold()) this.#refreshAt = now + REFRESH_INTERVAL_MS
   }
 }
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -3,6 +3,7 @@
  * latency of its own calls, and failures. Updates take constant time, except those of the list of calls in flight.
  */
 import type { Load, Server } from './call'
+import { ServerWarmth, UNHEARD_AFTER_MS } from './cold-limits'
 import type { RateLimit } from './rate-limit'
 
 /** Factor by which the weight of older latencies decays at each completed call. */
@@ -75,6 +76,8 @@
   suspectedByPeerAt = Number.NEGATIVE_INFINITY
   /** Limit that the server named in its last response; undefined if it named none. */
   rateLimit: RateLimit | undefined
+  /** What is known of the warm-up of the process; it outlives the record. */
+  warmth: ServerWarmth
   /** Time at which this entry last sent a call to the server. */
   lastCallAt = Number.NEGATIVE_INFINITY
   /** Last reported ratio of the time that work takes at the server to the usual time. */
@@ -94,8 +97,9 @@
   #hasReport = false
   #trust = 1
 
-  constructor(server: Server) {
+  constructor(server: Server, warmth = new ServerWarmth()) {
     this.server = server
+    this.warmth = warmth
     this.rampStartedAt = server.firstSeen
   }
 
@@ -112,13 +116,43 @@
     return this.#latencyCount > 0 ? this.#latencySum / this.#latencyCount : undefined
   }
 
-  /** Whether the rate limit of the server allows a call now. */
-  isWithinRateLimit(now: number): boolean {
-    return this.rateLimit === undefined || now >= this.rateLimit.nextCallAt
+  /** Whether the server names a rate limit or is cold. */
+  isLimited(now: number): boolean {
+    return this.rateLimit !== undefined || this.warmth.isCold(now)
+  }
+
+  /** Time in ms between two calls of this entry within the limits of the server, infinite if it may not send any. */
+  callInterval(now: number): number {
+    return Math.max(this.rateLimit?.interval ?? 0, this.warmth.interval(now))
+  }
+
+  /** Time at which the limits of the server allow the next call. */
+  nextCallAt(now: number): number {
+    return Math.max(this.rateLimit?.nextCallAt ?? Number.NEGATIVE_INFINITY, this.warmth.nextCallAt(now))
+  }
+
+  /** Whether the rate limit of the server and its warm-up allow a call now. */
+  isWithinLimits(now: number): boolean {
+    return now >= this.nextCallAt(now)
+  }
+
+  /** Whether a limit was stated so long ago that it may have ended. */
+  isLimitStale(now: number): boolean {
+    return this.rateLimit?.isStale(now) === true || this.warmth.isStale(now)
+  }
+
+  /**
+   * Whether the server may be cold without this entry knowing, and has just got a call. Load queries tell that a server
+   * is cold; without an answer for a while, this entry sends at intervals, as the bound for cold servers allows it.
+   */
+  isUnheard(now: number): boolean {
+    const isSilent = Number.isFinite(this.lastAnswerAt) && now - this.lastAnswerAt > UNHEARD_AFTER_MS
+    return isSilent && this.warmth.hasJustCalled(now)
   }
 
   addInFlight(now: number): void {
     this.rateLimit?.called(now)
+    this.warmth.called(now)
     this.lastCallAt = now
     this.ownInFlight += 1
     this.#sentAt.push(now)
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -9,7 +9,9 @@
 import { RetryBudget, type RetryLimits } from './retry-budget'
 import { isEligible, isRetry, isStaying, mayServe } from './eligibility'
 import { chooseServer, type Choice, type ServiceStats } from './selection'
+import type { ColdSharing, WarmUp } from './cold-limits'
 import type { LimitSharing } from './rate-limit'
+import { ServiceColdLimits } from './service-cold-limits'
 import type { ServerRecord } from './server-record'
 import { ServiceRateLimits } from './service-rate-limits'
 import { chooseSubset, type SubsetOptions } from './server-subset'
@@ -40,6 +42,10 @@
   readonly limitsServerQueue: boolean
   /** How this entry shares the rate limits of servers with other entries. */
   readonly limitSharing: LimitSharing
+  /** How this entry shares the bound for cold servers with other entries. */
+  readonly coldSharing: ColdSharing
+  /** Limit for cold servers; undefined: none. */
+  readonly warmUp: WarmUp | undefined
   /** Whether calls query the load of servers before they are sent. */
   readonly queriesLoad: boolean
   /** Identifies this entry for the subset of servers that it queries. */
@@ -86,6 +92,8 @@
 /** Factor by which the predicted wait of a call must exceed its time to the deadline for it to be shed on arrival. */
 const PREDICTION_TOLERANCE = 1.2
 const OVERLOADED: Refusal = { code: 'overloaded' }
+/** Longest `Retry-After` in ms of a call beyond the limits of cold servers: another entry may have a part of them. */
+const MAX_COLD_RETRY_MS = 1000
 
 export class ServicePool {
   readonly #records: ServerRecord[] = []
@@ -97,13 +105,14 @@
   hasTrial = false
   readonly stats: ServiceStats
   readonly rateLimits: ServiceRateLimits
+  readonly coldLimits: ServiceColdLimits
   readonly #urgent = new CallQueue()
   readonly #deferrable = new CallQueue()
   readonly #options: ServicePoolOptions
   readonly #loadQueryHost: LoadQueryHost = {
     records: this.#records,
     subset: () => this.#currentSubset(),
-    hasRateLimits: () => this.rateLimits.hasLimits,
+    hasLimits: () => this.rateLimits.hasLimits || this.coldLimits.hasCold,
     maxRamp: () => this.stats.maxRamp,
     send: (call, record, now, effects) => {
       this.#dispatch(call, record, false, now, effects)
@@ -132,10 +141,12 @@
     this.#queueLimit = options.queue
     this.#concurrency = options.concurrency
     this.budget = new RetryBudget(options.retries, now)
+    this.coldLimits = new ServiceColdLimits(this.#records, options.coldSharing, options.warmUp)
     this.rateLimits = new ServiceRateLimits({
       records: this.#records,
       sharing: options.limitSharing,
       learnsByQueries: options.queriesLoad,
+      hasCold: () => this.coldLimits.hasCold,
     })
     this.stats = {
       random: options.random,
@@ -157,8 +168,9 @@
     return this.#urgent.size + this.#deferrable.size
   }
 
-  configure(retries: RetryLimits, queue: number, concurrency: number, now: number): void {
+  configure(retries: RetryLimits, queue: number, concurrency: number, warmUp: WarmUp | undefined, now: number): void {
     this.budget = new RetryBudget(retries, now)
+    this.coldLimits.configure(warmUp, now)
     this.#queueLimit = queue
     this.#concurrency = concurrency
   }
@@ -167,6 +179,7 @@
     this.#records.push(record)
     this.#subset = undefined
     this.rateLimits.serversChanged()
+    this.coldLimits.update(record, now)
     this.refresh(now)
   }
 
@@ -204,8 +217,9 @@
   }
 
   #submitByEstimate(call: Call, now: number, effects: Effect[]): void {
-    if (this.#exceedsRateLimits(call, now)) {
-      this.#options.shed(call, OVERLOADED, effects)
+    const refusal = this.#limitRefusal(call, this.#callsAhead(call), now, now)
+    if (refusal !== undefined) {
+      this.#options.shed(call, refusal, effects)
       return
     }
     const queue = this.#queueOf(call)
@@ -290,7 +304,7 @@
     if (wait > (call.deadline - now) * PREDICTION_TOLERANCE) return OVERLOADED
     // A limit that was named some time ago may have ended, which a load query of this call can tell.
     const mayHaveEnded = this.#options.queriesLoad && this.rateLimits.hasStale(now)
-    return !mayHaveEnded && this.#exceedsRateLimits(call, now) ? OVERLOADED : undefined
+    return mayHaveEnded ? undefined : this.#limitRefusal(call, this.#callsAhead(call), now, now)
   }
 
   /** Returns the time in ms until the first server ends its pause, 0 if any server accepts requests or none is there. */
@@ -305,12 +319,14 @@
   }
 
   /**
-   * Whether the call would wait for the rate limits until its response is late. It is refused then, so that its caller
-   * can try another entry.
+   * Refuses a call that would wait for the limits of servers until its response is late, so that its caller can try
+   * another entry.
    */
-  #exceedsRateLimits(call: Call, now: number): boolean {
-    const timeLeft = (call.target ?? call.deadline - now) - this.stats.typicalLatency
-    return this.rateLimits.wait(this.#callsAhead(call), now) > Math.max(0, timeLeft)
+  #limitRefusal(call: Call, callsAhead: number, arrivedAt: number, now: number): Refusal | undefined {
+    const dueAt = call.target === undefined ? call.deadline : arrivedAt + call.target
+    const wait = this.rateLimits.wait(callsAhead, now)
+    if (wait <= Math.max(0, dueAt - now - this.stats.typicalLatency)) return undefined
+    return this.coldLimits.hasCold ? { ...OVERLOADED, retryAfterMs: Math.min(wait, MAX_COLD_RETRY_MS) } : OVERLOADED
   }
 
   /** Whether a server is ready, or may be ready again soon. */
@@ -395,9 +411,13 @@
         P95_MARGIN * this.stats.p95Latency,
         MAX_RUN_SHARE * (first.call.deadline - first.queuedAt),
       )
-      if (now + runTime <= first.call.deadline) return
+      const isInTime = now + runTime <= first.call.deadline
+      // Servers may have turned cold while the call waited.
+      const refusal = this.coldLimits.hasCold ? this.#limitRefusal(first.call, 0, first.queuedAt, now) : undefined
+      if (isInTime && refusal === undefined) return
       queue.remove(first)
-      this.#options.shed(first.call, { code: this.#hasCandidate(first.call) ? 'overloaded' : 'noServer' }, effects)
+      const code = this.#hasCandidate(first.call) ? 'overloaded' : 'noServer'
+      this.#options.shed(first.call, refusal ?? { code }, effects)
     }
   }
 }
--- a/packages/routing/src/service-rate-limits.ts
+++ b/packages/routing/src/service-rate-limits.ts
@@ -1,4 +1,7 @@
-/** Rate limits of the servers of one service, and the wait that they impose on calls of this entry. */
+/**
+ * Rate limits of the servers of one service, and the wait that they and the limits for cold servers impose on calls of
+ * this entry.
+ */
 import type { ServerId } from '@bilberrystall/base'
 import { callInterval, RateLimit, type LimitSharing } from './rate-limit'
 import { acceptsRequests } from './eligibility'
@@ -9,6 +12,8 @@
   readonly sharing: LimitSharing
   /** Whether load queries tell entries without a part of a limit that it has ended. */
   readonly learnsByQueries: boolean
+  /** Whether some server may be cold. */
+  readonly hasCold: () => boolean
 }
 
 export class ServiceRateLimits {
@@ -27,7 +32,7 @@
 
   /** Whether some limit was named so long ago that it may have ended. */
   hasStale(now: number): boolean {
-    return this.#hasLimits && this.#options.records.some(({ rateLimit }) => rateLimit?.isStale(now) === true)
+    return this.#mayLimit && this.#options.records.some((record) => record.isLimitStale(now))
   }
 
   /** Called when a server was added or removed. */
@@ -65,21 +70,26 @@
 
   /** Returns the least time in ms after which a call behind `callsAhead` others may be sent; 0 if it is unlimited. */
   wait(callsAhead: number, now: number): number {
-    if (!this.#hasLimits) return 0
+    if (!this.#mayLimit) return 0
     let nextCallAt = Number.POSITIVE_INFINITY
+    let unlimitedAt = Number.POSITIVE_INFINITY
     let callsPerMs = 0
     let limitedServers = 0
     for (const record of this.#options.records) {
-      const { health, rateLimit } = record
-      if (!acceptsRequests(record, now) || health.kind === 'ejected') continue
-      if (rateLimit === undefined) return 0
+      if (!acceptsRequests(record, now) || record.health.kind === 'ejected') continue
+      if (!record.isLimited(now)) return 0
       limitedServers += 1
-      nextCallAt = Math.min(nextCallAt, rateLimit.nextCallAt)
-      callsPerMs += 1 / rateLimit.interval
+      nextCallAt = Math.min(nextCallAt, record.nextCallAt(now))
+      callsPerMs += 1 / record.callInterval(now)
+      if (record.rateLimit === undefined) unlimitedAt = Math.min(unlimitedAt, record.warmth.coldUntil)
     }
     if (limitedServers === 0) return 0
-    if (callsPerMs === 0) return Number.POSITIVE_INFINITY
-    return Math.max(0, nextCallAt - now) + callsAhead / callsPerMs
+    const wait = callsPerMs === 0 ? Number.POSITIVE_INFINITY : Math.max(0, nextCallAt - now) + callsAhead / callsPerMs
+    return Math.min(wait, unlimitedAt - now)
+  }
+
+  get #mayLimit(): boolean {
+    return this.#hasLimits || this.#options.hasCold()
   }
 
   #interval({ server }: ServerRecord, rate: number): number {
--- a/packages/routing/test/rate-limit.test.ts
+++ b/packages/routing/test/rate-limit.test.ts
@@ -128,6 +128,8 @@
         case 'restored':
         case 'limited':
         case 'unlimited':
+        case 'cold':
+        case 'warm':
       }
     }
   }
