Describe the bound for cold servers and take its factor from the settings

Cause: the bound's 1.5 and 8 are settings of the platform; a cold time with decimals was read as none; operators had no description. A domain that returns is found by the announced state alone, so the order of the end of an evacuation and domainReturned does not matter.

--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -108,6 +108,11 @@
   return text === undefined ? undefined : attemptId(text)
 }
 
+/** Parses a cold time in ms, rounded up; a malformed or negative value is ignored. */
+function parseWarmUp(text: string): number | undefined {
+  return /^\s*\d{1,9}(?:\.\d{1,9})?\s*$/.test(text) ? Math.ceil(Number(text)) : undefined
+}
+
 /** Parses whole milliseconds. Other values are ignored, as if the header were absent. */
 function parseTimeMs(text: string | undefined): number | undefined {
   return text !== undefined && /^\d{1,9}$/.test(text) ? Number(text) : undefined
@@ -237,7 +242,7 @@
     if (lower === dialect.notRunHeader) notRun = dialect.isNotRun(value)
     else if (lower === dialect.loadHeader) load = dialect.readLoad(value)
     else if (lower === dialect.rateLimitHeader) rateLimit = parseRateLimit(value)
-    else if (lower === dialect.warmUpHeader) warmUpMs = parseTimeMs(value.trim())
+    else if (lower === dialect.warmUpHeader) warmUpMs = parseWarmUp(value)
     else if (lower === dialect.attemptHeader) attemptId = value
     else if (lower === dialect.signatureHeader) signed = true
     else if (lower === dialect.instanceResponseHeader) instance = value
--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -62,11 +62,19 @@
   readonly perServerPerSecond: number
 }
 
+/** Bound on the calls to a cold server in any second, `rate * overshoot + slack`, as configured by the platform. */
+export interface ColdServerBound {
+  readonly overshoot: number
+  readonly slack: number
+}
+
 export interface Adapter {
   readonly dialect: Dialect
   readonly retries: RetryAllowance | undefined
   /** Undefined if servers cannot be queried for their load. */
   readonly loadQueries: LoadQueryAllowance | undefined
+  /** Absent: 1.5 times the rate of the document and 8. */
+  readonly coldServers?: ColdServerBound | undefined
   /** Ms from the start of a planned stop until the platform kills the process; undefined if it waits for its end. */
   readonly killAfterMs: number | undefined
   readonly listeners: (gateway: Gateway) => readonly AdapterListener[]
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -303,7 +303,11 @@
   #configure(document: Document): void {
     const now = this.#options.context.now()
     for (const service of document.services.values()) {
-      const limits = { retries: this.#retries(service), concurrency: service.concurrency, warmUp: warmUpOf(service) }
+      const limits = {
+        retries: this.#retries(service),
+        concurrency: service.concurrency,
+        warmUp: this.#warmUp(service),
+      }
       this.#router.configure(service.name, limits, now)
     }
     this.#entry.configure(document)
@@ -327,6 +331,12 @@
     return { share: allowance.share * ALLOWANCE_FRACTION, minimum, burst: Math.max(1, fixedRetries) }
   }
 
+  /** Returns undefined if the document names no rate for cold servers, which are then used like others. */
+  #warmUp({ warmUpMs = 0, warmUpRate }: Service): WarmUp | undefined {
+    const bound = this.#options.adapter?.coldServers
+    return warmUpRate === undefined ? undefined : { lengthMs: warmUpMs, rate: warmUpRate, ...bound }
+  }
+
   #serverChanged(key: string, server: Server): void {
     const { context, settings } = this.#options
     if (server.environment !== settings.environment) return
@@ -420,8 +430,3 @@
     this.#options.context.announce({ ejected: [...this.#ejected].slice(0, MAX_EJECTED_ANNOUNCED) })
   }
 }
-
-/** Returns undefined if the document names no rate for cold servers, which are then used like others. */
-function warmUpOf({ warmUpMs = 0, warmUpRate }: Service): WarmUp | undefined {
-  return warmUpRate === undefined ? undefined : { lengthMs: warmUpMs, rate: warmUpRate }
-}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -20,7 +20,7 @@
 } from './call'
 import type { QueuedCall } from './call-queue'
 import type { ColdSharing, WarmUp } from './cold-limits'
-import { acceptsRequests, isEligible, isStaying } from './eligibility'
+import { acceptsRequests, isEligible } from './eligibility'
 import { LeavingServers } from './leaving-servers'
 import { addObservation, ownObservations } from './observations'
 import { LoadQueries, type LoadQueriesOptions, type LoadQueryResult } from './load-query'
@@ -223,7 +223,7 @@
    */
   domainReturned(domain: FailureDomain, now: number): void {
     for (const record of this.#records.values()) {
-      if (record.server.domain !== domain || !isStaying(record)) continue
+      if (record.server.domain !== domain || record.server.state !== 'ready') continue
       this.#pools.get(record.server.service)?.coldLimits.assumeCold(record, now)
     }
     this.#scheduleTick(now)
--- a/packages/routing/test/warmth.test.ts
+++ b/packages/routing/test/warmth.test.ts
@@ -1,7 +1,9 @@
 /** Guards against a misread statement of a server: one that is used too early, or that is kept from calls for too long. */
 import { failureDomain, seededRandom } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
+import { isEligible } from '../src/eligibility'
 import { Router, type Effect, type Server } from '../src/index'
+import { ServerRecord } from '../src/server-record'
 import { makeServer, serverIdAt, SERVICE } from './driver'
 
 const WARM_UP = { lengthMs: 5000, rate: 4 }
@@ -97,6 +99,26 @@
   expect(coldSeconds(router)).toBe(3)
 })
 
+test('a cold server is used and queried as far as its limit allows, and asked at times whether it is warm', () => {
+  const record = new ServerRecord(makeServer(0))
+  record.warmth.setInterval(1500, false, NOW)
+  record.warmth.responded(10_000, NOW)
+  record.addInFlight(NOW)
+  const uses = [0, 999, 1000, 1499, 1500].map((at) => [
+    at,
+    ...(['call', 'load-query', 'limit-query'] as const).filter((use) => isEligible(record, use, NOW + at)),
+  ])
+  expect(uses).toEqual([[0], [999], [1000, 'limit-query'], [1499, 'limit-query'], [1500, 'call', 'load-query']])
+})
+
+test('a part of a server that moves to this entry is used only once other entries know that it moved', () => {
+  const record = new ServerRecord(makeServer(0))
+  record.warmth.setInterval(Infinity, false, NOW)
+  record.warmth.responded(10_000, NOW)
+  record.warmth.setInterval(1500, true, NOW + 100)
+  expect([2099, 2100].map((at) => isEligible(record, 'call', NOW + at))).toEqual([false, true])
+})
+
 test('each change is reported once, also the end that no statement brings', () => {
   const router = makeRouter()
   router.warmUpReported(serverIdAt(0), 3000, NOW)
