--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -100,6 +100,12 @@
   requestInvalid: code(60, 'request-invalid', 400, 'The operator request is malformed.'),
   versionNotAbove: code(62, 'version-not-above', 400, 'The version of the change is not above the one in force.'),
   notFound: code(61, 'not-found', 404, 'The named resource does not exist.'),
+  evacuationLimit: code(
+    63,
+    'evacuation-limit',
+    409,
+    'As many failure domains are evacuated as can be; nothing was changed.',
+  ),
 
   announcementInvalid: code(70, 'announcement-invalid', 422, 'The announcement has faults.'),
   announcementStale: code(71, 'announcement-stale', 409, 'A newer announcement of this server is known.'),
@@ -173,6 +179,19 @@
   connectionsCut: code(182, 'connections-cut', 0, 'A planned stop ended with responses to callers in progress.'),
   serverLeaving: code(181, 'server-leaving', 0, 'A server said in a response that it leaves.'),
   replicaOpened: code(180, 'replica-opened', 0, 'The replica of this node was opened again.'),
+  evacuationStarted: code(
+    190,
+    'evacuation-started',
+    0,
+    'This entry sends nothing more to the servers of a failure domain.',
+  ),
+  evacuationEnded: code(191, 'evacuation-ended', 0, 'This entry uses the servers of a failure domain again.'),
+  evacuationAcknowledged: code(
+    192,
+    'evacuation-acknowledged',
+    0,
+    'This leader acknowledges a committed order to start or end an evacuation.',
+  ),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -3,6 +3,7 @@
 import type { AuditEvent } from './audit'
 import { applyChange, type ChangeCommandResult } from './change'
 import type { Command, DepartCommand } from './command'
+import { applyEvacuation, type EvacuationResult } from './evacuation'
 import { decideRoster, proposeRoster } from './roster'
 import {
   MAX_DEPARTURES,
@@ -18,7 +19,7 @@
 /** Result of applying a command. */
 export type CommandResult =
   | ChangeCommandResult
-  | { readonly kind: 'recorded' }
+  | EvacuationResult
   | { readonly kind: 'roster'; readonly epoch?: RosterEpoch; readonly changed: boolean }
 
 /**
@@ -38,6 +39,8 @@
       return applyChange(state, command)
     case 'depart':
       return recordDeparture(state, command)
+    case 'evacuate':
+      return applyEvacuation(state, command)
     case 'refuse':
       return recordRefusedRequest(state, command)
     case 'node':
--- a/packages/control/src/audit.ts
+++ b/packages/control/src/audit.ts
@@ -40,6 +40,7 @@
   | 'drain-node'
   | 'replace-node'
   | 'release-request'
+  | `evacuate-${'start' | 'end'}`
   | `replica-${'add-learner' | 'promote' | 'remove'}`
 
 /** A request to be recorded in the audit log. */
@@ -51,14 +52,14 @@
   readonly source: string
   readonly changeId?: string
   readonly environment?: string
-  /** Node, replica or request that the operation acts on. */
+  /** Node, replica, request or failure domain that the operation acts on. */
   readonly target?: string
   readonly digest?: string
   /** Revision in force in the environment after the request. */
   readonly revision?: number
   /** Public name of the result code, or `ok` for an accepted request. */
   readonly result: string
-  /** Set if the change id was known and its recorded result was returned again. */
+  /** Set if the change id was known and its recorded result was returned again, or if the order changed nothing. */
   readonly repeated?: boolean
 }
 
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -27,6 +27,9 @@
 const MAX_ROSTER_ENTRIES = 1_000
 const ENVIRONMENT_PATTERN = /^[a-z][a-z0-9-]{0,39}$/
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9_-]{16}$/
+/** Narrower than the names that servers may announce, so that a damaged or cut-off name is refused. */
+const FAILURE_DOMAIN_PATTERN = /^[\p{L}\p{N}_][\p{L}\p{M}\p{N}._:/-]*$/u
+const MAX_FAILURE_DOMAIN_LENGTH = 100
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 
 const timeSchema = z.number().int().nonnegative()
@@ -53,6 +56,11 @@
   (value) => typeof value === 'string' && REQUEST_ID_PATTERN.test(value),
   'must be the id of a request: 16 letters, digits, hyphens or underscores',
 )
+export const evacuatedDomainSchema = z.custom<FailureDomain>(
+  (value) =>
+    typeof value === 'string' && value.length <= MAX_FAILURE_DOMAIN_LENGTH && FAILURE_DOMAIN_PATTERN.test(value),
+  'must be the name of a failure domain: 1 to 100 letters, digits or ._:/-, starting with a letter, digit or underscore',
+)
 const failureDomainSchema = z.custom<FailureDomain>((value) => nameSchema.safeParse(value).success)
 const replicaIdSchema = z.custom<ReplicaId>((value) => nameSchema.safeParse(value).success)
 const faultSchema = z.object({ section: shortTextSchema, key: shortTextSchema, reason: shortTextSchema })
@@ -118,6 +126,14 @@
     /** Start of the process that ran when the order was given, in Unix ms on the clock of the node. */
     start: timeSchema.exactOptional(),
   }),
+  z.object({
+    kind: z.literal('evacuate'),
+    ...originFields,
+    action: z.enum(['start', 'end']),
+    domain: evacuatedDomainSchema,
+    /** Identifies the order among the attempts to submit it, which take effect once. */
+    order: changeIdSchema,
+  }),
   z.object({
     kind: z.literal('release'),
     ...originFields,
@@ -145,6 +161,7 @@
 export type SubmitCommand = Extract<Command, { kind: 'submit' }>
 export type AmendCommand = Extract<Command, { kind: 'amend' }>
 export type DepartCommand = Extract<Command, { kind: 'depart' }>
+export type EvacuateCommand = Extract<Command, { kind: 'evacuate' }>
 export type PromoteCommand = Extract<Command, { kind: 'promote' }>
 
 export function encodeCommand(command: Command): Uint8Array {
--- a/packages/control/src/snapshot.ts
+++ b/packages/control/src/snapshot.ts
@@ -14,7 +14,7 @@
   type ServerId,
 } from '@bilberrystall/base'
 import { AuditLog } from './audit'
-import { digestSchema, environmentSchema, revisionSchema, rosterEntrySchema } from './command'
+import { digestSchema, environmentSchema, evacuatedDomainSchema, revisionSchema, rosterEntrySchema } from './command'
 import type { ControlState } from './state'
 
 export const SNAPSHOT_FORMAT = 1
@@ -71,6 +71,14 @@
   // Absent in snapshots of versions that did not record departures.
   departures: z.array(z.object({ position: z.number(), server: serverIdSchema, start: z.number() })).default([]),
   departurePosition: z.number().default(0),
+  // Absent in snapshots of versions without evacuations, and before the first order.
+  evacuations: z
+    .object({
+      position: z.number(),
+      domains: z.array(z.object({ domain: evacuatedDomainSchema, at: z.number(), requester: z.string() })),
+      orders: z.array(z.string()),
+    })
+    .exactOptional(),
   audit: z.object({
     root: digestSchema,
     head: digestSchema,
@@ -100,11 +108,18 @@
     replacing: state.replacing,
     departures: [...state.departures.values()],
     departurePosition: state.departurePosition,
+    ...encodeEvacuations(state),
     audit: { root, head, dropped, hidden, blocks: sizes, open: [...open] },
   }
   return Buffer.concat([Buffer.from(`${JSON.stringify(header)}\n`, 'utf8'), ...blocks.map(({ data }) => data)])
 }
 
+function encodeEvacuations(state: ControlState): Pick<z.infer<typeof headerSchema>, 'evacuations'> {
+  const { evacuations, evacuationPosition: position, evacuationOrders } = state
+  if (evacuationOrders.length === 0) return {}
+  return { evacuations: { position, domains: [...evacuations.values()], orders: [...evacuationOrders] } }
+}
+
 /** Fails with `format-unknown` for another format version and with `snapshot-damaged` for other unreadable bytes. */
 export function decodeSnapshot(bytes: Uint8Array): Result<ControlState, Failure> {
   try {
@@ -134,6 +149,9 @@
       replacing: header.replacing,
       departures: new Map(header.departures.map((departure) => [departure.server, departure])),
       departurePosition: header.departurePosition,
+      evacuations: new Map(header.evacuations?.domains.map((evacuation) => [evacuation.domain, evacuation])),
+      evacuationPosition: header.evacuations?.position ?? 0,
+      evacuationOrders: header.evacuations?.orders ?? [],
     })
   } catch (cause) {
     return err(failure('snapshotDamaged', `snapshot cannot be read: ${errorMessage(cause)}`))
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -32,6 +32,13 @@
  * until the server's lease ends.
  */
 export const MAX_DEPARTURES = 2_000
+/**
+ * Maximum number of failure domains that are evacuated at the same time. Bounds the messages to entries, each of which
+ * contains all of them.
+ */
+export const MAX_EVACUATIONS = 64
+/** Maximum number of recent evacuation orders that are recognised when they are applied again. */
+export const MAX_EVACUATION_ORDERS = 256
 /** Maximum number of recorded changes of the replica set. */
 export const MAX_REPLICA_STEPS = 100
 /** Maximum number of recorded requests to drain a node. */
@@ -62,6 +69,14 @@
   readonly start: number
 }
 
+/** An operator's order that nothing is sent to the servers of a failure domain. */
+export interface Evacuation {
+  readonly domain: FailureDomain
+  /** Milliseconds since the Unix epoch, on the clock of the leader that proposed the order. */
+  readonly at: number
+  readonly requester: string
+}
+
 export interface AcceptedChange {
   readonly kind: 'accepted'
   readonly revision: Revision
@@ -151,6 +166,12 @@
   readonly departures: Map<ServerId, Departure>
   /** Position of the newest departure, or 0 if there was none. */
   departurePosition: number
+  /** Evacuated failure domains, the longest evacuated first. */
+  readonly evacuations: Map<FailureDomain, Evacuation>
+  /** Number of starts and ends of evacuations so far. */
+  evacuationPosition: number
+  /** Ids of the last orders to start or end an evacuation, oldest first. */
+  evacuationOrders: readonly string[]
 }
 
 export function emptyState(): ControlState {
@@ -169,6 +190,9 @@
     replacing: [],
     departures: new Map(),
     departurePosition: 0,
+    evacuations: new Map(),
+    evacuationPosition: 0,
+    evacuationOrders: [],
   }
 }
 
--- a/packages/control/test/determinism.test.ts
+++ b/packages/control/test/determinism.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { environmentName, revision, replicaId } from '@bilberrystall/base'
+import { environmentName, failureDomain, revision, replicaId } from '@bilberrystall/base'
 import {
   applyCommand,
   decodeCommand,
@@ -27,6 +27,10 @@
   smallNumber.map((id): Command => {
     return { kind: 'replica-step', at: id, action: 'promote', replica: replicaId(`r${id}`), reason: 'lost for 60 s' }
   }),
+  fc.tuple(smallNumber, smallNumber, fc.constantFrom('start', 'end')).map(([id, domain, action]): Command => {
+    const origin = { at: id, requester: 'asha', source: '10.0.0.1' }
+    return { kind: 'evacuate', ...origin, action, domain: failureDomain(`d${domain}`), order: `o${id}` }
+  }),
   smallNumber.map((id): Command => {
     return { kind: 'refuse', at: id, requester: 'eve', source: '10.0.0.2', code: 'requestInvalid' }
   }),
--- a/packages/node/src/change-log.ts
+++ b/packages/node/src/change-log.ts
@@ -26,6 +26,8 @@
       return describeChange(command)
     case 'depart':
       return outcome.kind === 'recorded' ? undefined : { server: command.server, start: command.start }
+    case 'evacuate':
+      return { domain: command.domain, action: command.action }
     case 'node':
     case 'refuse':
     case 'release':
--- a/packages/node/src/change-proposals.ts
+++ b/packages/node/src/change-proposals.ts
@@ -63,13 +63,13 @@
    * Requests are accepted only with at least this many voters, so that they survive the configured number of losses.
    */
   readonly minVoters?: number
-  /** Called on the leader before it acknowledges an accepted change or a departure. */
+  /** Called on the leader before it acknowledges an accepted change, a departure or an evacuation order. */
   readonly beforeAcknowledgement?: (commit: Commit) => Promise<void>
 }
 
 export interface Commit {
   readonly command: AcknowledgedCommand
-  /** Revision of the accepted change, 0 for a departure. */
+  /** Revision of the accepted change, 0 for a departure or an evacuation order. */
   readonly revision: number
   /** Time until the request was committed and applied. */
   readonly commitMs: number
@@ -231,6 +231,7 @@
   switch (proposed.kind) {
     case 'applied': {
       const { applied } = proposed
+      if (applied.kind === 'refused') return { kind: 'failed', failure: failure(applied.code) }
       if (applied.kind !== 'change') return { kind: 'recorded' }
       return { kind: 'change', result: applied.result, repeated: applied.repeated }
     }
