Routing: send nothing to the servers of evacuated failure domains

Cause: the router knows no reason to leave a failure domain alone as a whole. Change: Router.evacuate takes the list of evacuated domains; their servers are excluded where all uses of a server are decided (eligibility), from samples, subsets and statistics of a service, and from the limits of ejections. Waiting calls go to other servers or end with no-server. At the end of an evacuation, Router.domainReturned records the time per server record before calls are sent.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,14 +3,14 @@
  * force and forwards them to servers. Calls use the request and response objects of Node.js directly; hono routes only
  * the internal endpoints under `/.bilberrystall/`.
  */
-import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { getRequestListener } from '@hono/node-server'
-import { errorMessage, failure, type Failure, type ServerId } from '@bilberrystall/base'
+import { failure, type Failure, type FailureDomain, type ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
-import { LISTEN_BACKLOG, readArrived, stopListening } from './arrived'
+import { readArrived, stopListening } from './arrived'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
@@ -20,9 +20,10 @@
 import { ContextCodec } from './context'
 import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
-import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
+import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
+import { createCallerServer, listenOn } from './caller-server'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
 import { ReachabilityMonitor, type ProbedServer } from './reachability-monitor'
@@ -112,7 +113,7 @@
     })
     this.#reachability = new ReachabilityMonitor({
       servers: () => this.#readyServers(),
-      serverCount: () => this.#servers.size,
+      serverCount: () => options.router.serverCount,
       random: options.random,
       now: this.#clock.monotonic,
       dialect: this.#dialect,
@@ -159,19 +160,13 @@
     return this.#listen(this.#relayHttp, relayListen)
   }
 
-  #listen(server: HttpServer, { host, port }: Address): Promise<Result<void, Failure>> {
+  #listen(server: HttpServer, address: Address): Promise<Result<void, Failure>> {
     this.#poolSweep ??= setInterval(() => {
       for (const pool of this.#pools.values()) pool.sweep()
       this.#relayPeers.sweep()
     }, IDLE_SWEEP_INTERVAL_MS)
-    return new Promise((resolve) => {
-      server.once('error', (cause) => {
-        clearInterval(this.#poolSweep)
-        resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
-      })
-      server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
-        resolve(ok(undefined))
-      })
+    return listenOn(server, address, () => {
+      clearInterval(this.#poolSweep)
     })
   }
 
@@ -199,6 +194,11 @@
     this.#servers.delete(server)
   }
 
+  /** Sends nothing more to the servers of these failure domains, and uses those of all others; exchanges in flight end. */
+  evacuate(domains: readonly FailureDomain[]): void {
+    this.#driver.apply(this.#options.router.evacuate(domains, this.#clock.monotonic()))
+  }
+
   /**
    * Makes responses ask callers to close their connections. Call it when the health endpoint starts to report that this
    * entry is leaving. Calls that cannot end within `remainingMs` are refused from then on.
@@ -295,32 +295,18 @@
   }
 
   #createServer(isRelay: boolean): HttpServer {
-    const server = createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        headersTimeout: this.#limits.headMs,
-        requestTimeout: 0,
-        connectionsCheckingInterval: Math.min(1_000, this.#limits.headMs),
-        // `parseRequestHead` checks it and responds with a problem document.
-        requireHostHeader: false,
-        noDelay: true,
-      },
-      (request, response) => {
+    return createCallerServer(this.#limits, {
+      request: (request, response) => {
         this.#accept(request, response, isRelay)
       },
-    )
-    server.on('connection', (socket: Socket) => {
-      this.#acceptedConnections += 1
-      this.#callerConnection(socket)
-    })
-    // Without a listener Node.js destroys the connection with the responses in progress.
-    server.on('connect', (_request, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(new Error('CONNECT is not supported'))
-    })
-    server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(cause)
+      connection: (socket) => {
+        this.#acceptedConnections += 1
+        this.#callerConnection(socket)
+      },
+      parseError: (cause, socket) => {
+        this.#callerConnection(socket).onParseError(cause)
+      },
     })
-    return server
   }
 
   #createCallDependencies(): CallDependencies {
--- a/packages/routing/src/eligibility.ts
+++ b/packages/routing/src/eligibility.ts
@@ -1,7 +1,7 @@
 /**
  * Decides, for all parts of the router, which servers may be used for what. A server is excluded by its announced state,
- * by what its responses say of it (it leaves, asks for a pause, or names a rate limit), and by what this entry has seen
- * of it (an ejection, or a failure a moment ago).
+ * by an evacuation of its failure domain, by what its responses say of it (it leaves, asks for a pause, or names a rate
+ * limit), and by what this entry has seen of it (an ejection, or a failure a moment ago).
  */
 import type { Call } from './call'
 import type { ServerRecord } from './server-record'
@@ -36,9 +36,11 @@
   return isStaying(record) && now >= record.requestedPauseUntil
 }
 
-/** Whether the server is ready and has not said that it leaves. It may still accept nothing right now. */
-export function isStaying({ server, isLeaving, isRemoved }: ServerRecord): boolean {
-  return server.state === 'ready' && !isLeaving && !isRemoved
+/**
+ * Whether the server is ready, has not said that it leaves, and is not evacuated. It may still accept nothing right now.
+ */
+export function isStaying({ server, isLeaving, isRemoved, isEvacuated }: ServerRecord): boolean {
+  return server.state === 'ready' && !isLeaving && !isRemoved && !isEvacuated
 }
 
 /** Whether the call may be sent to the server now or later. */
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -23,7 +23,7 @@
 const MIN_BACKOFF_MS = 1000
 const MAX_BACKOFF_MS = 20_000
 /** Number of successful trial calls after which a server is restored. */
-export const TRIAL_CALLS = 3
+const TRIAL_CALLS = 3
 
 /**
  * Time in ms after an ejection by a peer during which a single failure suffices here. This does not apply to slowness,
@@ -60,3 +60,26 @@
   record.health = { kind: 'ejected', until: now + backoff, backoff }
   record.resetLatency()
 }
+
+/** Records the result of a call to a server on trial. Returns whether it restored the server. */
+export function recordTrial(record: ServerRecord, isSuccess: boolean, now: number): boolean {
+  if (record.health.kind !== 'trial') return false
+  if (!isSuccess) {
+    eject(record, now)
+    return false
+  }
+  const successes = record.health.successes + 1
+  if (successes < TRIAL_CALLS) {
+    record.health = { ...record.health, successes }
+    return false
+  }
+  record.restore(now)
+  return true
+}
+
+/** Restores all of the servers if none is healthy, since an ejected server is better than none. Returns those restored. */
+export function restoreWhenNoneHealthy(servers: readonly ServerRecord[], now: number): readonly ServerRecord[] {
+  if (servers.some((record) => record.health.kind === 'healthy')) return []
+  for (const record of servers) record.restore(now)
+  return servers
+}
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -67,7 +67,8 @@
 
 /** Interface through which load queries use the pool of a service. */
 export interface LoadQueryHost {
-  readonly records: readonly ServerRecord[]
+  /** Servers that are not evacuated. */
+  readonly records: () => readonly ServerRecord[]
   /** Servers that this entry queries first. */
   readonly subset: () => readonly ServerRecord[]
   /** Whether a server of the service may have a rate limit. */
@@ -256,11 +257,11 @@
     const { host, queried } = query
     const subset = host.subset()
     const rate = this.#queryRate(host, subset, now)
-    if (subset.length === host.records.length) return this.#rank(query, subset, rate, now)
-    const share = (rate * SUBSET_ALLOWANCE_SHARE * host.records.length) / Math.max(1, subset.length)
+    if (subset.length === host.records().length) return this.#rank(query, subset, rate, now)
+    const share = (rate * SUBSET_ALLOWANCE_SHARE * host.records().length) / Math.max(1, subset.length)
     const members = queried.size === 0 ? this.#rank(query, subset, share, now) : []
     if (members.length === SERVERS_PER_ROUND) return members
-    const others = this.#rank(query, this.#sample(host.records), rate * (1 - SUBSET_ALLOWANCE_SHARE), now)
+    const others = this.#rank(query, this.#sample(host.records()), rate * (1 - SUBSET_ALLOWANCE_SHARE), now)
     return [...members, ...others.filter((record) => !members.includes(record))].slice(0, SERVERS_PER_ROUND)
   }
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -6,7 +6,7 @@
  * `cancelled`. To retry a call, the driver asks `mayRetry` and submits the call again with the same id and the servers
  * that it was already sent to.
  */
-import type { RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
+import type { FailureDomain, RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
 import type {
   Call,
   CallId,
@@ -20,9 +20,11 @@
 } from './call'
 import type { QueuedCall } from './call-queue'
 import { acceptsRequests, isEligible, isStaying } from './eligibility'
+import { EvacuatedDomains } from './evacuated-domains'
 import { LeavingServers } from './leaving-servers'
 import { LoadQueries, type LoadQueriesOptions, type LoadQueryResult } from './load-query'
-import { eject, mayEject, outlierReason, TRIAL_CALLS } from './health'
+import { eject, mayEject, outlierReason, recordTrial, restoreWhenNoneHealthy } from './health'
+import { observationsOf } from './observations'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
 import type { RetryLimits } from './retry-budget'
 import type { LimitSharing } from './rate-limit'
@@ -79,6 +81,7 @@
   readonly #subset: SubsetOptions
   readonly #limitSharing: LimitSharing
   readonly #leaving = new LeavingServers()
+  readonly #evacuated = new EvacuatedDomains()
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
@@ -95,6 +98,11 @@
     this.#subset = { entry: loadQueries?.entry ?? '', domain: loadQueries?.domain ?? '' }
   }
 
+  /** Number of servers that are not evacuated. */
+  get serverCount(): number {
+    return [...this.#pools.values()].reduce((sum, { candidates }) => sum + candidates.length, 0)
+  }
+
   /** Whether calls query the load of servers before they are sent. */
   get queriesLoad(): boolean {
     return this.#loadQueries !== undefined
@@ -116,15 +124,18 @@
     if (known === undefined) {
       const record = new ServerRecord(server)
       record.isLeaving = isLeaving
+      record.isEvacuated = this.#evacuated.has(server.domain)
       this.#records.set(server.id, record)
       pool.add(record, now)
     } else {
       if (server.firstSeen > known.server.firstSeen) known.restart(server.firstSeen)
-      if (known.server.state === 'ready' && server.state !== 'ready') pool.recordServerLoss(now)
+      const wasReady = known.server.state === 'ready' && !known.isEvacuated
+      if (wasReady && server.state !== 'ready') pool.recordServerLoss(now)
       const isChanged = known.server.state !== server.state || known.server.domain !== server.domain
       if (isChanged || known.isLeaving !== isLeaving) pool.serverUpdated()
       known.server = server
       known.isLeaving = isLeaving
+      known.isEvacuated = this.#evacuated.has(server.domain)
     }
     if (server.load !== undefined) this.#records.get(server.id)?.addRemoteReport(server.load, now)
     this.#drain(pool, now, effects)
@@ -138,12 +149,33 @@
     const effects: Effect[] = []
     const pool = this.#pool(record.server.service, now)
     this.#records.delete(server)
-    if (record.server.state === 'ready') pool.recordServerLoss(now)
+    if (record.server.state === 'ready' && !record.isEvacuated) pool.recordServerLoss(now)
     pool.remove(record)
     this.#drain(pool, now, effects)
     return effects
   }
 
+  /**
+   * Applies the list of evacuated failure domains. Waiting calls go to the other servers, or end if there are none; calls
+   * in flight continue.
+   */
+  evacuate(domains: readonly FailureDomain[], now: number): readonly Effect[] {
+    const returned = this.#evacuated.replace(domains)
+    for (const record of this.#records.values()) record.isEvacuated = this.#evacuated.has(record.server.domain)
+    for (const domain of returned) this.domainReturned(domain, now)
+    const effects: Effect[] = []
+    for (const pool of this.#pools.values()) {
+      pool.serverUpdated()
+      this.#drain(pool, now, effects)
+    }
+    return effects
+  }
+
+  /** Called when the evacuation of a failure domain ends, before its servers get calls. They may be cold. */
+  domainReturned(domain: FailureDomain, now: number): void {
+    for (const record of this.#records.values()) if (record.server.domain === domain) record.returnedAt = now
+  }
+
   submit(call: Call, now: number): readonly Effect[] {
     const effects: Effect[] = []
     const pool = this.#pool(call.service, now)
@@ -267,15 +299,7 @@
 
   /** Returns the observations of this entry itself, for its peers. */
   observations(now: number): readonly Observation[] {
-    const seen: Observation[] = []
-    for (const record of this.#records.values()) {
-      const isEjected = record.health.kind === 'ejected'
-      if (record.lastLoad === undefined && !isEjected) continue
-      const age = Math.max(0, now - record.lastLoadAt)
-      const base = { server: record.server.id, age: isEjected ? 0 : age, ejected: isEjected }
-      seen.push(record.lastLoad === undefined || isEjected ? base : { ...base, load: record.lastLoad })
-    }
-    return seen
+    return observationsOf(this.#records.values(), now)
   }
 
   /** Called when a probe ended. */
@@ -408,25 +432,14 @@
       this.#ejectOutlier(record, pool, now, effects)
       return
     }
-    if (record.health.kind !== 'trial') return
     const isSuccess = outcome === 'ok' && latency <= pool.stats.p95Latency
-    if (!isSuccess) {
-      eject(record, now)
-      return
-    }
-    const successes = record.health.successes + 1
-    if (successes < TRIAL_CALLS) {
-      record.health = { ...record.health, successes }
-      return
-    }
-    record.restore(now)
-    effects.push({ kind: 'restored', server: record.server.id })
+    if (recordTrial(record, isSuccess, now)) effects.push({ kind: 'restored', server: record.server.id })
   }
 
   #ejectOutlier(record: ServerRecord, pool: ServicePool, now: number, effects: Effect[]): void {
     if (record.health.kind !== 'healthy') return
     const reason: EjectReason | undefined = outlierReason(record, pool, now)
-    if (reason === undefined || !mayEject(pool.records)) return
+    if (reason === undefined || !mayEject(pool.candidates)) return
     eject(record, now)
     this.#hasEjected = true
     effects.push({ kind: 'ejected', server: record.server.id, reason })
@@ -453,13 +466,9 @@
     }
   }
 
-  /** Restores all ready servers if none of them is healthy, since an ejected server is better than none. */
   #restoreWhenNoneHealthy(pool: ServicePool, now: number, effects: Effect[]): void {
-    const ready = pool.records.filter(isStaying)
-    if (ready.some((record) => record.health.kind === 'healthy')) return
-    for (const record of ready) {
-      record.restore(now)
-      effects.push({ kind: 'restored', server: record.server.id })
+    for (const { server } of restoreWhenNoneHealthy(pool.records.filter(isStaying), now)) {
+      effects.push({ kind: 'restored', server: server.id })
     }
   }
 
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -59,6 +59,10 @@
   rampStartedAt: number
   consecutiveFailures = 0
   failureRate = 0
+  /** Whether the failure domain of the server is evacuated. */
+  isEvacuated = false
+  /** Time at which the evacuation of its failure domain ended last; the server may be cold since. */
+  returnedAt = Number.NEGATIVE_INFINITY
   /** Whether a response of the server said that it leaves. */
   isLeaving = false
   /** End of the pause that the server asked for. */
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -101,7 +101,7 @@
   readonly #deferrable = new CallQueue()
   readonly #options: ServicePoolOptions
   readonly #loadQueryHost: LoadQueryHost = {
-    records: this.#records,
+    records: () => this.candidates,
     subset: () => this.#currentSubset(),
     hasRateLimits: () => this.rateLimits.hasLimits,
     maxRamp: () => this.stats.maxRamp,
@@ -124,6 +124,8 @@
   #nextArrivalOrder = 0
   #refreshedAt = Number.NEGATIVE_INFINITY
   #serverLostAt = Number.NEGATIVE_INFINITY
+  /** Undefined if servers changed since it was computed. */
+  #candidates: readonly ServerRecord[] | undefined
   /** Undefined if servers changed since it was chosen. */
   #subset: readonly ServerRecord[] | undefined
 
@@ -153,6 +155,15 @@
     return this.#records
   }
 
+  /**
+   * Servers that are not evacuated. Selection compares a sample of the servers, which would often contain none that may
+   * be used if the evacuated ones were among them.
+   */
+  get candidates(): readonly ServerRecord[] {
+    this.#candidates ??= this.#records.filter(({ isEvacuated }) => !isEvacuated)
+    return this.#candidates
+  }
+
   get waiting(): number {
     return this.#urgent.size + this.#deferrable.size
   }
@@ -165,7 +176,7 @@
 
   add(record: ServerRecord, now: number): void {
     this.#records.push(record)
-    this.#subset = undefined
+    this.serverUpdated()
     this.rateLimits.serversChanged()
     this.refresh(now)
   }
@@ -173,12 +184,13 @@
   remove(record: ServerRecord): void {
     record.isRemoved = true
     this.#records.splice(this.#records.indexOf(record), 1)
-    this.#subset = undefined
+    this.serverUpdated()
     this.rateLimits.serversChanged()
   }
 
-  /** Called when the state or the failure domain of a server may have changed. */
+  /** Called when the state or the failure domain of a server, or an evacuation, may have changed. */
   serverUpdated(): void {
+    this.#candidates = undefined
     this.#subset = undefined
   }
 
@@ -257,7 +269,7 @@
     let others = 0
     let trust = 0
     let ramp = 0
-    for (const record of this.#records) {
+    for (const record of this.candidates) {
       if (record.recentLatency !== undefined) latencies.push(record.recentLatency)
       if (record.p95Latency !== undefined) p95Latencies.push(record.p95Latency)
       others += record.averageOtherLoad * record.trust
@@ -272,7 +284,7 @@
   }
 
   #currentSubset(): readonly ServerRecord[] {
-    this.#subset ??= chooseSubset(this.#records, this.#options.subset)
+    this.#subset ??= chooseSubset(this.candidates, this.#options.subset)
     return this.#subset
   }
 
@@ -332,7 +344,7 @@
   /** Sends the call if the cost of a server is within the limit, which rises with the time waited. */
   #tryDispatch(call: Call, queuedAt: number, now: number, effects: Effect[]): boolean {
     if (this.inFlight >= this.#concurrency) return false
-    const choice = chooseServer(this.#records, call.triedServers, this.stats, now)
+    const choice = chooseServer(this.candidates, call.triedServers, this.stats, now)
     if (choice.record === undefined || choice.cost > this.#limit(call, choice, now - queuedAt, now)) return false
     this.#dispatch(call, choice.record, false, now, effects)
     return true
--- a/packages/routing/test/eligibility.test.ts
+++ b/packages/routing/test/eligibility.test.ts
@@ -21,6 +21,11 @@
   }
   const table = {
     healthy: usesOf(() => undefined),
+    evacuated: usesOf((record) => (record.isEvacuated = true)),
+    'end of an ejection, evacuated': usesOf((record) => {
+      eject(record, 1_000)
+      record.isEvacuated = true
+    }),
     draining: usesOf((record) => (record.server = makeServer(0, { state: 'draining' }))),
     leaving: usesOf((record) => (record.isLeaving = true)),
     removed: usesOf((record) => (record.isRemoved = true)),
@@ -55,7 +60,9 @@
       "end of an ejection": [
         "probe",
       ],
+      "end of an ejection, evacuated": [],
       "end of an ejection, leaving": [],
+      "evacuated": [],
       "failed a moment ago": [],
       "healthy": [
         "call",
