Deliver evacuation orders to entries, and accept them from platforms and operators

Cause: entries did not learn of evacuations, and nothing could order one. Change: notifications and polls carry the list of evacuated domains with its position; an order is acknowledged like a departure, does not wait for entries of an earlier build, and is repeated to none of them. An entry uses no document before a majority has confirmed a list to it.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -2,6 +2,7 @@
 import { RESULT_CODES } from '@bilberrystall/base'
 import { Builtins, Cli, type BaseContext } from 'clipanion'
 import { Codes } from './codes-command'
+import { EvacuationEnd, EvacuationList, EvacuationStart } from './evacuation-commands'
 import { Explain } from './explain-command'
 import {
   DocumentCheck,
@@ -37,6 +38,9 @@
   NodeReplace,
   QuarantineList,
   QuarantineRelease,
+  EvacuationList,
+  EvacuationStart,
+  EvacuationEnd,
   Codes,
   Explain,
 ]
--- a/packages/cli/src/operator-api.ts
+++ b/packages/cli/src/operator-api.ts
@@ -58,6 +58,9 @@
     z.looseObject({ request: z.string(), until: z.number(), lastCrash: z.number(), servers: z.array(z.string()) }),
   ),
 })
+export const evacuationsSchema = z.looseObject({
+  domains: z.array(z.looseObject({ domain: z.string(), at: z.number(), requester: z.string() })),
+})
 export const objectSchema = z.looseObject({})
 
 export type Change =
--- a/packages/cli/test/operator-commands.test.ts
+++ b/packages/cli/test/operator-commands.test.ts
@@ -138,3 +138,27 @@
   chain[2] = { ...chain[2], requester: 'other' }
   expect((await cli('audit', '--verify', ...options)).status).toBe(RESULT_CODES.logDamaged.number)
 })
+
+test('an evacuation is started, listed and ended by the name of the failure domain', async () => {
+  const domains = [{ domain: 'eu/1', at: 0, requester: 'asha' }]
+  const node = await startStub(({ method }, response) => {
+    respondJson(response, 200, method === 'GET' ? { domains } : {})
+  })
+  const run = (...args: string[]) => cli('evacuation', ...args, '--node', node.address, '--key-file', keyFile)
+  expect(await run('start', 'eu/1')).toMatchObject({ status: 0, stdout: 'failure domain eu/1 is evacuated\n' })
+  const listed = await run()
+  expect(listed.status).toBe(0)
+  expect(listed.stdout).toMatch(/^DOMAIN +SINCE +REQUESTER\neu\/1 +1970-01-01T00:00:00.*asha\n$/)
+  expect(await run('end', 'eu/1')).toMatchObject({ status: 0, stdout: 'failure domain eu/1 is used again\n' })
+  expect(node.requests.map(({ method, path }) => `${method} ${path}`)).toEqual([
+    'POST /v1/evacuations/eu%2F1/start',
+    'GET /v1/evacuations',
+    'POST /v1/evacuations/eu%2F1/end',
+  ])
+})
+
+test('an order that control refuses ends with its code', async () => {
+  const node = await startStub(rejectWith('evacuationLimit'))
+  const result = await cli('evacuation', 'start', 'fd-1', '--node', node.address, '--key-file', keyFile)
+  expect(result.status).toBe(RESULT_CODES.evacuationLimit.number)
+})
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -6,6 +6,7 @@
 import { request, type Dispatcher } from 'undici'
 import { onTestFinished } from 'vitest'
 import { Entry, type EntryOptions } from '../src/index'
+import type { EntryServer } from '../src/entry-options'
 
 export interface ReceivedRequest {
   readonly head: string
@@ -149,7 +150,7 @@
   entry: Entry,
   server: FakeServer,
   index: number,
-  change: { readonly start?: number; readonly firstSeen?: number } = {},
+  change: Partial<Pick<EntryServer, 'start' | 'firstSeen' | 'domain'>> = {},
 ): void {
   entry.updateServer({
     id: serverId(`server-${index}`),
--- a/packages/entry/test/reachability.test.ts
+++ b/packages/entry/test/reachability.test.ts
@@ -1,8 +1,8 @@
 /** Guards against an entry that does not notice that it has lost all servers, or that they are back. */
-import { seededRandom } from '@bilberrystall/base'
+import { failureDomain, seededRandom } from '@bilberrystall/base'
 import { Router } from '@bilberrystall/routing'
 import { expect, test } from 'vitest'
-import { respond, sendCall, startEntry, startFakeServer, waitUntil, type FakeServer } from './harness'
+import { addServer, respond, sendCall, startEntry, startFakeServer, waitUntil, type FakeServer } from './harness'
 
 async function startServers(state: { silent: boolean }): Promise<FakeServer[]> {
   return Promise.all(
@@ -41,3 +41,21 @@
   for (let call = 0; call < 30; call += 1) await sendCall(`${origin}/read`)
   expect(changes).toEqual([])
 })
+
+// Guards against probes of evacuated servers, and against a suspicion that waits for failures at servers without calls.
+test('an entry notices that the one server that is not evacuated is silent, and probes no evacuated one', async () => {
+  const servers = await startServers({ silent: true })
+  const changes: boolean[] = []
+  const { entry, origin } = await startEntry([], {
+    limits: { silenceMs: 50, sweepIntervalMs: 10 },
+    events: { reachabilityChanged: (isCutOff) => changes.push(isCutOff) },
+  })
+  servers.forEach((server, index) => {
+    addServer(entry, server, index, { domain: failureDomain(index === 0 ? 'kept' : 'evacuated') })
+  })
+  entry.evacuate([failureDomain('evacuated')])
+  for (let call = 0; call < 4; call += 1) void sendCall(`${origin}/read`).catch(() => undefined)
+  await waitUntil(() => changes.length === 1)
+  expect(changes).toEqual([true])
+  expect(servers.slice(1).flatMap(({ received }) => received)).toEqual([])
+})
--- a/packages/entry/test/relay.test.ts
+++ b/packages/entry/test/relay.test.ts
@@ -1,6 +1,6 @@
 /** Guards against refusing the calls of an entry that reaches no server while other entries reach them. */
 import { connect } from 'node:net'
-import { nodeId, seededRandom, serviceName } from '@bilberrystall/base'
+import { failureDomain, nodeId, seededRandom, serviceName } from '@bilberrystall/base'
 import { Router } from '@bilberrystall/routing'
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
@@ -232,3 +232,16 @@
   )
   expect(server.received).toEqual([])
 })
+
+// Guards against a way around an evacuation: the first entry may not know of it, or know no other server.
+test('a call that was passed on goes to no server of a domain that is evacuated at the other entry', async () => {
+  const server = await startFakeServer(echo)
+  const helper = await startPeer('helper', [server])
+  helper.entry.evacuate([failureDomain('domain-1')])
+  const { origin } = await startCutOffEntry([helper])
+  const refused = await sendCall(`${origin}/write`, { method: 'POST', body: 'x' })
+  expect(refused).toMatchObject({ status: 503, outcome: 'not-run' })
+  expect(server.received).toEqual([])
+  helper.entry.evacuate([])
+  expect(await sendCall(`${origin}/write`, { method: 'POST', body: 'x' })).toMatchObject({ status: 200 })
+})
--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -37,6 +37,12 @@
    * specify one.
    */
   readonly depart: (server: ServerId, start: number | undefined) => Promise<Result<void, Failure>>
+  /**
+   * Orders that nothing is sent to the servers of a failure domain, or ends that. An order may be repeated. Outcome
+   * `recorded`: control has committed the order, and the live entries have applied it or had 2 s to do so. Fails with
+   * `request-invalid` for a malformed name and with `evacuation-limit`.
+   */
+  readonly evacuate: (domain: string, action: 'start' | 'end', source: string) => Promise<SubmitOutcome>
   readonly change: (change: VersionedChange, source: string) => Promise<SubmitOutcome>
   /** Returns the document in force, confirmed by a majority of control; undefined before the first document. */
   readonly readDocument: () => Promise<Result<PublishedDocument | undefined, Failure>>
--- a/packages/node/src/change-delivery.ts
+++ b/packages/node/src/change-delivery.ts
@@ -46,6 +46,8 @@
   readonly environment: Environment | undefined
   readonly revision: number
   readonly departurePosition: number
+  /** Absent if the change is no evacuation order. */
+  readonly evacuationPosition?: number
 }
 
 export interface DeliveryReport {
@@ -62,6 +64,9 @@
   /** Newest state that the entry confirmed. */
   revision: number
   departurePosition: number
+  evacuationPosition: number
+  /** Whether the process is of a build without evacuations, which no order waits for. */
+  ignoresEvacuations: boolean
   /** Time of the first notification that the entry has not confirmed. */
   behindSince: number | undefined
   /** Whether notifications are being repeated. */
@@ -112,14 +117,14 @@
         await this.#nextResult(expected.length > 0 ? Math.min(remainingMs, JOIN_CHECK_INTERVAL_MS) : remainingMs)
       }
     }
-    const unconfirmed = entries.filter((node) => !isReached(this.#peer(node), position))
+    const unconfirmed = entries.filter((node) => !hasConfirmed(this.#peer(node), position))
     return { entries: entries.length, unconfirmed: unconfirmed.sort() }
   }
 
   /** Time at which this process began to deliver the change, which may be submitted again meanwhile. */
-  #startOf({ environment, revision, departurePosition }: DeliveryPosition): number {
+  #startOf({ environment, revision, departurePosition, evacuationPosition = 0 }: DeliveryPosition): number {
     const now = this.#options.now()
-    const change = `${environment ?? ''} ${revision} ${departurePosition}`
+    const change = `${environment ?? ''} ${revision} ${departurePosition} ${evacuationPosition}`
     for (const [other, startedAt] of this.#startedAt) {
       if (startedAt + START_RETENTION_MS < now) this.#startedAt.delete(other)
     }
@@ -229,6 +234,8 @@
       const notification = this.#notification([entry], target)
       const response = await clients.client(DeliveryService, entry.address).notify(notification, options)
       updatePosition(peer, response)
+      // An entry applies the list of a notification before it responds, so one that has none knows no evacuations.
+      peer.ignoresEvacuations = notification.evacuationPosition > 0n && peer.evacuationPosition === 0
       return isReached(peer, target) ? 'confirmed' : 'behind'
     } catch (cause) {
       return isUnable(ConnectError.from(cause)) ? 'unable' : 'behind'
@@ -251,6 +258,9 @@
         : {}),
       departures: departures.length <= MAX_NOTIFIED_DEPARTURES ? departures : [],
       departuresAfter: BigInt(Math.max(0, departuresFrom)),
+      // Always included: an entry that replaced the confirmed process would take a missing list for an empty one.
+      evacuated: [...state().evacuations.keys()],
+      evacuationPosition: BigInt(state().evacuationPosition),
       environment,
       revision: BigInt(revision),
       departurePosition: BigInt(departurePosition),
@@ -291,7 +301,8 @@
   #committed({ environment }: Node): DeliveryPosition {
     const state = this.#options.state()
     const revision = documentInForce(state, environment)?.revision ?? 0
-    return { environment, revision, departurePosition: state.departurePosition }
+    const { departurePosition, evacuationPosition } = state
+    return { environment, revision, departurePosition, evacuationPosition }
   }
 
   #otherEntries(): Node[] {
@@ -315,6 +326,8 @@
       start,
       revision: -1,
       departurePosition: -1,
+      evacuationPosition: -1,
+      ignoresEvacuations: false,
       behindSince,
       notifying: false,
       unable: false,
@@ -331,15 +344,24 @@
   }
 }
 
-type ConfirmedPosition = Pick<NotifyResponse, 'revision' | 'departurePosition'>
+type ConfirmedPosition = Pick<NotifyResponse, 'revision' | 'departurePosition'> &
+  Partial<Pick<NotifyResponse, 'evacuationPosition'>>
 
-function updatePosition(peer: Peer, { revision, departurePosition }: ConfirmedPosition): void {
+function updatePosition(peer: Peer, { revision, departurePosition, evacuationPosition = 0n }: ConfirmedPosition): void {
   peer.revision = Number(revision)
   peer.departurePosition = Number(departurePosition)
+  peer.evacuationPosition = Number(evacuationPosition)
 }
 
-function isReached(peer: Peer, { revision, departurePosition }: DeliveryPosition): boolean {
-  return peer.revision >= revision && peer.departurePosition >= departurePosition
+/** Whether nothing more can be done for the entry to have what is committed at the position. */
+function isReached(peer: Peer, { revision, departurePosition, evacuationPosition = 0 }: DeliveryPosition): boolean {
+  const hasEvacuations = peer.ignoresEvacuations || peer.evacuationPosition >= evacuationPosition
+  return peer.revision >= revision && peer.departurePosition >= departurePosition && hasEvacuations
+}
+
+function hasConfirmed(peer: Peer, position: DeliveryPosition): boolean {
+  const isOrder = position.evacuationPosition !== undefined && position.evacuationPosition > 0
+  return isReached(peer, position) && !(isOrder && peer.ignoresEvacuations)
 }
 
 /** Where no process listens, no entry serves with an older state, and a process that starts reads from a majority. */
--- a/packages/node/src/change-outcome.ts
+++ b/packages/node/src/change-outcome.ts
@@ -6,10 +6,10 @@
 import type { SubmitFailed, SubmitResponse } from '@bilberrystall/rpc'
 
 /** Commands whose effect the entries must know. They can be applied repeatedly with the same effect. */
-export type AcknowledgedCommand = Extract<Command, { kind: 'submit' | 'amend' | 'promote' | 'depart' }>
+export type AcknowledgedCommand = Extract<Command, { kind: 'submit' | 'amend' | 'promote' | 'depart' | 'evacuate' }>
 
 export function isAcknowledgedCommand(command: Command): command is AcknowledgedCommand {
-  return ['submit', 'amend', 'promote', 'depart'].includes(command.kind)
+  return ['submit', 'amend', 'promote', 'depart', 'evacuate'].includes(command.kind)
 }
 
 export type SubmitOutcome =
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -19,6 +19,7 @@
   type Position,
   type RestoredContact,
 } from './control-follower'
+import { Evacuations } from './evacuations'
 import type { NodeContext } from './node-context'
 
 /** Slot time reserved for one probe; the router reserves the same amount. */
@@ -34,11 +35,14 @@
   readonly onDocument: (document: Document) => void
   readonly onDrain: () => void
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
+  /** Evacuated failure domains of the entry. */
+  readonly evacuations?: Evacuations
 }
 
 export class ControlClient {
   readonly #options: ControlClientOptions
   readonly #follower: ControlFollower
+  readonly #evacuations: Evacuations
   readonly #leases: LeaseClient
   #document: Document | undefined
   /** Revision of `#document`; behind the stored one if that cannot be parsed. */
@@ -48,7 +52,9 @@
     this.#options = options
     const { context, environment, documentStore } = options
     const { clients, contacts, directory, now } = context
+    this.#evacuations = options.evacuations ?? new Evacuations()
     this.#follower = new ControlFollower({
+      evacuations: this.#evacuations,
       environment,
       self: context.self,
       failureDomain: context.settings.failureDomain,
@@ -81,8 +87,9 @@
     })
   }
 
+  /** Document in force; undefined until it is known which failure domains are evacuated. */
   document(): Document | undefined {
-    return this.#document
+    return this.#evacuations.isConfirmed ? this.#document : undefined
   }
 
   /** Pending epochs are treated as rosters without entries, so that their keys are rejected. */
@@ -113,8 +120,8 @@
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
   async catchUp(notification: Notification): Promise<Position> {
     this.#options.context.leaders.leads(notification.node)
-    const { revision, departurePosition } = await this.#follower.catchUp(notification)
-    return { revision: Math.min(revision, this.#documentRevision), departurePosition }
+    const { revision, ...positions } = await this.#follower.catchUp(notification)
+    return { revision: Math.min(revision, this.#documentRevision), ...positions }
   }
 
   /** Fetches a revision that another node announced and this node does not have. */
--- a/packages/node/src/control-delivery.ts
+++ b/packages/node/src/control-delivery.ts
@@ -11,6 +11,7 @@
 import type { ChangeSubmitter } from './change-submitter'
 import type { NamedAddress } from './control-contacts'
 import type { DocumentStore, PublishedDocument } from './document-store'
+import { decodeEvacuations } from './evacuations'
 import {
   NOT_CURRENT_MESSAGE,
   decodeDepartures,
@@ -74,11 +75,12 @@
         document: decodeDocument(document, 'replica'),
         departures: decodeDepartures(request.departures),
         departuresAfter: Number(request.departuresAfter),
+        evacuations: decodeEvacuations(request),
       }
       const reaching = notified.catchUp({ ...position, node: nodeId(node), address, content })
       if (request.members.length === 0) return encodePosition(await reaching)
       const [reached, members] = await Promise.all([withinMemberLimit(reaching), relayNotification(request, clients)])
-      return { ...encodePosition(reached ?? { revision: 0, departurePosition: 0 }), members }
+      return { ...encodePosition(reached ?? NO_POSITION), members }
     },
     submit: async (request, { signal }) => {
       const { changes } = requireControlRole(control())
@@ -88,8 +90,15 @@
   })
 }
 
-function encodePosition({ revision, departurePosition }: Position) {
-  return { revision: BigInt(revision), departurePosition: BigInt(departurePosition) }
+/** Of an entry that takes longer than the leader waits, which notifies it again then. */
+const NO_POSITION: Position = { revision: 0, departurePosition: 0, evacuationPosition: 0 }
+
+function encodePosition({ revision, departurePosition, evacuationPosition }: Position) {
+  return {
+    revision: BigInt(revision),
+    departurePosition: BigInt(departurePosition),
+    evacuationPosition: BigInt(evacuationPosition),
+  }
 }
 
 export function encodeDocument(document: Omit<PublishedDocument, 'source'>) {
@@ -120,6 +129,8 @@
     ...(isNewer ? { document: encodeDocument({ environment, version: 0, ...document }) } : {}),
     departures: departuresAfter(state, Number(query.departurePosition)),
     departurePosition: BigInt(state.departurePosition),
+    evacuated: Number(query.evacuationPosition ?? 0n) === state.evacuationPosition ? [] : [...state.evacuations.keys()],
+    evacuationPosition: BigInt(state.evacuationPosition),
     replicas: query.wantsReplicas === true ? [...replicaAddresses()] : [],
   }
 }
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps an entry up to date with control: the document in force and the departed servers. It polls one replica at short
+ * Keeps an entry up to date with control: the document in force, the departed servers and the evacuated failure domains.
+ * It polls one replica at short
  * intervals and switches to another one as soon as that replica does not respond or is not current, so the staleness of
  * the entry is bounded while it can reach any current replica. On startup it also accepts a document from another node
  * if a majority confirmed it after this process started: an earlier confirmation may predate a revision that was in
@@ -22,6 +23,7 @@
 import { DeliveryService, type DeliveredDocument, type FollowResponse, type RpcClients } from '@bilberrystall/rpc'
 import type { ControlContact, ControlContacts } from './control-contacts'
 import type { DocumentSource, DocumentStore, PublishedDocument } from './document-store'
+import { Evacuations, decodeEvacuations, type EvacuationList } from './evacuations'
 
 /** Polling interval: a fifth of the 2 s within which a change or a departure must be in force on every node. */
 const FOLLOW_INTERVAL_MS = 400
@@ -72,6 +74,8 @@
   readonly environment: string
   readonly revision: bigint
   readonly departurePosition: bigint
+  /** Absent in queries of builds without evacuations. */
+  readonly evacuationPosition?: bigint
   readonly confirmed: boolean
   readonly wantsReplicas?: boolean
 }
@@ -92,10 +96,12 @@
   /** All departures after the position `departuresAfter`, or none. */
   readonly departures: readonly DepartedServer[]
   readonly departuresAfter: number
+  /** Absent if the notifying replica has none. */
+  readonly evacuations?: EvacuationList
 }
 
 /** What an entry has. */
-export type Position = Pick<Notification, 'revision' | 'departurePosition'>
+export type Position = Pick<Notification, 'revision' | 'departurePosition'> & { readonly evacuationPosition: number }
 
 /** Why a replica did not tell an entry what is new. */
 export type PollFailure = 'no-response' | 'not-current'
@@ -133,6 +139,8 @@
   /** Other live entries of the environment. */
   readonly otherEntries: () => readonly NodeId[]
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
+  /** Evacuated failure domains of this entry, which the follower keeps up to date. */
+  readonly evacuations?: Evacuations
   /** Called when no replica has responded for a time, and when one does again. */
   readonly onContact?: (contact: LostContact | RestoredContact) => void
   readonly now: () => number
@@ -141,6 +149,7 @@
 export class ControlFollower {
   readonly #options: FollowerOptions
   readonly #abort = new AbortController()
+  readonly #evacuations: Evacuations
   /** Addresses from which a document is being fetched. */
   readonly #fetching = new Set<string>()
   /** Nodes that announced a newer revision and were not asked for it yet. */
@@ -161,6 +170,7 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options
+    this.#evacuations = options.evacuations ?? new Evacuations()
     this.#startedAt = options.now()
     this.#respondedAt = this.#startedAt
   }
@@ -189,13 +199,18 @@
       next = notifier
     }
     const revisionInForce = documentStore.inForce(environment)?.revision ?? 0
-    return { revision: revisionInForce, departurePosition: Number(this.#departurePosition) }
+    return {
+      revision: revisionInForce,
+      departurePosition: Number(this.#departurePosition),
+      evacuationPosition: this.#evacuations.position,
+    }
   }
 
   #applyContent({ content, departurePosition }: Notification): void {
     const { environment, documentStore, onDepartures } = this.#options
     if (content === undefined) return
-    const { document, departures, departuresAfter } = content
+    const { document, departures, departuresAfter, evacuations } = content
+    if (evacuations !== undefined) this.#evacuations.offer(evacuations)
     if (document?.environment === environment) documentStore.offer(document)
     const isComplete = departures.length > 0 && this.#departurePosition >= BigInt(departuresAfter)
     if (!isComplete || this.#departurePosition >= BigInt(departurePosition)) return
@@ -203,7 +218,7 @@
     onDepartures(departures)
   }
 
-  #hasReached({ revision: notified, departurePosition }: Position): boolean {
+  #hasReached({ revision: notified, departurePosition }: Notification): boolean {
     const { environment, documentStore } = this.#options
     const inForce = documentStore.inForce(environment)?.revision ?? 0
     return inForce >= notified && this.#departurePosition >= BigInt(departurePosition)
@@ -256,7 +271,8 @@
 
   async #pollLoop(): Promise<void> {
     while (!this.#abort.signal.aborted) {
-      const isReady = this.#options.documentStore.isReady(this.#options.environment)
+      const { documentStore, environment } = this.#options
+      const isReady = documentStore.isReady(environment) && this.#evacuations.isConfirmed
       const startedAt = this.#options.now()
       const contacts = this.#nextContacts(isReady && this.#failedRounds === 0 ? 1 : DISCOVERY_FANOUT)
       const responded = await anyTrue(contacts.map((contact) => this.#poll(contact)))
@@ -321,8 +337,9 @@
         environment,
         revision: BigInt(currentRevision ?? 0),
         departurePosition: this.#departurePosition,
+        evacuationPosition: BigInt(this.#evacuations.position),
         // After a restart, the first state must not be older than one that was already used.
-        confirmed: currentRevision === undefined,
+        confirmed: currentRevision === undefined || !this.#evacuations.isConfirmed,
         wantsReplicas,
       }
       const options = { timeoutMs: FOLLOW_TIMEOUT_MS, signal: this.#abort.signal }
@@ -331,6 +348,7 @@
         this.#pollFailed(polled, 'not-current')
         return false
       }
+      if (request.confirmed) this.#evacuations.confirm(decodeEvacuations(response))
       this.#applyResponse(response, sentAt)
       if (wantsReplicas) this.#askedForReplicasAt = sentAt
       this.#pollResponded(polled)
@@ -371,6 +389,7 @@
 
   #applyResponse(response: FollowResponse, sentAt: number): void {
     const { environment, documentStore, contacts, onDepartures } = this.#options
+    this.#evacuations.offer(decodeEvacuations(response))
     contacts.learn(response.replicas.map(({ node, address }) => ({ node: nodeId(node), address })))
     const document = decodeDocument(response.document, 'replica')
     if (document !== undefined) documentStore.offer(document)
@@ -398,7 +417,9 @@
 
 /** Whether this response comes from a replica that has less than its entry, for example one of another cluster. */
 function isBehind(response: FollowResponse, query: FollowQuery): boolean {
-  return response.revision < query.revision || response.departurePosition < query.departurePosition
+  const { revision: current, departurePosition, evacuationPosition } = response
+  if (current < query.revision || departurePosition < query.departurePosition) return true
+  return evacuationPosition < (query.evacuationPosition ?? 0n)
 }
 
 /** Whether a replica responded that it may be behind, in place of no response. */
--- a/packages/node/src/control-operator.ts
+++ b/packages/node/src/control-operator.ts
@@ -4,7 +4,7 @@
  * counted, because otherwise anyone could fill the log.
  */
 import { isUtf8 } from 'node:buffer'
-import { createHash } from 'node:crypto'
+import { createHash, randomUUID } from 'node:crypto'
 import { setImmediate as yieldToLoop } from 'node:timers/promises'
 import { getConnInfo } from '@hono/node-server/conninfo'
 import { Hono, type Context } from 'hono'
@@ -25,6 +25,7 @@
   changeIdSchema,
   digestSchema,
   environmentSchema,
+  evacuatedDomainSchema,
   requestIdSchema,
   revisionSchema,
   sha256,
@@ -135,6 +136,11 @@
   app.get('/v1/nodes', (context) => context.json({ nodes: nodeViews(host, cluster) }))
   app.get('/v1/quarantine', (context) => context.json({ requests: quarantineViews(options.quarantine.quarantined) }))
   app.post('/v1/quarantine/:request/release', (context) => handleRelease(options, context))
+  app.get('/v1/evacuations', (context) =>
+    withLinearizableRead(options, () => context.json({ domains: [...host.state.evacuations.values()] })),
+  )
+  app.post('/v1/evacuations/:domain/start', (context) => handleEvacuation(options, context, 'start'))
+  app.post('/v1/evacuations/:domain/end', (context) => handleEvacuation(options, context, 'end'))
   app.get('/v1/servers', (context) => context.json({ servers: serverViews(cluster) }))
   app.notFound(() => problemResponse(failure('notFound')))
   app.onError((cause) => problemResponse(failure('internal', cause.message)))
@@ -245,6 +251,22 @@
   return context.json({ node, action })
 }
 
+async function handleEvacuation(
+  options: OperatorOptions,
+  context: Context<OperatorEnv, '/v1/evacuations/:domain/start'>,
+  action: 'start' | 'end',
+): Promise<Response> {
+  const origin = requestOrigin(context)
+  const parsed = evacuatedDomainSchema.safeParse(context.req.param('domain'))
+  if (!parsed.success) return rejectAndRecord(options, origin, 'requestInvalid', z.prettifyError(parsed.error))
+  const domain = parsed.data
+  const order = { kind: 'evacuate' as const, ...origin, action, domain, order: randomUUID() }
+  const outcome = await options.changes.submit(order)
+  if (outcome.kind !== 'recorded') return outcomeResponse(options, outcome)
+  options.onRequest('ok')
+  return context.json({ domain, action })
+}
+
 async function handleRelease(
   options: OperatorOptions,
   context: Context<OperatorEnv, '/v1/quarantine/:request/release'>,
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -17,6 +17,7 @@
 import { logSettled } from './change-log'
 import type { Commit } from './change-proposals'
 import { ChangeSubmitter } from './change-submitter'
+import type { EvacuationList } from './evacuations'
 import type { NamedAddress } from './control-contacts'
 import { deliveryRoutes, type DeliveryOptions } from './control-delivery'
 import type { DepartedServer } from './control-follower'
@@ -62,6 +63,8 @@
   readonly onDrain: () => void
   /** Called with servers whose departure was committed by control. */
   readonly onDepartures?: (departed: readonly DepartedServer[]) => void
+  /** Called with the evacuated failure domains after control committed an order. */
+  readonly onEvacuations?: (list: EvacuationList) => void
   /** Called with each release of a withheld request that was committed by control. */
   readonly onReleased?: (clearance: Clearance) => void
   readonly metrics?: ControlMetrics
@@ -271,6 +274,7 @@
   handleApplied(commands: readonly Command[]): void {
     this.#offerDocuments()
     this.#reportDepartures()
+    this.#reportEvacuations()
     this.#reportReleases(commands)
     this.#reportDrain()
   }
@@ -308,7 +312,7 @@
   }
 
   async #deliver({ command, revision, commitMs }: Commit): Promise<void> {
-    const { departures, departurePosition } = this.host.state
+    const { departures, departurePosition, evacuationPosition } = this.host.state
     const { log } = this.#options
     const startedAt = performance.now()
     const times = () => ({ commitMs, deliveryMs: Math.round(performance.now() - startedAt) })
@@ -323,6 +327,13 @@
       if (delivered.unconfirmed.length > 0) log.info('changeAcknowledged', { server, start, ...delivered, ...times() })
       return
     }
+    if (command.kind === 'evacuate') {
+      const { domain, action } = command
+      const everywhere = { environment: undefined, revision: 0, departurePosition: 0 }
+      const delivered = await this.#delivery.deliver({ ...everywhere, evacuationPosition })
+      log.info('evacuationAcknowledged', { domain, action, ...delivered, ...times() })
+      return
+    }
     const { environment } = command
     const delivered = await this.#delivery.deliver({ environment, revision, departurePosition: 0 })
     const { version = 0 } = documentInForce(this.host.state, environment) ?? {}
@@ -336,6 +347,11 @@
     if (newer.length > 0) this.#options.onDepartures?.(newer)
   }
 
+  #reportEvacuations(): void {
+    const { evacuations, evacuationPosition: position } = this.host.state
+    if (position > 0) this.#options.onEvacuations?.({ position, domains: [...evacuations.keys()] })
+  }
+
   /** The order may have arrived in a snapshot, without its command. */
   #reportDrain(): void {
     const { node, incarnations, onDrain } = this.#options
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -24,6 +24,7 @@
 import type { DocumentStore } from './document-store'
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
+import { Evacuations, type EvacuationChange, type EvacuationList } from './evacuations'
 import { FailureLog } from './failure-log'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -50,6 +51,9 @@
 
 export class EntryRole {
   readonly #entry: Entry
+  readonly #evacuations = new Evacuations((change) => {
+    this.#evacuated(change)
+  })
   readonly #router: Router
   readonly #controlClient: ControlClient
   readonly #claimTable: ClaimTable
@@ -108,6 +112,7 @@
       },
       onDrain: options.onDrain,
       onDepartures: options.onDepartures,
+      evacuations: this.#evacuations,
     })
     const createdAt = context.now()
     this.#claimTable = new ClaimTable({ startedAt: context.startedAt, uptime: () => context.now() - createdAt })
@@ -162,6 +167,7 @@
     context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
     this.#pauses = context.metrics.counter('server_pauses_total', 'Pauses that servers asked for')
     context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
+    context.metrics.gauge('evacuated_domains', 'Evacuated failure domains', () => this.#evacuations.domains.length)
     context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
   }
 
@@ -180,6 +186,11 @@
     return environment === this.#options.settings.environment ? this.#controlClient : undefined
   }
 
+  /** Applies the list that the replica on this node committed. */
+  evacuationsCommitted(list: EvacuationList): void {
+    this.#evacuations.offer(list)
+  }
+
   /** Registers the service that other entries use to claim keys at this holder. */
   routes(router: ConnectRouter): void {
     claimRoutes(router, this.#claimTable, this.#options.context.wallClock)
@@ -374,6 +385,13 @@
     this.#options.context.log.info('serverLeft', { server: key, state: server.state })
   }
 
+  #evacuated({ domains, started, ended }: EvacuationChange): void {
+    this.#entry.evacuate(domains)
+    const { log } = this.#options.context
+    for (const domain of started) log.info('evacuationStarted', { domain })
+    for (const domain of ended) log.info('evacuationEnded', { domain })
+  }
+
   #observePeer(node: string, ejected: readonly string[]): void {
     const { context } = this.#options
     if (node === context.self) return
--- a/packages/node/src/gateway.ts
+++ b/packages/node/src/gateway.ts
@@ -1,14 +1,16 @@
 /**
- * Gateway for adapters: server announcements and departures, document changes and reads. Every node provides it; a node
+ * Gateway for adapters: server announcements and departures, evacuations, document changes and reads. Every node provides it; a node
  * without a replica forwards the requests to control.
  */
+import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { failure, revision, type Environment, type Failure, type NodeId, type ServerId } from '@bilberrystall/base'
-import { encodeCommand, sha256, type Command } from '@bilberrystall/control'
+import { encodeCommand, evacuatedDomainSchema, sha256, type Command } from '@bilberrystall/control'
 import { renderSections } from '@bilberrystall/document'
 import { chooseAnnouncementNode, type Directory, type Server } from '@bilberrystall/membership'
 import { DeliveryService, type RpcClients } from '@bilberrystall/rpc'
 import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
 import type { Gateway, VersionedChange } from './adapter'
 import type { SubmitOutcome } from './change-outcome'
 import { invalidContent } from './change-proposals'
@@ -80,6 +82,13 @@
     return ok()
   }
 
+  readonly evacuate = async (name: string, action: 'start' | 'end', source: string): Promise<SubmitOutcome> => {
+    const domain = evacuatedDomainSchema.safeParse(name)
+    if (!domain.success) return { kind: 'failed', failure: failure('requestInvalid', z.prettifyError(domain.error)) }
+    const origin = { at: 0, requester: REQUESTER, source: source === '' ? 'unknown' : source }
+    return this.#submit({ kind: 'evacuate', ...origin, action, domain: domain.data, order: randomUUID() })
+  }
+
   readonly change = (change: VersionedChange, source: string): Promise<SubmitOutcome> =>
     this.#submit(toCommand(change, this.#options.environment, source))
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -221,6 +221,9 @@
       onDepartures: (departed) => {
         this.#applyDepartures(departed)
       },
+      onEvacuations: (list) => {
+        this.#entry?.evacuationsCommitted(list)
+      },
       onReleased: (clearance) => {
         this.#quarantine.released(clearance)
       },
--- a/packages/node/src/notification-relay.ts
+++ b/packages/node/src/notification-relay.ts
@@ -47,6 +47,7 @@
 export async function relayNotification(request: RelayedNotification, clients: RpcClients): Promise<MemberPosition[]> {
   // A received message without a part of its fields is no request.
   const { environment, revision, departurePosition, document, departures, departuresAfter } = request
+  const { evacuated, evacuationPosition } = request
   const notification = {
     environment,
     revision,
@@ -55,6 +56,8 @@
     address: request.address,
     departures,
     departuresAfter,
+    evacuated,
+    evacuationPosition,
     ...(document === undefined ? {} : { document }),
   }
   const positions: MemberPosition[] = []
@@ -62,8 +65,8 @@
     try {
       const options = { timeoutMs: MEMBER_LIMIT_MS }
       const response = await clients.client(DeliveryService, address).notify(notification, options)
-      const { revision, departurePosition } = response
-      positions.push({ node, revision, departurePosition } as MemberPosition)
+      const { revision, departurePosition, evacuationPosition } = response
+      positions.push({ node, revision, departurePosition, evacuationPosition } as MemberPosition)
     } catch {
       // The leader notifies a member itself that is not among the positions.
     }
--- a/packages/node/test/control-entries.ts
+++ b/packages/node/test/control-entries.ts
@@ -13,6 +13,7 @@
   type Lease,
 } from '../src/index'
 import type { Node } from '@bilberrystall/membership'
+import { Evacuations } from '../src/evacuations'
 import { NON_LEADER_HOST } from '../src/change-proposals'
 import { NODE_KEY, TRIAL_ENVIRONMENT, type TestCluster } from './control-cluster'
 
@@ -56,7 +57,8 @@
   const location = { self: node, failureDomain: failureDomain('north') }
   const departures: DepartedServer[] = []
   const onDepartures = (departed: readonly DepartedServer[]) => departures.push(...departed)
-  const followerOptions = { ...peers, ...location, documentStore, otherEntries, onDepartures }
+  const evacuations = new Evacuations()
+  const followerOptions = { ...peers, ...location, documentStore, otherEntries, onDepartures, evacuations }
   const follower = new ControlFollower(followerOptions)
   const tokenDemands = () => [{ service: 'booking', wantedMs: 10_000, unitMs: 5 }]
   const wallClock = () => Date.now()
@@ -95,5 +97,5 @@
     client.stop()
     clients.close()
   })
-  return { documentStore, leases, client, departures, changes }
+  return { documentStore, leases, client, departures, changes, evacuations }
 }
--- a/packages/node/test/unparsed-document.test.ts
+++ b/packages/node/test/unparsed-document.test.ts
@@ -3,6 +3,7 @@
 import { sha256 } from '@bilberrystall/control'
 import { RpcClients, TrafficCounter } from '@bilberrystall/rpc'
 import { expect, onTestFinished, test } from 'vitest'
+import { Evacuations } from '../src/evacuations'
 import { ControlClient } from '../src/control-client'
 import { ControlContacts, DocumentStore } from '../src/index'
 import { LeaderMemory } from '../src/leader-memory'
@@ -35,6 +36,8 @@
     now,
   }
   const documentStore = new DocumentStore()
+  const evacuations = new Evacuations()
+  evacuations.offer({ position: 2, domains: [] })
   const client = new ControlClient({
     context: context as unknown as NodeContext,
     environment: TRIAL_ENVIRONMENT,
@@ -43,6 +46,7 @@
     onDocument: () => undefined,
     onDrain: () => undefined,
     onDepartures: () => undefined,
+    evacuations,
   })
   const confirmedAfter = (number: number, text: string) => {
     const document = { environment: TRIAL_ENVIRONMENT, revision: revision(number), digest: sha256(text), text }
@@ -50,7 +54,8 @@
     documentStore.confirm(TRIAL_ENVIRONMENT, document.revision, now())
     return client.catchUp({ revision: number, departurePosition: 0, node: nodeId('a') })
   }
-  expect(await confirmedAfter(1, VALID)).toEqual({ revision: 1, departurePosition: 0 })
-  expect(await confirmedAfter(2, '[unknown-section]\n')).toEqual({ revision: 1, departurePosition: 0 })
-  expect(await confirmedAfter(3, VALID)).toEqual({ revision: 3, departurePosition: 0 })
+  const positions = { departurePosition: 0, evacuationPosition: 2 }
+  expect(await confirmedAfter(1, VALID)).toEqual({ revision: 1, ...positions })
+  expect(await confirmedAfter(2, '[unknown-section]\n')).toEqual({ revision: 1, ...positions })
+  expect(await confirmedAfter(3, VALID)).toEqual({ revision: 3, ...positions })
 })
