--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -100,6 +100,12 @@
   requestInvalid: code(60, 'request-invalid', 400, 'The operator request is malformed.'),
   versionNotAbove: code(62, 'version-not-above', 400, 'The version of the change is not above the one in force.'),
   notFound: code(61, 'not-found', 404, 'The named resource does not exist.'),
+  evacuationLimit: code(
+    63,
+    'evacuation-limit',
+    409,
+    'As many failure domains are evacuated as can be; nothing was changed.',
+  ),
 
   announcementInvalid: code(70, 'announcement-invalid', 422, 'The announcement has faults.'),
   announcementStale: code(71, 'announcement-stale', 409, 'A newer announcement of this server is known.'),
@@ -152,8 +158,8 @@
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
   serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
-  serverCold: code(192, 'server-cold', 0, 'A server is cold; entries limit their calls to it.'),
-  serverWarm: code(193, 'server-warm', 0, 'A server is no longer cold.'),
+  serverCold: code(195, 'server-cold', 0, 'A server is cold; entries limit their calls to it.'),
+  serverWarm: code(196, 'server-warm', 0, 'A server is no longer cold.'),
   quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
   quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
@@ -175,6 +181,19 @@
   connectionsCut: code(182, 'connections-cut', 0, 'A planned stop ended with responses to callers in progress.'),
   serverLeaving: code(181, 'server-leaving', 0, 'A server said in a response that it leaves.'),
   replicaOpened: code(180, 'replica-opened', 0, 'The replica of this node was opened again.'),
+  evacuationStarted: code(
+    190,
+    'evacuation-started',
+    0,
+    'This entry sends nothing more to the servers of a failure domain.',
+  ),
+  evacuationEnded: code(191, 'evacuation-ended', 0, 'This entry uses the servers of a failure domain again.'),
+  evacuationAcknowledged: code(
+    192,
+    'evacuation-acknowledged',
+    0,
+    'This leader acknowledges a committed order to start or end an evacuation.',
+  ),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,10 +7,10 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { getRequestListener } from '@hono/node-server'
-import { errorMessage, failure, type Failure, type ServerId } from '@bilberrystall/base'
+import { failure, type Failure, type FailureDomain, type ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
-import { LISTEN_BACKLOG, readArrived, stopListening } from './arrived'
+import { readArrived, stopListening } from './arrived'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
 import { CallPreparation, type PreparedCall } from './call-preparation'
@@ -20,7 +20,7 @@
 import { ContextCodec } from './context'
 import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
-import { createListener } from './listener'
+import { createListener, listenOn } from './listener'
 import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
@@ -114,7 +114,7 @@
     })
     this.#reachability = new ReachabilityMonitor({
       servers: () => this.#readyServers(),
-      serverCount: () => this.#servers.size,
+      serverCount: () => options.router.serverCount,
       random: options.random,
       now: this.#clock.monotonic,
       dialect: this.#dialect,
@@ -161,19 +161,13 @@
     return this.#listen(this.#relayHttp, relayListen)
   }
 
-  #listen(server: HttpServer, { host, port }: Address): Promise<Result<void, Failure>> {
+  #listen(server: HttpServer, address: Address): Promise<Result<void, Failure>> {
     this.#poolSweep ??= setInterval(() => {
       for (const pool of this.#pools.values()) pool.sweep()
       this.#relayPeers.sweep()
     }, IDLE_SWEEP_INTERVAL_MS)
-    return new Promise((resolve) => {
-      server.once('error', (cause) => {
-        clearInterval(this.#poolSweep)
-        resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
-      })
-      server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
-        resolve(ok(undefined))
-      })
+    return listenOn(server, address, () => {
+      clearInterval(this.#poolSweep)
     })
   }
 
@@ -201,6 +195,11 @@
     this.#servers.delete(server)
   }
 
+  /** Sends nothing more to the servers of these failure domains, and uses those of all others; exchanges in flight end. */
+  evacuate(domains: readonly FailureDomain[]): void {
+    this.#driver.apply(this.#options.router.evacuate(domains, this.#clock.monotonic()))
+  }
+
   /**
    * Makes responses ask callers to close their connections. Call it when the health endpoint starts to report that this
    * entry is leaving. Calls that cannot end within `remainingMs` are refused from then on.
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -1,7 +1,11 @@
 /** HTTP server of a listener of the entry, for callers or for other entries. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { errorMessage, failure, type Failure } from '@bilberrystall/base'
+import { err, ok, type Result } from 'neverthrow'
+import { LISTEN_BACKLOG } from './arrived'
 import type { CallerConnection } from './caller-connection'
+import type { Address } from './connection'
 import { MAX_HEAD_BYTES } from './limits'
 
 export interface ListenerOptions {
@@ -39,3 +43,16 @@
   })
   return server
 }
+
+/** Starts to listen. Fails with `address-in-use`; `onError` is called before. */
+export function listenOn(server: Server, { host, port }: Address, onError: () => void): Promise<Result<void, Failure>> {
+  return new Promise((resolve) => {
+    server.once('error', (cause) => {
+      onError()
+      resolve(err(failure('addressInUse', `${host}:${port}: ${errorMessage(cause)}`)))
+    })
+    server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
+      resolve(ok(undefined))
+    })
+  })
+}
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -25,6 +25,7 @@
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
 import { EntryList } from './entry-list'
+import { Evacuations, type EvacuationChange, type EvacuationList } from './evacuations'
 import { FailureLog } from './failure-log'
 import { registerHedgingMetrics } from './hedging-metrics'
 import type { NodeContext } from './node-context'
@@ -52,6 +53,9 @@
 
 export class EntryRole {
   readonly #entry: Entry
+  readonly #evacuations = new Evacuations((change) => {
+    this.#evacuated(change)
+  })
   readonly #router: Router
   readonly #hedging: HedgingPolicies
   readonly #controlClient: ControlClient
@@ -114,6 +118,7 @@
       },
       onDrain: options.onDrain,
       onDepartures: options.onDepartures,
+      evacuations: this.#evacuations,
     })
     const createdAt = context.now()
     this.#claimTable = new ClaimTable({ startedAt: context.startedAt, uptime: () => context.now() - createdAt })
@@ -172,6 +177,7 @@
     context.metrics.gauge('servers_cold', 'Servers that are cold and limited', () =>
       this.#router.coldServers(context.now()),
     )
+    context.metrics.gauge('evacuated_domains', 'Evacuated failure domains', () => this.#evacuations.domains.length)
     context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
   }
 
@@ -190,6 +196,11 @@
     return environment === this.#options.settings.environment ? this.#controlClient : undefined
   }
 
+  /** Applies the list that the replica on this node committed. */
+  evacuationsCommitted(list: EvacuationList): void {
+    this.#evacuations.offer(list)
+  }
+
   /** Registers the service that other entries use to claim keys at this holder. */
   routes(router: ConnectRouter): void {
     claimRoutes(router, this.#claimTable, this.#options.context.wallClock)
@@ -381,6 +392,13 @@
     this.#options.context.log.info('serverLeft', { server: key, state: server.state })
   }
 
+  #evacuated({ domains, started, ended }: EvacuationChange): void {
+    this.#entry.evacuate(domains)
+    const { log } = this.#options.context
+    for (const domain of started) log.info('evacuationStarted', { domain })
+    for (const domain of ended) log.info('evacuationEnded', { domain })
+  }
+
   #observePeer(node: string, ejected: readonly string[]): void {
     const { context } = this.#options
     if (node === context.self) return
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -87,3 +87,18 @@
   record.health = { kind: 'ejected', until: now + backoff, backoff }
   record.resetLatency()
 }
+
+/** Ejects the server if it is an outlier and the service can spare it. Returns whether it did. */
+export function ejectOutlier(
+  record: ServerRecord,
+  service: OutlierBaseline & { readonly candidates: readonly ServerRecord[] },
+  now: number,
+  effects: Effect[],
+): boolean {
+  if (record.health.kind !== 'healthy') return false
+  const reason = outlierReason(record, service, now)
+  if (reason === undefined || !mayEject(service.candidates)) return false
+  eject(record, now)
+  effects.push({ kind: 'ejected', server: record.server.id, reason })
+  return true
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,24 +7,16 @@
  * that it was already sent to.
  */
 import type { FailureDomain, RandomSource, ServerId, ServiceName } from '@bilberrystall/base'
-import type {
-  Call,
-  CallId,
-  Effect,
-  EjectReason,
-  ExchangeOutcome,
-  Load,
-  Observation,
-  Server,
-  ServerStatement,
-} from './call'
+import type { Call, CallId, Effect, ExchangeOutcome, Load, Observation, Server, ServerStatement } from './call'
 import type { QueuedCall } from './call-queue'
 import type { ColdSharing, WarmUp } from './cold-limits'
 import { acceptsRequests, isEligible } from './eligibility'
+import { EvacuatedDomains } from './evacuated-domains'
 import { LeavingServers } from './leaving-servers'
 import { addObservation, ownObservations } from './observations'
 import { LoadQueries, type LoadQueriesOptions, type LoadQueryResult } from './load-query'
-import { eject, endTrial, mayEject, outlierReason, restoreWhenNoneHealthy } from './health'
+import { eject, ejectOutlier, endTrial, restoreWhenNoneHealthy } from './health'
+import { recordOutcome } from './call-outcome'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
 import type { RetryLimits } from './retry-budget'
 import type { LimitSharing } from './rate-limit'
@@ -89,6 +81,7 @@
   readonly #coldSharing: ColdSharing
   readonly #processes = new ServerProcesses()
   readonly #leaving = new LeavingServers()
+  readonly #evacuated = new EvacuatedDomains()
   #hasEjected = false
   #refreshAt = Number.POSITIVE_INFINITY
   #drainAt = Number.POSITIVE_INFINITY
@@ -106,6 +99,11 @@
     this.#subset = { entry: loadQueries?.entry ?? '', domain: loadQueries?.domain ?? '' }
   }
 
+  /** Number of servers that are not evacuated. */
+  get serverCount(): number {
+    return [...this.#pools.values()].reduce((sum, { candidates }) => sum + candidates.length, 0)
+  }
+
   /** Whether calls query the load of servers before they are sent. */
   get queriesLoad(): boolean {
     return this.#loadQueries !== undefined
@@ -130,15 +128,18 @@
     record.warmth = warmth
     if (known === undefined) {
       record.isLeaving = isLeaving
+      record.isEvacuated = this.#evacuated.has(server.domain)
       this.#records.set(server.id, record)
       pool.add(record, now)
     } else {
       if (server.firstSeen > known.server.firstSeen) known.restart(server.firstSeen)
-      if (known.server.state === 'ready' && server.state !== 'ready') pool.recordServerLoss(now)
+      const wasReady = known.server.state === 'ready' && !known.isEvacuated
+      if (wasReady && server.state !== 'ready') pool.recordServerLoss(now)
       const isChanged = known.server.state !== server.state || known.server.domain !== server.domain
       if (isChanged || known.isLeaving !== isLeaving) pool.serverUpdated()
       known.server = server
       known.isLeaving = isLeaving
+      known.isEvacuated = this.#evacuated.has(server.domain)
     }
     if (server.load !== undefined) record.addRemoteReport(server.load, now)
     pool.coldLimits.update(record, now)
@@ -154,12 +155,28 @@
     const effects: Effect[] = []
     const pool = this.#pool(record.server.service, now)
     this.#records.delete(server)
-    if (record.server.state === 'ready') pool.recordServerLoss(now)
+    if (record.server.state === 'ready' && !record.isEvacuated) pool.recordServerLoss(now)
     pool.remove(record)
     this.#drain(pool, now, effects)
     return effects
   }
 
+  /**
+   * Applies the list of evacuated failure domains. Waiting calls go to the other servers, or end if there are none; calls
+   * in flight continue.
+   */
+  evacuate(domains: readonly FailureDomain[], now: number): readonly Effect[] {
+    const returned = this.#evacuated.replace(domains)
+    for (const record of this.#records.values()) record.isEvacuated = this.#evacuated.has(record.server.domain)
+    for (const domain of returned) this.domainReturned(domain, now)
+    const effects: Effect[] = []
+    for (const pool of this.#pools.values()) {
+      pool.serverUpdated()
+      this.#drain(pool, now, effects)
+    }
+    return effects
+  }
+
   submit(call: Call, now: number): readonly Effect[] {
     const effects: Effect[] = []
     const pool = this.#pool(call.service, now)
@@ -192,7 +209,8 @@
     const effects: Effect[] = []
     this.#inFlightCalls.delete(call)
     this.#release(inFlightCall)
-    this.#recordOutcome(inFlightCall, outcome, latency, load, now, effects)
+    recordOutcome(inFlightCall, { outcome, latency, load, reportedSince: now - this.#roundTrip }, now)
+    this.#updateHealth(inFlightCall, outcome, latency, now, effects)
     this.#drain(inFlightCall.pool, now, effects)
     return effects
   }
@@ -398,60 +416,20 @@
     if (inFlightCall.hasReservedRetry) inFlightCall.pool.budget.refund()
   }
 
-  #recordOutcome(
-    inFlightCall: InFlightCall,
-    outcome: ExchangeOutcome,
-    latency: number,
-    load: Load | undefined,
-    now: number,
-    effects: Effect[],
-  ): void {
-    const { record, pool } = inFlightCall
-    if (outcome === 'unattributed') return
-    if (outcome === 'shed') {
-      if (load !== undefined) pool.addReport(record, load, this.#recentlySent(record, now), true, now)
-      return
-    }
-    if (outcome === 'ok') {
-      record.addLatency(latency, pool.stats.p95Latency, true, now)
-      if (load !== undefined) pool.addReport(record, load, this.#recentlySent(record, now), false, now)
-    }
-    if (outcome === 'timeout') record.addLatency(latency, pool.stats.p95Latency, false, now)
-    const isFailure = outcome !== 'ok' && outcome !== 'timeout'
-    record.addResult(isFailure)
-    pool.addResult(isFailure)
-    if (isFailure)
-      record.pausedUntil = now + pool.stats.typicalLatency * 2 ** Math.min(6, record.consecutiveFailures - 1)
-    this.#updateHealth(inFlightCall, outcome, latency, now, effects)
-  }
-
   #updateHealth(
-    inFlightCall: InFlightCall,
+    { record, pool, isTrial }: InFlightCall,
     outcome: ExchangeOutcome,
     latency: number,
     now: number,
     effects: Effect[],
   ): void {
-    const { record, pool } = inFlightCall
-    if (!inFlightCall.isTrial) {
-      this.#ejectOutlier(record, pool, now, effects)
-      return
-    }
-    endTrial(record, outcome === 'ok' && latency <= pool.stats.p95Latency, now, effects)
+    if (outcome === 'unattributed' || outcome === 'shed') return
+    if (isTrial) endTrial(record, outcome === 'ok' && latency <= pool.stats.p95Latency, now, effects)
+    else this.#ejectOutlier(record, pool, now, effects)
   }
 
   #ejectOutlier(record: ServerRecord, pool: ServicePool, now: number, effects: Effect[]): void {
-    if (record.health.kind !== 'healthy') return
-    const reason: EjectReason | undefined = outlierReason(record, pool, now)
-    if (reason === undefined || !mayEject(pool.records)) return
-    eject(record, now)
-    this.#hasEjected = true
-    effects.push({ kind: 'ejected', server: record.server.id, reason })
-  }
-
-  /** Returns the number of own calls that were sent too recently to be included in a report that arrives now. */
-  #recentlySent(record: ServerRecord, now: number): number {
-    return record.sentSince(now - this.#roundTrip)
+    if (ejectOutlier(record, pool, now, effects)) this.#hasEjected = true
   }
 
   #refresh(pool: ServicePool, now: number, effects: Effect[]): void {
--- a/packages/routing/src/server-record.ts
+++ b/packages/routing/src/server-record.ts
@@ -60,6 +60,8 @@
   rampStartedAt: number
   consecutiveFailures = 0
   failureRate = 0
+  /** Whether the failure domain of the server is evacuated. */
+  isEvacuated = false
   /** Whether a response of the server said that it leaves. */
   isLeaving = false
   /** End of the pause that the server asked for. */
