Accept keys of organisations only under a lease where revocation is strict

Cause: an entry that is cut off, frozen or suspended went on accepting a key that the document in force elsewhere had removed. Change: KeyLease decides without I/O from the last linearizable read, its revision, the revision in use and three clocks whether keys may be accepted; KeyLeaseMonitor reads the clocks, logs 190 and 191, exports bilberrystall_keys_confirmed and renews early after a difference between the clocks. The platform settings strict_revocation and revoke set the bound.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -173,6 +173,8 @@
   connectionsCut: code(182, 'connections-cut', 0, 'A planned stop ended with responses to callers in progress.'),
   serverLeaving: code(181, 'server-leaving', 0, 'A server said in a response that it leaves.'),
   replicaOpened: code(180, 'replica-opened', 0, 'The replica of this node was opened again.'),
+  keyLeaseEnded: code(190, 'key-lease-ended', 0, 'This entry accepts no keys of organisations; the line says why.'),
+  keyLeaseReturned: code(191, 'key-lease-returned', 0, 'This entry accepts keys of organisations again.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -62,11 +62,19 @@
   readonly perServerPerSecond: number
 }
 
+/** Bound on the use of removed keys, as configured by the platform. */
+export interface KeyRevocation {
+  /** Time in ms after the acknowledgement of a document from which no entry may accept a key that it removed. */
+  readonly revokeMs: number
+}
+
 export interface Adapter {
   readonly dialect: Dialect
   readonly retries: RetryAllowance | undefined
   /** Undefined if servers cannot be queried for their load. */
   readonly loadQueries: LoadQueryAllowance | undefined
+  /** Undefined without strict revocation: entries accept the keys of the last document that they know. */
+  readonly keyRevocation: KeyRevocation | undefined
   /** Ms from the start of a planned stop until the platform kills the process; undefined if it waits for its end. */
   readonly killAfterMs: number | undefined
   readonly listeners: (gateway: Gateway) => readonly AdapterListener[]
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -10,6 +10,8 @@
 import type { DirectoryChange } from '@bilberrystall/membership'
 import type { MeasuringTokens } from '@bilberrystall/routing'
 import type { DocumentStore, PublishedDocument } from './document-store'
+import type { KeyRevocation } from './adapter'
+import { KeyLeaseMonitor } from './key-lease-monitor'
 import { LeaseClient, type Lease, type TokenDemand } from './control-lease'
 import {
   ControlFollower,
@@ -31,6 +33,8 @@
   readonly environment: Environment
   readonly documentStore: DocumentStore
   readonly tokens: MeasuringTokens
+  /** Absent without strict revocation. */
+  readonly keyRevocation?: KeyRevocation | undefined
   readonly onDocument: (document: Document) => void
   readonly onDrain: () => void
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
@@ -40,6 +44,7 @@
   readonly #options: ControlClientOptions
   readonly #follower: ControlFollower
   readonly #leases: LeaseClient
+  readonly #keyLease: KeyLeaseMonitor
   #document: Document | undefined
   /** Revision of `#document`; behind the stored one if that cannot be parsed. */
   #documentRevision = 0
@@ -76,6 +81,20 @@
       },
       now,
     })
+    this.#keyLease = new KeyLeaseMonitor({
+      revocation: options.keyRevocation,
+      inUse: () => ({
+        revision: this.#documentRevision,
+        requiresKeys: this.#document?.requiresKeys === true,
+      }),
+      renewNow: () => {
+        this.#leases.renewNow()
+      },
+      log: context.log,
+      metrics: context.metrics,
+      now,
+      wallClock: context.wallClock,
+    })
     documentStore.subscribe((published) => {
       this.#documentInForce(published)
     })
@@ -85,6 +104,11 @@
     return this.#document
   }
 
+  /** Whether keys that the document names may be accepted now. */
+  areKeysConfirmed(): boolean {
+    return this.#keyLease.areKeysConfirmed()
+  }
+
   /** Pending epochs are treated as rosters without entries, so that their keys are rejected. */
   roster(): Roster {
     const history = this.#leases.roster.map(({ epoch, effectiveFrom, standing, entries }): RosterEpoch => ({
@@ -108,6 +132,7 @@
   stop(): void {
     this.#follower.stop()
     this.#leases.stop()
+    this.#keyLease.stop()
   }
 
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
@@ -147,6 +172,7 @@
       documentStore.observeVersion({ environment, revision: lease.revision, digest: lease.digest })
     if (isMissing) void this.#follower.fetchFromControl()
     else if (lease.revision > 0) documentStore.confirm(environment, lease.revision, lease.sentAt)
+    this.#keyLease.renewed(lease)
     if (lease.drain) onDrain()
   }
 
@@ -165,6 +191,7 @@
         this.#document = document
         this.#documentRevision = published.revision
         onDocument(document)
+        this.#keyLease.documentInUse()
         const { revision, version, digest, source } = published
         context.log.info('documentInForce', { environment, revision, version, source, digest })
       },
--- a/packages/node/src/control-lease.ts
+++ b/packages/node/src/control-lease.ts
@@ -69,6 +69,9 @@
   #timer: NodeJS.Timeout | undefined
   #confirmedAt = Number.NEGATIVE_INFINITY
   #stopped = false
+  #isRenewing = false
+  /** Whether another renewal was requested during the one in progress. */
+  #mustRepeat = false
 
   constructor(options: LeaseClientOptions) {
     this.#options = options
@@ -99,10 +102,24 @@
     clearTimeout(this.#timer)
   }
 
+  /** Renews at once, or right after a renewal in progress. */
+  renewNow(): void {
+    const isStarted = this.#isRenewing || this.#timer !== undefined
+    if (!isStarted || this.#stopped) return
+    clearTimeout(this.#timer)
+    if (this.#isRenewing) this.#mustRepeat = true
+    else void this.#renew()
+  }
+
   async #renew(): Promise<void> {
+    this.#isRenewing = true
     const renewed = await this.#requestLease()
+    this.#isRenewing = false
+    const mustRepeat = this.#mustRepeat && renewed
+    this.#mustRepeat = false
     if (this.#stopped) return
-    this.#timer = setTimeout(() => void this.#renew(), renewed ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS)
+    if (mustRepeat) void this.#renew()
+    else this.#timer = setTimeout(() => void this.#renew(), renewed ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS)
   }
 
   /** Sends one lease request; follows the redirect of a node that is not the leader. */
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -6,6 +6,7 @@
   ClaimCoordinator,
   claimRoutes,
   Entry,
+  OPEN_ADMISSION,
   RpcClaimTransport,
   SYSTEM_CLOCK,
   type EndedCall,
@@ -103,6 +104,7 @@
       environment: settings.environment,
       documentStore: options.documentStore,
       tokens: this.#router.tokens,
+      keyRevocation: options.adapter?.keyRevocation,
       onDocument: (document) => {
         this.#configure(document)
       },
@@ -123,6 +125,7 @@
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
       gate: options.quarantine.gate,
+      admission: { ...OPEN_ADMISSION, areKeysConfirmed: () => this.#controlClient.areKeysConfirmed() },
       revision: () => this.#revision(),
       ...(settings.relayListen === undefined ? {} : { relayListen: splitAddress(settings.relayListen) }),
       relayPeers: () => this.#relayPeers(),
