--- a/packages/routing/src/call-queue.ts
+++ b/packages/routing/src/call-queue.ts
@@ -1,4 +1,4 @@
-/** Binary heap of the calls that wait for a server, ordered by deadline and then by arrival; O(log n). */
+/** Binary heap of the calls that wait for a server, ordered by rank, deadline and arrival; O(log n). */
 import type { Call } from './call'
 
 export interface QueuedCall {
@@ -72,6 +72,9 @@
 }
 
 function isBefore(left: QueuedCall, right: QueuedCall): boolean {
+  const leftRank = left.call.rank ?? 0
+  const rightRank = right.call.rank ?? 0
+  if (leftRank !== rightRank) return leftRank < rightRank
   if (left.call.deadline !== right.call.deadline) return left.call.deadline < right.call.deadline
   return left.arrivalOrder < right.arrivalOrder
 }
--- a/packages/routing/src/call.ts
+++ b/packages/routing/src/call.ts
@@ -15,6 +15,10 @@
   readonly id: CallId
   readonly service: ServiceName
   readonly urgency: Urgency
+  /** Place among the calls of equal urgency, default 0; lower ones leave the queue first. */
+  readonly rank?: number
+  /** Whether the call leaves the last free slots of an overloaded service to others, and does not queue at a server. */
+  readonly yields?: boolean
   /** Absolute time in ms after which a response has no value. */
   readonly deadline: number
   /** Target time in ms from arrival to response; a later response has less value. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './call'
 export type { LoadQueryResult } from './load-query'
 export * from './ledger'
+export * from './organisation-fairness'
 export { callInterval, type LimitedServer, type LimitSharing } from './rate-limit'
 export * from './retry-budget'
 export * from './reachability'
--- a/packages/routing/src/load-query.ts
+++ b/packages/routing/src/load-query.ts
@@ -48,6 +48,8 @@
 const WARM_RAMP_SHARE = 0.6
 /** Factor on the cost of a server that does not count as warm. */
 const COLD_COST_FACTOR = 1.6
+/** Free slots of a server that a call that yields leaves to others while it waits. */
+const YIELDED_SLOTS = 1
 const JITTER_STEPS = 1000
 /** Largest random addition to the expected cost, which spreads load queries over servers of similar cost. */
 const MAX_JITTER = 0.4
@@ -86,6 +88,7 @@
   readonly record: ServerRecord
   readonly cost: number
   readonly isFull: boolean
+  readonly freeSlots: number
 }
 
 interface LoadQuery {
@@ -185,20 +188,20 @@
       }
       case 'refused':
         record.recordQueryRefusal(now)
-        query.answers.push({ record, cost: Number.POSITIVE_INFINITY, isFull: true })
+        query.answers.push({ record, cost: Number.POSITIVE_INFINITY, isFull: true, freeSlots: 0 })
     }
   }
 
   #advance(query: LoadQuery, now: number, effects: Effect[]): void {
     const best = bestAnswer(query, now)
-    if (best !== undefined && best.cost <= ACCEPTED_COST) this.#send(query, best.record, now, effects)
+    if (best !== undefined && isAcceptable(query, best)) this.#send(query, best.record, now, effects)
     else if (query.pending.size === 0 && !query.isPaused) this.#decide(query, now, effects)
   }
 
   /** Ends a round: takes a good answer, queries further servers, pauses, takes the best answer, or gives up. */
   #decide(query: LoadQuery, now: number, effects: Effect[]): void {
     const best = bestAnswer(query, now)
-    if (best !== undefined && best.cost <= ACCEPTED_COST) {
+    if (best !== undefined && isAcceptable(query, best)) {
       this.#send(query, best.record, now, effects)
       return
     }
@@ -210,18 +213,20 @@
       return
     }
     const maxWait = (call.target ?? call.deadline - query.startedAt) * MAX_WAIT_SHARE
-    if (best !== undefined && !best.isFull && (best.cost <= 2 || now - query.startedAt >= maxWait)) {
+    const hasWaited = now - query.startedAt >= maxWait
+    if (best !== undefined && mayTakeBest(query, best, hasWaited)) {
       this.#send(query, best.record, now, effects)
       return
     }
-    if (now - query.startedAt < maxWait) {
+    if (!hasWaited) {
       query.isPaused = true
       query.decideAt = now + ROUND_PAUSE_MS
       return
     }
     this.#queries.delete(call.id)
     const areAllFull = query.answers.length > 0 && query.answers.every(({ isFull }) => isFull)
-    if (areAllFull) host.shed(call, effects)
+    const leavesSlots = call.yields === true && query.answers.length > 0
+    if (areAllFull || leavesSlots) host.shed(call, effects)
     else host.submitByEstimate(call, now, effects)
   }
 
@@ -344,8 +349,19 @@
   return best
 }
 
+/** Whether the server is taken without waiting for further answers. */
+function isAcceptable({ call }: LoadQuery, { cost, freeSlots }: Answer): boolean {
+  return cost <= ACCEPTED_COST && (call.yields !== true || freeSlots > YIELDED_SLOTS)
+}
+
+/** Whether the best server known is taken although it is not quite free. */
+function mayTakeBest({ call }: LoadQuery, { cost, isFull, freeSlots }: Answer, hasWaited: boolean): boolean {
+  if (call.yields === true) return hasWaited && freeSlots > 0
+  return !isFull && (cost <= 2 || hasWaited)
+}
+
 /** Time that one more call takes at the server, relative to a call at an idle server of usual speed. */
-function costOf(load: Load, coldFactor: number): { readonly cost: number; readonly isFull: boolean } {
+function costOf(load: Load, coldFactor: number): Omit<Answer, 'record'> {
   const { slots, inflight, queue, slowness = 1 } = load
   const occupied = inflight + queue
   const queueRounds = Math.max(0, occupied + 1 - slots) / slots
@@ -353,5 +369,6 @@
   return {
     cost: slowness * (1 + queueRounds + highOccupancyCost) * coldFactor,
     isFull: occupied >= slots + MAX_SERVER_QUEUE,
+    freeSlots: Math.max(0, slots - occupied),
   }
 }
