Check keys again before calls are sent, and place calls by organisation

Cause: a call that waited in a queue was sent although its key had been taken away meanwhile; a public route was refused when its caller sent a key that could not be confirmed; a relayed call failed when one other entry had no lease; priorities and bursts of organisations had no effect. Change: KeyCheck checks the key against the document in force when a server was chosen for an attempt and after a wait for a connection. A public route goes on without the name of the organisation. 503 key-unconfirmed of another entry makes the first one try a further entry. CallPriorities places calls by organisation before route, defers one that uses more than its part of an overloaded service, and spares one that is hardly served. The usual part is learned with a delay: without it, a burst after 20 s of history was learned as usual before it was recognized.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -19,6 +19,8 @@
 }
 
 export interface AttemptEvents {
+  /** Whether the call may still be sent after it waited for a connection. */
+  readonly mayStillSend: () => boolean
   /** Returns false to discard the response: the server did not run the request. */
   readonly head: (head: ResponseHead) => boolean
   readonly data: (part: Buffer, drained: () => void) => boolean
@@ -118,11 +120,16 @@
       return
     }
     if (result.isErr()) this.#onConnectFailed()
-    else if (this.#options.dependencies.driver.accepts(this.#options.server)) this.#send(result.value)
+    else if (this.#maySend()) this.#send(result.value)
     else this.#onLeftMeanwhile(result.value)
   }
 
-  /** While the call waited for a connection, the server left or asked for a pause. */
+  #maySend(): boolean {
+    const { dependencies, server, events } = this.#options
+    return dependencies.driver.accepts(server) && events.mayStillSend()
+  }
+
+  /** While the call waited for a connection, the server left or asked for a pause, or the key was refused. */
   #onLeftMeanwhile(connection: Connection): void {
     this.#pool?.release(connection)
     this.#finish('unattributed')
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -1,10 +1,12 @@
 /** Dependencies of a call that the entry provides. */
 import type { AttemptId, CodeName, RequestId, ServerId } from '@bilberrystall/base'
 import type { Call } from './call'
+import type { CallOptions } from './call-options'
 import type { ClaimCoordinator } from './claim-coordinator'
 import type { ContextCodec } from './context'
 import type { Dialect } from './dialect'
 import type { Clock, Limits } from './limits'
+import type { KeyCheck } from './key-check'
 import type { ConnectionPool } from './connection-pool'
 import type { ReachabilityMonitor } from './reachability-monitor'
 import type { RelayPeers } from './relay-peers'
@@ -35,6 +37,8 @@
   /** Returns the id of the server process, sent in the instance header of requests. */
   readonly instance: (server: ServerId) => string | undefined
   readonly gate: RequestGate
+  /** Checks the key of a call again before it is sent. */
+  readonly keys: KeyCheck
   readonly reachability: ReachabilityMonitor
   readonly relayPeers: RelayPeers
   /** Returns the number of the document in force, which grows with each change. */
@@ -45,7 +49,7 @@
   readonly onRelayed: () => void
   readonly onLost: (lost: LostCall) => void
   /** Reports that the result of a call is final. */
-  readonly onEnded: (call: Call, result: CodeName | 'complete') => void
+  readonly onEnded: (call: Call, result: CodeName | 'complete', options: CallOptions) => void
   /** Reports that the response was handed to the operating system or its connection was closed. */
   readonly onClosed: (call: Call) => void
 }
--- a/packages/entry/src/call-options.ts
+++ b/packages/entry/src/call-options.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptId, RequestId, ServerId } from '@bilberrystall/base'
 import type { Document, Organisation, Route } from '@bilberrystall/document'
+import type { Precedence } from './call-priorities'
 import type { CallerConnection } from './caller-connection'
 import type { CallContext } from './context'
 import type { RequestHead } from './head'
@@ -19,6 +20,8 @@
   readonly organisation: Organisation | undefined
   /** Context of this call, including its own hop. */
   readonly context: CallContext
+  /** Place of the call among the others of its service. */
+  readonly precedence: Precedence
   /** Whether another entry passed the call on, which has claimed its idempotency key. */
   readonly isRelayed: boolean
 }
@@ -37,3 +40,22 @@
   /** Ms from the start of a planned stop to the acceptance of the call, negative if it was accepted before. */
   readonly acceptedInStopMs?: number
 }
+
+export function describeCall(
+  { route, head, behind }: CallOptions,
+  {
+    request,
+    servers,
+    acceptedInStopMs,
+  }: Pick<EndedCall, 'request' | 'servers'> & { acceptedInStopMs: number | undefined },
+): EndedCall {
+  return {
+    route: route.name,
+    service: route.service,
+    attempt: head.attemptId,
+    request,
+    servers,
+    behind,
+    ...(acceptedInStopMs === undefined ? {} : { acceptedInStopMs: Math.round(acceptedInStopMs) }),
+  }
+}
--- a/packages/entry/src/call-preparation.ts
+++ b/packages/entry/src/call-preparation.ts
@@ -2,14 +2,13 @@
 import { failure, type Failure, type RandomSource } from '@bilberrystall/base'
 import { matchRoute, type Document, type Organisation, type Route } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
-import { authenticate } from './authentication'
 import type { CallAdmission } from './call-admission'
+import type { CallPriorities, Precedence } from './call-priorities'
 import { appendHop, type CallContext, type ContextCodec } from './context'
-import type { Dialect } from './dialect'
 import type { RequestHead } from './head'
+import type { KeyCheck } from './key-check'
 import type { Clock } from './limits'
 import { decodeRelayRequest } from './relay-protocol'
-import { RoutePriorities } from './route-priorities'
 import { TrafficSplitter } from './traffic-splitter'
 
 /** Subtracted from the timeout that a caller sends, to leave time for the response to reach it. */
@@ -22,8 +21,9 @@
   readonly codec: ContextCodec
   readonly clock: Clock
   readonly random: RandomSource
-  readonly dialect: Pick<Dialect, 'keyScheme'>
-  readonly admission: CallAdmission
+  readonly keys: KeyCheck
+  readonly priorities: CallPriorities
+  readonly admission: Pick<CallAdmission, 'takeQuota'>
 }
 
 interface MatchedCall {
@@ -36,12 +36,12 @@
 export interface PreparedCall extends MatchedCall {
   readonly head: RequestHead
   readonly context: CallContext
+  readonly precedence: Precedence
 }
 
 export class CallPreparation {
   readonly #options: CallPreparationOptions
   readonly #trafficSplitter: TrafficSplitter
-  readonly #routePriorities = new RoutePriorities()
 
   constructor(options: CallPreparationOptions) {
     this.#options = options
@@ -49,16 +49,15 @@
   }
 
   configure(document: Document): void {
-    this.#routePriorities.configure(document)
     this.#trafficSplitter.configure(document)
   }
 
   /** Prepares a call of a caller. */
   prepare(head: RequestHead): Result<PreparedCall, Failure> {
     return this.#match(head).andThen((matched) =>
-      this.#createContext(head, matched.route)
-        .andThen((context) => this.#admit(matched.organisation).map(() => context))
-        .map((context) => ({ head, ...matched, context })),
+      this.#createContext(head, matched)
+        .andThen((placed) => this.#admit(matched.organisation).map(() => placed))
+        .map((placed) => ({ head, ...matched, ...placed })),
     )
   }
 
@@ -71,7 +70,8 @@
       return this.#match(head).map((matched) => {
         const deadline = now + Math.min(matched.route.deadlineMs, leftMs - RESPONSE_ALLOWANCE_MS)
         const attempts = Math.min(matched.route.attempts, Math.max(1, context.attempts))
-        return { head, ...matched, context: { ...context, attempts, deadline } }
+        const precedence = this.#options.priorities.placeRelayed(matched)
+        return { head, ...matched, context: { ...context, attempts, deadline }, precedence }
       })
     })
   }
@@ -79,8 +79,11 @@
   /** A call that another entry passed on was counted there. */
   #admit(organisation: Organisation | undefined): Result<void, Failure> {
     if (organisation === undefined) return ok()
-    const retryAfterMs = this.#options.admission.takeQuota(organisation.name)
-    return retryAfterMs === undefined ? ok() : err({ ...failure('quotaExceeded'), retryAfterMs })
+    const { admission, priorities } = this.#options
+    const retryAfterMs = admission.takeQuota(organisation.name)
+    if (retryAfterMs !== undefined) return err({ ...failure('quotaExceeded'), retryAfterMs })
+    priorities.admitted(organisation.name)
+    return ok()
   }
 
   #match(head: RequestHead): Result<MatchedCall, Failure> {
@@ -90,27 +93,31 @@
     if (match.kind === 'none') return err(failure('noRoute'))
     if (match.kind === 'method-not-allowed') return err(failure('methodNotAllowed'))
     if (head.bytes > document.callerLimits.headBytes) return err(failure('headTooLarge'))
-    const { dialect, admission } = this.#options
-    return authenticate(head.authorization, match.route, document, dialect).andThen((organisation) => {
-      if (organisation !== undefined && !admission.areKeysConfirmed()) return err(failure('keyUnconfirmed'))
-      return ok({ document, organisation, route: this.#trafficSplitter.selectService(match.route) })
-    })
+    const { keys } = this.#options
+    return keys.identify(head.authorization, match.route, document).map((organisation) => ({
+      document,
+      organisation,
+      route: this.#trafficSplitter.selectService(match.route),
+    }))
   }
 
-  #createContext(head: RequestHead, route: Route): Result<CallContext, Failure> {
-    const { codec, clock } = this.#options
+  #createContext(
+    head: RequestHead,
+    { route, organisation }: MatchedCall,
+  ): Result<Pick<PreparedCall, 'context' | 'precedence'>, Failure> {
+    const { codec, clock, priorities } = this.#options
     const now = clock.unix()
     const parent = head.context === undefined ? undefined : codec.verify(head.context, now)
     const callerTimeoutMs = head.callerTimeoutMs === undefined ? Infinity : head.callerTimeoutMs - RESPONSE_ALLOWANCE_MS
     const deadline = Math.min(now + route.deadlineMs, now + callerTimeoutMs, parent?.deadline ?? Infinity)
     if (deadline <= now) return err(failure('deadlineNotRun'))
     const hop = { service: route.service, method: head.method, path: head.path }
-    const deferrable = this.#routePriorities.isDeferrable(route) || parent?.urgency === 'deferrable'
+    const { isDeferrable, precedence } = priorities.place({ route, organisation }, parent?.urgency === 'deferrable')
+    const attempts = Math.min(route.attempts, Math.max(1, parent?.attempts ?? Infinity))
+    const urgency = isDeferrable ? 'deferrable' : 'urgent'
     return appendHop(parent?.hops ?? [], hop).map((hops) => ({
-      deadline,
-      attempts: Math.min(route.attempts, Math.max(1, parent?.attempts ?? Infinity)),
-      urgency: deferrable ? 'deferrable' : 'urgent',
-      hops,
+      context: { deadline, attempts, urgency, hops },
+      precedence,
     }))
   }
 }
--- a/packages/entry/src/call-request.ts
+++ b/packages/entry/src/call-request.ts
@@ -8,9 +8,9 @@
 import type { RequestBody } from './request-body'
 
 export interface RequestSource {
-  readonly call: Pick<CallOptions, 'request' | 'head' | 'context' | 'organisation' | 'document'>
+  readonly call: Pick<CallOptions, 'request' | 'head' | 'context' | 'organisation' | 'document' | 'route'>
   readonly body: RequestBody
-  readonly dependencies: Pick<CallDependencies, 'codec' | 'dialect' | 'relayPeers' | 'revision'>
+  readonly dependencies: Pick<CallDependencies, 'codec' | 'dialect' | 'keys' | 'relayPeers' | 'revision'>
 }
 
 export interface ServerRequestState {
@@ -25,14 +25,14 @@
   source: RequestSource,
   { attemptsLeft, remainingMs, instance, queueLimit }: ServerRequestState,
 ): Omit<ExchangeRequest, 'body'> {
-  const { dialect, codec } = source.dependencies
+  const { dialect, codec, keys } = source.dependencies
   const fields = [dialect.deadlineHeader, String(Math.max(1, Math.floor(remainingMs)))]
   if (dialect.propagatesContext) {
     fields.push(CONTEXT_HEADER, codec.sign({ ...source.call.context, attempts: attemptsLeft }))
     if (queueLimit !== undefined) fields.push(QUEUE_LIMIT_HEADER, String(queueLimit))
   }
   if (dialect.instanceHeader !== undefined) fields.push(dialect.instanceHeader, instance ?? '')
-  fields.push(...organisationFields(source.call.organisation?.name, dialect))
+  fields.push(...organisationFields(keys.organisationToName(source.call), dialect))
   return requestWith(source, fields, source.call.document.requiresKeys)
 }
 
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -11,7 +11,7 @@
 import { IdempotencyHandler } from './idempotency-handler'
 import { requestForEntry, requestForServer, type RequestSource } from './call-request'
 import { isRefusal, type ResponseHead } from './head'
-import type { CallOptions, EndedCall } from './call-options'
+import { describeCall, type CallOptions, type EndedCall } from './call-options'
 import { CallerResponse } from './caller-response'
 import { RelayAttempt, type RelayFailure } from './relay-attempt'
 import type { RelayPeer } from './relay-peers'
@@ -95,17 +95,9 @@
   }
 
   describe(): EndedCall {
-    const { route, head, behind } = this.#options
     const stopStartedAt = this.#dependencies.stopStartedAt()
-    return {
-      route: route.name,
-      service: route.service,
-      attempt: head.attemptId,
-      request: this.#requestId,
-      servers: this.#triedServers,
-      behind,
-      ...(stopStartedAt === undefined ? {} : { acceptedInStopMs: Math.round(this.acceptedAt - stopStartedAt) }),
-    }
+    const acceptedInStopMs = stopStartedAt === undefined ? undefined : this.acceptedAt - stopStartedAt
+    return describeCall(this.#options, { request: this.#requestId, servers: this.#triedServers, acceptedInStopMs })
   }
 
   get #requestId(): RequestId {
@@ -262,7 +254,7 @@
 
   /** Submits an attempt to the router. An extra attempt runs beside the first one and never ends the call. */
   #submitToRouter({ isExtra = false, onlyIfFree = false } = {}): void {
-    const { route, context } = this.#options
+    const { route, context, precedence } = this.#options
     const attempt: RoutedAttempt = new RoutedAttempt({
       dependencies: this.#dependencies,
       body: this.#body,
@@ -270,6 +262,7 @@
       routerCall: {
         service: route.service,
         urgency: context.urgency,
+        ...precedence,
         deadline: this.#deadline,
         ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
         repeatable: route.repeatable,
@@ -288,6 +281,7 @@
           if (!isSent) this.#attempts.delete(attempt)
           return isSent
         },
+        mayStillSend: () => this.#dependencies.keys.refusal(this.#options) === undefined,
         ...this.#responseEvents(() => attempt),
         failed: (attemptFailure) => {
           this.#attempts.delete(attempt)
@@ -315,7 +309,7 @@
   }
 
   #onServerChosen(server: ServerId, isExtra: boolean): boolean {
-    if (this.#done) return false
+    if (this.#done || this.#failIfKeyRefused()) return false
     if (isExtra ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
@@ -369,6 +363,7 @@
     const repeatable = outcome === 'not-run' || mayRepeat
     // The other attempt is still in progress.
     if (this.#attempts.size > 0) return
+    if (outcome === 'not-run' && this.#failIfKeyRefused()) return
     // Nothing has run, so passing the call on is no retry.
     if (outcome === 'not-run' && attemptFailure.canRetry && !this.#callerResponse.hasStarted && this.#mayRelay()) {
       this.#submit()
@@ -445,6 +440,13 @@
     return gate.isActive() ? gate.standing(this.#requestId) : { kind: 'clear' }
   }
 
+  /** An attempt in progress was sent while the key held, and is left to end. */
+  #failIfKeyRefused(): boolean {
+    const code = this.#dependencies.keys.refusal(this.#options)
+    if (code !== undefined && this.#attempts.size <= 1) this.#fail(code)
+    return code !== undefined
+  }
+
   #failIfQuarantined(): boolean {
     const standing = this.#standing
     if (standing.kind !== 'quarantined') return false
@@ -463,7 +465,7 @@
     this.#done = true
     clearTimeout(this.#timer)
     clearTimeout(this.#hedgeTimer)
-    this.#dependencies.onEnded(this, result)
+    this.#dependencies.onEnded(this, result, this.#options)
   }
 
   #remaining(): number {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
  * force and forwards them to servers. Calls use the request and response objects of Node.js directly; hono routes only
  * the internal endpoints under `/.bilberrystall/`.
  */
-import { createServer, type IncomingMessage, type Server as HttpServer, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { getRequestListener } from '@hono/node-server'
@@ -13,6 +13,7 @@
 import { LISTEN_BACKLOG, readArrived, stopListening } from './arrived'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
+import { CallPriorities } from './call-priorities'
 import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies } from './call-dependencies'
 import type { Address } from './connection'
@@ -20,7 +21,9 @@
 import { ContextCodec } from './context'
 import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
-import { DEFAULT_LIMITS, MAX_HEAD_BYTES, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
+import { createHttpListener } from './http-listener'
+import { KeyCheck } from './key-check'
+import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
@@ -54,6 +57,8 @@
   readonly #codec: ContextCodec
   readonly #dialect: Dialect
   readonly #preparation: CallPreparation
+  readonly #keys: KeyCheck
+  readonly #priorities: CallPriorities
   readonly #relayPeers: RelayPeers
   /** Accepts calls of other entries; undefined if this entry does not. */
   readonly #relayHttp: HttpServer | undefined
@@ -83,14 +88,18 @@
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
+    const admission = options.admission ?? OPEN_ADMISSION
+    this.#keys = new KeyCheck({ document: options.document, admission, dialect: this.#dialect })
+    this.#priorities = new CallPriorities({ router: options.router, now: this.#clock.monotonic })
     this.#preparation = new CallPreparation({
       document: options.document,
       revision: () => this.#options.revision?.() ?? 0,
       codec: this.#codec,
       clock: this.#clock,
       random: options.random,
-      dialect: this.#dialect,
-      admission: options.admission ?? OPEN_ADMISSION,
+      keys: this.#keys,
+      priorities: this.#priorities,
+      admission,
     })
     this.#relayPeers = new RelayPeers({
       peers: () => options.relayPeers?.() ?? [],
@@ -180,6 +189,7 @@
     const { headMs, idleMs } = document.callerLimits
     this.#http.headersTimeout = headMs
     this.#http.keepAliveTimeout = idleMs
+    this.#priorities.configure(document)
     this.#preparation.configure(document)
   }
 
@@ -295,32 +305,17 @@
   }
 
   #createServer(isRelay: boolean): HttpServer {
-    const server = createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        headersTimeout: this.#limits.headMs,
-        requestTimeout: 0,
-        connectionsCheckingInterval: Math.min(1_000, this.#limits.headMs),
-        // `parseRequestHead` checks it and responds with a problem document.
-        requireHostHeader: false,
-        noDelay: true,
-      },
-      (request, response) => {
+    return createHttpListener({
+      headMs: this.#limits.headMs,
+      onRequest: (request, response) => {
         this.#accept(request, response, isRelay)
       },
-    )
-    server.on('connection', (socket: Socket) => {
-      this.#acceptedConnections += 1
-      this.#callerConnection(socket)
-    })
-    // Without a listener Node.js destroys the connection with the responses in progress.
-    server.on('connect', (_request, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(new Error('CONNECT is not supported'))
-    })
-    server.on('clientError', (cause: NodeJS.ErrnoException, socket: Socket) => {
-      this.#callerConnection(socket).onParseError(cause)
+      onConnection: (socket) => {
+        this.#acceptedConnections += 1
+        this.#callerConnection(socket)
+      },
+      connectionOf: (socket) => this.#callerConnection(socket),
     })
-    return server
   }
 
   #createCallDependencies(): CallDependencies {
@@ -337,12 +332,14 @@
       driver: this.#driver,
       claims: this.#options.claims,
       pool: (server) => this.#pool(server),
-      onEnded: (call, result) => {
+      onEnded: (call, result, options) => {
+        this.#priorities.ended(options, result)
         const latencyMs = this.#clock.monotonic() - call.acceptedAt
         this.#options.events?.callEnded?.(result, latencyMs, result === 'complete' ? undefined : call.describe())
       },
       queriesLoad: this.#options.router.queriesLoad,
       gate: this.#options.gate ?? OPEN_GATE,
+      keys: this.#keys,
       reachability: this.#reachability,
       relayPeers: this.#relayPeers,
       revision: () => this.#options.revision?.() ?? 0,
--- a/packages/entry/src/relay-protocol.ts
+++ b/packages/entry/src/relay-protocol.ts
@@ -17,7 +17,14 @@
 
 const MAX_LEFT_MS = 3_600_000
 
-const OTHER_ENTRY_CODES: ReadonlySet<CodeName> = new Set(['connectFailed', 'noServer', 'notReady', 'entryLeaving'])
+/** An unknown key is no such failure: the document of the other entry is at least as new as the one here. */
+const OTHER_ENTRY_CODES: ReadonlySet<CodeName> = new Set([
+  'connectFailed',
+  'noServer',
+  'notReady',
+  'entryLeaving',
+  'keyUnconfirmed',
+])
 
 /** The relay fields of a request, as received. */
 export interface RelayFields {
--- a/packages/entry/src/retry-after.ts
+++ b/packages/entry/src/retry-after.ts
@@ -5,7 +5,7 @@
 /** A server is likely to be free after the duration of a typical call. */
 const DEFAULT_RETRY_AFTER_MS = 100
 /** Refusals that last longer: until servers have announced themselves or a new one has started. */
-const RETRY_AFTER_MS: Partial<Record<CodeName, number>> = { noServer: 500, connectFailed: 300 }
+const RETRY_AFTER_MS: Partial<Record<CodeName, number>> = { noServer: 500, connectFailed: 300, keyUnconfirmed: 200 }
 /**
  * Rejections before routing. Another entry can serve at once what a leaving one refuses; an entry finds control within a
  * second of its start, and leases are renewed every second.
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -16,6 +16,8 @@
 export interface RoutedAttemptEvents {
   /** The router chose a server. Returns false if the call must not be sent to it, for example because it has ended. */
   readonly serverChosen: (server: ServerId) => boolean
+  /** Whether the call may still be sent after it waited for a connection. */
+  readonly mayStillSend: () => boolean
   /** Returns false to discard the response: the server did not run the request. */
   readonly head: (head: ResponseHead) => boolean
   readonly data: (part: Buffer, drained: () => void) => boolean
@@ -101,6 +103,7 @@
       body,
       request: () => request(instance, queueLimit),
       events: {
+        mayStillSend: events.mayStillSend,
         head: events.head,
         data: events.data,
         mayEndWithConnection: events.mayEndWithConnection,
--- a/packages/routing/src/organisation-fairness.ts
+++ b/packages/routing/src/organisation-fairness.ts
@@ -7,9 +7,20 @@
 
 /** Half-life in ms of the counts that decisions are based on. Bursts last some seconds. */
 const RECENT_HALF_LIFE_MS = 5_000
-/** Half-life in ms of the usual part, so long that a burst of ten seconds raises it by less than a fifth. */
+/**
+ * Half-life in ms of the usual part, so long that a burst of ten seconds raises it little. Of calls beyond the part only
+ * as many are learned as the part allows; a lasting increase is learned within some half-lives.
+ */
 const USUAL_HALF_LIFE_MS = 300_000
-/** Calls with which an entry that has just started assumes that all organisations are of equal size. */
+/**
+ * Calls are learned 10 to 20 s after they arrived. Otherwise an entry with a history of seconds takes the rate in a burst
+ * for the usual one before it recognizes the burst.
+ */
+const LEARNING_DELAY_MS = 10_000
+/**
+ * Calls of equal organisations with which the usual parts begin. Before as many were learned, none is excessive: the
+ * largest organisations would be deferred at each entry that starts.
+ */
 const PRIOR_CALLS = 100
 /** Multiple of its part from which an organisation uses more than its part. */
 const MAX_PART = 2
@@ -52,7 +63,7 @@
     if (own === undefined) return
     for (const counts of [own, this.#total]) {
       counts.recent.add(1, now)
-      counts.usual.add(1, now)
+      counts.usual.add(own.learnedShare, now)
     }
   }
 
@@ -82,14 +93,17 @@
    */
   #isExcessive(own: Counts, now: number): boolean {
     const organisations = this.#counts.size
-    if (organisations < 2) return false
+    own.learnedShare = 1
     const recent = own.recent.read(now)
-    if (recent < MIN_EXCESS_CALLS) return false
+    const learned = this.#total.usual.read(now)
+    if (organisations < 2 || learned < PRIOR_CALLS || recent < MIN_EXCESS_CALLS) return false
     const others = Math.max(0, this.#total.recent.read(now) - recent)
     const usual = own.usual.read(now) + PRIOR_CALLS / organisations
-    const usualOthers = Math.max(1, this.#total.usual.read(now) + PRIOR_CALLS - usual)
+    const usualOthers = Math.max(1, learned + PRIOR_CALLS - usual)
     const part = Math.max(usual / usualOthers, 1 / (organisations - 1))
-    return recent - MAX_PART * part * others >= MIN_EXCESS_CALLS
+    const allowed = MAX_PART * part * others + MIN_EXCESS_CALLS
+    own.learnedShare = Math.min(1, allowed / recent)
+    return recent >= allowed
   }
 
   #isUnderserved(own: Counts, isExcessive: boolean, now: number): boolean {
@@ -105,10 +119,12 @@
 /** Counts of one organisation, or of all. */
 class Counts {
   readonly recent = new DecayingCount(RECENT_HALF_LIFE_MS)
-  readonly usual = new DecayingCount(USUAL_HALF_LIFE_MS)
+  readonly usual = new DelayedCount()
   readonly ended = new DecayingCount(RECENT_HALF_LIFE_MS)
   readonly served = new DecayingCount(RECENT_HALF_LIFE_MS)
   isCatchingUp = false
+  /** Share of its next calls that counts for the usual part. */
+  learnedShare = 1
 }
 
 class DecayingCount {
@@ -129,3 +145,32 @@
     return this.#value * 0.5 ** (Math.max(0, now - this.#at) / this.#halfLifeMs)
   }
 }
+
+/** Count of the usual calls, without those that arrived a short time ago. */
+class DelayedCount {
+  readonly #count = new DecayingCount(USUAL_HALF_LIFE_MS)
+  #interval = 0
+  /** Calls of the current interval and of the one before. */
+  #current = 0
+  #previous = 0
+
+  add(amount: number, now: number): void {
+    this.#rotate(now)
+    this.#current += amount
+  }
+
+  read(now: number): number {
+    this.#rotate(now)
+    return this.#count.read(now)
+  }
+
+  #rotate(now: number): void {
+    const interval = Math.floor(now / LEARNING_DELAY_MS)
+    if (interval === this.#interval) return
+    const isNext = interval === this.#interval + 1
+    this.#count.add(isNext ? this.#previous : this.#previous + this.#current, now)
+    this.#previous = isNext ? this.#current : 0
+    this.#current = 0
+    this.#interval = interval
+  }
+}
