Test that a second attempt is not sent after the key was removed

Cause: only first attempts and retries were tested. Change: a test with an attempt in progress whose connection seems silent. Result: entry/test/key-check.test.ts passes twice; with the key kept, both attempts are sent.

--- a/packages/entry/test/key-check.test.ts
+++ b/packages/entry/test/key-check.test.ts
@@ -136,6 +136,22 @@
   expect(server.received).toHaveLength(1)
 })
 
+test.each([
+  { change: 'stays', organisations: NORTH, requests: 2 },
+  { change: 'is removed', organisations: SOUTH, requests: 1 },
+])('while the first attempt is in progress and the key $change, $requests of 2 attempts are sent', async (scenario) => {
+  const server = await startFakeServer(() => undefined)
+  const limits = { silenceMs: 100, sweepIntervalMs: 20 }
+  const { origin, state } = await startEntryWithKeys([server, server], { limits })
+  const call = sendCall(`${origin}/read`, WITH_KEY)
+  await waitUntil(() => server.received.length === 1)
+  state.document = documentOf(scenario.organisations)
+  await new Promise((resolve) => setTimeout(resolve, 1_000))
+  respond(server.received[0]!, 'first')
+  expect(await call).toMatchObject({ status: 200, text: 'first' })
+  expect(server.received).toHaveLength(scenario.requests)
+})
+
 test('a call that waits for a connection while its key is removed is not sent', async () => {
   const server = await startFakeServer(() => undefined)
   const { origin, state, entry } = await startEntryWithKeys([server], { liveEntries: () => 64 })
