--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -194,6 +194,8 @@
     0,
     'This leader acknowledges a committed order to start or end an evacuation.',
   ),
+  keyLeaseEnded: code(193, 'key-lease-ended', 0, 'This entry accepts no keys of organisations; the line says why.'),
+  keyLeaseReturned: code(194, 'key-lease-returned', 0, 'This entry accepts keys of organisations again.'),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/entry/src/call-options.ts
+++ b/packages/entry/src/call-options.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AttemptId, RequestId, ServerId } from '@bilberrystall/base'
 import type { Document, Organisation, Route } from '@bilberrystall/document'
+import type { Precedence } from './call-priorities'
 import type { CallerConnection } from './caller-connection'
 import type { CallDependencies } from './call-dependencies'
 import type { CallContext } from './context'
@@ -20,6 +21,8 @@
   readonly organisation: Organisation | undefined
   /** Context of this call, including its own hop. */
   readonly context: CallContext
+  /** Place of the call among the others of its service. */
+  readonly precedence: Precedence
   /** Whether another entry passed the call on, which has claimed its idempotency key. */
   readonly isRelayed: boolean
 }
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -291,6 +291,7 @@
           if (!isSent) this.#attempts.delete(attempt)
           return isSent
         },
+        mayStillSend: () => this.#dependencies.keys.refusal(this.#options) === undefined,
         ...this.#responseEvents(() => attempt),
         failed: (attemptFailure) => {
           this.#attempts.delete(attempt)
@@ -323,7 +324,7 @@
   }
 
   #onServerChosen(server: ServerId, isExtra: boolean): boolean {
-    if (this.#done) return false
+    if (this.#done || this.#failIfKeyRefused()) return false
     if (isExtra ? this.#standing.kind !== 'clear' || !this.#mayRetry() : this.#failIfQuarantined()) return false
     this.#attemptsLeft -= 1
     this.#triedServers.push(server)
@@ -362,6 +363,7 @@
     const repeatable = outcome === 'not-run' || mayRepeat
     // The other attempt is still in progress.
     if (this.#attempts.size > 0) return
+    if (outcome === 'not-run' && this.#failIfKeyRefused()) return
     // Nothing has run, so passing the call on is no retry.
     if (outcome === 'not-run' && attemptFailure.canRetry && !this.#callerResponse.hasStarted && this.#mayRelay()) {
       this.#submit()
@@ -442,6 +444,13 @@
     return gate.isActive() ? gate.standing(this.#requestId) : { kind: 'clear' }
   }
 
+  /** An attempt in progress was sent while the key held, and is left to end. */
+  #failIfKeyRefused(): boolean {
+    const code = this.#dependencies.keys.refusal(this.#options)
+    if (code !== undefined && this.#attempts.size <= 1) this.#fail(code)
+    return code !== undefined
+  }
+
   #failIfQuarantined(): boolean {
     const standing = this.#standing
     if (standing.kind !== 'quarantined') return false
@@ -460,7 +469,7 @@
     this.#done = true
     clearTimeout(this.#timer)
     this.#hedging.end()
-    this.#dependencies.onEnded(this, result)
+    this.#dependencies.onEnded(this, result, this.#options)
   }
 
   #remaining(): number {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,6 +13,7 @@
 import { readArrived, stopListening } from './arrived'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
+import { CallPriorities } from './call-priorities'
 import { CallPreparation, type PreparedCall } from './call-preparation'
 import type { CallDependencies } from './call-dependencies'
 import type { Address } from './connection'
@@ -20,6 +21,7 @@
 import { ContextCodec } from './context'
 import { parseRequestHead, type ResponseHead } from './head'
 import { INTERNAL_PREFIX, internalApp } from './internal-app'
+import { KeyCheck } from './key-check'
 import { createListener, listenOn } from './listener'
 import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
 import { ConnectionPool } from './connection-pool'
@@ -55,6 +57,8 @@
   readonly #codec: ContextCodec
   readonly #dialect: Dialect
   readonly #preparation: CallPreparation
+  readonly #keys: KeyCheck
+  readonly #priorities: CallPriorities
   readonly #relayPeers: RelayPeers
   /** Accepts calls of other entries; undefined if this entry does not. */
   readonly #relayHttp: HttpServer | undefined
@@ -84,14 +88,18 @@
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
+    const admission = options.admission ?? OPEN_ADMISSION
+    this.#keys = new KeyCheck({ document: options.document, admission, dialect: this.#dialect })
+    this.#priorities = new CallPriorities({ router: options.router, now: this.#clock.monotonic })
     this.#preparation = new CallPreparation({
       document: options.document,
       revision: () => this.#options.revision?.() ?? 0,
       codec: this.#codec,
       clock: this.#clock,
       random: options.random,
-      dialect: this.#dialect,
-      admission: options.admission ?? OPEN_ADMISSION,
+      keys: this.#keys,
+      priorities: this.#priorities,
+      admission,
     })
     this.#relayPeers = new RelayPeers({
       peers: () => options.relayPeers?.() ?? [],
@@ -176,6 +184,7 @@
     const { headMs, idleMs } = document.callerLimits
     this.#http.headersTimeout = headMs
     this.#http.keepAliveTimeout = idleMs
+    this.#priorities.configure(document)
     this.#preparation.configure(document)
   }
 
@@ -322,12 +331,14 @@
       driver: this.#driver,
       claims: this.#options.claims,
       pool: (server) => this.#pool(server),
-      onEnded: (call, result) => {
+      onEnded: (call, result, options) => {
+        this.#priorities.ended(options, result)
         const latencyMs = this.#clock.monotonic() - call.acceptedAt
         this.#options.events?.callEnded?.(result, latencyMs, result === 'complete' ? undefined : call.describe())
       },
       queriesLoad: this.#options.router.queriesLoad,
       gate: this.#options.gate ?? OPEN_GATE,
+      keys: this.#keys,
       reachability: this.#reachability,
       relayPeers: this.#relayPeers,
       revision: () => this.#options.revision?.() ?? 0,
--- a/packages/entry/src/router-call.ts
+++ b/packages/entry/src/router-call.ts
@@ -12,7 +12,7 @@
 export type AttemptKind = 'regular' | 'silent' | 'unanswered' | 'hedged'
 
 export interface RouterCallOptions {
-  readonly call: Pick<CallOptions, 'route' | 'context'>
+  readonly call: Pick<CallOptions, 'route' | 'context' | 'precedence'>
   readonly kind: AttemptKind
   /** Monotonic ms. */
   readonly deadline: number
@@ -23,10 +23,11 @@
 
 export function routerCallOf(options: RouterCallOptions): Omit<RouterCall, 'id'> {
   const { call, kind, deadline, resendable, queriesLoad, triedServers } = options
-  const { route, context } = call
+  const { route, context, precedence } = call
   return {
     service: route.service,
     urgency: context.urgency,
+    ...precedence,
     deadline,
     ...(route.targetMs === undefined ? {} : { target: route.targetMs }),
     repeatable: route.repeatable,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from './hedging'
 export type { LoadQueryResult } from './load-query'
 export * from './ledger'
+export * from './organisation-fairness'
 export { callInterval, type LimitedServer, type LimitSharing } from './rate-limit'
 export * from './retry-budget'
 export * from './reachability'
