Exchange shares of quotas in leases

Cause: the decisions on quotas had no connection between entries and the leader, and a call could not wait for one.

Change: leases carry the demand and the shares of organisations. They are renewed every second with a timeout of 500 ms where the document requires keys, and at most every 100 ms when a share is used up, not after a failed renewal. An entry starts a call whose quota is not decided only after it is admitted. Tolerances come from the settings of the platform. Metrics count refused calls, shares and the allocated rate; two log lines tell when an organisation begins and ends to exceed its quota.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -152,6 +152,13 @@
   serverRestored: code(159, 'server-restored', 0, 'An ejected server receives calls again.'),
   serverLimited: code(173, 'server-limited', 0, 'A server names a limit for the calls per second from all entries.'),
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
+  quotaExcessStarted: code(
+    190,
+    'quota-excess-started',
+    0,
+    'This entry refuses calls of an organisation over its quota.',
+  ),
+  quotaExcessEnded: code(191, 'quota-excess-ended', 0, 'This entry no longer refuses calls of an organisation.'),
   quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
   quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
--- a/packages/entry/src/call-preparation.ts
+++ b/packages/entry/src/call-preparation.ts
@@ -1,6 +1,7 @@
 /** Matches the head of a request against the document in force and derives the context of the call. */
 import { failure, type Failure, type RandomSource } from '@bilberrystall/base'
 import { matchRoute, type Document, type Organisation, type Route } from '@bilberrystall/document'
+import type { PendingQuota } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
 import { authenticate } from './authentication'
 import type { CallAdmission } from './call-admission'
@@ -36,6 +37,8 @@
 export interface PreparedCall extends MatchedCall {
   readonly head: RequestHead
   readonly context: CallContext
+  /** Decision on the quota that the call waits for; undefined if it is admitted. */
+  readonly quota?: PendingQuota | undefined
 }
 
 export class CallPreparation {
@@ -57,8 +60,8 @@
   prepare(head: RequestHead): Result<PreparedCall, Failure> {
     return this.#match(head).andThen((matched) =>
       this.#createContext(head, matched.route)
-        .andThen((context) => this.#admit(matched.organisation).map(() => context))
-        .map((context) => ({ head, ...matched, context })),
+        .andThen((context) => this.#admit(matched.organisation).map((quota) => ({ context, quota })))
+        .map(({ context, quota }) => ({ head, ...matched, context, quota })),
     )
   }
 
@@ -77,10 +80,17 @@
   }
 
   /** A call that another entry passed on was counted there. */
-  #admit(organisation: Organisation | undefined): Result<void, Failure> {
-    if (organisation === undefined) return ok()
-    const retryAfterMs = this.#options.admission.takeQuota(organisation.name)
-    return retryAfterMs === undefined ? ok() : err({ ...failure('quotaExceeded'), retryAfterMs })
+  #admit(organisation: Organisation | undefined): Result<PendingQuota | undefined, Failure> {
+    if (organisation === undefined) return ok(undefined)
+    const decision = this.#options.admission.takeQuota(organisation.name)
+    switch (decision.kind) {
+      case 'admitted':
+        return ok(undefined)
+      case 'pending':
+        return ok(decision)
+      case 'refused':
+        return err({ ...failure('quotaExceeded'), retryAfterMs: decision.retryAfterMs })
+    }
   }
 
   #match(head: RequestHead): Result<MatchedCall, Failure> {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -122,6 +122,11 @@
     })
   }
 
+  /** Ends a call that was not started. */
+  refuse(code: CodeName, fields: Record<string, string>): void {
+    this.#fail(code, fields)
+  }
+
   /** Checks for a stalled request body and silent connections. Called every `sweepIntervalMs`. */
   sweep(now: number): void {
     if (this.#done) return
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -30,6 +30,7 @@
 import { RouterDriver } from './router-driver'
 import { probe } from './probe'
 import { LostCallReports } from './lost-call-reports'
+import { startAdmitted } from './quota-wait'
 import { RelayPeers } from './relay-peers'
 import { rejectionFields } from './retry-after'
 import { relayResponseFields } from './relay-response'
@@ -391,7 +392,7 @@
     )
     this.#calls.add(call)
     this.#armCallSweep()
-    call.start()
+    startAdmitted(call, prepared.value.quota, this.#dialect)
   }
 
   #callerConnection(socket: Socket): CallerConnection {
--- a/packages/node/src/adapter.ts
+++ b/packages/node/src/adapter.ts
@@ -5,6 +5,7 @@
 import type { Failure, ServerId } from '@bilberrystall/base'
 import type { Sections, RemovedSections } from '@bilberrystall/document'
 import type { Dialect } from '@bilberrystall/entry'
+import type { QuotaBounds } from '@bilberrystall/routing'
 import type { Server } from '@bilberrystall/membership'
 import type { Hono } from 'hono'
 import type { Result } from 'neverthrow'
@@ -67,6 +68,8 @@
   readonly retries: RetryAllowance | undefined
   /** Undefined if servers cannot be queried for their load. */
   readonly loadQueries: LoadQueryAllowance | undefined
+  /** Tolerance on the quotas of organisations; without it entries have no reserve. */
+  readonly quotas?: QuotaBounds | undefined
   /** Ms from the start of a planned stop until the platform kills the process; undefined if it waits for its end. */
   readonly killAfterMs: number | undefined
   readonly listeners: (gateway: Gateway) => readonly AdapterListener[]
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -10,7 +10,14 @@
 import type { DirectoryChange } from '@bilberrystall/membership'
 import type { MeasuringTokens } from '@bilberrystall/routing'
 import type { DocumentStore, PublishedDocument } from './document-store'
-import { LeaseClient, type Lease, type TokenDemand } from './control-lease'
+import {
+  FAST_LEASE_TIMES,
+  LeaseClient,
+  SLOW_LEASE_TIMES,
+  type Lease,
+  type LeaseQuotas,
+  type TokenDemand,
+} from './control-lease'
 import {
   ControlFollower,
   type DepartedServer,
@@ -31,6 +38,7 @@
   readonly environment: Environment
   readonly documentStore: DocumentStore
   readonly tokens: MeasuringTokens
+  readonly quotas?: LeaseQuotas
   readonly onDocument: (document: Document) => void
   readonly onDrain: () => void
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
@@ -74,6 +82,8 @@
       onLease: (lease) => {
         this.#leaseRenewed(lease)
       },
+      times: () => (this.#document?.requiresKeys === true ? FAST_LEASE_TIMES : SLOW_LEASE_TIMES),
+      ...(options.quotas === undefined ? {} : { quotas: options.quotas }),
       now,
     })
     documentStore.subscribe((published) => {
@@ -110,6 +120,11 @@
     this.#leases.stop()
   }
 
+  /** Renews the lease before it is due, because a share of a quota is used up. */
+  renewLease(): void {
+    this.#leases.renewSoon()
+  }
+
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
   async catchUp(notification: Notification): Promise<Position> {
     this.#options.context.leaders.leads(notification.node)
@@ -162,6 +177,7 @@
     // Control validates documents before accepting them; a parse error means that a newer software version accepted it.
     parseDocument(published.text).match(
       (document) => {
+        if (document.requiresKeys && this.#document?.requiresKeys !== true) this.#leases.renewSoon()
         this.#document = document
         this.#documentRevision = published.revision
         onDocument(document)
--- a/packages/node/src/control-lease-server.ts
+++ b/packages/node/src/control-lease-server.ts
@@ -1,6 +1,6 @@
 /**
  * Server side of entry leases on the leader. A lease response is backed by a majority read and contains the revision in
- * force, the roster, and measuring tokens within the budget configured in the document.
+ * force, the roster, measuring tokens within the budget configured in the document, and shares of quotas.
  */
 import { err, ok, type Result } from 'neverthrow'
 import {
@@ -14,11 +14,12 @@
 import { documentInForce, isDrainOrdered, type ControlState, type RosterEpoch } from '@bilberrystall/control'
 import { parseDocument, type Document } from '@bilberrystall/document'
 import type { Node, Server } from '@bilberrystall/membership'
-import { MeasuringLedger } from '@bilberrystall/routing'
+import { MeasuringLedger, QuotaAllocator, type OrganisationShare, type QuotaBounds } from '@bilberrystall/routing'
 import type { LeaseRequest } from '@bilberrystall/rpc'
 import type { ReplicaHost } from './control-replica'
 import { nodeIdOf } from './control-transport'
 import type { EntryClocks } from './entry-clocks'
+import { decodeDemand, quotaLimits } from './quota-codec'
 
 export const MEASURING_WINDOW_MS = 10_000
 
@@ -28,10 +29,15 @@
   /** RPC address of a control node. */
   readonly addressOf?: (node: NodeId) => string | undefined
   readonly clocks: EntryClocks
+  /** By default quotas have no tolerance. */
+  readonly quotaBounds?: QuotaBounds
   /** Monotonic milliseconds. */
   readonly now: () => number
 }
 
+type MeasuredRequest = Pick<LeaseRequest, 'node' | 'environment' | 'start' | 'rosterVersion' | 'measuring' | 'clock'>
+type QuotaRequest = Partial<Pick<LeaseRequest, 'quotas' | 'quotaSequence'>>
+
 export class LeaseServer {
   readonly #options: LeaseServerOptions
   readonly #ledger = new MeasuringLedger({ window: MEASURING_WINDOW_MS })
@@ -39,24 +45,41 @@
     Environment,
     { readonly revision: number; readonly document: Document | undefined }
   >()
+  readonly #quotas: QuotaAllocator
+  /** Revisions whose limits the allocator has. */
+  readonly #quotaRevisions = new Map<Environment, number>()
   #isLeader = false
 
   constructor(options: LeaseServerOptions) {
     this.#options = options
+    const { quotaBounds } = options
+    this.#quotas = new QuotaAllocator(quotaBounds === undefined ? {} : { bounds: quotaBounds })
+  }
+
+  /** Requests per second of all shares that entries may use; 0 on nodes that do not lead. */
+  get allocatedRate(): number {
+    return this.#quotas.allocatedRate(this.#options.now())
   }
 
   /**
-   * A new leader grants no tokens for a full window, because its predecessor may have granted tokens in that window.
+   * A new leader grants no tokens for a full window, because its predecessor may have granted tokens in that window. Shares
+   * of quotas do not grow for a window either.
    */
   setLeader(isLeader: boolean): void {
     if (isLeader === this.#isLeader) return
     this.#isLeader = isLeader
-    if (isLeader) this.#ledger.becomeLeader(this.#options.now())
-    else this.#ledger.stepDown()
+    this.#quotaRevisions.clear()
+    if (isLeader) {
+      this.#ledger.becomeLeader(this.#options.now())
+      this.#quotas.becomeLeader(this.#options.now())
+    } else {
+      this.#ledger.stepDown()
+      this.#quotas.stepDown()
+    }
   }
 
   /** Errors: `no-quorum`. */
-  async lease(request: Pick<LeaseRequest, 'node' | 'environment' | 'start' | 'rosterVersion' | 'measuring' | 'clock'>) {
+  async lease(request: MeasuredRequest & QuotaRequest) {
     const { host, clocks, now } = this.#options
     clocks.stated(request.node as NodeId, Number(request.clock), now())
     if (host.status().role !== 'leader') return ok(this.#notLeaderResponse())
@@ -79,6 +102,7 @@
       roster: changed ? encodeRoster(state.roster) : [],
       grants: this.#grantTokens(request, environment, state),
       drain: isDrainOrdered(state, request.node as NodeId, Number(request.start)),
+      quotas: this.#allocateQuotas(request, environment, state),
     })
   }
 
@@ -96,7 +120,25 @@
       roster: [],
       grants: [],
       drain: false,
+      quotas: [],
+    }
+  }
+
+  /** The majority read precedes this, so that a leader that was replaced meanwhile allocates nothing. */
+  #allocateQuotas(
+    request: Pick<LeaseRequest, 'node'> & QuotaRequest,
+    environment: Environment,
+    state: ControlState,
+  ): OrganisationShare[] {
+    const now = this.#options.now()
+    const revision = documentInForce(state, environment)?.revision ?? 0
+    if (this.#quotaRevisions.get(environment) !== revision) {
+      this.#quotaRevisions.set(environment, revision)
+      this.#quotas.configure(environment, quotaLimits(this.#parsedDocument(environment, state)), now)
     }
+    const { quotas = [], quotaSequence: sequence = 0n } = request
+    const organisations = quotas.map(decodeDemand)
+    return this.#quotas.request({ entry: request.node as NodeId, environment, sequence, organisations }, now)
   }
 
   #grantTokens(
--- a/packages/node/src/control-lease.ts
+++ b/packages/node/src/control-lease.ts
@@ -1,6 +1,7 @@
 /**
- * Client side of entry leases, renewed with the control leader every 4 s: the time of the last linearizable read, the
- * roster and measuring tokens. Times are measured from sending the request, which precedes the read itself.
+ * Client side of entry leases, renewed with the control leader: the time of the last linearizable read, the roster,
+ * measuring tokens and shares of quotas. Leases are renewed every 4 s, or every second if the document requires keys, and
+ * at once when a share is used up. Times are measured from sending the request, which precedes the read itself.
  */
 import { epochAt, type RosterEpoch } from '@bilberrystall/control'
 import {
@@ -12,13 +13,23 @@
   type NodeId,
   type Revision,
 } from '@bilberrystall/base'
+import type { OrganisationRequest, OrganisationShare } from '@bilberrystall/routing'
 import type { ControlContacts } from './control-contacts'
+import { decodeShare, encodeStatement } from './quota-codec'
 import { DeliveryService, type LeaseResponse, type RpcClients } from '@bilberrystall/rpc'
 
+export interface LeaseTimes {
+  readonly renewalMs: number
+  readonly retryMs: number
+  readonly requestTimeoutMs: number
+}
+
 /** Less than half of the measuring window of 10 s, so that one failed renewal loses no tokens. */
-const RENEWAL_INTERVAL_MS = 4_000
-const RETRY_DELAY_MS = 500
-const REQUEST_TIMEOUT_MS = 2_000
+export const SLOW_LEASE_TIMES: LeaseTimes = { renewalMs: 4_000, retryMs: 500, requestTimeoutMs: 2_000 }
+/** Shares and the right to accept keys last 3 s, which is enough for two requests without a response. */
+export const FAST_LEASE_TIMES: LeaseTimes = { renewalMs: 1_000, retryMs: 200, requestTimeoutMs: 500 }
+/** Least time between two renewals because shares are used up. */
+const MIN_RENEWAL_MS = 100
 /** An entry rejects calls with an idempotency key if its last linearizable read is older than this. */
 export const MAX_CONFIRMATION_AGE_MS = 50_000
 
@@ -44,6 +55,12 @@
   readonly drain: boolean
 }
 
+/** Shares of quotas, which are part of leases. */
+export interface LeaseQuotas {
+  readonly statement: () => { readonly quotaSequence: bigint; readonly quotas: readonly OrganisationRequest[] }
+  readonly apply: (shares: readonly OrganisationShare[], sentAt: number) => void
+}
+
 export interface LeaseClientOptions {
   readonly node: NodeId
   readonly environment: Environment
@@ -54,6 +71,9 @@
   /** Probe time that the entry needs in the next window. */
   readonly tokenDemands: () => readonly TokenDemand[]
   readonly onLease: (lease: Lease) => void
+  /** By default `SLOW_LEASE_TIMES`. */
+  readonly times?: () => LeaseTimes
+  readonly quotas?: LeaseQuotas
   /** Unix milliseconds. */
   readonly wallClock: () => number
   readonly now: () => number
@@ -69,6 +89,11 @@
   #timer: NodeJS.Timeout | undefined
   #confirmedAt = Number.NEGATIVE_INFINITY
   #stopped = false
+  #isRenewing = false
+  #hasFailed = false
+  /** Whether shares were used up since the last request was sent. */
+  #isUrgent = false
+  #sentAt = Number.NEGATIVE_INFINITY
 
   constructor(options: LeaseClientOptions) {
     this.#options = options
@@ -99,10 +124,35 @@
     clearTimeout(this.#timer)
   }
 
+  /** Renews the lease before it is due, because shares are used up or the document changed. */
+  renewSoon(): void {
+    if (this.#isUrgent || this.#stopped || this.#sentAt === Number.NEGATIVE_INFINITY) return
+    this.#isUrgent = true
+    // After a failed renewal the next one is due soon, and control may be overloaded.
+    if (!this.#isRenewing && !this.#hasFailed) this.#schedule(this.#urgentDelay)
+  }
+
+  get #times(): LeaseTimes {
+    return this.#options.times?.() ?? SLOW_LEASE_TIMES
+  }
+
+  get #urgentDelay(): number {
+    return Math.max(0, this.#sentAt + MIN_RENEWAL_MS - this.#options.now())
+  }
+
   async #renew(): Promise<void> {
+    this.#isRenewing = true
     const renewed = await this.#requestLease()
+    this.#isRenewing = false
+    this.#hasFailed = !renewed
     if (this.#stopped) return
-    this.#timer = setTimeout(() => void this.#renew(), renewed ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS)
+    const { renewalMs, retryMs } = this.#times
+    this.#schedule(renewed ? (this.#isUrgent ? this.#urgentDelay : renewalMs) : retryMs)
+  }
+
+  #schedule(delayMs: number): void {
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => void this.#renew(), delayMs)
   }
 
   /** Sends one lease request; follows the redirect of a node that is not the leader. */
@@ -115,6 +165,8 @@
       this.#leader = undefined
       if (target === undefined || address === undefined) return false
       const sentAt = this.#options.now()
+      this.#sentAt = sentAt
+      this.#isUrgent = false
       const response = await this.#sendRequest(address)
       if (response === undefined) return false
       if (!response.notLeader) {
@@ -137,7 +189,7 @@
   }
 
   async #sendRequest(address: string): Promise<LeaseResponse | undefined> {
-    const { clients, node, environment, incarnations, tokenDemands, wallClock } = this.#options
+    const { clients, node, environment, incarnations, tokenDemands, wallClock, quotas } = this.#options
     const names = incarnations()
     const request = {
       node,
@@ -146,9 +198,11 @@
       rosterVersion: this.#rosterVersion,
       measuring: [...tokenDemands()],
       clock: BigInt(Math.max(0, Math.round(wallClock()))),
+      ...(quotas === undefined ? {} : encodeStatement(quotas.statement())),
     }
+    const timeoutMs = this.#times.requestTimeoutMs
     try {
-      return await clients.client(DeliveryService, address).lease(request, { timeoutMs: REQUEST_TIMEOUT_MS })
+      return await clients.client(DeliveryService, address).lease(request, { timeoutMs })
     } catch {
       // The next attempt uses another node; the age of the last linearizable read exposes repeated failures.
       return undefined
@@ -157,6 +211,7 @@
 
   #applyLease(response: LeaseResponse, sentAt: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
+    this.#options.quotas?.apply(response.quotas.map(decodeShare), sentAt)
     if (response.rosterVersion !== this.#rosterVersion) {
       this.#rosterVersion = response.rosterVersion
       this.#roster = response.roster.map((epoch) => ({
--- a/packages/node/src/control-metrics.ts
+++ b/packages/node/src/control-metrics.ts
@@ -13,8 +13,14 @@
   readonly setDiskFull: (isFull: boolean) => void
 }
 
-/** Registers the metrics. `status` returns undefined while the node has no open replica. */
-export function controlMetrics(metrics: Metrics, status: () => Status | undefined): ControlMetrics {
+/** What the metrics read; `control` below returns undefined while the node has no open replica. */
+export interface MeasuredControl {
+  readonly host: { readonly status: () => Status }
+  readonly leases: { readonly allocatedRate: number }
+}
+
+export function controlMetrics(metrics: Metrics, control: () => MeasuredControl | undefined): ControlMetrics {
+  const status = () => control()?.host.status()
   const requests = metrics.counter('operator_requests_total', 'Operator requests by result', ['result'])
   const sync = metrics.latency('control_sync', 'Duration of syncing records of the control log')
   metrics.gauge('control_leader', 'Whether this replica leads the control log', () =>
@@ -23,6 +29,11 @@
   metrics.gauge('control_replica_open', 'Whether the replica of this node is open', () =>
     Number(status() !== undefined),
   )
+  metrics.gauge(
+    'quota_allocated_rate',
+    'Requests/s of the shares of quotas that this leader allocated',
+    () => control()?.leases.allocatedRate ?? 0,
+  )
   let diskIsFull = false
   metrics.gauge('control_disk_full', 'Whether the disk of the control log refuses writes', () => Number(diskIsFull))
   metrics.gauge('control_term', 'Term of the control log', () => status()?.term ?? 0)
--- a/packages/node/src/control-role.ts
+++ b/packages/node/src/control-role.ts
@@ -12,6 +12,7 @@
 import { checkDocument } from '@bilberrystall/document'
 import type { Clearance } from '@bilberrystall/quarantine'
 import type { FileSystem } from '@bilberrystall/storage'
+import type { QuotaBounds } from '@bilberrystall/routing'
 import type { RpcClients } from '@bilberrystall/rpc'
 import { ChangeDelivery } from './change-delivery'
 import { logSettled } from './change-log'
@@ -65,6 +66,7 @@
   /** Called with each release of a withheld request that was committed by control. */
   readonly onReleased?: (clearance: Clearance) => void
   readonly metrics?: ControlMetrics
+  readonly quotaBounds?: QuotaBounds | undefined
   readonly fileSystem?: FileSystem
   readonly limits?: Partial<Limits>
   readonly lostAfterMs?: number
@@ -135,7 +137,14 @@
       },
       ...(options.submitTimeoutMs === undefined ? {} : { timeoutMs: options.submitTimeoutMs }),
     })
-    this.#leases = new LeaseServer({ host, directory: cluster, addressOf, clocks, now })
+    this.#leases = new LeaseServer({
+      host,
+      directory: cluster,
+      addressOf,
+      clocks,
+      now,
+      ...(options.quotaBounds === undefined ? {} : { quotaBounds: options.quotaBounds }),
+    })
     this.#leaderTasks = new LeaderTasks({
       host,
       directory: cluster,
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -6,6 +6,7 @@
   ClaimCoordinator,
   claimRoutes,
   Entry,
+  OPEN_ADMISSION,
   RpcClaimTransport,
   SYSTEM_CLOCK,
   type EndedCall,
@@ -24,6 +25,7 @@
 import type { DocumentStore } from './document-store'
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
+import { EntryQuotas } from './entry-quotas'
 import { FailureLog } from './failure-log'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -52,6 +54,7 @@
   readonly #entry: Entry
   readonly #router: Router
   readonly #controlClient: ControlClient
+  readonly #quotas: EntryQuotas
   readonly #claimTable: ClaimTable
   readonly #options: EntryRoleOptions
   readonly #calls: Counter<'result'>
@@ -98,11 +101,20 @@
       limitSharing: { entry: context.self, entries: () => this.#liveEntries() },
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
+    this.#quotas = new EntryQuotas({
+      context,
+      bounds: options.adapter?.quotas,
+      entries: () => this.#liveEntries(),
+      onUsedUp: () => {
+        this.#controlClient.renewLease()
+      },
+    })
     this.#controlClient = new ControlClient({
       context,
       environment: settings.environment,
       documentStore: options.documentStore,
       tokens: this.#router.tokens,
+      quotas: this.#quotas,
       onDocument: (document) => {
         this.#configure(document)
       },
@@ -120,6 +132,7 @@
       document: () => this.#controlClient.document(),
       liveEntries: () => this.#liveEntries().length,
       claims: this.#createClaimCoordinator(),
+      admission: { ...OPEN_ADMISSION, takeQuota: (organisation) => this.#quotas.take(organisation) },
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
       gate: options.quarantine.gate,
@@ -316,6 +329,7 @@
       const { concurrency } = service
       this.#router.configure(service.name, { retries: this.#retries(service), concurrency }, now)
     }
+    this.#quotas.configure(document)
     this.#entry.configure(document)
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -177,7 +177,7 @@
       })
     }
     if (control === undefined) return ok()
-    const metrics = controlMetrics(this.#metrics, () => this.#control?.host.status())
+    const metrics = controlMetrics(this.#metrics, () => this.#control)
     const supervisor = new ControlSupervisor({
       open: (onFailed) => this.#openControl(control, metrics, onFailed),
       setAside: () => setAsideLog(control.dataFolder, this.#fileSystem),
@@ -212,6 +212,7 @@
       documentStore: this.#documentStore,
       log: this.#context.log,
       metrics,
+      quotaBounds: this.#adapter?.quotas,
       random: this.#context.random,
       incarnations: () => this.#context.directory.incarnations,
       onFatal,
--- a/packages/routing/src/organisation-quota.ts
+++ b/packages/routing/src/organisation-quota.ts
@@ -30,10 +30,13 @@
 
 export type SettledQuota = { readonly kind: 'admitted' } | { readonly kind: 'refused'; readonly retryAfterMs: number }
 
-export type QuotaDecision =
-  | SettledQuota
-  /** The leader is asked, which takes at most `QUOTA_WAIT_MS`. */
-  | { readonly kind: 'pending'; readonly onSettled: (listener: (settled: SettledQuota) => void) => void }
+/** The leader is asked, which takes at most `QUOTA_WAIT_MS`. */
+export interface PendingQuota {
+  readonly kind: 'pending'
+  readonly onSettled: (listener: (settled: SettledQuota) => void) => void
+}
+
+export type QuotaDecision = SettledQuota | PendingQuota
 
 const ADMITTED: SettledQuota = { kind: 'admitted' }
 
