Ask for shares of single organisations, and describe quotas

Change: a request with quotas_only states the organisations that need a share, and a leader with recent contact to a majority answers it without a read.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -120,9 +120,9 @@
     this.#leases.stop()
   }
 
-  /** Renews the lease before it is due, because a share of a quota is used up. */
-  renewLease(): void {
-    this.#leases.renewSoon()
+  /** Asks for shares of quotas before the lease is due. */
+  requestShares(): void {
+    this.#leases.requestShares()
   }
 
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
--- a/packages/node/src/control-lease-server.ts
+++ b/packages/node/src/control-lease-server.ts
@@ -22,9 +22,11 @@
 import { decodeDemand, quotaLimits } from './quota-codec'
 
 export const MEASURING_WINDOW_MS = 10_000
+/** Shares alone need no majority read if the leader had contact to a majority within this time. */
+const MAX_STALENESS_MS = 400
 
 export interface LeaseServerOptions {
-  readonly host: Pick<ReplicaHost, 'read' | 'status' | 'state'>
+  readonly host: Pick<ReplicaHost, 'read' | 'status' | 'state'> & Partial<Pick<ReplicaHost, 'isCurrent'>>
   readonly directory: { readonly nodes: ReadonlyMap<NodeId, Node>; readonly servers: ReadonlyMap<string, Server> }
   /** RPC address of a control node. */
   readonly addressOf?: (node: NodeId) => string | undefined
@@ -36,7 +38,7 @@
 }
 
 type MeasuredRequest = Pick<LeaseRequest, 'node' | 'environment' | 'start' | 'rosterVersion' | 'measuring' | 'clock'>
-type QuotaRequest = Partial<Pick<LeaseRequest, 'quotas' | 'quotaSequence'>>
+type QuotaRequest = Partial<Pick<LeaseRequest, 'quotas' | 'quotaSequence' | 'quotasOnly'>>
 
 export class LeaseServer {
   readonly #options: LeaseServerOptions
@@ -83,6 +85,10 @@
     const { host, clocks, now } = this.#options
     clocks.stated(request.node as NodeId, Number(request.clock), now())
     if (host.status().role !== 'leader') return ok(this.#notLeaderResponse())
+    if (request.quotasOnly === true && host.isCurrent?.(MAX_STALENESS_MS) === true) {
+      const quotas = this.#allocateQuotas(request, environmentName(request.environment), host.state)
+      return ok({ ...this.#notLeaderResponse(), notLeader: false, quotas })
+    }
     const sentAt = now()
     const read = await host.read()
     if (read.isErr()) return err(read.error) as Result<never, Failure>
@@ -124,7 +130,7 @@
     }
   }
 
-  /** The majority read precedes this, so that a leader that was replaced meanwhile allocates nothing. */
+  /** A leader that was replaced gives nothing more after `MAX_STALENESS_MS`; its successor waits for longer. */
   #allocateQuotas(
     request: Pick<LeaseRequest, 'node'> & QuotaRequest,
     environment: Environment,
@@ -136,9 +142,9 @@
       this.#quotaRevisions.set(environment, revision)
       this.#quotas.configure(environment, quotaLimits(this.#parsedDocument(environment, state)), now)
     }
-    const { quotas = [], quotaSequence: sequence = 0n } = request
+    const { quotas = [], quotaSequence: sequence = 0n, quotasOnly: isPartial = false } = request
     const organisations = quotas.map(decodeDemand)
-    return this.#quotas.request({ entry: request.node as NodeId, environment, sequence, organisations }, now)
+    return this.#quotas.request({ entry: request.node as NodeId, environment, sequence, organisations, isPartial }, now)
   }
 
   #grantTokens(
--- a/packages/node/src/control-lease.ts
+++ b/packages/node/src/control-lease.ts
@@ -57,7 +57,11 @@
 
 /** Shares of quotas, which are part of leases. */
 export interface LeaseQuotas {
-  readonly statement: () => { readonly quotaSequence: bigint; readonly quotas: readonly OrganisationRequest[] }
+  /** What the entry holds and needs: of all organisations, or of those that cannot wait for the next renewal. */
+  readonly statement: (isUrgent: boolean) => {
+    readonly quotaSequence: bigint
+    readonly quotas: readonly OrganisationRequest[]
+  }
   readonly apply: (shares: readonly OrganisationShare[], sentAt: number) => void
 }
 
@@ -94,6 +98,8 @@
   /** Whether shares were used up since the last request was sent. */
   #isUrgent = false
   #sentAt = Number.NEGATIVE_INFINITY
+  /** Monotonic time of the last renewal of the whole lease. */
+  #renewedAt = Number.NEGATIVE_INFINITY
 
   constructor(options: LeaseClientOptions) {
     this.#options = options
@@ -124,8 +130,14 @@
     clearTimeout(this.#timer)
   }
 
-  /** Renews the lease before it is due, because shares are used up or the document changed. */
+  /** Renews the lease before it is due. */
   renewSoon(): void {
+    this.#renewedAt = Number.NEGATIVE_INFINITY
+    this.requestShares()
+  }
+
+  /** Asks for shares of quotas before the lease is due. */
+  requestShares(): void {
     if (this.#isUrgent || this.#stopped || this.#sentAt === Number.NEGATIVE_INFINITY) return
     this.#isUrgent = true
     // After a failed renewal the next one is due soon, and control may be overloaded.
@@ -142,12 +154,15 @@
 
   async #renew(): Promise<void> {
     this.#isRenewing = true
-    const renewed = await this.#requestLease()
+    const { renewalMs, retryMs } = this.#times
+    const onlyShares = this.#isUrgent && this.#options.now() < this.#renewedAt + renewalMs
+    const renewed = await this.#requestLease(onlyShares)
     this.#isRenewing = false
     this.#hasFailed = !renewed
     if (this.#stopped) return
-    const { renewalMs, retryMs } = this.#times
-    this.#schedule(renewed ? (this.#isUrgent ? this.#urgentDelay : renewalMs) : retryMs)
+    if (renewed && !onlyShares) this.#renewedAt = this.#options.now()
+    const dueMs = Math.max(0, this.#renewedAt + renewalMs - this.#options.now())
+    this.#schedule(renewed ? Math.min(dueMs, this.#isUrgent ? this.#urgentDelay : Infinity) : retryMs)
   }
 
   #schedule(delayMs: number): void {
@@ -156,7 +171,7 @@
   }
 
   /** Sends one lease request; follows the redirect of a node that is not the leader. */
-  async #requestLease(): Promise<boolean> {
+  async #requestLease(onlyShares: boolean): Promise<boolean> {
     const { contacts } = this.#options
     this.#renewals += 1
     for (let redirects = 0; redirects < 2; redirects += 1) {
@@ -167,11 +182,12 @@
       const sentAt = this.#options.now()
       this.#sentAt = sentAt
       this.#isUrgent = false
-      const response = await this.#sendRequest(address)
+      const response = await this.#sendRequest(address, onlyShares)
       if (response === undefined) return false
       if (!response.notLeader) {
         this.#leader = target
-        this.#applyLease(response, sentAt)
+        this.#options.quotas?.apply(response.quotas.map(decodeShare), sentAt)
+        if (!onlyShares) this.#applyLease(response, sentAt)
         return true
       }
       if (response.leader === '') return false
@@ -188,7 +204,7 @@
     return candidates[this.#round % Math.max(1, candidates.length)]?.node
   }
 
-  async #sendRequest(address: string): Promise<LeaseResponse | undefined> {
+  async #sendRequest(address: string, quotasOnly: boolean): Promise<LeaseResponse | undefined> {
     const { clients, node, environment, incarnations, tokenDemands, wallClock, quotas } = this.#options
     const names = incarnations()
     const request = {
@@ -198,7 +214,8 @@
       rosterVersion: this.#rosterVersion,
       measuring: [...tokenDemands()],
       clock: BigInt(Math.max(0, Math.round(wallClock()))),
-      ...(quotas === undefined ? {} : encodeStatement(quotas.statement())),
+      quotasOnly,
+      ...(quotas === undefined ? {} : encodeStatement(quotas.statement(quotasOnly))),
     }
     const timeoutMs = this.#times.requestTimeoutMs
     try {
@@ -211,7 +228,6 @@
 
   #applyLease(response: LeaseResponse, sentAt: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
-    this.#options.quotas?.apply(response.quotas.map(decodeShare), sentAt)
     if (response.rosterVersion !== this.#rosterVersion) {
       this.#rosterVersion = response.rosterVersion
       this.#roster = response.roster.map((epoch) => ({
--- a/packages/node/src/entry-quotas.ts
+++ b/packages/node/src/entry-quotas.ts
@@ -71,11 +71,14 @@
     return decision
   }
 
-  statement() {
+  statement(isUrgent: boolean) {
     const now = this.#options.context.now()
     this.#quotas.observeEntries(this.#options.entries(), now)
     this.#sequence += 1n
-    return { quotaSequence: this.#sequence, quotas: this.#quotas.requests(now) }
+    return {
+      quotaSequence: this.#sequence,
+      quotas: isUrgent ? this.#quotas.urgentRequests(now) : this.#quotas.requests(now),
+    }
   }
 
   apply(shares: readonly OrganisationShare[], sentAt: number): void {
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -106,7 +106,7 @@
       bounds: options.adapter?.quotas,
       entries: () => this.#liveEntries(),
       onUsedUp: () => {
-        this.#controlClient.renewLease()
+        this.#controlClient.requestShares()
       },
     })
     this.#controlClient = new ControlClient({
--- a/packages/routing/src/organisation-quota.ts
+++ b/packages/routing/src/organisation-quota.ts
@@ -73,6 +73,8 @@
   /** Time until which the leader counts as having no token for it. */
   limitedUntil: number
   waiting: WaitingRequest[]
+  /** Whether a request found no token since the leader was asked. */
+  needsShare: boolean
   excess: { readonly since: number; refusedAt: number; refused: number } | undefined
 }
 
@@ -137,7 +139,10 @@
     if (account === undefined) return ADMITTED
     if (account.bucket.take(now)) return ADMITTED
     const isLimited = now < account.limitedUntil
-    if (!isLimited || now - account.askedAt >= LIMITED_ASK_INTERVAL_MS) this.#options.onUsedUp?.()
+    if (!isLimited || now - account.askedAt >= LIMITED_ASK_INTERVAL_MS) {
+      account.needsShare = true
+      this.#options.onUsedUp?.()
+    }
     if ((!isLimited || !account.bucket.hasShare(now)) && this.#takeReserve(account, now)) return ADMITTED
     const mayWait = !isLimited && account.waiting.length < MAX_WAITING && this.#options.onUsedUp !== undefined
     return mayWait ? this.#wait(account, now) : this.#refuse(account, now)
@@ -153,6 +158,12 @@
     }
   }
 
+  /** Returns what to state to the leader now for the organisations with requests that wait for it. */
+  urgentRequests(now: number): readonly OrganisationRequest[] {
+    const waiting = [...this.#accounts].filter(([, account]) => account.waiting.length > 0 || account.needsShare)
+    return waiting.map(([organisation, account]) => this.#state(organisation, account, now))
+  }
+
   /** Returns what to state to the leader in a request that is sent now. */
   requests(now: number): readonly OrganisationRequest[] {
     const requests: OrganisationRequest[] = []
@@ -168,8 +179,7 @@
         // The leader learns that the tokens were not used.
         account.bucket.end()
       }
-      account.askedAt = now
-      requests.push({ organisation, ...account.bucket.state(now), waiting: account.waiting.length })
+      requests.push(this.#state(organisation, account, now))
     }
     return requests
   }
@@ -223,6 +233,12 @@
     }
   }
 
+  #state(organisation: OrganisationName, account: Account, now: number): OrganisationRequest {
+    account.askedAt = now
+    account.needsShare = false
+    return { organisation, ...account.bucket.state(now), waiting: account.waiting.length }
+  }
+
   #createAccount(organisation: OrganisationName, now: number): Account | undefined {
     const limit = this.#limits.get(organisation)
     if (limit === undefined) return undefined
@@ -238,6 +254,7 @@
       askedAt: Number.NEGATIVE_INFINITY,
       limitedUntil: Number.NEGATIVE_INFINITY,
       waiting: [],
+      needsShare: false,
       excess: undefined,
     }
     this.#accounts.set(organisation, account)
--- a/packages/routing/src/quota-allocation.ts
+++ b/packages/routing/src/quota-allocation.ts
@@ -8,6 +8,8 @@
 
 /** A request of an earlier process of an entry is ignored for this time at most; its shares have expired then. */
 const SEQUENCE_RETENTION_MS = SHARE_VALIDITY_MS
+/** A leader that was replaced may give shares for this long, because not every request is confirmed by a majority. */
+const REPLACED_LEADER_MS = 500
 
 export interface OrganisationRequest extends QuotaRequest {
   readonly organisation: OrganisationName
@@ -23,6 +25,8 @@
   /** Grows with each request of a process. */
   readonly sequence: bigint
   readonly organisations: readonly OrganisationRequest[]
+  /** Whether the entry keeps the shares of organisations that it does not name. */
+  readonly isPartial?: boolean
 }
 
 export interface QuotaAllocatorOptions {
@@ -47,7 +51,7 @@
    */
   becomeLeader(now: number): void {
     this.stepDown()
-    this.#growsFrom = now + this.#settlingMs
+    this.#growsFrom = now + this.#settlingMs + REPLACED_LEADER_MS
   }
 
   /** Called when this node is no longer leader. */
@@ -79,7 +83,10 @@
   }
 
   /** Returns the shares of an entry, in place of those that it had. */
-  request({ entry, environment, sequence, organisations }: EntryQuotaRequest, now: number): OrganisationShare[] {
+  request(
+    { entry, environment, sequence, organisations, isPartial = false }: EntryQuotaRequest,
+    now: number,
+  ): OrganisationShare[] {
     const accounts = this.#accounts.get(environment)
     if (accounts === undefined || !this.#isLatest(entry, sequence, now)) return []
     const shares: OrganisationShare[] = []
@@ -90,6 +97,7 @@
       named.add(request.organisation)
       shares.push({ organisation: request.organisation, ...account.request(entry, request, now) })
     }
+    if (isPartial) return shares
     for (const [organisation, account] of accounts) {
       if (!named.has(organisation)) account.release(entry, now)
     }
