--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -160,6 +160,13 @@
   serverUnlimited: code(174, 'server-unlimited', 0, 'A server no longer names a limit.'),
   serverCold: code(195, 'server-cold', 0, 'A server is cold; entries limit their calls to it.'),
   serverWarm: code(196, 'server-warm', 0, 'A server is no longer cold.'),
+  quotaExcessStarted: code(
+    197,
+    'quota-excess-started',
+    0,
+    'This entry refuses calls of an organisation over its quota.',
+  ),
+  quotaExcessEnded: code(198, 'quota-excess-ended', 0, 'This entry no longer refuses calls of an organisation.'),
   quarantineStarted: code(176, 'quarantine-started', 0, 'A request is withheld from servers because it crashed some.'),
   quarantineEnded: code(177, 'quarantine-ended', 0, 'A request is no longer withheld from servers.'),
   lostCallChecked: code(175, 'lost-call-checked', 0, 'A server was checked after its connection broke during a call.'),
--- a/packages/entry/src/call-preparation.ts
+++ b/packages/entry/src/call-preparation.ts
@@ -1,6 +1,7 @@
 /** Matches the head of a request against the document in force and derives the context of the call. */
 import { failure, type Failure, type RandomSource } from '@bilberrystall/base'
 import { matchRoute, type Document, type Organisation, type Route } from '@bilberrystall/document'
+import type { PendingQuota } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
 import type { CallAdmission } from './call-admission'
 import type { CallPriorities, Precedence } from './call-priorities'
@@ -37,6 +38,8 @@
   readonly head: RequestHead
   readonly context: CallContext
   readonly precedence: Precedence
+  /** Decision on the quota that the call waits for; undefined if it is admitted. */
+  readonly quota?: PendingQuota | undefined
 }
 
 export class CallPreparation {
@@ -56,7 +59,7 @@
   prepare(head: RequestHead): Result<PreparedCall, Failure> {
     return this.#match(head).andThen((matched) =>
       this.#createContext(head, matched)
-        .andThen((placed) => this.#admit(matched.organisation).map(() => placed))
+        .andThen((placed) => this.#admit(matched.organisation).map((quota) => ({ ...placed, quota })))
         .map((placed) => ({ head, ...matched, ...placed })),
     )
   }
@@ -77,13 +80,19 @@
   }
 
   /** A call that another entry passed on was counted there. */
-  #admit(organisation: Organisation | undefined): Result<void, Failure> {
-    if (organisation === undefined) return ok()
+  #admit(organisation: Organisation | undefined): Result<PendingQuota | undefined, Failure> {
+    if (organisation === undefined) return ok(undefined)
     const { admission, priorities } = this.#options
-    const retryAfterMs = admission.takeQuota(organisation.name)
-    if (retryAfterMs !== undefined) return err({ ...failure('quotaExceeded'), retryAfterMs })
-    priorities.admitted(organisation.name)
-    return ok()
+    const decision = admission.takeQuota(organisation.name)
+    switch (decision.kind) {
+      case 'admitted':
+        priorities.admitted(organisation.name)
+        return ok(undefined)
+      case 'pending':
+        return ok(decision)
+      case 'refused':
+        return err({ ...failure('quotaExceeded'), retryAfterMs: decision.retryAfterMs })
+    }
   }
 
   #match(head: RequestHead): Result<MatchedCall, Failure> {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -99,7 +99,7 @@
     )
     options.connection.awaitUntil(this.#deadline)
     options.connection.onClosed(response, () => {
-      this.#onCallerGone()
+      this.#fail('callerCancelled')
       dependencies.onClosed(this)
     })
   }
@@ -127,6 +127,11 @@
     })
   }
 
+  /** Ends a call that was not started. */
+  refuse(code: CodeName, fields: Record<string, string>): void {
+    this.#fail(code, fields)
+  }
+
   /** Checks for a stalled request body and silent connections. Called every `sweepIntervalMs`. */
   sweep(now: number): void {
     if (this.#done) return
@@ -412,11 +417,6 @@
     this.#fail(this.#sent ? (silent ? 'connectionSilent' : 'deadlineUnknown') : 'deadlineNotRun')
   }
 
-  #onCallerGone(): void {
-    if (this.#done) return
-    this.#fail('callerCancelled')
-  }
-
   /** Ends the call with a failure. A response that has started is aborted, so the caller sees it as truncated. */
   #fail(cause: CodeName, fields?: Readonly<Record<string, string>>, members?: object): void {
     if (this.#done) return
@@ -425,13 +425,9 @@
     const code = this.#reportedCode(cause)
     this.#finish(code)
     this.#idempotency.settle(this.#unknownCode === undefined ? 'not-run' : 'unknown')
+    const { dialect } = this.#dependencies
     if (code === 'callerCancelled' || this.#callerResponse.hasStarted) this.#callerResponse.abort()
-    else
-      this.#callerResponse.problem(
-        failure(code),
-        { ...failureFields(code, this.#dependencies.dialect), ...fields },
-        members,
-      )
+    else this.#callerResponse.problem(failure(code), { ...failureFields(code, dialect), ...fields }, members)
   }
 
   #reportedCode(cause: CodeName): CodeName {
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -12,7 +12,14 @@
 import type { DocumentStore, PublishedDocument } from './document-store'
 import type { KeyRevocation } from './adapter'
 import { KeyLeaseMonitor } from './key-lease-monitor'
-import { LeaseClient, type Lease, type TokenDemand } from './control-lease'
+import {
+  FAST_LEASE_TIMES,
+  LeaseClient,
+  SLOW_LEASE_TIMES,
+  type Lease,
+  type LeaseQuotas,
+  type TokenDemand,
+} from './control-lease'
 import {
   ControlFollower,
   type DepartedServer,
@@ -36,6 +43,7 @@
   readonly tokens: MeasuringTokens
   /** Absent without strict revocation. */
   readonly keyRevocation?: KeyRevocation | undefined
+  readonly quotas?: LeaseQuotas
   readonly onDocument: (document: Document) => void
   readonly onDrain: () => void
   readonly onDepartures: (departed: readonly DepartedServer[]) => void
@@ -85,6 +93,8 @@
       onLease: (lease) => {
         this.#leaseRenewed(lease)
       },
+      times: () => (this.#document?.requiresKeys === true ? FAST_LEASE_TIMES : SLOW_LEASE_TIMES),
+      ...(options.quotas === undefined ? {} : { quotas: options.quotas }),
       now,
     })
     this.#keyLease = new KeyLeaseMonitor({
@@ -142,6 +152,11 @@
     this.#keyLease.stop()
   }
 
+  /** Asks for shares of quotas before the lease is due. */
+  requestShares(): void {
+    this.#leases.requestShares()
+  }
+
   /** Handles the notification of a replica that committed a change, and returns what this entry uses then. */
   async catchUp(notification: Notification): Promise<Position> {
     this.#options.context.leaders.leads(notification.node)
@@ -195,6 +210,7 @@
     // Control validates documents before accepting them; a parse error means that a newer software version accepted it.
     parseDocument(published.text).match(
       (document) => {
+        if (document.requiresKeys && this.#document?.requiresKeys !== true) this.#leases.renewNow()
         this.#document = document
         this.#documentRevision = published.revision
         onDocument(document)
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -1,19 +1,18 @@
 /** Entry role of a node: updates the HTTP entry and its router from the directory and the document in force. */
 import { serverId, type CodeName, type Environment, type Failure } from '@bilberrystall/base'
-import { warmUpParser, type Document, type Service } from '@bilberrystall/document'
+import { warmUpParser, type Document } from '@bilberrystall/document'
 import { ClaimTable } from '@bilberrystall/claims'
 import {
   ClaimCoordinator,
   claimRoutes,
   Entry,
-  OPEN_ADMISSION,
   RpcClaimTransport,
   SYSTEM_CLOCK,
   type EndedCall,
   type RelayPeer,
 } from '@bilberrystall/entry'
 import type { DirectoryChange, Server } from '@bilberrystall/membership'
-import { HedgingPolicies, Router, type RetryLimits, type ServerChange, type WarmUp } from '@bilberrystall/routing'
+import { HedgingPolicies, Router, type ServerChange } from '@bilberrystall/routing'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Histogram } from 'hdr-histogram-js'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -26,8 +25,11 @@
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
 import { EntryList } from './entry-list'
+import { ALLOWANCE_FRACTION, serviceLimits } from './entry-limits'
 import { Evacuations, type EvacuationChange, type EvacuationList } from './evacuations'
-import { FailureLog } from './failure-log'
+import { EntryQuotas } from './entry-quotas'
+import { createFailureLog, registerEntryGauges } from './entry-metrics'
+import type { FailureLog } from './failure-log'
 import { registerHedgingMetrics } from './hedging-metrics'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -37,9 +39,6 @@
 
 const MICROSECONDS_PER_MS = 1000
 const MAX_EJECTED_ANNOUNCED = 100
-const MS_PER_SECOND = 1000
-/** Fraction of an allowance that is used, because entries disagree on their number while nodes join and leave. */
-const ALLOWANCE_FRACTION = 0.6
 
 export interface EntryRoleOptions {
   readonly context: NodeContext
@@ -60,6 +59,7 @@
   readonly #router: Router
   readonly #hedging: HedgingPolicies
   readonly #controlClient: ControlClient
+  readonly #quotas: EntryQuotas
   readonly #claimTable: ClaimTable
   readonly #options: EntryRoleOptions
   readonly #calls: Counter<'result'>
@@ -88,17 +88,7 @@
       ['check'],
     )
     this.#relayed = context.metrics.counter('calls_relayed_total', 'Calls passed on to another entry', [])
-    const omitted = context.metrics.counter(
-      'log_lines_omitted_total',
-      'Log lines of failed calls omitted by the rate limit',
-    )
-    this.#failures = new FailureLog({
-      log: context.log,
-      now: context.now,
-      onOmitted: () => {
-        omitted.inc()
-      },
-    })
+    this.#failures = createFailureLog(context)
     const allowance = options.adapter?.loadQueries
     this.#entries = new EntryList(context, settings.environment)
     this.#router = new Router({
@@ -109,12 +99,21 @@
     })
     this.#hedging = new HedgingPolicies({ defaultLimit: settings.hedgeLimit })
     registerHedgingMetrics(context.metrics, { hedging: this.#hedging, now: context.now })
+    this.#quotas = new EntryQuotas({
+      context,
+      bounds: options.adapter?.quotas,
+      entries: () => this.#entries.live(),
+      onUsedUp: () => {
+        this.#controlClient.requestShares()
+      },
+    })
     this.#controlClient = new ControlClient({
       context,
       environment: settings.environment,
       documentStore: options.documentStore,
       tokens: this.#router.tokens,
       keyRevocation: options.adapter?.keyRevocation,
+      quotas: this.#quotas,
       onDocument: (document) => {
         this.#configure(document)
       },
@@ -137,7 +136,10 @@
       ...(options.adapter === undefined ? {} : { dialect: options.adapter.dialect }),
       random: context.random,
       gate: options.quarantine.gate,
-      admission: { ...OPEN_ADMISSION, areKeysConfirmed: () => this.#controlClient.areKeysConfirmed() },
+      admission: {
+        areKeysConfirmed: () => this.#controlClient.areKeysConfirmed(),
+        takeQuota: (organisation) => this.#quotas.take(organisation),
+      },
       revision: () => this.#revision(),
       ...(settings.relayListen === undefined ? {} : { relayListen: splitAddress(settings.relayListen) }),
       relayPeers: () => this.#relayPeers(),
@@ -171,17 +173,16 @@
         },
       },
     })
-    context.metrics.gauge('calls_in_flight', 'Calls in flight at the entry', () => this.#entry.callsInFlight)
-    context.metrics.gauge('servers_unreachable', 'Whether this entry reaches no server', () => Number(this.#isCutOff))
-    context.metrics.gauge('claimed_keys', 'Idempotency keys stored by this holder', () => this.#claimTable.size)
-    context.metrics.gauge('claim_bytes', 'Bytes of stored idempotency keys', () => this.#claimTable.bytes)
     this.#pauses = context.metrics.counter('server_pauses_total', 'Pauses that servers asked for')
-    context.metrics.gauge('servers_limited', 'Servers that name a rate limit', () => this.#limited.size)
-    context.metrics.gauge('servers_cold', 'Servers that are cold and limited', () =>
-      this.#router.coldServers(context.now()),
-    )
-    context.metrics.gauge('evacuated_domains', 'Evacuated failure domains', () => this.#evacuations.domains.length)
-    context.metrics.gauge('servers', 'Known servers of the environment', () => this.#firstSeen.size)
+    registerEntryGauges(context.metrics, {
+      callsInFlight: () => this.#entry.callsInFlight,
+      isCutOff: () => this.#isCutOff,
+      claimTable: this.#claimTable,
+      servers: () => this.#firstSeen.size,
+      limitedServers: () => this.#limited.size,
+      coldServers: () => this.#router.coldServers(context.now()),
+      evacuatedDomains: () => this.#evacuations.domains.length,
+    })
   }
 
   /** Whether a confirmed document is in force. */
@@ -322,14 +323,11 @@
   #configure(document: Document): void {
     const now = this.#options.context.now()
     for (const service of document.services.values()) {
-      const limits = {
-        retries: this.#retries(service),
-        concurrency: service.concurrency,
-        warmUp: this.#warmUp(service),
-      }
+      const limits = serviceLimits(service, this.#options.adapter, this.#entries.live().length)
       this.#router.configure(service.name, limits, now)
       this.#hedging.configure(service.name, service.hedgeLimit)
     }
+    this.#quotas.configure(document)
     this.#entry.configure(document)
   }
 
@@ -342,21 +340,6 @@
     }
   }
 
-  /** The platform's allowance applies to all entries together, so its fixed part is divided among them. */
-  #retries({ retryBudget }: Service): RetryLimits {
-    const allowance = this.#options.adapter?.retries
-    if (allowance === undefined) return { share: retryBudget }
-    const fixedRetries = (allowance.extraRetries * ALLOWANCE_FRACTION) / this.#entries.live().length
-    const minimum = (fixedRetries * MS_PER_SECOND) / allowance.windowMs
-    return { share: allowance.share * ALLOWANCE_FRACTION, minimum, burst: Math.max(1, fixedRetries) }
-  }
-
-  /** Returns undefined if the document names no rate for cold servers, which are then used like others. */
-  #warmUp({ warmUpMs = 0, warmUpRate }: Service): WarmUp | undefined {
-    const bound = this.#options.adapter?.coldServers
-    return warmUpRate === undefined ? undefined : { lengthMs: warmUpMs, rate: warmUpRate, ...bound }
-  }
-
   #serverChanged(key: string, server: Server): void {
     const { context, settings } = this.#options
     if (server.environment !== settings.environment) return
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -177,7 +177,7 @@
       })
     }
     if (control === undefined) return ok()
-    const metrics = controlMetrics(this.#metrics, () => this.#control?.host.status())
+    const metrics = controlMetrics(this.#metrics, () => this.#control)
     const supervisor = new ControlSupervisor({
       open: (onFailed) => this.#openControl(control, metrics, onFailed),
       setAside: () => setAsideLog(control.dataFolder, this.#fileSystem),
@@ -212,6 +212,7 @@
       documentStore: this.#documentStore,
       log: this.#context.log,
       metrics,
+      quotaBounds: this.#adapter?.quotas,
       random: this.#context.random,
       incarnations: () => this.#context.directory.incarnations,
       onFatal,
@@ -398,12 +399,11 @@
   }
 
   #createContext(log: Log): NodeContext {
-    const { node, address, nodeKey } = this.#settings
+    const { node, address, nodeKey, entry } = this.#settings
     const startedAt = Date.now()
     const now = () => performance.now()
     const random = seededRandom(randomInt(RANDOM_SEED_RANGE))
-    const renewalMs = this.#settings.entry?.renewalMs
-    const leases = leaseTimes(renewalMs)
+    const leases = leaseTimes(entry?.renewalMs)
     const firstCounter = randomInt(FIRST_COUNTER_RANGE)
     const directory = new Directory({ self: node, incarnation: startedAt, firstCounter, now: now(), leases })
     const clients = new RpcClients({ nodeKey, traffic: this.#traffic })
@@ -416,7 +416,7 @@
       seeds: () => this.#seeds,
       random,
       now,
-      isSlow: renewalMs !== undefined,
+      isSlow: entry?.renewalMs !== undefined,
       onChanges: (changes) => {
         this.#applyChanges(changes)
       },
