--- a/packages/node/src/key-lease-monitor.ts
+++ b/packages/node/src/key-lease-monitor.ts
@@ -7,8 +7,6 @@
 import type { Metrics } from './metrics'
 
 const MS_PER_SECOND = 1000
-/** Resolution in ms of the clock since boot where it has fractions of a second. */
-const FINE_RESOLUTION_MS = 10
 /** Added to the time of expiry, because timers may run early. */
 const TIMER_MARGIN_MS = 5
 
@@ -35,8 +33,6 @@
   #state: KeyLeaseState | undefined
   #endedAt = 0
   #expiryTimer: NodeJS.Timeout | undefined
-  /** Whether all readings of the clock since boot were whole seconds. */
-  #hasWholeSeconds = true
 
   constructor(options: KeyLeaseMonitorOptions) {
     this.#options = options
@@ -102,9 +98,6 @@
 
   #clocks(): ClockReading {
     const { now, wallClock, sinceBoot = () => uptime() * MS_PER_SECOND } = this.#options
-    const sinceBootMs = sinceBoot()
-    if (sinceBootMs % MS_PER_SECOND !== 0) this.#hasWholeSeconds = false
-    const sinceBootResolution = this.#hasWholeSeconds ? MS_PER_SECOND : FINE_RESOLUTION_MS
-    return { monotonic: now(), sinceBoot: sinceBootMs, sinceBootResolution, timeOfDay: wallClock() }
+    return { monotonic: now(), sinceBoot: sinceBoot(), timeOfDay: wallClock() }
   }
 }
--- a/packages/node/src/key-lease.ts
+++ b/packages/node/src/key-lease.ts
@@ -12,15 +12,11 @@
  * which are at most 500 ppm. Between two renewals, and from sending to renewal, less than this stays undetected.
  */
 const MAX_DIFFERENCE_MS = 500
-/** The same for a clock with a resolution of a second, in addition to that resolution. */
-const MAX_COARSE_DIFFERENCE_MS = 50
 
 /** Readings of one moment in ms. */
 export interface ClockReading {
   readonly monotonic: number
   readonly sinceBoot: number
-  /** Resolution of `sinceBoot`: some systems round it down to whole seconds. */
-  readonly sinceBootResolution: number
   readonly timeOfDay: number
 }
 
@@ -50,7 +46,7 @@
 }
 
 export class KeyLease {
-  readonly #revokeMs: number
+  readonly #validMs: number
   #read: RevisionRead | undefined
   /** Reading that later ones are compared with. */
   #baseline: ClockReading | undefined
@@ -58,7 +54,7 @@
   #differedAt = Number.NEGATIVE_INFINITY
 
   constructor({ revokeMs }: KeyLeaseOptions) {
-    this.#revokeMs = revokeMs
+    this.#validMs = revokeMs * VALID_SHARE
   }
 
   /** Records a read. A read that was sent before the known one changes nothing but the revision. */
@@ -78,17 +74,11 @@
     const { sentAt, revision } = this.#read
     // A read that was sent before the difference was detected may be older than the monotonic clock tells.
     if (sentAt <= this.#differedAt) return { kind: 'ended', reason: 'clocks' }
-    const leftMs = this.#validFor(clocks) - (clocks.monotonic - sentAt)
+    const leftMs = this.#validMs - (clocks.monotonic - sentAt)
     if (leftMs < 0) return { kind: 'ended', reason: 'expired' }
     return inUse < revision ? { kind: 'ended', reason: 'behind' } : { kind: 'valid', leftMs }
   }
 
-  /** With a coarse clock, a suspension of up to twice its resolution may stay undetected, which shortens the lease. */
-  #validFor({ sinceBootResolution }: ClockReading): number {
-    const undetectedMs = 2 * (sinceBootResolution + MAX_COARSE_DIFFERENCE_MS)
-    return Math.min(this.#revokeMs * VALID_SHARE, this.#revokeMs - undetectedMs)
-  }
-
   /**
    * A difference in either direction counts: a time of day that was set back may hide a suspension of the same length.
    * The baseline is kept between renewals, so that several short suspensions add up.
@@ -96,10 +86,8 @@
   #compare(clocks: ClockReading): void {
     const baseline = (this.#baseline ??= clocks)
     const elapsed = clocks.monotonic - baseline.monotonic
-    const sinceBoot = Math.abs(clocks.sinceBoot - baseline.sinceBoot - elapsed)
-    const timeOfDay = Math.abs(clocks.timeOfDay - baseline.timeOfDay - elapsed)
-    const tolerance = Math.max(MAX_DIFFERENCE_MS, clocks.sinceBootResolution + MAX_COARSE_DIFFERENCE_MS)
-    if (sinceBoot <= tolerance && timeOfDay <= MAX_DIFFERENCE_MS) return
+    const differences = [clocks.sinceBoot - baseline.sinceBoot, clocks.timeOfDay - baseline.timeOfDay]
+    if (differences.every((other) => Math.abs(other - elapsed) <= MAX_DIFFERENCE_MS)) return
     this.#differedAt = clocks.monotonic
     this.#baseline = clocks
   }
