Ignore a clock since boot that departs all the time

Cause: where os.uptime() is not the clock of the VM, it departs from the monotonic clock several times a second, and each departure ended the key lease. Change: after three departures that the time of day does not confirm, the clock since boot no longer counts; a suspension departs once.

--- a/packages/node/src/key-lease.ts
+++ b/packages/node/src/key-lease.ts
@@ -12,6 +12,11 @@
  * which are at most 500 ppm. Between two renewals, and from sending to renewal, less than this stays undetected.
  */
 const MAX_DIFFERENCE_MS = 500
+/**
+ * Times that the clock since boot may depart alone, without the time of day. One suspension departs once; where that
+ * clock belongs to a host that runs at another rate, it departs all the time and says nothing of this VM.
+ */
+const MAX_LONE_DEPARTURES = 3
 
 /** Readings of one moment in ms. */
 export interface ClockReading {
@@ -52,6 +57,7 @@
   #baseline: ClockReading | undefined
   /** Monotonic time at which a difference was last detected. */
   #differedAt = Number.NEGATIVE_INFINITY
+  #loneDepartures = 0
 
   constructor({ revokeMs }: KeyLeaseOptions) {
     this.#validMs = revokeMs * VALID_SHARE
@@ -86,8 +92,12 @@
   #compare(clocks: ClockReading): void {
     const baseline = (this.#baseline ??= clocks)
     const elapsed = clocks.monotonic - baseline.monotonic
-    const differences = [clocks.sinceBoot - baseline.sinceBoot, clocks.timeOfDay - baseline.timeOfDay]
-    if (differences.every((other) => Math.abs(other - elapsed) <= MAX_DIFFERENCE_MS)) return
+    const departs = (other: number) => Math.abs(other - elapsed) > MAX_DIFFERENCE_MS
+    const timeOfDayDeparts = departs(clocks.timeOfDay - baseline.timeOfDay)
+    const isTrusted = this.#loneDepartures < MAX_LONE_DEPARTURES
+    const sinceBootDeparts = isTrusted && departs(clocks.sinceBoot - baseline.sinceBoot)
+    if (!timeOfDayDeparts && !sinceBootDeparts) return
+    if (!timeOfDayDeparts) this.#loneDepartures += 1
     this.#differedAt = clocks.monotonic
     this.#baseline = clocks
   }
--- a/packages/node/test/key-lease.test.ts
+++ b/packages/node/test/key-lease.test.ts
@@ -125,3 +125,13 @@
   expect(setup.check(5)).toBe('valid for 3000 ms')
   expect(setup.check(6)).toBe('valid for 3000 ms')
 })
+
+// Guards against a lease that ends all the time where the clock since boot is that of a host with another rate.
+test('a clock since boot that departs again and again is ignored', () => {
+  const setup = new Setup()
+  const states = Array.from({ length: 8 }, () => setup.renew().pass(100).move({ sinceBoot: 600 }).check())
+  expect(states.slice(0, 3)).toEqual(['clocks', 'clocks', 'clocks'])
+  expect(new Set(states.slice(3))).toEqual(new Set(['valid for 2900 ms']))
+  setup.renew().move({ timeOfDay: 800 })
+  expect(setup.check()).toBe('clocks')
+})
