--- a/packages/entry/test/authentication.test.ts
+++ b/packages/entry/test/authentication.test.ts
@@ -6,7 +6,7 @@
 import { expect, test } from 'vitest'
 import { authenticate, isCredentialField, organisationFields } from '../src/authentication'
 
-const DIALECT = { keyScheme: 'token', organisationHeader: 'tenant' }
+const DIALECT = { keyScheme: 'token', organisationHeader: 'x-organisation' }
 const TEXT = `[document]
 title = Test
 [service.a]
@@ -106,13 +106,13 @@
   expect({
     key: isCredentialField('authorization', 'Token k1', DIALECT),
     otherScheme: isCredentialField('authorization', 'Basic YTpi', DIALECT),
-    nameFromCaller: isCredentialField('tenant', 'south', DIALECT),
+    nameFromCaller: isCredentialField('x-organisation', 'south', DIALECT),
     otherField: isCredentialField('accept', '*/*', DIALECT),
     added: organisationFields(documentOf(TEXT).organisationsByKey.get('k1')?.name, DIALECT),
   }).toMatchInlineSnapshot(`
     {
       "added": [
-        "tenant",
+        "x-organisation",
         "north",
       ],
       "key": true,
