Report why bytes of a server are not accepted as a response

Cause: a response that an entry refused left only connection-lost at its call, and bytes that arrived while no request was in progress left nothing.

Change: each refusal has a reason (ResponseRefusal). The connection reports it with its local port, the number of requests sent on it and the attempt in progress, and the entry passes it on as the event responseRefused. What is accepted is unchanged.

--- a/packages/entry/src/connection-pool.ts
+++ b/packages/entry/src/connection-pool.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Connection, type Address } from './connection'
 import type { Clock, Limits } from './limits'
+import type { RefusedResponse } from './response-refusal'
 
 export interface ConnectionPoolOptions {
   readonly address: Address
@@ -14,6 +15,7 @@
   /** Returns this entry's share of the server's connection limit. */
   readonly maxConnections: () => number
   readonly onRetired: (count: number) => void
+  readonly onRefused: (refused: RefusedResponse) => void
 }
 
 export type AcquireCallback = (result: Result<Connection, Failure>) => void
@@ -169,6 +171,7 @@
     }
     const connection = result.value
     this.#connections.add(connection)
+    connection.onRefused(this.#options.onRefused)
     connection.onClose(() => {
       this.#connections.delete(connection)
       this.#closeIfIdle(connection)
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from 'undici'
 // The index of the library loads its fetch and WebSocket implementations as well.
 import Client from 'undici/lib/dispatcher/client.js'
+import type { RefusedResponse, ResponseRefusal } from './response-refusal'
 import { ServerSocket } from './server-socket'
 
 /** Keep-alive timeout of undici: far above the idle limit of the pool, which closes idle connections first. */
@@ -32,11 +33,17 @@
   broken = false
   /** Set when the server closed its side cleanly (FIN). */
   ended = false
+  #requests = 0
+  /** Bytes written when the request in progress was dispatched; undefined if there is none. */
+  #bytesBeforeRequest: number | undefined
+  #onRefused: ((refused: RefusedResponse) => void) | undefined
+  readonly #localPort: number
   readonly #socket: ServerSocket
   readonly #client: Client
 
   private constructor(address: Address, socket: ServerSocket, now: number) {
     this.#socket = socket
+    this.#localPort = socket.localPort ?? 0
     this.openedAt = now
     this.receivedAt = now
     this.usedAt = now
@@ -92,6 +99,7 @@
         clearTimeout(timer)
         // undici destroys the socket with an error of its own after a response that ends with the connection.
         if (connection?.ended === false) connection.broken = true
+        connection?.onError(cause)
         resolve(err(failure('connectFailed', errorMessage(cause))))
       })
     })
@@ -114,10 +122,26 @@
 
   /** `passOn` is called after each part of the received bytes that was parsed. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, passOn: () => void): void {
+    this.#requests += 1
+    this.#bytesBeforeRequest = this.bytesWritten
     this.#socket.expectHead(passOn)
     this.#client.dispatch(options, handler)
   }
 
+  /** `listener` is called for each response, or other bytes of the server, that was not accepted. */
+  onRefused(listener: (refused: RefusedResponse) => void): void {
+    this.#onRefused = listener
+  }
+
+  /** Reports that bytes of the server were not accepted as the response to the request of `attempt`. */
+  refuse(refusal: ResponseRefusal, attempt: string | undefined): void {
+    this.#onRefused?.({ refusal, connection: this.#localPort, requests: this.#requests, attempt })
+  }
+
+  onResponseEnd(): void {
+    this.#bytesBeforeRequest = undefined
+  }
+
   onHeadComplete(hasLength: boolean): void {
     this.#socket.onHeadComplete(hasLength)
   }
@@ -130,6 +154,16 @@
     this.#socket.onPartParsed()
   }
 
+  /** Whether undici destroyed the socket because of what it received, and not because the connection ended. */
+  isCausedByBytes(cause: Error): boolean {
+    return cause.name === 'HTTPParserError' || (cause.name === 'SocketError' && !this.#socket.readableEnded)
+  }
+
+  private onError(cause: Error): void {
+    const isRequestSent = this.#bytesBeforeRequest !== undefined && this.bytesWritten > this.#bytesBeforeRequest
+    if (!isRequestSent && this.isCausedByBytes(cause)) this.refuse({ kind: 'stray-bytes' }, undefined)
+  }
+
   destroy(): void {
     void this.#client.destroy()
     this.#socket.destroy()
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -11,6 +11,7 @@
 import type { Clock, Limits } from './limits'
 import type { RelayPeer } from './relay-peers'
 import type { RequestGate } from './request-gate'
+import type { RefusedResponse } from './response-refusal'
 import type { ServerCheck } from './server-check'
 
 /** An announced server with its address and connection limit. */
@@ -39,6 +40,8 @@
   readonly connectionsCut?: (cut: { readonly connections: number; readonly responses: number }) => void
   /** Connections to a server were retired because they made no progress. */
   readonly silentRetired?: (server: ServerId, count: number) => void
+  /** A response of a server, or bytes that belong to no request, were not accepted. */
+  readonly responseRefused?: (server: ServerId, refused: RefusedResponse) => void
 }
 
 export interface EntryOptions {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -410,6 +410,7 @@
       clock: this.#clock,
       maxConnections: () => this.#connectionShare(id),
       onRetired: (count) => this.#options.events?.silentRetired?.(id, count),
+      onRefused: (refused) => this.#options.events?.responseRefused?.(id, refused),
     })
     this.#pools.set(id, pool)
     return pool
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { Connection } from './connection'
 import type { Dialect } from './dialect'
 import { parseResponseHead, type ResponseHead } from './head'
+import type { ResponseRefusal } from './response-refusal'
 
 export interface ExchangeRequest {
   readonly method: string
@@ -102,14 +103,15 @@
       return
     }
     if (status > LAST_STATUS) {
-      this.onResponseError()
+      this.#refuse({ kind: 'invalid-status', status })
       return
     }
     const parsed = parseResponseHead(status, controller.rawHeaders as Buffer[], this.#dialect)
     const head = this.#expectsBody ? parsed : { ...parsed, delimited: true }
     this.connection.onHeadComplete(head.length !== undefined)
-    if (!this.#matchesRequest(head)) {
-      this.onResponseError()
+    const refusal = this.#refusalOf(head)
+    if (refusal !== undefined) {
+      this.#refuse(refusal)
       return
     }
     this.#head = head
@@ -128,7 +130,7 @@
     this.connection.onBody(piece.length)
     this.#bodyBytes += piece.length
     if (this.#bodyBytes > this.#maxBodyBytes) {
-      this.onResponseError()
+      this.#fail()
       return
     }
     this.#pieces.push(piece)
@@ -161,7 +163,7 @@
     }
     // undici also reports a body as complete if the connection was reset. The reset is visible after this turn.
     setImmediate(() => {
-      if (this.connection.broken || !this.connection.ended) this.onResponseError()
+      if (this.connection.broken || !this.connection.ended) this.#fail()
       else this.#end()
     })
   }
@@ -169,10 +171,21 @@
   #end(): void {
     if (this.#finished) return
     this.#finished = true
+    this.connection.onResponseEnd()
     this.#events.ended()
   }
 
-  onResponseError(): void {
+  onResponseError(_: Dispatcher.DispatchController, cause: Error): void {
+    if (this.sent && this.connection.isCausedByBytes(cause)) this.#refuse({ kind: 'malformed', detail: cause.message })
+    else this.#fail()
+  }
+
+  #refuse(refusal: ResponseRefusal): void {
+    if (!this.#finished) this.connection.refuse(refusal, this.#attemptId)
+    this.#fail()
+  }
+
+  #fail(): void {
     if (this.#finished) return
     this.#finished = true
     const { sent } = this
@@ -194,13 +207,15 @@
     this.connection.destroy()
   }
 
-  /** Rejects a late response to an earlier request and a success that the server did not sign. */
-  #matchesRequest({ status, attemptId, signed, encoded, notRun }: ResponseHead): boolean {
-    if (attemptId !== this.#attemptId && !(notRun && attemptId === undefined)) return false
+  /** Refuses a late response to an earlier request and a success that the server did not sign. */
+  #refusalOf({ status, attemptId, signed, encoded, notRun }: ResponseHead): ResponseRefusal | undefined {
+    if (attemptId !== this.#attemptId && !(notRun && attemptId === undefined)) {
+      return { kind: 'other-attempt', received: attemptId }
+    }
     const isSuccess = status >= 200 && status < 300
-    return (
-      !isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined || (signed && !encoded)
-    )
+    if (!isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
+    if (!signed) return { kind: 'unsigned' }
+    return encoded ? { kind: 'encoded' } : undefined
   }
 
   #progress(): void {
--- a/packages/entry/src/relay-peers.ts
+++ b/packages/entry/src/relay-peers.ts
@@ -109,6 +109,7 @@
       clock,
       maxConnections: () => MAX_CONNECTIONS,
       onRetired: () => undefined,
+      onRefused: () => undefined,
     })
     const state = { pool, address, inFlight: known?.inFlight ?? 0, pausedUntil: Number.NEGATIVE_INFINITY }
     this.#states.set(node, state)
