Fake server: extra copies of responses, refusals and failures by share

Change: a share of the responses is followed by a copy of the same bytes, whole or cut off within head or body, in 1 to 3 pieces that may be late; a response that ends with its connection (query `unframed`) has the copy before the close. Pieces that are due within the next response wait for its end. Shares of requests are refused with 503 or run and answered with 500. The server returns `bilberrystall-attempt`. Its record has the status and body digest of each response, and the requests whose connection carried extra bytes.

--- a/packages/testkit/src/behaviour.ts
+++ b/packages/testkit/src/behaviour.ts
@@ -35,6 +35,14 @@
   readonly crashPath: string
   /** Delay in ms between the end of the execution and the response; it does not occupy a slot. */
   readonly responseDelayMs: number
+  /** Share of requests that are refused with 503 and `bilberrystall-not-run: 1`, whatever the load. */
+  readonly refusalShare: number
+  /** Share of requests that run and are answered with 500. */
+  readonly failureShare: number
+  /** Share of responses that an extra copy follows, whole or cut off. */
+  readonly stutterShare: number
+  /** Longest time in ms before each piece of an extra copy. */
+  readonly stutterDelayMs: number
 }
 
 export const DEFAULT_BEHAVIOUR: Behaviour = {
@@ -51,6 +59,10 @@
   responsesToReset: 0,
   crashPath: '',
   responseDelayMs: 0,
+  refusalShare: 0,
+  failureShare: 0,
+  stutterShare: 0,
+  stutterDelayMs: 12,
 }
 
 export function sampleServiceTime(time: ServiceTime, random: RandomSource): number {
--- a/packages/testkit/src/fake-server.ts
+++ b/packages/testkit/src/fake-server.ts
@@ -1,12 +1,14 @@
 /**
  * Fake server: an HTTP/1.1 server with slots and a FIFO queue that announces itself to the entries. The query parameter
- * `bytes=N` asks for a generated body of N bytes, `ms=N` sets the service time of the call, and `chunked` leaves out the length of
- * the body. Other responses are JSON that describes the request. The execution record and the faults are served by a second listener, the control
- * endpoint, which entries never call.
+ * `bytes=N` asks for a generated body of N bytes, `ms=N` sets the service time of the call, `chunked` leaves out the
+ * length of the body, and `unframed` also the chunks, so that the body ends with its connection. Other responses are JSON
+ * that describes the request. The execution record and the faults are served by a second listener, the control endpoint,
+ * which entries never call.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createHash } from 'node:crypto'
 import { once } from 'node:events'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { seededRandom, type RandomSource } from '@bilberrystall/base'
 import { Announcer, type ServerIdentity, type ServerState } from './announcer'
@@ -15,6 +17,12 @@
 import { ExecutionRecord, type ExecutionRecordSnapshot } from './execution-record'
 import { readJson, sendJson } from './json-http'
 import { SlotQueue } from './slot-queue'
+import { drawCopy, StutteringConnection } from './stutter'
+
+/** Header that entries send with a random value for each attempt, and that servers return. */
+const ATTEMPT_HEADER = 'bilberrystall-attempt'
+/** Added to the seed for refusals, failures and extra copies, which must not change the service times of a seed. */
+const FAULT_SEED = 0x57a7
 
 export interface FakeServerOptions {
   readonly environment?: string
@@ -50,10 +58,22 @@
   readonly signal: AbortSignal
 }
 
+interface Reply {
+  readonly status: number
+  readonly fields?: Readonly<Record<string, string>>
+  readonly chunks: Iterable<Buffer>
+  readonly length: number
+  readonly ran: boolean
+  /** Number of bytes of the body after which the connection is closed; undefined for a whole response. */
+  readonly truncatedTo?: number
+}
+
 export class FakeServer {
   readonly #options: FakeServerOptions
   readonly #slots: SlotQueue
   readonly #random: RandomSource
+  readonly #faultRandom: RandomSource
+  readonly #stutteringConnections = new WeakMap<Socket, StutteringConnection>()
   readonly #record = new ExecutionRecord()
   readonly #startedAt = performance.now()
   readonly #loadReports: { readonly at: number; readonly value: string }[] = []
@@ -67,6 +87,7 @@
     this.#options = options
     this.#slots = new SlotQueue(options.slots ?? 3)
     this.#random = seededRandom(options.seed ?? 1)
+    this.#faultRandom = seededRandom((options.seed ?? 1) + FAULT_SEED)
     this.#behaviour = { ...DEFAULT_BEHAVIOUR, ...options.behaviour }
     this.#server = createServer((request, response) => void this.#serve(request, response))
     this.#server.keepAliveTimeout = 60_000
@@ -151,6 +172,7 @@
       url: new URL(request.url ?? '/', 'http://fake-server'),
       signal: disconnected.signal,
     }
+    this.#stutteringConnection(request.socket)?.onRequest(call.id)
     try {
       await this.#handle(call)
     } catch {
@@ -164,13 +186,14 @@
     if (silent) return
     const queueLimit = singleHeader(call.request, 'bilberrystall-queue-limit')
     const exceedsQueueLimit = queueLimit !== undefined && this.#slots.exceedsQueueLimit(Number(queueLimit))
-    if (exceedsQueueLimit || (shedQueueLength > 0 && this.#slots.queued >= shedQueueLength)) {
-      this.#shed(call)
+    const isFull = exceedsQueueLimit || (shedQueueLength > 0 && this.#slots.queued >= shedQueueLength)
+    if (isFull || this.#drawFault('refusalShare')) {
+      await this.#shed(call)
       return
     }
     if (failFastStatus > 0) {
       this.#record.addExecution(call.id, call.key)
-      call.response.writeHead(failFastStatus, this.#buildHeaders()).end('failed')
+      await this.#send(call, { status: failFastStatus, ...textBody('failed'), ran: true })
       return
     }
     if (!(await this.#execute(call))) return
@@ -205,9 +228,10 @@
     return ms * this.#behaviour.slowdown * coldStartMultiplier(this.#behaviour, performance.now() - this.#startedAt)
   }
 
-  #shed(call: ReceivedCall): void {
+  async #shed(call: ReceivedCall): Promise<void> {
     this.#record.shed += 1
-    call.response.writeHead(503, { ...this.#buildHeaders(), 'bilberrystall-not-run': '1' }).end('shed')
+    const fields = { 'bilberrystall-not-run': '1' }
+    await this.#send(call, { status: 503, fields, ...textBody('shed'), ran: false })
   }
 
   async #respond(call: ReceivedCall, body: Buffer): Promise<void> {
@@ -217,25 +241,78 @@
     }
     const bytes = call.url.searchParams.get('bytes')
     const id = call.id ?? ''
-    const chunks = bytes === null ? [this.#buildEcho(call, body)] : photoChunks(id, Number(bytes))
-    const length = bytes === null ? this.#buildEcho(call, body).length : Number(bytes)
-    call.response.writeHead(200, {
+    const echo = this.#buildEcho(call, body)
+    const length = bytes === null ? echo.length : Number(bytes)
+    const type = bytes === null ? 'application/json' : 'application/octet-stream'
+    const truncated = this.#consumeFault('responsesToTruncate')
+    await this.#send(call, {
+      status: this.#drawFault('failureShare') ? 500 : 200,
+      fields: { 'content-type': type, 'x-request-id': id },
+      chunks: bytes === null ? [echo] : photoChunks(id, length),
+      length,
+      ran: true,
+      ...(truncated ? { truncatedTo: Math.floor(length / 2) } : {}),
+    })
+  }
+
+  /** Sends a response, and an extra copy of it if one is drawn. */
+  async #send(call: ReceivedCall, reply: Reply): Promise<void> {
+    const { request, response, url } = call
+    const { status, length, truncatedTo } = reply
+    const unframed = url.searchParams.has('unframed')
+    const hasLength = !unframed && !url.searchParams.has('chunked')
+    const attempt = singleHeader(request, ATTEMPT_HEADER)
+    // A response that waits for an earlier one on its connection is not written yet, so it can't be copied.
+    const connection = response.socket === null ? undefined : this.#stutteringConnection(request.socket)
+    const copied = connection !== undefined && truncatedTo === undefined && this.#drawFault('stutterShare')
+    connection?.begin(call.id)
+    if (unframed) {
+      response.useChunkedEncodingByDefault = false
+      response.shouldKeepAlive = false
+    }
+    response.writeHead(status, {
       ...this.#buildHeaders(),
-      'content-type': bytes === null ? 'application/json' : 'application/octet-stream',
-      ...(call.url.searchParams.has('chunked') ? {} : { 'content-length': String(length) }),
-      'x-request-id': id,
+      ...reply.fields,
+      ...(attempt === undefined ? {} : { [ATTEMPT_HEADER]: attempt }),
+      ...(hasLength ? { 'content-length': String(length) } : {}),
+    })
+    await this.#writeBody(call, reply)
+    if (copied && unframed) await this.#sendCopy(connection, connection.written)
+    if (truncatedTo === undefined) response.end()
+    else request.socket.end()
+    const written = connection?.end()
+    if (copied && !unframed && written !== undefined) await this.#sendCopy(connection, written)
+  }
+
+  async #sendCopy(connection: StutteringConnection, response: Buffer): Promise<void> {
+    this.#record.extraCopies += 1
+    await connection.sendCopy(response, drawCopy(this.#faultRandom, response, this.#behaviour.stutterDelayMs))
+  }
+
+  /** Undefined for a connection without extra bytes. */
+  #stutteringConnection(socket: Socket): StutteringConnection | undefined {
+    const known = this.#stutteringConnections.get(socket)
+    if (known !== undefined || this.#behaviour.stutterShare === 0) return known
+    const connection = new StutteringConnection(socket, (requestId) => {
+      this.#record.addBesideExtraBytes(requestId)
     })
-    const truncate = this.#consumeFault('responsesToTruncate')
-    await this.#writeChunks(call, chunks, truncate ? Math.floor(length / 2) : length)
-    if (truncate) call.request.socket.end()
-    else call.response.end()
+    this.#stutteringConnections.set(socket, connection)
+    return connection
   }
 
-  async #writeChunks(call: ReceivedCall, chunks: Iterable<Buffer>, limit: number): Promise<void> {
-    let remaining = limit
+  #drawFault(share: 'refusalShare' | 'failureShare' | 'stutterShare'): boolean {
+    return this.#behaviour[share] > 0 && this.#faultRandom() < this.#behaviour[share]
+  }
+
+  async #writeBody(call: ReceivedCall, { status, chunks, length, ran, truncatedTo }: Reply): Promise<void> {
+    const hash = createHash('sha256')
+    let remaining = truncatedTo ?? length
     for (const chunk of chunks) {
       const part = chunk.subarray(0, remaining)
       remaining -= part.length
+      hash.update(part)
+      if (remaining === 0 && truncatedTo === undefined)
+        this.#record.addResponse(call.id, { status, ran, bodyDigest: hash.digest('hex') })
       if (!call.response.write(part)) await once(call.response, 'drain', { signal: call.signal })
       if (remaining === 0) break
     }
@@ -298,6 +375,11 @@
   return Buffer.concat(chunks)
 }
 
+function textBody(text: string): Pick<Reply, 'chunks' | 'length'> {
+  const body = Buffer.from(text)
+  return { chunks: [body], length: body.length }
+}
+
 function formatAddress(server: Server): string {
   const { address, port } = server.address() as AddressInfo
   return `${address}:${port}`
