Soak: servers that stutter, and answers compared with the servers' records

Change: with `--stutter`, servers send extra copies of responses, refuse and fail at seeded times, overlapping with the other faults, and callers that send one request at a time also ask for bodies that end with their connection. Every answer, also in runs without stutter, is compared with the records of the servers: status, body digest and `x-request-id` are those of a response to its request, or of a problem document of an entry; no refusal of a request that ran, unless its route is repeatable. Callers record bytes that are no response as `malformed` in place of ending the run.

The check of planned stops passes over exchanges answered 502 or broken off only if the server's record says that their connection carried extra bytes, which no server sends without the option. A response 500 with the body of the request counts as a whole one of a server; an entry writes no such body.

--- a/packages/testkit/src/load.ts
+++ b/packages/testkit/src/load.ts
@@ -35,6 +35,8 @@
   readonly code: string
   readonly server: string
   readonly replayed: boolean
+  /** Value of the field `x-request-id` of the response. */
+  readonly responseId: string
   /** Response body if it is shorter than 4096 bytes, otherwise empty. */
   readonly text: string
 }
@@ -64,7 +66,7 @@
 /** Sends one call and verifies its response. */
 export async function sendCall(entry: string, call: Call, dispatcher?: Dispatcher): Promise<CallResult> {
   const requestId = call.requestId ?? randomUUID()
-  const emptyResult = { requestId, status: 0, code: '', server: '', replayed: false, text: '' }
+  const emptyResult = { requestId, status: 0, code: '', server: '', replayed: false, responseId: '', text: '' }
   try {
     const response = await request(`http://${entry}${call.path}`, {
       method: call.method,
@@ -78,6 +80,7 @@
       ...emptyResult,
       status: response.statusCode,
       replayed,
+      responseId: String(response.headers['x-request-id'] ?? ''),
       text: body.length < 4096 ? String(body) : '',
     }
     if (response.statusCode < 400) return { ...received, ...verifyResponse(call, requestId, body, replayed) }
--- a/packages/testkit/src/pipelining-caller.ts
+++ b/packages/testkit/src/pipelining-caller.ts
@@ -10,6 +10,8 @@
 import { sha256, type EchoResponse } from './response-body'
 import { ResponseReader, type ReadResponse } from './response-reader'
 
+/** Statuses of responses of a server that ran the request. */
+const RUN_STATUSES = [200, 500]
 /** Pause before the next connection after one that was refused. */
 const RECONNECT_PAUSE_MS = 50
 
@@ -24,9 +26,10 @@
 
 /**
  * `unanswered`: the connection ended before the response began; `broken-off`: within the response; `behind-close`: the
- * response to an earlier request announced the close. `open`: not answered when the caller was stopped.
+ * response to an earlier request announced the close. `open`: not answered when the caller was stopped. `malformed`: the
+ * bytes that came are no response, or one to no request.
  */
-export type ExchangeEnd = 'answered' | 'unanswered' | 'broken-off' | 'behind-close' | 'open'
+export type ExchangeEnd = 'answered' | 'unanswered' | 'broken-off' | 'behind-close' | 'open' | 'malformed'
 
 /** One request and its end. Times are monotonic, in ms. */
 export interface Exchange {
@@ -40,10 +43,14 @@
   readonly end: ExchangeEnd
   /** 0 without a response. */
   readonly status: number
-  /** Error code with which the connection ended; empty if it ended in order. */
+  /** Error code with which the connection ended, or why its bytes are no response; empty if it ended in order. */
   readonly error: string
-  /** Whether a response with status 200 is the one to this request, with its whole body. */
+  /** Whether a response with status 200 or 500 is that of a server to this request, with its whole body. */
   readonly isOwn: boolean
+  /** Value of the field `x-request-id` of the response. */
+  readonly responseId: string
+  /** Body of the response; empty without one. */
+  readonly text: string
 }
 
 export interface PipeliningCallerOptions {
@@ -121,6 +128,8 @@
   readonly #reader = new ResponseReader()
   readonly #sent: SentRequest[] = []
   readonly #exchanges: Exchange[] = []
+  /** Request that was answered last. */
+  #last: SentRequest | undefined
   #closeAnnounced = false
   #abandoned = false
   #error = ''
@@ -143,7 +152,16 @@
     const closed = new Promise((resolve) => this.#socket.once('close', resolve))
     this.#socket.on('error', (cause: NodeJS.ErrnoException) => (this.#error = cause.code ?? cause.message))
     this.#socket.on('data', (part: Buffer) => {
-      this.#onData(part)
+      this.#readSafely(() => {
+        this.#onData(part)
+      })
+    })
+    this.#socket.on('end', () => {
+      const last = this.#reader.end()
+      if (last === undefined) return
+      this.#readSafely(() => {
+        this.#onResponse(last)
+      })
     })
     this.#stopSending.addEventListener('abort', this.#endIfUnused)
     this.#fill()
@@ -173,6 +191,18 @@
     this.#socket.write(formatRequest(request, requestId))
   }
 
+  /** Ends the connection if its bytes are no response to a request. */
+  #readSafely(read: () => void): void {
+    try {
+      read()
+    } catch (cause) {
+      this.#error = String(cause)
+      const sent = this.#sent.shift() ?? this.#last
+      if (sent !== undefined) this.#record(sent, { end: 'malformed' })
+      this.#socket.destroy()
+    }
+  }
+
   #onData(part: Buffer): void {
     for (const response of this.#reader.read(part)) this.#onResponse(response)
     const { pauseMs } = this.#options
@@ -185,8 +215,10 @@
     if (this.#closeAnnounced) return
     const sent = this.#sent.shift()
     if (sent === undefined) throw new Error('a response without a request')
-    const isOwn = response.status === 200 && isEchoOf(sent, response.body)
-    this.#record(sent, { end: 'answered', status: response.status, isOwn })
+    this.#last = sent
+    const { status, body, requestId: responseId } = response
+    const isOwn = RUN_STATUSES.includes(status) && isEchoOf(sent, body)
+    this.#record(sent, { end: 'answered', status, isOwn, responseId, text: String(body) })
     if (!response.closes) return
     this.#closeAnnounced = true
     this.#socket.destroySoon()
@@ -202,8 +234,9 @@
     }
   }
 
-  #record(sent: SentRequest, { end, status = 0, isOwn = false }: Pick<Exchange, 'end'> & Partial<Exchange>): void {
-    this.#exchanges.push({ ...sent, end, status, isOwn, error: this.#error, endedAt: performance.now() })
+  #record(sent: SentRequest, result: Pick<Exchange, 'end'> & Partial<Exchange>): void {
+    const none = { status: 0, isOwn: false, responseId: '', text: '' }
+    this.#exchanges.push({ ...sent, ...none, ...result, error: this.#error, endedAt: performance.now() })
   }
 }
 
--- a/packages/testkit/src/planned-stop-losses.ts
+++ b/packages/testkit/src/planned-stop-losses.ts
@@ -9,8 +9,8 @@
 const ROUNDING_MS = 2
 
 /**
- * `executions` are per request id, summed over all servers. Servers that respond with 200 only are assumed, so every
- * other status is one of the entry's own.
+ * `executions` are per request id, summed over all servers. Servers that respond to requests that they run with 200, or
+ * with 500 and the same body, are assumed, so every other response is one of the entry's own.
  */
 export function findBrokenOff(
   exchanges: readonly Exchange[],
@@ -22,10 +22,11 @@
   })
 }
 
-function isLoss({ end, status }: Exchange): boolean {
+function isLoss({ end, status, isOwn }: Exchange): boolean {
   switch (end) {
     case 'answered':
-      return status !== 200
+      return status !== 200 && !isOwn
+    case 'malformed':
     case 'unanswered':
     case 'broken-off':
     case 'behind-close':
@@ -35,7 +36,7 @@
   }
 }
 
-/** Responses with status 200 that are not those to their requests. */
+/** Responses with status 200 that are not those to their requests, and bytes that are no responses. */
 export function findWrong(exchanges: readonly Exchange[]): readonly Exchange[] {
-  return exchanges.filter(({ status, isOwn }) => status === 200 && !isOwn)
+  return exchanges.filter(({ end, status, isOwn }) => end === 'malformed' || (status === 200 && !isOwn))
 }
--- a/packages/testkit/src/response-reader.ts
+++ b/packages/testkit/src/response-reader.ts
@@ -1,6 +1,7 @@
 /**
  * Reads HTTP/1.1 responses from the bytes of one connection, in order and in parts of any size. A body has a length, or
- * chunks that end with an empty one. Throws for other bytes, which no caller could read either.
+ * chunks that end with an empty one, or ends with the connection if the response announces the close. Throws for other
+ * bytes, which no caller could read either.
  */
 const HEAD_END = '\r\n\r\n'
 const LINE_END = '\r\n'
@@ -8,6 +9,8 @@
 export interface ReadResponse {
   readonly status: number
   readonly body: Buffer
+  /** Value of the field `x-request-id`; empty if there is none. */
+  readonly requestId: string
   /** Whether the response announces that the connection closes behind it. */
   readonly closes: boolean
 }
@@ -27,25 +30,31 @@
     return this.#head !== undefined || this.#pending.length > 0
   }
 
-  /** Adds received bytes and returns the responses that are whole now. */
-  read(part: Buffer): readonly ReadResponse[] {
+  /** Adds received bytes and yields the responses that are whole now. */
+  *read(part: Buffer): Generator<ReadResponse> {
     this.#pending = Buffer.concat([this.#pending, part])
-    const responses: ReadResponse[] = []
-    for (;;) {
-      const response = this.#readNext()
-      if (response === undefined) return responses
-      responses.push(response)
-    }
+    for (let response = this.#readNext(); response !== undefined; response = this.#readNext()) yield response
+  }
+
+  /** Returns the response whose body ended with the connection, if there is one. */
+  end(): ReadResponse | undefined {
+    if (this.#head === undefined || !endsWithConnection(this.#head)) return undefined
+    return this.#complete(this.#head, this.#take(this.#pending.length))
   }
 
   #readNext(): ReadResponse | undefined {
     this.#head ??= this.#readHead()
     if (this.#head === undefined) return undefined
-    const { status, fields } = this.#head
+    if (endsWithConnection(this.#head)) return undefined
+    const { fields } = this.#head
     const body = fields.get('transfer-encoding') === 'chunked' ? this.#readChunks() : this.#readLength(fields)
-    if (body === undefined) return undefined
+    return body === undefined ? undefined : this.#complete(this.#head, body)
+  }
+
+  #complete(head: Head, body: Buffer): ReadResponse {
     this.#head = undefined
-    return { status, body, closes: fields.get('connection')?.toLowerCase() === 'close' }
+    const { status, fields } = head
+    return { status, body, requestId: fields.get('x-request-id') ?? '', closes: closes(head) }
   }
 
   #readHead(): Head | undefined {
@@ -89,3 +98,11 @@
     return taken
   }
 }
+
+function closes({ fields }: Head): boolean {
+  return fields.get('connection')?.toLowerCase() === 'close'
+}
+
+function endsWithConnection(head: Head): boolean {
+  return closes(head) && !head.fields.has('transfer-encoding') && !head.fields.has('content-length')
+}
--- a/packages/testkit/src/soak/fleets.ts
+++ b/packages/testkit/src/soak/fleets.ts
@@ -28,11 +28,16 @@
   }
 }
 
-export async function startServers(cluster: Cluster): Promise<readonly FakeServerProcess[]> {
+/** The seed decides which requests the servers refuse and fail and which responses they copy, once they do so. */
+export async function startServers(cluster: Cluster, seed: number): Promise<readonly FakeServerProcess[]> {
   const identities = Object.entries(SERVER_COUNTS).flatMap(([service, count]) =>
     Array.from({ length: count }, (_, index) => ({ service, server: `${service}-${index + 1}` })),
   )
-  const servers = await Promise.all(identities.map((identity) => cluster.startFakeServer(identity)))
+  const servers = await Promise.all(
+    identities.map((identity, index) =>
+      cluster.startFakeServer({ ...identity, seed: seed * identities.length + index }),
+    ),
+  )
   await cluster.waitUntilServersKnown(servers.length)
   return servers
 }
--- a/packages/testkit/src/soak/invariants.ts
+++ b/packages/testkit/src/soak/invariants.ts
@@ -3,6 +3,7 @@
 import type { Exchange } from '../pipelining-caller'
 import { findBrokenOff, findWrong } from '../planned-stop-losses'
 import { findRevertedRuns, findSupersededRuns, type RouteMove, type RouteRun } from '../route-runs'
+import { checkAnswer, type ServerRecords } from './answers'
 import type { CallConnection } from './connection-trace'
 
 /** Time after its acknowledgement at which a change must be in force at every entry. */
@@ -59,12 +60,12 @@
   readonly reads: readonly RevisionRead[]
 }
 
-export interface SoakObservations {
+export interface SoakObservations extends ServerRecords {
   readonly calls: readonly SoakCall[]
   /** Exchanges on kept connections, with names of entries and times in ms after the start of the run. */
   readonly exchanges: readonly Exchange[]
-  /** Number of executions per request id, summed over all servers. */
-  readonly executions: ReadonlyMap<string, number>
+  /** Ids of the requests whose connection to a server carried extra bytes before or within their response. */
+  readonly besideExtraBytes: ReadonlySet<string>
   /** Revisions that were reported to operators as accepted, in the order of the responses. */
   readonly acceptedRevisions: readonly number[]
   /** Revisions that each process of a node reported over time, by node and process id. */
@@ -79,6 +80,7 @@
   return [
     ...observations.calls.flatMap((call) => checkCall(observations, call)),
     ...checkExchanges(observations),
+    ...checkAnswers(observations),
     ...checkRevisions(observations),
     ...[...observations.reportedRevisions].flatMap(([process, revisions]) => checkRevisionOrder(process, revisions)),
     ...observations.plannedStops.flatMap((stop) => checkPlannedStop(observations, stop)),
@@ -154,6 +156,15 @@
   return [...repeated, ...wrong]
 }
 
+function checkAnswers(observations: SoakObservations): readonly string[] {
+  const ofCalls = observations.calls.filter(({ result }) => result.outcome !== 'aborted')
+  const ofExchanges = observations.exchanges.filter(({ end }) => end === 'answered')
+  return [
+    ...ofCalls.map(({ result, repeatable }) => ({ ...result, repeatable })),
+    ...ofExchanges.map((exchange) => ({ ...exchange, repeatable: exchange.request.method !== 'POST' })),
+  ].flatMap((answer) => checkAnswer(observations, answer))
+}
+
 function checkRevisions({ acceptedRevisions, finalRevision }: SoakObservations): readonly string[] {
   const violations: string[] = []
   if (new Set(acceptedRevisions).size < acceptedRevisions.length)
@@ -178,10 +189,11 @@
   return last === undefined ? [] : [...violations, `${last}; log of ${stop.entry}:\n${stop.log}`]
 }
 
-function checkExchangesOfStop({ exchanges, executions }: SoakObservations, stop: PlannedStop): readonly string[] {
-  const duringStop = exchanges.filter(
-    ({ entry, sentAt, endedAt }) => entry === stop.entry && endedAt >= stop.from && sentAt <= stop.until,
-  )
+function checkExchangesOfStop(observations: SoakObservations, stop: PlannedStop): readonly string[] {
+  const { exchanges, executions } = observations
+  const duringStop = exchanges
+    .filter(({ entry, sentAt, endedAt }) => entry === stop.entry && endedAt >= stop.from && sentAt <= stop.until)
+    .filter((exchange) => !isCausedByExtraBytes(observations, exchange))
   return findBrokenOff(duringStop, executions).map((exchange) => {
     const { requestId, request, behind, end, status, error, sentAt, endedAt } = exchange
 
@@ -190,6 +202,14 @@
   })
 }
 
+/**
+ * An entry answers 502, or breaks off a response that has no length, if it can't tell the response of a server from extra
+ * bytes on the same connection. No server sends extra bytes in a run without stutter.
+ */
+function isCausedByExtraBytes(observations: SoakObservations, { requestId, end, status }: Exchange): boolean {
+  return (status === 502 || end === 'broken-off') && observations.besideExtraBytes.has(requestId)
+}
+
 function checkCallsOfStop({ calls, executions }: SoakObservations, stop: PlannedStop): readonly string[] {
   return (
     calls
--- a/packages/testkit/src/soak/kept-connections.ts
+++ b/packages/testkit/src/soak/kept-connections.ts
@@ -23,11 +23,14 @@
 export class KeptConnections {
   readonly #entries: readonly EntryAddress[]
   readonly #callers: readonly PipeliningCaller[]
+  readonly #unframed: boolean
   #connections = 0
   #requests = 0
 
-  constructor(entries: readonly EntryAddress[]) {
+  /** `unframed`: whether callers that send one request at a time also ask for bodies that end with their connection. */
+  constructor(entries: readonly EntryAddress[], unframed: boolean) {
     this.#entries = entries
+    this.#unframed = unframed
     const entry = (): string => this.#nextEntry()
     const pipelining = { depth: DEPTH, entry, request: () => this.#nextRequest(false), pauseMs: PAUSE_MS }
     const single = { depth: 1, entry, request: () => this.#nextRequest(true), pauseMs: PAUSE_MS }
@@ -62,7 +65,8 @@
   #nextRequest(mayWrite: boolean): PipelinedRequest {
     this.#requests += 1
     const chunked = this.#requests % 2 === 0 ? '&chunked' : ''
-    const query = `?number=${this.#requests}&ms=${1 + ((this.#requests * 7) % MAX_SERVICE_MS)}${chunked}`
+    const unframed = this.#unframed && mayWrite && this.#requests % 5 === 0 ? '&unframed' : ''
+    const query = `?number=${this.#requests}&ms=${1 + ((this.#requests * 7) % MAX_SERVICE_MS)}${chunked}${unframed}`
     const isWrite = mayWrite && this.#requests % 4 === 0
     return isWrite
       ? {
--- a/packages/testkit/src/soak/schedule.ts
+++ b/packages/testkit/src/soak/schedule.ts
@@ -19,6 +19,8 @@
   | { readonly kind: 'stop-series'; readonly startMs: number }
   /** A server stops for a while with open connections and then goes on. */
   | { readonly kind: 'pause-server'; readonly startMs: number; readonly durationMs: number; readonly server: string }
+  /** A server sends extra copies behind its responses, refuses requests and fails for a while. */
+  | { readonly kind: 'stutter'; readonly startMs: number; readonly durationMs: number; readonly server: string }
   /** An operator moves a route to another service. */
   | { readonly kind: 'move'; readonly startMs: number }
   /** SIGHUP to a node that runs. */
@@ -42,6 +44,8 @@
   readonly entries: readonly string[]
   readonly controls: readonly string[]
   readonly servers: readonly string[]
+  /** Whether servers stutter. All other faults of a seed stay the same. */
+  readonly stutter?: boolean
 }
 
 /** Mean interval between the starts of two faults; shorter than most faults last, so that faults overlap. */
@@ -57,6 +61,8 @@
 const MEAN_MOVE_INTERVAL_MS = 700
 const MEAN_RELOAD_INTERVAL_MS = 1500
 const MEAN_CUT_INTERVAL_MS = 2500
+const MEAN_STUTTER_INTERVAL_MS = 500
+const MAX_STUTTER_MS = 5000
 /** Longer than the lease of a node. */
 const MAX_CUT_MS = 6000
 /** Added to the seed of these faults, whose number must not change the other ones of a seed. */
@@ -64,6 +70,7 @@
 const MOVE_SEED = 0x3d0e
 const RELOAD_SEED = 0x2b91
 const CUT_SEED = 0x6c07
+const STUTTER_SEED = 0x14e9
 
 export function drawSchedule(options: ScheduleOptions): readonly SoakFault[] {
   return [
@@ -72,9 +79,20 @@
     ...drawMoves(options),
     ...drawReloads(options),
     ...drawCuts(options),
+    ...(options.stutter === true ? drawStutters(options) : []),
   ]
 }
 
+function drawStutters({ seed, loadDurationMs, servers }: ScheduleOptions): readonly SoakFault[] {
+  const random = seededRandom(seed + STUTTER_SEED)
+  return drawTimes(random, MEAN_STUTTER_INTERVAL_MS, loadDurationMs).map((startMs) => ({
+    kind: 'stutter',
+    startMs,
+    durationMs: MIN_DURATION_MS + randomInt(random, MAX_STUTTER_MS - MIN_DURATION_MS),
+    server: pickRandom(random, servers),
+  }))
+}
+
 /** Cuts of two nodes from each other, and of a group from all other nodes, in equal shares. */
 function drawCuts({ seed, loadDurationMs, entries, controls }: ScheduleOptions): readonly SoakFault[] {
   const random = seededRandom(seed + CUT_SEED)
--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -7,11 +7,13 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { RESULT_CODES } from '@bilberrystall/base'
 import { Cluster, type ClusterNode, type FakeServerProcess } from '../cluster'
+import type { ServerResponseRecord } from '../execution-record'
 import { sendCall, type Call } from '../load'
 import type { Exchange } from '../pipelining-caller'
 import type { Harness } from '../processes'
 import { movingDocument, RouteMover } from '../route-mover'
 import { APPOINTMENT_HOST } from '../workloads'
+import type { ServerRecords } from './answers'
 import { ConnectionTrace } from './connection-trace'
 import { findViolations, type Disturbance, type PlannedStop, type RevisionRead, type SoakCall } from './invariants'
 import { KeptConnections } from './kept-connections'
@@ -33,6 +35,10 @@
 const READ: Call = { method: 'GET', host: APPOINTMENT_HOST, path: '/slots' }
 const WRITE: Call = { method: 'POST', host: APPOINTMENT_HOST, path: '/notes', body: 'a note' }
 
+/** A server that stutters also refuses and fails, as an entry must tell these responses from each other. */
+const STUTTERING = { stutterShare: 0.3, refusalShare: 0.1, failureShare: 0.1 }
+const STEADY = { stutterShare: 0, refusalShare: 0, failureShare: 0 }
+
 export interface SoakReport {
   readonly seed: number
   readonly faults: readonly SoakFault[]
@@ -46,18 +52,27 @@
   readonly acknowledgedMoves: number
   /** Requests that ran on the route that moves. */
   readonly routeRuns: number
+  /** Extra copies of responses that servers sent. */
+  readonly extraCopies: number
   readonly violations: readonly string[]
 }
 
-export async function runSoak(harness: Harness, seed: number, size: FleetSize = 'small'): Promise<SoakReport> {
+export interface SoakOptions {
+  readonly size?: FleetSize
+  /** Whether servers stutter, refuse and fail at times. */
+  readonly stutter?: boolean
+}
+
+export async function runSoak(harness: Harness, seed: number, options: SoakOptions = {}): Promise<SoakReport> {
+  const { size = 'small', stutter = false } = options
   const cluster = await Cluster.create(harness)
   await cluster.add(...fleet(size))
   await cluster.startAll()
   await cluster.waitUntilAllJoined()
   await cluster.putInForce('production', movingDocument())
   await Promise.all(cluster.entries.map((entry) => entry.waitUntilHealthy()))
-  const servers = await startServers(cluster)
-  return new Soak(cluster, servers, await RouteMover.start(cluster, servers.length), seed).run()
+  const servers = await startServers(cluster, seed)
+  return new Soak(cluster, servers, await RouteMover.start(cluster, servers.length), seed, stutter).run()
 }
 
 class Soak {
@@ -65,6 +80,7 @@
   readonly #servers: readonly FakeServerProcess[]
   readonly #mover: RouteMover
   readonly #seed: number
+  readonly #stutter: boolean
   readonly #startedAt = performance.now()
   readonly #calls: SoakCall[] = []
   readonly #connections = new ConnectionTrace()
@@ -75,6 +91,7 @@
   readonly #faultyNodes = new Set<string>()
   readonly #disturbances: { -readonly [Key in keyof Disturbance]: Disturbance[Key] }[] = []
   readonly #pausedServers = new Set<string>()
+  readonly #stutteringServers = new Set<string>()
   /** Settles when the operators have no more changes to submit. */
   #operating = Promise.resolve()
   #operatorQueue = 0
@@ -82,11 +99,18 @@
   #conflictCount = 0
   #finished = false
 
-  constructor(cluster: Cluster, servers: readonly FakeServerProcess[], mover: RouteMover, seed: number) {
+  constructor(
+    cluster: Cluster,
+    servers: readonly FakeServerProcess[],
+    mover: RouteMover,
+    seed: number,
+    stutter: boolean,
+  ) {
     this.#cluster = cluster
     this.#servers = servers
     this.#mover = mover
     this.#seed = seed
+    this.#stutter = stutter
   }
 
   async run(): Promise<SoakReport> {
@@ -109,6 +133,7 @@
       entries: namesOf(entries),
       controls: namesOf(controls),
       servers: this.#servers.map(({ process }) => process.name),
+      stutter: this.#stutter,
     }
     const faults = drawSchedule(options)
     const polling = this.#pollRevisions()
@@ -125,10 +150,11 @@
     const { moves } = this.#mover
     const runs = await this.#mover.readRuns()
     const acknowledged = moves.filter(({ acknowledgedAt }) => acknowledgedAt !== undefined)
+    const records = await this.#readRecords()
     const violations = findViolations({
       calls: this.#calls,
       exchanges,
-      executions: await this.#countExecutions(),
+      ...records,
       acceptedRevisions: acknowledged.map(({ base }) => base + 1),
       reportedRevisions: this.#reportedRevisions,
       finalRevision,
@@ -144,6 +170,7 @@
       acceptedChanges: this.#acceptedChanges,
       acknowledgedMoves: acknowledged.length - this.#acceptedChanges - 1,
       routeRuns: runs.length,
+      extraCopies: records.extraCopies,
       violations,
     }
   }
@@ -163,7 +190,7 @@
 
   async #runKeptConnections(): Promise<readonly Exchange[]> {
     const entries = this.#cluster.entries.map(({ name, addresses }) => ({ name, address: addresses.callers }))
-    const connections = new KeptConnections(entries)
+    const connections = new KeptConnections(entries, this.#stutter)
     await sleep(LOAD_DURATION_MS)
     return connections.stop(CALL_COMPLETION_TIMEOUT_MS, this.#startedAt)
   }
@@ -215,6 +242,9 @@
       case 'pause-server':
         await this.#pauseServer(fault.server, fault.durationMs)
         return
+      case 'stutter':
+        await this.#letStutter(fault.server, fault.durationMs)
+        return
       case 'kill':
         await this.#withUnaffectedNode(fault.node, (node) => this.#kill(node, fault.durationMs))
         return
@@ -286,6 +316,16 @@
     this.#pausedServers.delete(name)
   }
 
+  async #letStutter(name: string, durationMs: number): Promise<void> {
+    const server = this.#servers.find(({ process }) => process.name === name)
+    if (server === undefined || this.#stutteringServers.has(name)) return
+    this.#stutteringServers.add(name)
+    await server.change({ behaviour: STUTTERING })
+    await sleep(durationMs)
+    await server.change({ behaviour: STEADY })
+    this.#stutteringServers.delete(name)
+  }
+
   /** Injects a fault into a node unless another fault still affects it. */
   async #withUnaffectedNode(
     name: string,
@@ -396,13 +436,20 @@
     return this.#cluster.controls.filter(({ name }) => names.includes(name))
   }
 
-  async #countExecutions(): Promise<ReadonlyMap<string, number>> {
+  async #readRecords(): Promise<ServerRecords & { besideExtraBytes: ReadonlySet<string>; extraCopies: number }> {
     const executions = new Map<string, number>()
+    const responses = new Map<string, readonly ServerResponseRecord[]>()
+    const besideExtraBytes = new Set<string>()
+    let extraCopies = 0
     for (const server of this.#servers) {
-      const { byRequest } = await server.record()
-      for (const [id, count] of Object.entries(byRequest)) executions.set(id, (executions.get(id) ?? 0) + count)
+      const record = await server.record()
+      for (const [id, count] of Object.entries(record.byRequest)) executions.set(id, (executions.get(id) ?? 0) + count)
+      for (const [id, sent] of Object.entries(record.responses))
+        responses.set(id, [...(responses.get(id) ?? []), ...sent])
+      for (const id of record.besideExtraBytes) besideExtraBytes.add(id)
+      extraCopies += record.extraCopies
     }
-    return executions
+    return { executions, responses, besideExtraBytes, extraCopies }
   }
 }
 
--- a/packages/testkit/test/pipelining-caller.test.ts
+++ b/packages/testkit/test/pipelining-caller.test.ts
@@ -62,3 +62,26 @@
   expect(second).toMatchObject({ end: 'broken-off' })
   expect(third).toMatchObject({ end: 'unanswered' })
 })
+
+test('a body that ends with its connection is whole, unless the connection is reset', () => {
+  const reader = new ResponseReader()
+  expect([...reader.read(Buffer.from('HTTP/1.1 200 OK\r\nconnection: close\r\nx-request-id: r1\r\n\r\nfi'))]).toEqual(
+    [],
+  )
+  expect([...reader.read(Buffer.from('rst'))]).toEqual([])
+  expect(reader.isInResponse).toBe(true)
+  expect(reader.end()).toEqual({ status: 200, body: Buffer.from('first'), requestId: 'r1', closes: true })
+  expect(reader.isInResponse).toBe(false)
+  const cut = new ResponseReader()
+  expect([...cut.read(Buffer.from(LENGTH.slice(0, -1)))]).toEqual([])
+  expect(cut.end()).toBeUndefined()
+})
+
+test('bytes that are no response, and a response to no request, are recorded as malformed', async () => {
+  const [first, second, third] = await exchange(([id = '']) => `${echo(id)}TTP/1.1 200 OK\r\n\r\n`)
+  expect(first).toMatchObject({ end: 'answered', isOwn: true })
+  expect(second).toMatchObject({ end: 'malformed', status: 0 })
+  expect(third).toMatchObject({ end: 'unanswered' })
+  const extra = await exchange((ids) => ids.map((id) => echo(id)).join('') + echo('extra'))
+  expect(extra.map(({ end }) => end)).toEqual(['answered', 'answered', 'answered', 'answered', 'malformed'])
+})
--- a/packages/testkit/test/soak-invariants.test.ts
+++ b/packages/testkit/test/soak-invariants.test.ts
@@ -2,10 +2,36 @@
 import { expect, test } from 'vitest'
 import { findViolations, type SoakObservations } from '../src/soak/invariants'
 import { drawSchedule } from '../src/soak/schedule'
-import type { CallOutcome, Exchange } from '../src/index'
+import { RESULT_CODES, toProblem, type CodeName } from '@bilberrystall/base'
+import { sha256, type CallOutcome, type Exchange, type ServerResponseRecord } from '../src/index'
+
+const BODY = 'body of a server'
+const OTHER_BODY = 'body of another response'
+
+/** Status and body of an answer of an entry. */
+const entryAnswer = (code: CodeName) => ({
+  status: RESULT_CODES[code].status,
+  text: JSON.stringify(toProblem({ code, message: '' })),
+})
+
+const answerOf = (outcome: CallOutcome) => {
+  switch (outcome) {
+    case 'not-run':
+      return entryAnswer('noServer')
+    case 'unknown':
+      return entryAnswer('connectionLost')
+    case 'aborted':
+      return { status: 0, text: '' }
+    case 'failed':
+      return { status: 500, text: BODY }
+    case 'complete':
+    case 'wrong':
+      return { status: 200, text: BODY }
+  }
+}
 
 const soakCall = (requestId: string, outcome: CallOutcome, repeatable = false) => ({
-  result: { outcome, requestId, status: 200, code: 'ok', server: 's', replayed: false, text: '' },
+  result: { outcome, requestId, code: 'ok', server: 's', replayed: false, responseId: '', ...answerOf(outcome) },
   repeatable,
   entry: 'entry-1',
   sentAt: 100,
@@ -24,6 +50,8 @@
   end: 'answered',
   status: 200,
   isOwn: true,
+  responseId: '',
+  text: BODY,
   error: '',
   ...change,
 })
@@ -37,6 +65,12 @@
   endedAt: sentAt + 10,
 })
 
+const response = (status: number, text = BODY): ServerResponseRecord => ({
+  status,
+  ran: status !== 503,
+  bodyDigest: sha256(text),
+})
+
 const VALID_OBSERVATIONS: SoakObservations = {
   calls: [
     soakCall('a', 'complete'),
@@ -47,7 +81,9 @@
   exchanges: [
     exchange('a'),
     exchange('not-begun', { end: 'unanswered', status: 0, isOwn: false }),
-    exchange('c', { status: 504, isOwn: false, endedAt: 1100 }),
+    exchange('c', { ...entryAnswer('deadlineUnknown'), isOwn: false, endedAt: 1100 }),
+    exchange('e', { status: 500, responseId: 'e' }),
+    exchange('f', { status: 503, text: 'shed', isOwn: false }),
     exchange('c', { entry: 'entry-2', end: 'unanswered', status: 0, isOwn: false }),
     exchange('c', { end: 'open', status: 0, isOwn: false }),
   ],
@@ -55,7 +91,15 @@
     ['a', 1],
     ['c', 1],
     ['d', 2],
+    ['e', 1],
+  ]),
+  responses: new Map([
+    ['a', [response(200)]],
+    ['d', [response(500), response(200)]],
+    ['e', [response(500)]],
+    ['f', [response(503, 'shed')]],
   ]),
+  besideExtraBytes: new Set(),
   acceptedRevisions: [2, 3],
   reportedRevisions: new Map([['entry-1 pid 7', [1, 2, 2, 3]]]),
   finalRevision: 3,
@@ -160,6 +204,58 @@
     'control-1 returned revision 1 after revision 2 was acknowledged',
   ],
   ['a second execution on a kept connection', { exchanges: [exchange('d')] }, 'd was executed 2 times'],
+  [
+    'a failure that no server gave',
+    { calls: [soakCall('a', 'failed')] },
+    `a was answered 500 "${BODY}", as no server and no entry did`,
+  ],
+  [
+    'a body that no server gave',
+    { exchanges: [exchange('a', { text: BODY + OTHER_BODY })] },
+    `a was answered 200 "${BODY}${OTHER_BODY}", as no server and no entry did`,
+  ],
+  [
+    'a response that a server gave to another request',
+    { exchanges: [exchange('f')], responses: new Map([['a', [response(200)]]]) },
+    `f was answered 200 "${BODY}", as no server and no entry did`,
+  ],
+  [
+    'a status of one response with the body of another',
+    { exchanges: [exchange('e', { ...entryAnswer('noServer'), status: 500, isOwn: false })] },
+    'as no entry does',
+  ],
+  [
+    'a result code that has another outcome',
+    {
+      exchanges: [
+        exchange('x', { status: 502, text: entryAnswer('connectionLost').text.replace('unknown', 'not-run') }),
+      ],
+    },
+    'as no entry does',
+  ],
+  [
+    'a field of another response',
+    { exchanges: [exchange('a', { responseId: 'd' })] },
+    `a was answered 200 "${BODY}" with a field of the response to d`,
+  ],
+  [
+    'a refusal by a server of a request that ran',
+    {
+      exchanges: [exchange('a', { status: 503, text: 'shed' })],
+      responses: new Map([['a', [response(200), response(503, 'shed')]]]),
+    },
+    'a was answered 503 "shed", although it ran',
+  ],
+  [
+    'a refusal by an entry of a request that ran',
+    { exchanges: [exchange('a', { ...entryAnswer('noServer'), isOwn: false, endedAt: 1100 })] },
+    ', although it ran',
+  ],
+  [
+    'bytes that are no response',
+    { exchanges: [exchange('a', { end: 'malformed', status: 0, isOwn: false })] },
+    'a received the response to another request',
+  ],
 ])('%s is detected', (_, faulty, message) => {
   expect(findViolations(VALID_OBSERVATIONS)).toEqual([])
   expect(findViolations({ ...VALID_OBSERVATIONS, ...faulty }).join()).toContain(message)
@@ -170,6 +266,29 @@
   expect(findViolations({ ...VALID_OBSERVATIONS, calls: [soakCall('x', 'aborted')], plannedStops })).toEqual([])
 })
 
+const STOPPED = { plannedStops: [plannedStop], executions: new Map([['a', 1]]) }
+
+test.each<[string, Partial<Exchange>, readonly string[], number]>([
+  ['502', entryAnswer('connectionLost'), ['a'], 0],
+  ['502 of a request beside no extra bytes', entryAnswer('connectionLost'), ['b'], 1],
+  ['a response that breaks off', { end: 'broken-off', status: 0 }, ['a'], 0],
+  ['no response', { end: 'unanswered', status: 0 }, ['a'], 1],
+  ['504', entryAnswer('deadlineUnknown'), ['a'], 1],
+])('%s within a planned stop, beside extra bytes of a server', (_, change, besideExtraBytes, count) => {
+  const exchanges = [exchange('a', { ...change, isOwn: false })]
+  const observations = { ...VALID_OBSERVATIONS, ...STOPPED, calls: [], exchanges }
+  expect(findViolations({ ...observations, besideExtraBytes: new Set(besideExtraBytes) })).toHaveLength(count)
+})
+
+test('only the option adds servers that stutter, and the other faults of a seed stay the same', () => {
+  const options = { loadDurationMs: 20_000, entries: ['entry-1'], controls: ['control-1'], servers: ['server-1'] }
+  const steady = drawSchedule({ seed: 7, ...options })
+  const stuttering = drawSchedule({ seed: 7, ...options, stutter: true })
+  expect(steady.some(({ kind }) => kind === 'stutter')).toBe(false)
+  expect(stuttering.filter(({ kind }) => kind !== 'stutter')).toEqual(steady)
+  expect(stuttering.filter(({ kind }) => kind === 'stutter').length).toBeGreaterThan(10)
+})
+
 test.each<[string, boolean, readonly (readonly [node: string, from: number, until: number])[]]>([
   [
     'the entry was affected at the acknowledgement and control shortly before',
