Fake server: record a late piece within a response that ends with its connection

Cause: a piece of an earlier copy that is due within such a response is written before the close, so it belongs to the body, but the record of the request did not name it. The check of planned stops would blame the stop for the 502.

Change: the record names the request if its response ends with the connection.

--- a/packages/testkit/src/fake-server.ts
+++ b/packages/testkit/src/fake-server.ts
@@ -265,7 +265,7 @@
     // A response that waits for an earlier one on its connection is not written yet, so it can't be copied.
     const connection = response.socket === null ? undefined : this.#stutteringConnection(request.socket)
     const copied = connection !== undefined && truncatedTo === undefined && this.#drawFault('stutterShare')
-    connection?.begin(call.id)
+    connection?.begin(call.id, unframed)
     if (unframed) {
       response.useChunkedEncodingByDefault = false
       response.shouldKeepAlive = false
--- a/packages/testkit/src/stutter.ts
+++ b/packages/testkit/src/stutter.ts
@@ -54,6 +54,7 @@
   /** Pieces that were due within a response. */
   #due: Buffer[] = []
   #requestId: string | undefined
+  #endsWithConnection = false
   #hasExtraBytes = false
 
   /** `onExtraBytes` is called for each request that is in progress when the connection has carried extra bytes. */
@@ -75,8 +76,10 @@
     if (this.#hasExtraBytes) this.#reportExtraBytes()
   }
 
-  begin(requestId: string | undefined): void {
+  /** `endsWithConnection`: whether whatever follows the response belongs to its body. */
+  begin(requestId: string | undefined, endsWithConnection: boolean): void {
     this.#requestId = requestId
+    this.#endsWithConnection = endsWithConnection
     this.#response = []
   }
 
@@ -84,8 +87,9 @@
   end(): Buffer {
     const response = Buffer.concat(this.#response ?? [])
     this.#response = undefined
-    this.#requestId = undefined
+    if (!this.#endsWithConnection) this.#requestId = undefined
     for (const piece of this.#due.splice(0)) this.#writeExtra(piece)
+    this.#requestId = undefined
     return response
   }
 
@@ -96,11 +100,11 @@
 
   /** Sends the pieces behind a complete response, or within one that ends with its connection. */
   async sendCopy(response: Buffer, pieces: readonly CopyPiece[]): Promise<void> {
-    const endsWithConnection = this.#response !== undefined
+    const isWithin = this.#response !== undefined
     for (const { from, until, delayMs } of pieces) {
       if (delayMs > 0) await sleep(delayMs)
       const piece = response.subarray(from, until)
-      if (this.#response === undefined || endsWithConnection) this.#writeExtra(piece)
+      if (this.#response === undefined || isWithin) this.#writeExtra(piece)
       else this.#due.push(piece)
     }
   }
--- a/packages/testkit/test/stutter.test.ts
+++ b/packages/testkit/test/stutter.test.ts
@@ -2,12 +2,13 @@
  * Guards against a fake server whose extra copies differ from its responses, are missing, or are written within another
  * response: tests of entries rely on what it sends.
  */
-import { connect } from 'node:net'
+import { connect, type Socket } from 'node:net'
+import { PassThrough } from 'node:stream'
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { seededRandom } from '@bilberrystall/base'
 import { expect, onTestFinished, test } from 'vitest'
-import { drawCopy, eventually, FakeServer, type Behaviour } from '../src/index'
+import { drawCopy, eventually, FakeServer, StutteringConnection, type Behaviour } from '../src/index'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 const RESPONSE = Buffer.from('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome body')
@@ -87,6 +88,32 @@
   expect(server.record.besideExtraBytes.length).toBeGreaterThan(0)
 })
 
+test.each([
+  [false, []],
+  [true, ['next']],
+])(
+  'a piece that is due within a response follows it, response ends with its connection: %s',
+  async (ends, expected) => {
+    const stream = new PassThrough()
+    const recorded: string[] = []
+    const connection = new StutteringConnection(stream as unknown as Socket, (requestId) => recorded.push(requestId))
+    connection.begin('first', false)
+    stream.write('first response')
+    const copy = connection.end()
+    const sending = connection.sendCopy(copy, [{ from: 0, until: 5, delayMs: 10 }])
+    connection.onRequest('next')
+    connection.begin('next', ends)
+    stream.write('next ')
+    await sending
+    stream.write(Buffer.from('response'))
+    expect(String(connection.end())).toBe('next response')
+    expect(String(stream.read())).toBe('first responsenext responsefirst')
+    expect(recorded).toEqual(expected)
+    connection.onRequest('last')
+    expect(recorded).toEqual([...expected, 'last'])
+  },
+)
+
 test('a server without stutter sends no extra bytes and returns the attempt of every kind of response', async () => {
   const server = await startServer(1, {})
   const received = await exchange(server, ['/?ms=1', '/?ms=1'])
