Fake server: a third of the extra copies wait for the next request

Cause: copies up to 12 ms late mostly met an idle connection, which an entry closes.

Change: a third of the copies are sent when the next request on the connection has arrived.

--- a/packages/testkit/src/stutter.ts
+++ b/packages/testkit/src/stutter.ts
@@ -17,17 +17,24 @@
   readonly delayMs: number
 }
 
-/** Draws whether a copy of `response` is whole or cut within its head or its body, and draws its pieces. */
-export function drawCopy(random: RandomSource, response: Buffer, maxDelayMs: number): readonly CopyPiece[] {
+export interface ExtraCopy {
+  /** Whether the first piece waits until the next request on the connection has arrived. */
+  readonly waitsForRequest: boolean
+  readonly pieces: readonly CopyPiece[]
+}
+
+/** Draws whether a copy of `response` is whole or cut within its head or its body, and when its pieces are sent. */
+export function drawCopy(random: RandomSource, response: Buffer, maxDelayMs: number): ExtraCopy {
   const length = drawLength(random, response)
   const pieceCount = 1 + randomInt(random, MAX_PIECES)
   const cuts = Array.from({ length: pieceCount - 1 }, () => randomInt(random, length))
   const bounds = [...new Set([0, ...cuts, length])].sort((left, right) => left - right)
-  return bounds.slice(1).map((until, index) => ({
+  const pieces = bounds.slice(1).map((until, index) => ({
     from: bounds[index] ?? 0,
     until,
     delayMs: randomInt(random, 2) === 0 ? 0 : randomInt(random, maxDelayMs + 1),
   }))
+  return { waitsForRequest: randomInt(random, 3) === 0, pieces }
 }
 
 function drawLength(random: RandomSource, response: Buffer): number {
@@ -55,6 +62,7 @@
   #due: Buffer[] = []
   #requestId: string | undefined
   #endsWithConnection = false
+  #onNextRequest: (() => void)[] = []
   #hasExtraBytes = false
 
   /** `onExtraBytes` is called for each request that is in progress when the connection has carried extra bytes. */
@@ -74,6 +82,7 @@
   onRequest(requestId: string | undefined): void {
     this.#requestId = requestId
     if (this.#hasExtraBytes) this.#reportExtraBytes()
+    for (const listener of this.#onNextRequest.splice(0)) listener()
   }
 
   /** `endsWithConnection`: whether whatever follows the response belongs to its body. */
@@ -99,8 +108,9 @@
   }
 
   /** Sends the pieces behind a complete response, or within one that ends with its connection. */
-  async sendCopy(response: Buffer, pieces: readonly CopyPiece[]): Promise<void> {
+  async sendCopy(response: Buffer, { waitsForRequest, pieces }: ExtraCopy): Promise<void> {
     const isWithin = this.#response !== undefined
+    if (waitsForRequest && !isWithin) await new Promise<void>((resolve) => this.#onNextRequest.push(resolve))
     for (const { from, until, delayMs } of pieces) {
       if (delayMs > 0) await sleep(delayMs)
       const piece = response.subarray(from, until)
--- a/packages/testkit/test/stutter.test.ts
+++ b/packages/testkit/test/stutter.test.ts
@@ -23,8 +23,15 @@
   return server
 }
 
-/** Sends requests on one connection, each as soon as the response to the one before has begun, and reads everything. */
-async function exchange(server: FakeServer, paths: readonly string[]): Promise<string> {
+/**
+ * Sends requests on one connection, each as soon as the response to the one before has begun, and reads everything.
+ * `change` is the behaviour after the first response.
+ */
+async function exchange(
+  server: FakeServer,
+  paths: readonly string[],
+  change: Partial<Behaviour> = {},
+): Promise<string> {
   const [host, port] = server.address.split(':')
   const socket = connect(Number(port), host)
   let received = ''
@@ -35,25 +42,32 @@
     const before = received.length
     socket.write(`GET ${path} HTTP/1.1\r\nhost: x\r\nx-request-id: request-${index}\r\n${attempt}\r\n`)
     await eventually('a response has begun', () => received.slice(before).includes(`"request-${index}"`))
+    if (index === 0) await server.change({ behaviour: change })
   }
   await sleep(80)
   socket.destroy()
   return received
 }
 
+/** Position of the head with this attempt. */
+function lastHeadOf(received: string, attempt: string): number {
+  return received.lastIndexOf(STATUS_LINE, received.indexOf(attempt))
+}
+
 test.each(SEEDS)('the pieces of a copy are the start of the response, without gaps, seed %i', (seed) => {
-  const pieces = drawCopy(seededRandom(seed), RESPONSE, 12)
+  const copy = drawCopy(seededRandom(seed), RESPONSE, 12)
+  const { pieces } = copy
   expect(pieces.length).toBeGreaterThan(0)
   expect(pieces.length).toBeLessThanOrEqual(3)
   expect(pieces.map(({ from }) => from)).toEqual([0, ...pieces.slice(0, -1).map(({ until }) => until)])
   expect(pieces.every(({ from, until }) => until > from && until <= RESPONSE.length)).toBe(true)
   expect(pieces.every(({ delayMs }) => delayMs >= 0 && delayMs <= 12)).toBe(true)
-  expect(drawCopy(seededRandom(seed), RESPONSE, 12)).toEqual(pieces)
+  expect(drawCopy(seededRandom(seed), RESPONSE, 12)).toEqual(copy)
 })
 
 test('copies are whole, cut within the head and cut within the body', () => {
   const random = seededRandom(1)
-  const lengths = Array.from({ length: 300 }, () => drawCopy(random, RESPONSE, 12).at(-1)?.until ?? 0)
+  const lengths = Array.from({ length: 300 }, () => drawCopy(random, RESPONSE, 12).pieces.at(-1)?.until ?? 0)
   expect(lengths.filter((length) => length === RESPONSE.length).length).toBeGreaterThan(50)
   expect(lengths.filter((length) => length < HEAD_LENGTH).length).toBeGreaterThan(50)
   expect(lengths.filter((length) => length >= HEAD_LENGTH && length < RESPONSE.length).length).toBeGreaterThan(50)
@@ -63,16 +77,19 @@
   'behind a complete response comes the start of the same bytes, seed %i, framing "%s"',
   async (seed, framing) => {
     const server = await startServer(seed, { stutterShare: 1 })
-    const received = await exchange(server, [`/?ms=1${framing}`])
+    // A copy may wait for the next request, which is answered after the copy.
+    const paths = framing === '&unframed' ? ['/?ms=1&unframed'] : [`/?ms=1${framing}`, '/?ms=40']
+    const received = await exchange(server, paths, { stutterShare: 0 })
     const end = { '': '}', '&chunked': '\r\n0\r\n\r\n', '&unframed': '}' }[framing] ?? ''
     const response = received.slice(0, received.indexOf(end) + end.length)
     expect(response).toContain('bilberrystall-attempt: attempt-0\r\n')
     expect(response.startsWith(`${STATUS_LINE}200 OK\r\n`)).toBe(true)
-    const copy = received.slice(response.length)
+    const next = lastHeadOf(received, 'attempt-1')
+    const copy = received.slice(response.length, framing === '&unframed' ? undefined : next)
     expect(copy.length).toBeGreaterThan(0)
     expect(response.startsWith(copy)).toBe(true)
-    expect(server.record).toMatchObject({ extraCopies: 1, executions: 1 })
-    expect(server.record.besideExtraBytes).toEqual(framing === '&unframed' ? ['request-0'] : [])
+    expect(server.record).toMatchObject({ extraCopies: 1, executions: paths.length })
+    expect(server.record.besideExtraBytes).toEqual(framing === '&unframed' ? ['request-0'] : ['request-1'])
   },
 )
 
@@ -100,7 +117,10 @@
     connection.begin('first', false)
     stream.write('first response')
     const copy = connection.end()
-    const sending = connection.sendCopy(copy, [{ from: 0, until: 5, delayMs: 10 }])
+    const sending = connection.sendCopy(copy, {
+      waitsForRequest: false,
+      pieces: [{ from: 0, until: 5, delayMs: 10 }],
+    })
     connection.onRequest('next')
     connection.begin('next', ends)
     stream.write('next ')
