Fake server: a control request that is cut off doesn't end the process

One way for a server to end without a signal was found by trial: the rejection of a control request whose connection ends within its body was not handled.

Change: such a request ends with its connection. The error of a control request waits up to 0.5 s for the end of the process, and has its status and whole output.

Measured: the new test failed before the change; 7 tests of the file pass.

--- a/packages/testkit/src/cluster.ts
+++ b/packages/testkit/src/cluster.ts
@@ -24,6 +24,8 @@
 const REMAINING_ABSTENTION_MS = 2500
 const MAX_REPORTED_LINES = 10
 const API_TIMEOUT_MS = 1000
+/** Time for a server that broke a connection by its end to end with its output. */
+const SERVER_EXIT_MS = 500
 /** Time within which a change is acknowledged; operators try another node after it. */
 const CHANGE_TIMEOUT_MS = 4000
 
@@ -160,14 +162,18 @@
     return ((await this.#request({ method: 'POST', body: JSON.stringify(change) })) as ServerChanged).acceptedBy
   }
 
-  /** An error tells whether the server has ended, with its output. */
+  /** An error tells whether the server has ended, with its whole output. */
   async #request(options: { readonly method?: 'POST'; readonly body?: string } = {}): Promise<unknown> {
     try {
       const response = await request(`http://${this.#controlAddress}/`, options)
       return await response.body.json()
     } catch (cause) {
-      const { name, isRunning, output } = this.process
-      throw new Error(`${name}, ${isRunning ? 'running' : 'ended'}: ${String(cause)}\n${output}`, { cause })
+      const { process } = this
+      const state = await process.waitForExit(SERVER_EXIT_MS).then(
+        (status) => `ended with ${status}`,
+        () => 'running',
+      )
+      throw new Error(`${process.name}, ${state}: ${String(cause)}\n${process.output}`, { cause })
     }
   }
 }
--- a/packages/testkit/src/fake-server.ts
+++ b/packages/testkit/src/fake-server.ts
@@ -95,7 +95,10 @@
       this.#connections += 1
       socket.on('close', () => (this.#connections -= 1))
     })
-    this.#controlServer = createServer((request, response) => void this.#serveControlRequest(request, response))
+    this.#controlServer = createServer((request, response) => {
+      // The connection ended within the request.
+      this.#serveControlRequest(request, response).catch(() => response.destroy())
+    })
   }
 
   get address(): string {
--- a/packages/testkit/test/fake-server.test.ts
+++ b/packages/testkit/test/fake-server.test.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:http'
+import { connect } from 'node:net'
 import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { AddressInfo } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import {
@@ -103,3 +105,19 @@
   expect(announcements.at(-1)?.state).toBe('draining')
   expect(announcements.at(-1)?.sequence).toBeGreaterThan(announcements[0]?.sequence ?? 0)
 })
+
+// An unhandled rejection ends the process of a server.
+test('a control request that its connection cuts off does not end the server', async () => {
+  const server = await startFakeServer()
+  const rejections: unknown[] = []
+  const onRejection = (reason: unknown) => rejections.push(reason)
+  process.on('unhandledRejection', onRejection)
+  cleanups.push(() => process.off('unhandledRejection', onRejection))
+  const [host, port] = server.controlAddress.split(':')
+  const socket = connect(Number(port), host)
+  socket.write('POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n{')
+  await sleep(50)
+  socket.resetAndDestroy()
+  await sleep(50)
+  expect(rejections).toEqual([])
+})
