Soak with stutter: more refusals and more requests that run at most once

Change: servers that stutter refuse a fifth of the requests in place of a tenth; half of the requests of the callers that send one at a time are not repeatable, a quarter in runs without stutter as before.

--- a/packages/testkit/src/soak/kept-connections.ts
+++ b/packages/testkit/src/soak/kept-connections.ts
@@ -23,14 +23,17 @@
 export class KeptConnections {
   readonly #entries: readonly EntryAddress[]
   readonly #callers: readonly PipeliningCaller[]
-  readonly #unframed: boolean
+  readonly #stutter: boolean
   #connections = 0
   #requests = 0
 
-  /** `unframed`: whether callers that send one request at a time also ask for bodies that end with their connection. */
-  constructor(entries: readonly EntryAddress[], unframed: boolean) {
+  /**
+   * `stutter`: whether callers that send one request at a time also ask for bodies that end with their connection, and
+   * send more requests that may run at most once.
+   */
+  constructor(entries: readonly EntryAddress[], stutter: boolean) {
     this.#entries = entries
-    this.#unframed = unframed
+    this.#stutter = stutter
     const entry = (): string => this.#nextEntry()
     const pipelining = { depth: DEPTH, entry, request: () => this.#nextRequest(false), pauseMs: PAUSE_MS }
     const single = { depth: 1, entry, request: () => this.#nextRequest(true), pauseMs: PAUSE_MS }
@@ -65,9 +68,9 @@
   #nextRequest(mayWrite: boolean): PipelinedRequest {
     this.#requests += 1
     const chunked = this.#requests % 2 === 0 ? '&chunked' : ''
-    const unframed = this.#unframed && mayWrite && this.#requests % 5 === 0 ? '&unframed' : ''
+    const unframed = this.#stutter && mayWrite && this.#requests % 5 === 0 ? '&unframed' : ''
     const query = `?number=${this.#requests}&ms=${1 + ((this.#requests * 7) % MAX_SERVICE_MS)}${chunked}${unframed}`
-    const isWrite = mayWrite && this.#requests % 4 === 0
+    const isWrite = mayWrite && this.#requests % (this.#stutter ? 2 : 4) === 0
     return isWrite
       ? {
           method: 'POST',
--- a/packages/testkit/src/soak/soak.ts
+++ b/packages/testkit/src/soak/soak.ts
@@ -36,7 +36,7 @@
 const WRITE: Call = { method: 'POST', host: APPOINTMENT_HOST, path: '/notes', body: 'a note' }
 
 /** A server that stutters also refuses and fails, as an entry must tell these responses from each other. */
-const STUTTERING = { stutterShare: 0.3, refusalShare: 0.1, failureShare: 0.1 }
+const STUTTERING = { stutterShare: 0.3, refusalShare: 0.2, failureShare: 0.1 }
 const STEADY = { stutterShare: 0, refusalShare: 0, failureShare: 0 }
 
 export interface SoakReport {
