--- a/packages/testkit/test/session/soak.test.ts
+++ b/packages/testkit/test/session/soak.test.ts
@@ -4,6 +4,8 @@
 import { runSoak } from '../../src/soak/soak'
 
 const SEED = 2
+/** Seed of the run in which servers stutter. */
+const STUTTER_SEED = 5
 
 let harness: Harness
 
@@ -18,3 +20,11 @@
   expect(violations).toEqual([])
   expect(calls.complete).toBeGreaterThan(0)
 }, 180_000)
+
+// Guards against answers that are joined from the bytes of two responses, or belong to another request.
+test('extra copies of responses, whole or cut off, beside these faults reach no caller', async () => {
+  const { violations, calls, extraCopies } = await runSoak(harness, STUTTER_SEED, { stutter: true })
+  expect(violations).toEqual([])
+  expect(calls.complete).toBeGreaterThan(0)
+  expect(extraCopies).toBeGreaterThan(0)
+}, 180_000)
