--- a/packages/entry/test/dialect.test.ts
+++ b/packages/entry/test/dialect.test.ts
@@ -1,64 +1,17 @@
 /**
  * The call path with a dialect in which servers return attempt ids, sign successful responses and send instance ids.
  */
-import { failureDomain, seededRandom } from '@bilberrystall/base'
-import { parseDocument } from '@bilberrystall/document'
-import { Router } from '@bilberrystall/routing'
 import { expect, test } from 'vitest'
-import { DEFAULT_DIALECT, type Dialect, type EntryOptions } from '../src/index'
-import { respond, sendCall, startFakeServer, startEntry, type ReceivedRequest, type FakeServer } from './harness'
-
-const DIALECT: Dialect = {
-  ...DEFAULT_DIALECT,
-  deadlineHeader: 'x-left',
-  acceptsCallerDeadline: true,
-  notRunHeader: 'x-not-run',
-  isNotRun: () => true,
-  loadHeader: 'x-load',
-  attemptHeader: 'x-attempt',
-  instanceHeader: 'x-instance',
-  instanceResponseHeader: 'x-self',
-  signatureHeader: 'x-signature',
-  propagatesContext: false,
-  probePath: undefined,
-  retryAfter: (waitMs) => (waitMs / 1000).toFixed(3),
-}
-
-const DOCUMENT = parseDocument(`
-[document]
-title = test
-[service.booking]
-health-path = /well
-[route.read]
-service = booking
-path = /read
-repeatable = yes
-target = 200ms
-deadline = 2s
-[route.write]
-service = booking
-path = /write
-methods = POST
-deadline = 1s
-`)._unsafeUnwrap()
-
-const header = ({ head }: ReceivedRequest, name: string) => new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]
-const isProbe = ({ head }: ReceivedRequest) => head.startsWith('GET /well')
-const FREE_LOAD = 'x-load: inflight=0;slots=3;queue=0'
-
-function complete(received: ReceivedRequest, body = 'done', head: readonly string[] = [FREE_LOAD]): void {
-  respond(received, body, [`x-attempt: ${header(received, 'x-attempt') ?? ''}`, 'x-signature: s', ...head])
-}
-
-function respondToProbe(received: ReceivedRequest, load = FREE_LOAD): void {
-  respond(received, '', [load, `x-self: ${header(received, 'x-instance') ?? ''}`])
-}
-
-function start(servers: readonly FakeServer[], options: Partial<EntryOptions> = {}) {
-  const loadQueries = { perServerPerSecond: () => 1000, entry: 'entry-1', domain: failureDomain('domain-1') }
-  const router = new Router({ random: seededRandom(3), loadQueries })
-  return startEntry(servers, { dialect: DIALECT, router, document: () => DOCUMENT, ...options })
-}
+import { respond, sendCall, startFakeServer, type ReceivedRequest, type FakeServer } from './harness'
+import {
+  ATTEMPT_DIALECT as DIALECT,
+  complete,
+  FREE_LOAD,
+  header,
+  isProbe,
+  respondToProbe,
+  startQueryingEntry as start,
+} from './support/attempt-dialect'
 
 /**
  * A round of load queries lasts 15 ms of this clock: 1.5 s of real time, so that answers arrive in time on a busy
