Show in a test that a POST runs twice after a joined refusal

Cause: a refusal of the first call takes the only retry of a new entry's budget, so the request behind it was not sent again.

Change: the budget allows each call a retry.

--- a/packages/entry/test/support/stray-cases.ts
+++ b/packages/entry/test/support/stray-cases.ts
@@ -1,5 +1,6 @@
 /** Generates cases of extra copies of responses, and plays them with three calls behind each other. */
-import { randomInt, seededRandom, type RandomSource } from '@bilberrystall/base'
+import { randomInt, seededRandom, serviceName, type RandomSource } from '@bilberrystall/base'
+import { Router } from '@bilberrystall/routing'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { addServer, sendCall, startEntry, waitUntil, type CallResult, type Setup } from '../harness'
 import { ATTEMPT_DIALECT, ATTEMPT_DOCUMENT } from './attempt-dialect'
@@ -128,8 +129,14 @@
   return sendCall(`${origin}${path}`, { method, headers, ...body }).catch(() => undefined)
 }
 
-export const start = (server: StutteringServer): Promise<Setup> =>
-  startEntry([server.servers[0]], { dialect: ATTEMPT_DIALECT, document: () => ATTEMPT_DOCUMENT })
+/** Enough for a retry of each call; the budget of a new entry allows one, which a refusal of the first call takes. */
+const RETRIES = { minimum: 1_000 }
+
+export function start(server: StutteringServer): Promise<Setup> {
+  const router = new Router({ random: seededRandom(1) })
+  router.configure(serviceName('booking'), { retries: RETRIES }, performance.now())
+  return startEntry([server.servers[0]], { dialect: ATTEMPT_DIALECT, document: () => ATTEMPT_DOCUMENT, router })
+}
 
 /** Only the second call may meet the extra bytes that follow the response to the first one. */
 async function playCase(server: StutteringServer, item: StrayCase): Promise<CaseResult> {
