Refuse heads that are joined from two messages

What callers saw: on a kept connection, after an extra copy of a response that is cut off within its head, a failure or a refusal as 200 with a signature, a 500 that no server gave, 'not run' about a request that ran, and so a POST that ran twice.

Cause: a part of the copy waits in the HTTP parser when the next request is sent. The next status line then continues a reason phrase or a field value, and the fields of both messages count; the last attempt id wins.

Change: the socket scans the head of a response before the parser gets it. The start of a message within a head closes the connection, so a head that the parser completes is the whole head of one message. It is the message that is checked and not the place of the cut: the scan needs no list of cuts. A field on which the entry decides may be present once, and a signature may not be empty. Interim heads are checked in the same way. At most the request behind the copy fails, with 502.

--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -6,7 +6,7 @@
 import type { Connection } from './connection'
 import type { Dialect } from './dialect'
 import { parseResponseHead, type ResponseHead } from './head'
-import type { ResponseRefusal } from './response-refusal'
+import { RefusedBytes, type ResponseRefusal } from './response-refusal'
 
 export interface ExchangeRequest {
   readonly method: string
@@ -176,7 +176,9 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, cause: Error): void {
-    if (this.sent && this.connection.isCausedByBytes(cause)) this.#refuse({ kind: 'malformed', detail: cause.message })
+    if (cause instanceof RefusedBytes) this.#refuse(cause.refusal)
+    else if (this.sent && this.connection.isCausedByBytes(cause))
+      this.#refuse({ kind: 'malformed', detail: cause.message })
     else this.#fail()
   }
 
@@ -208,7 +210,8 @@
   }
 
   /** Refuses a late response to an earlier request and a success that the server did not sign. */
-  #refusalOf({ status, attemptId, signed, encoded, notRun }: ResponseHead): ResponseRefusal | undefined {
+  #refusalOf({ status, attemptId, signed, encoded, notRun, repeatedField }: ResponseHead): ResponseRefusal | undefined {
+    if (repeatedField !== undefined) return { kind: 'repeated-field', field: repeatedField }
     if (attemptId !== this.#attemptId && !(notRun && attemptId === undefined)) {
       return { kind: 'other-attempt', received: attemptId }
     }
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -202,6 +202,8 @@
   readonly isLeaving: boolean
   /** Whether the body has a content encoding, which is invalid because no caller requests one. */
   readonly encoded: boolean
+  /** Name of a field on which the entry decides, if it is repeated. */
+  readonly repeatedField: string | undefined
 }
 
 /** Whether the server reports that it did not run the request, with a status that callers read the same way. */
@@ -235,16 +237,22 @@
   let relayRevision: number | undefined
   let retryAfter: string | undefined
   let isLeaving = false
+  const seen = new Set<string>()
+  let repeatedField: string | undefined
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
     const value = raw[index + 1]?.toString('latin1') ?? ''
     const lower = name.toLowerCase()
+    if (isDecisive(lower, dialect)) {
+      if (seen.has(lower)) repeatedField = lower
+      seen.add(lower)
+    }
     if (lower === dialect.notRunHeader) notRun = dialect.isNotRun(value)
     else if (lower === dialect.loadHeader) load = dialect.readLoad(value)
     else if (lower === dialect.rateLimitHeader) rateLimit = parseRateLimit(value)
     else if (lower === dialect.warmUpHeader) warmUpMs = parseWarmUp(value)
     else if (lower === dialect.attemptHeader) attemptId = value
-    else if (lower === dialect.signatureHeader) signed = true
+    else if (lower === dialect.signatureHeader) signed = value !== ''
     else if (lower === dialect.instanceResponseHeader) instance = value
     else if (lower === 'content-encoding') encoded = true
     else if (lower === 'connection') hopByHop = connectionOptions(value)
@@ -277,9 +285,25 @@
     relayRevision,
     retryAfter,
     isLeaving,
+    repeatedField,
   }
 }
 
+/** Whether the entry decides on a field of a response, which may be present at most once. */
+function isDecisive(name: string, dialect: Dialect): boolean {
+  const { attemptHeader, signatureHeader, instanceResponseHeader } = dialect
+  return (
+    name === attemptHeader ||
+    name === signatureHeader ||
+    name === instanceResponseHeader ||
+    name === 'content-length' ||
+    name === 'retry-after' ||
+    name === RELAY_RESULT_HEADER ||
+    name === RELAY_REVISION_HEADER ||
+    isForEntry(name, dialect)
+  )
+}
+
 /** Whether a field of a response is a statement of the server to the entry, which callers do not get. */
 function isForEntry(name: string, dialect: Dialect): boolean {
   const { loadHeader, notRunHeader, rateLimitHeader, leavingHeader, warmUpHeader } = dialect
--- a/packages/entry/src/response-refusal.ts
+++ b/packages/entry/src/response-refusal.ts
@@ -24,6 +24,16 @@
   /** A body that ends with its connection contains the start of a further message. */
   | { readonly kind: 'head-in-body' }
 
+/** Destroys a connection because of what it received. */
+export class RefusedBytes extends Error {
+  readonly refusal: ResponseRefusal
+
+  constructor(refusal: ResponseRefusal) {
+    super(`the bytes of the server are no response to the request: ${refusal.kind}`)
+    this.refusal = refusal
+  }
+}
+
 export interface RefusedResponse {
   readonly refusal: ResponseRefusal
   /** Local port of the connection to the server. */
--- a/packages/entry/src/server-socket.ts
+++ b/packages/entry/src/server-socket.ts
@@ -1,10 +1,12 @@
 /**
  * A socket to a server that bounds the work which received bytes cause. The HTTP parser gets them in parts, as long as the
  * read budget of the turn lasts; the rest waits. A response is cut off when too many of its bytes carry no body: a head,
- * chunk extensions or trailer fields without an end.
+ * chunk extensions or trailer fields without an end. A head that is joined from two messages does not reach the parser.
  */
 import { Socket } from 'node:net'
+import { HeadScan } from './message-boundary'
 import { ReadBudget } from './read-budget'
+import { RefusedBytes } from './response-refusal'
 
 /** The parser cannot be stopped within a part, and each field or chunk in it costs time, so a part must be small. */
 const PART_BYTES = 2_048
@@ -29,6 +31,8 @@
   #overheadBytes = 0
   #maxOverheadBytes = MAX_HEAD_BYTES
   #passOn: (() => void) | undefined
+  /** Undefined after the head of the response. */
+  #headScan: HeadScan | undefined
 
   constructor() {
     super({ noDelay: true, keepAlive: true } as ConstructorParameters<typeof Socket>[0])
@@ -40,12 +44,14 @@
    */
   expectHead(passOn: () => void): void {
     this.#passOn = passOn
+    this.#headScan = new HeadScan()
     this.#partBytes = PART_BYTES
     this.#overheadBytes = 0
     this.#maxOverheadBytes = MAX_HEAD_BYTES
   }
 
   onHeadComplete(hasLength: boolean): void {
+    this.#headScan = undefined
     if (hasLength) this.#partBytes = BODY_PART_BYTES
     this.#overheadBytes = 0
     this.#maxOverheadBytes = MAX_FRAMING_BYTES
@@ -77,7 +83,14 @@
     const bytes = Math.min(this.readableLength, this.#partBytes)
     this.#overheadBytes += bytes
     this.#parsedSince = readBudget.begin()
-    return super.read(bytes)
+    const part = super.read(bytes) as Buffer | null
+    return part === null || !this.#isHeadJoined(part) ? part : null
+  }
+
+  #isHeadJoined(part: Buffer): boolean {
+    if (this.#headScan?.add(part) !== true) return false
+    this.destroy(new RefusedBytes({ kind: 'joined-heads' }))
+    return true
   }
 
   #isOverheadTooLarge(): boolean {
