Refuse bodies that end with their connection and contain a further message

What callers saw: a response without a length, with the extra copy that the server sent behind it, as one whole 200.

Cause: such a body ends with its connection, so it takes in whatever follows.

Change: the entry scans these bodies for the start of a message, in any parts, and withholds bytes that may be one until more follow. A body that contains or ends with the start of a message is refused: 502, or another attempt if the request may run again. What was weighed: passing on what precedes the message (its end is not known if the body itself contains one); refusing all responses without a length (servers may send them); accepting short ends such as 'HT' (the caller would get bytes of the copy). A body without a length that ends with 'H' is refused as well; a server that states lengths is not concerned.

--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { Connection } from './connection'
 import type { Dialect } from './dialect'
 import { parseResponseHead, type ResponseHead } from './head'
+import { BodyScan } from './message-boundary'
 import { RefusedBytes, type ResponseRefusal } from './response-refusal'
 
 export interface ExchangeRequest {
@@ -57,6 +58,8 @@
   #bodyBytes = 0
   #maxBodyBytes = Infinity
   #expectsBody = true
+  /** Present for a body that ends with its connection. */
+  #bodyScan: BodyScan | undefined
   #pieces: Buffer[] = []
   #pieceBytes = 0
   /** Time in ms at which the server last sent data. */
@@ -115,6 +118,7 @@
       return
     }
     this.#head = head
+    if (!head.delimited) this.#bodyScan = new BodyScan()
     this.#events.head(head)
   }
 
@@ -125,14 +129,19 @@
     controller.abort(new Error(`the server sent more than ${MAX_INTERIM_RESPONSES} interim responses`))
   }
 
-  onResponseData(_: Dispatcher.DispatchController, piece: Buffer): void {
+  onResponseData(_: Dispatcher.DispatchController, received: Buffer): void {
     if (this.#finished) return
-    this.connection.onBody(piece.length)
-    this.#bodyBytes += piece.length
+    this.connection.onBody(received.length)
+    this.#bodyBytes += received.length
     if (this.#bodyBytes > this.#maxBodyBytes) {
       this.#fail()
       return
     }
+    const piece = this.#bodyScan === undefined ? received : this.#bodyScan.add(received)
+    if (piece === undefined) {
+      this.#refuse({ kind: 'head-in-body' })
+      return
+    }
     this.#pieces.push(piece)
     this.#pieceBytes += piece.length
     if (this.#pieceBytes >= MIN_PIECE_BYTES) this.#passOn()
@@ -155,8 +164,12 @@
 
   onResponseEnd(): void {
     this.#progress()
-    this.#passOn()
     if (this.#finished) return
+    if (this.#bodyScan?.mayEnd === false) {
+      this.#refuse({ kind: 'head-in-body' })
+      return
+    }
+    this.#passOn()
     if (this.#head?.delimited !== false) {
       this.#end()
       return
--- a/packages/entry/test/message-boundary.test.ts
+++ b/packages/entry/test/message-boundary.test.ts
@@ -1,7 +1,7 @@
 /** Guards against a head that is joined from two messages, and against refusing one that only mentions a protocol. */
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { HeadScan } from '../src/message-boundary'
+import { BodyScan, HeadScan } from '../src/message-boundary'
 
 const HEAD = 'HTTP/1.1 503 Service Unavailable\r\nattempt: a\r\nnot-run: 1\r\nload: 1,2,3\r\n\r\n'
 const NEXT = 'HTTP/1.1 200 OK\r\nattempt: b\r\ncontent-length: 2\r\n\r\n'
@@ -50,3 +50,38 @@
 ])('a head with %s', (_, text, isJoined) => {
   expect(scan(text)).toBe(isJoined)
 })
+
+/** Passes the text through a scan. Returns what was passed on, and whether the body may end. */
+function scanBody(text: string, sizes: readonly number[]): { readonly passedOn: string; readonly mayEnd: boolean } {
+  const scanner = new BodyScan()
+  let rest = Buffer.from(text, 'latin1')
+  let passedOn = ''
+  for (const size of [...sizes, text.length]) {
+    const part = scanner.add(rest.subarray(0, size))
+    if (part === undefined) return { passedOn, mayEnd: false }
+    passedOn += part.toString('latin1')
+    rest = rest.subarray(size)
+  }
+  return { passedOn, mayEnd: scanner.mayEnd }
+}
+
+const sizesOfParts = fc.array(fc.integer({ min: 0, max: 20 }), { maxLength: 12 })
+
+test('no byte of a message behind a body is passed on, wherever it is cut off and in any parts', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: NEXT.length }), sizesOfParts, (cut, sizes) => {
+      const { passedOn, mayEnd } = scanBody(`whole body${NEXT.slice(0, cut)}`, sizes)
+      expect('whole body'.startsWith(passedOn)).toBe(true)
+      expect(mayEnd).toBe(false)
+    }),
+  )
+})
+
+test('a body is passed on unchanged in any parts', () => {
+  const text = 'HTTP/1 HTTP/1.1 2 HHTTP/2 HTTP/1.1 http/1.1 200 end'
+  fc.assert(
+    fc.property(sizesOfParts, (sizes) => {
+      expect(scanBody(text, sizes)).toEqual({ passedOn: text, mayEnd: true })
+    }),
+  )
+})
