Match refusals to the request that they answer

What callers saw: 'not run' about a request that ran, when a server sent its refusal of the same attempt once more, late, on the connection that carried the request again, or a refusal that names no attempt.

Cause: the attempt id tells responses apart only if the connection carries the attempt once. A refusal without an id was accepted on any connection.

Change: a connection remembers the attempts that were refused on it and carries no request of these; after 64 refusals it is replaced, which bounds the memory. Where the responses of a connection name their attempts, one that doesn't is no refusal. Servers that name no attempt at all are served as before.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -46,6 +46,8 @@
   readonly dependencies: CallDependencies
   readonly body: RequestBody
   readonly request: () => Omit<ExchangeRequest, 'body'>
+  /** Id that the caller gave to the attempt, if any. */
+  readonly attemptId: string | undefined
   readonly events: AttemptEvents
 }
 
@@ -87,9 +89,13 @@
       this.#onConnectFailed()
       return
     }
-    const { connection, repeatable } = this.#options
-    if (connection === undefined) this.#pool.acquire(!repeatable, this.#onAcquired)
-    else this.#send(connection)
+    const { connection, repeatable, attemptId: attempt } = this.#options
+    if (connection?.canCarry(attempt) === true) {
+      this.#send(connection)
+      return
+    }
+    if (connection !== undefined) this.#pool.release(connection)
+    this.#pool.acquire({ recentOnly: !repeatable, attempt }, this.#onAcquired)
   }
 
   /** Ends the attempt without calling an event handler. */
@@ -211,6 +217,8 @@
   /** Handles a response with which the server reports that it did not run the request. */
   #onNotRun(head: ResponseHead | undefined): void {
     const { dependencies, server } = this.#options
+    const { attemptId: attempt } = this.#options
+    if (attempt !== undefined) this.#exchange?.connection.onNotRun(attempt)
     if (head?.status === MISDIRECTED) {
       this.#finish('unattributed')
       dependencies.onMisdirected(server)
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -289,6 +289,7 @@
         const state = { attemptsLeft: this.#attemptsLeft, remainingMs: this.#remaining(), instance, queueLimit }
         return requestForServer(this.#requestSource, state)
       },
+      attemptId: this.#options.head.attemptId,
       events: {
         serverChosen: (server) => {
           const mayBeSent = () => this.#onServerChosen(server, kind !== 'regular')
--- a/packages/entry/src/connection-pool.ts
+++ b/packages/entry/src/connection-pool.ts
@@ -20,8 +20,15 @@
 
 export type AcquireCallback = (result: Result<Connection, Failure>) => void
 
-interface Waiter {
+export interface ConnectionUse {
+  /** Accepts only a connection that was used within `idleReuseMs`, or a new one. */
   readonly recentOnly: boolean
+  /** Id of the attempt that the connection is for, if it has one. */
+  readonly attempt?: string | undefined
+}
+
+interface Waiter {
+  readonly use: ConnectionUse
   readonly acquired: AcquireCallback
 }
 
@@ -46,9 +53,8 @@
     return this.#connections.size + this.#opening
   }
 
-  /** `recentOnly` accepts only a connection that was used within `idleReuseMs`, or a new one. */
-  acquire(recentOnly: boolean, acquired: AcquireCallback): void {
-    const idle = this.#takeIdle(recentOnly)
+  acquire(use: ConnectionUse, acquired: AcquireCallback): void {
+    const idle = this.#takeIdle(use)
     if (idle !== undefined) {
       acquired(ok(idle))
       return
@@ -58,7 +64,7 @@
       void this.#open(acquired)
       return
     }
-    this.#waiters.push({ recentOnly, acquired })
+    this.#waiters.push({ use, acquired })
   }
 
   /** Cancels a waiting request for a connection. */
@@ -114,7 +120,7 @@
 
   readonly #processReturns = (): void => {
     for (const connection of this.#pendingReturns.splice(0)) {
-      if (this.#closed || connection.retired || !connection.open) connection.destroy()
+      if (this.#closed || !connection.isReusable) connection.destroy()
       else this.#idle.push(connection)
     }
     this.#serveWaiters()
@@ -144,12 +150,13 @@
     if (index >= 0) this.#idle.splice(index, 1)[0]?.destroy()
   }
 
-  #takeIdle(recentOnly: boolean): Connection | undefined {
+  #takeIdle({ recentOnly, attempt }: ConnectionUse): Connection | undefined {
     const oldest = recentOnly ? this.#now() - this.#options.limits.idleReuseMs : -Infinity
     for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
       const connection = this.#idle[index]
       if (connection === undefined || connection.usedAt < oldest) return undefined
-      this.#idle.length = index
+      if (connection.open && !connection.canCarry(attempt)) continue
+      this.#idle.splice(index, 1)
       if (connection.open) return connection
       connection.destroy()
     }
@@ -184,7 +191,7 @@
     const canServe = () => this.#idle.length > 0 || this.size < this.#options.maxConnections()
     while (this.#waiters.length > 0 && canServe()) {
       const waiter = this.#waiters.shift()
-      if (waiter !== undefined) this.acquire(waiter.recentOnly, waiter.acquired)
+      if (waiter !== undefined) this.acquire(waiter.use, waiter.acquired)
     }
   }
 
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -14,6 +14,9 @@
 /** Keep-alive timeout of undici: far above the idle limit of the pool, which closes idle connections first. */
 const CLIENT_IDLE_TIMEOUT_MS = 600_000
 
+/** After so many refusals the connection is not used again, which bounds the attempts that it remembers. */
+const MAX_REFUSED_ATTEMPTS = 64
+
 /** Maximum size of the names and values of the header fields of a response, and of its trailer fields. */
 const MAX_FIELD_BYTES = 16_384
 
@@ -33,6 +36,10 @@
   broken = false
   /** Set when the server closed its side cleanly (FIN). */
   ended = false
+  /** Whether a response on this connection has returned the id of its attempt. */
+  hasReturnedAttempt = false
+  /** Attempts that the server refused to run, whose refusals may arrive once more. */
+  readonly #refusedAttempts = new Set<string>()
   #requests = 0
   /** Bytes written when the request in progress was dispatched; undefined if there is none. */
   #bytesBeforeRequest: number | undefined
@@ -111,6 +118,11 @@
     return !socket.destroyed && socket.writable && !socket.readableEnded && socket.readableLength === 0
   }
 
+  /** Number of requests that were sent, including the one in progress. */
+  get requests(): number {
+    return this.#requests
+  }
+
   /** Bytes written to the socket so far, including those not yet sent. */
   get bytesWritten(): number {
     return this.#socket.bytesWritten
@@ -138,6 +150,21 @@
     this.#onRefused?.({ refusal, connection: this.#localPort, requests: this.#requests, attempt })
   }
 
+  /** Records that the server refused to run the request of the attempt. */
+  onNotRun(attempt: string): void {
+    this.#refusedAttempts.add(attempt)
+  }
+
+  /** Whether the connection can be used for a request of the attempt: a copy of an earlier refusal would decide it. */
+  canCarry(attempt: string | undefined): boolean {
+    return attempt === undefined || !this.#refusedAttempts.has(attempt)
+  }
+
+  /** Whether the connection can be used for another request. */
+  get isReusable(): boolean {
+    return this.open && !this.retired && this.#refusedAttempts.size < MAX_REFUSED_ATTEMPTS
+  }
+
   onResponseEnd(): void {
     this.#bytesBeforeRequest = undefined
   }
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -118,6 +118,7 @@
       return
     }
     this.#head = head
+    if (head.attemptId !== undefined) this.connection.hasReturnedAttempt = true
     if (!head.delimited) this.#bodyScan = new BodyScan()
     this.#events.head(head)
   }
@@ -225,8 +226,10 @@
   /** Refuses a late response to an earlier request and a success that the server did not sign. */
   #refusalOf({ status, attemptId, signed, encoded, notRun, repeatedField }: ResponseHead): ResponseRefusal | undefined {
     if (repeatedField !== undefined) return { kind: 'repeated-field', field: repeatedField }
-    if (attemptId !== this.#attemptId && !(notRun && attemptId === undefined)) {
-      return { kind: 'other-attempt', received: attemptId }
+    if (attemptId !== this.#attemptId) {
+      if (!notRun || attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
+      // A server that names the attempt in its other responses names it in its refusals as well.
+      if (this.connection.hasReturnedAttempt) return { kind: 'unnamed-refusal' }
     }
     const isSuccess = status >= 200 && status < 300
     if (!isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -36,7 +36,7 @@
       return
     }
     // A query may be sent again, so it may use a connection that has been idle; the answer shows that it works.
-    pool.acquire(false, (result) => {
+    pool.acquire({ recentOnly: false }, (result) => {
       if (result.isErr()) this.#reportUnanswered(server)
       else if (this.#closed || !this.#dependencies.driver.accepts(server)) {
         pool.release(result.value)
@@ -49,7 +49,9 @@
   take(server: ServerId): Connection | undefined {
     const reserved = this.#reserved.get(server)
     this.#reserved.delete(server)
-    return reserved?.connection.open === true ? reserved.connection : undefined
+    if (reserved?.connection.isReusable === true) return reserved.connection
+    reserved?.pool.release(reserved.connection)
+    return undefined
   }
 
   /** Returns reserved connections to their pools; queries in progress run to their end. */
@@ -108,7 +110,7 @@
       this.#reportRefused(server)
       return
     }
-    if (this.#closed) pool.release(connection)
+    if (this.#closed || !connection.isReusable) pool.release(connection)
     else this.#reserved.set(server, { pool, connection })
     const load = head?.load
     driver.answered(this.#call, server, load === undefined ? { kind: 'no-load' } : { kind: 'load', load })
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -31,7 +31,7 @@
     exchange?.cancel()
     report('timeout')
   }, timeoutMs)
-  pool.acquire(true, (result) => {
+  pool.acquire({ recentOnly: true }, (result) => {
     if (result.isErr()) {
       report('connect-failed')
       return
--- a/packages/entry/src/relay-attempt.ts
+++ b/packages/entry/src/relay-attempt.ts
@@ -55,7 +55,7 @@
   start(): void {
     const { peers, peer, repeatable } = this.#options
     this.#pool = peers.started(peer)
-    this.#pool.acquire(!repeatable, this.#onAcquired)
+    this.#pool.acquire({ recentOnly: !repeatable }, this.#onAcquired)
   }
 
   sweep(): void {
--- a/packages/entry/src/routed-attempt.ts
+++ b/packages/entry/src/routed-attempt.ts
@@ -39,6 +39,8 @@
   /** The call as submitted to the router. */
   readonly routerCall: Omit<RouterCall, 'id'>
   readonly request: (instance: string | undefined, queueLimit: number | undefined) => Omit<ExchangeRequest, 'body'>
+  /** Id that the caller gave to the attempt, if any. */
+  readonly attemptId: string | undefined
   readonly events: RoutedAttemptEvents
 }
 
@@ -88,7 +90,7 @@
   }
 
   dispatched(server: ServerId, queueLimit: number | undefined): void {
-    const { dependencies, body, silenceMs, routerCall, request, events } = this.#options
+    const { dependencies, body, silenceMs, routerCall, request, attemptId, events } = this.#options
     this.#isQueued = false
     const connection = this.#loadQuery?.take(server)
     this.#closeLoadQuery()
@@ -109,6 +111,7 @@
       dependencies,
       body,
       request: () => request(instance, queueLimit),
+      attemptId,
       events: {
         mayStillSend: events.mayStillSend,
         head: events.head,
