Use connections once while a server sends bytes that belong to no request

What callers saw: the request behind stray bytes fails with 502. A server that goes on to send them makes each request on a kept connection a risk, however strictly the responses are checked.

Change: ConnectionReuse decides without I/O. Refusals that the first request of a connection can explain don't count, nor does a status that is invalid or an encoding.

What was weighed: closing only the connection concerned (the bytes show a server that repeats itself, and its other connections may have some on their way); no connections to the server at all (its answers are right, only what follows them is not). The cost is a new connection for each request, about 1 ms of a slot, paid by the server that sends them; the number of connections at a time is not raised, so services with few connections are served on.

--- a/packages/entry/src/connection-pool.ts
+++ b/packages/entry/src/connection-pool.ts
@@ -1,8 +1,10 @@
 /**
  * Pool of connections to one server. The number of connections stays within this entry's share of the server's
- * connection limit; further requests for a connection wait until one is released.
+ * connection limit; further requests for a connection wait until one is released. While the server sends bytes that belong
+ * to no request, each connection is used once.
  */
 import { failure, type Failure } from '@bilberrystall/base'
+import { ConnectionReuse } from '@bilberrystall/routing'
 import { err, ok, type Result } from 'neverthrow'
 import { Connection, type Address } from './connection'
 import type { Clock, Limits } from './limits'
@@ -16,6 +18,8 @@
   readonly maxConnections: () => number
   readonly onRetired: (count: number) => void
   readonly onRefused: (refused: RefusedResponse) => void
+  /** Connections are used once from now on, or for several requests again. */
+  readonly onReuseChanged: (isAllowed: boolean) => void
 }
 
 export type AcquireCallback = (result: Result<Connection, Failure>) => void
@@ -44,6 +48,8 @@
   /** Time in ms of the first suspicion that is not yet confirmed or dismissed. */
   #suspectedAt: number | undefined
   #silentSince = -Infinity
+  readonly #reuse = new ConnectionReuse()
+  #isReuseAllowed = true
 
   constructor(options: ConnectionPoolOptions) {
     this.#options = options
@@ -81,8 +87,12 @@
     if (this.#pendingReturns.length === 1) setImmediate(this.#processReturns)
   }
 
-  /** Closes connections that have been idle for longer than `idleCloseMs`. */
+  /**
+   * Closes connections that have been idle for longer than `idleCloseMs`, and allows connections to be used again when the
+   * server has sent no bytes that belong to no request for some time.
+   */
   sweep(): void {
+    this.#updateReuse()
     const limit = this.#now() - this.#options.limits.idleCloseMs
     while (this.#idle[0] !== undefined && this.#idle[0].usedAt < limit) this.#idle.shift()?.destroy()
   }
@@ -113,6 +123,7 @@
   /** Closes idle connections and fails waiting requests; exchanges in flight keep their connections until they end. */
   close(): void {
     this.#closed = true
+    if (!this.#isReuseAllowed) this.#options.onReuseChanged(true)
     for (const connection of this.#idle.splice(0)) connection.destroy()
     for (const waiter of this.#waiters.splice(0))
       waiter.acquired(err(failure('connectFailed', 'the server was removed')))
@@ -178,7 +189,10 @@
     }
     const connection = result.value
     this.#connections.add(connection)
-    connection.onRefused(this.#options.onRefused)
+    connection.isSuspect = !this.#isReuseAllowed
+    connection.onRefused((refused) => {
+      this.#onRefused(refused)
+    })
     connection.onClose(() => {
       this.#connections.delete(connection)
       this.#closeIfIdle(connection)
@@ -195,7 +209,43 @@
     }
   }
 
+  #onRefused(refused: RefusedResponse): void {
+    this.#options.onRefused(refused)
+    if (!concernsReuse(refused)) return
+    this.#reuse.onStrayBytes(this.#now())
+    this.#updateReuse()
+  }
+
+  #updateReuse(): void {
+    const isAllowed = this.#reuse.isAllowed(this.#now())
+    if (this.#closed || isAllowed === this.#isReuseAllowed) return
+    this.#isReuseAllowed = isAllowed
+    // Connections that were opened while it was not allowed are not used again.
+    if (!isAllowed) for (const connection of this.#connections) connection.isSuspect = true
+    if (!isAllowed) for (const connection of this.#idle.splice(0)) connection.destroy()
+    this.#options.onReuseChanged(isAllowed)
+  }
+
   #now(): number {
     return this.#options.clock.monotonic()
   }
 }
+
+/** Whether bytes of a server came behind a complete response. What answers the first request of a connection did not. */
+function concernsReuse({ refusal, requests }: RefusedResponse): boolean {
+  switch (refusal.kind) {
+    case 'stray-bytes':
+    case 'head-in-body':
+      return true
+    case 'malformed':
+    case 'joined-heads':
+    case 'repeated-field':
+    case 'other-attempt':
+    case 'unnamed-refusal':
+    case 'unsigned':
+      return requests > 1
+    case 'invalid-status':
+    case 'encoded':
+      return false
+  }
+}
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -38,6 +38,8 @@
   ended = false
   /** Whether a response on this connection has returned the id of its attempt. */
   hasReturnedAttempt = false
+  /** Set while the server sends bytes that belong to no request: the connection is not used again. */
+  isSuspect = false
   /** Attempts that the server refused to run, whose refusals may arrive once more. */
   readonly #refusedAttempts = new Set<string>()
   #requests = 0
@@ -162,7 +164,7 @@
 
   /** Whether the connection can be used for another request. */
   get isReusable(): boolean {
-    return this.open && !this.retired && this.#refusedAttempts.size < MAX_REFUSED_ATTEMPTS
+    return this.open && !this.retired && !this.isSuspect && this.#refusedAttempts.size < MAX_REFUSED_ATTEMPTS
   }
 
   onResponseEnd(): void {
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -42,6 +42,10 @@
   readonly silentRetired?: (server: ServerId, count: number) => void
   /** A response of a server, or bytes that belong to no request, were not accepted. */
   readonly responseRefused?: (server: ServerId, refused: RefusedResponse) => void
+  /**
+   * Connections to a server are used once, because bytes arrived that belong to no request, or for several requests again.
+   */
+  readonly reuseChanged?: (server: ServerId, isAllowed: boolean) => void
 }
 
 export interface EntryOptions {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -24,7 +24,7 @@
 import { KeyCheck } from './key-check'
 import { createListener, listenOn } from './listener'
 import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
-import { ConnectionPool } from './connection-pool'
+import type { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
@@ -37,6 +37,7 @@
 import { RelayPeers } from './relay-peers'
 import { rejectionFields } from './retry-after'
 import { relayResponseFields } from './relay-response'
+import { createServerPool } from './server-pool'
 
 /** Interval of the check for idle connections. Short compared with the idle timeout of several seconds. */
 const IDLE_SWEEP_INTERVAL_MS = 1_000
@@ -404,13 +405,11 @@
     const known = this.#pools.get(id)
     const server = this.#servers.get(id)
     if (known !== undefined || server === undefined) return known
-    const pool = new ConnectionPool({
-      address: server.address,
+    const pool = createServerPool(server, {
       limits: this.#limits,
       clock: this.#clock,
       maxConnections: () => this.#connectionShare(id),
-      onRetired: (count) => this.#options.events?.silentRetired?.(id, count),
-      onRefused: (refused) => this.#options.events?.responseRefused?.(id, refused),
+      events: this.#options.events ?? {},
     })
     this.#pools.set(id, pool)
     return pool
--- a/packages/entry/src/relay-peers.ts
+++ b/packages/entry/src/relay-peers.ts
@@ -110,6 +110,7 @@
       maxConnections: () => MAX_CONNECTIONS,
       onRetired: () => undefined,
       onRefused: () => undefined,
+      onReuseChanged: () => undefined,
     })
     const state = { pool, address, inFlight: known?.inFlight ?? 0, pausedUntil: Number.NEGATIVE_INFINITY }
     this.#states.set(node, state)
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 /** Server selection, load estimation, outlier ejection, queues, admission, retry budgets and the measuring budget. */
 export * from './call'
 export { coldShare, type ColdShare, type ColdSharing, type WarmUp } from './cold-limits'
+export { ConnectionReuse } from './connection-reuse'
 export * from './hedging'
 export type { LoadQueryResult } from './load-query'
 export * from './ledger'
