--- a/packages/routing/src/connection-reuse.ts
+++ b/packages/routing/src/connection-reuse.ts
@@ -2,8 +2,7 @@
  * Decides whether connections to a server may be used for more than one request. A server that sends bytes which belong
  * to no request may send them at any time, and on a connection that is used again they can meet the next request.
  * Connections that are used once leave no such request. The server pays for them with the time that each new connection
- * takes, so that ends some time after the last such bytes. The time
- * doubles when they return.
+ * takes, so this ends some time after the last such bytes. The time doubles when they return.
  */
 
 /** Late copies of responses follow within seconds. */
