Give requests to servers ids in the product's own dialect

What callers saw: with the default dialect, a whole copy of a response answered the next request on its connection, with 200 and the body of another caller.

Cause: only callers gave ids to attempts, and callers of the default dialect give none, so nothing told a copy from the response.

Change: the entry sends bilberrystall-attempt with each request to a server, load queries and probes included. A server that returns it is protected; on a connection where it returned one, a response without it is refused. Servers that don't know the header are served as before. Dialects in which callers give the ids are unchanged.

--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -1,5 +1,6 @@
 /** Dependencies of a call that the entry provides. */
 import type { AttemptId, CodeName, RequestId, ServerId } from '@bilberrystall/base'
+import type { AttemptIds } from './attempt-ids'
 import type { Call } from './call'
 import type { CallOptions } from './call-options'
 import type { ClaimCoordinator } from './claim-coordinator'
@@ -25,6 +26,7 @@
   readonly limits: Limits
   readonly codec: ContextCodec
   readonly dialect: Dialect
+  readonly attemptIds: AttemptIds
   readonly driver: RouterDriver
   readonly claims: ClaimCoordinator | undefined
   readonly pool: (server: ServerId) => ConnectionPool | undefined
--- a/packages/entry/src/call-request.ts
+++ b/packages/entry/src/call-request.ts
@@ -1,4 +1,5 @@
 /** Builds the request that is sent for a call: to a server, or to another entry that chooses the server. */
+import { attemptFields } from './attempt-ids'
 import { organisationFields } from './authentication'
 import type { CallDependencies } from './call-dependencies'
 import type { CallOptions } from './call-options'
@@ -10,7 +11,7 @@
 export interface RequestSource {
   readonly call: Pick<CallOptions, 'request' | 'head' | 'context' | 'organisation' | 'document' | 'route'>
   readonly body: RequestBody
-  readonly dependencies: Pick<CallDependencies, 'codec' | 'dialect' | 'keys' | 'relayPeers' | 'revision'>
+  readonly dependencies: Pick<CallDependencies, 'attemptIds' | 'codec' | 'dialect' | 'keys' | 'relayPeers' | 'revision'>
 }
 
 export interface ServerRequestState {
@@ -25,7 +26,7 @@
   source: RequestSource,
   { attemptsLeft, remainingMs, instance, queueLimit }: ServerRequestState,
 ): Omit<ExchangeRequest, 'body'> {
-  const { dialect, codec, keys } = source.dependencies
+  const { attemptIds, dialect, codec, keys } = source.dependencies
   const fields = [dialect.deadlineHeader, String(Math.max(1, Math.floor(remainingMs)))]
   if (dialect.propagatesContext) {
     fields.push(CONTEXT_HEADER, codec.sign({ ...source.call.context, attempts: attemptsLeft }))
@@ -33,7 +34,10 @@
   }
   if (dialect.instanceHeader !== undefined) fields.push(dialect.instanceHeader, instance ?? '')
   fields.push(...organisationFields(keys.organisationToName(source.call), dialect))
-  return requestWith(source, fields, source.call.document.requiresKeys)
+  const request = requestWith(source, fields, source.call.document.requiresKeys)
+  const attemptId = attemptIds.next()
+  if (attemptId === undefined) return request
+  return { ...request, attemptId, fields: [...request.fields, ...attemptFields(attemptId, dialect)] }
 }
 
 export function requestForEntry(
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -22,8 +22,13 @@
   readonly rateLimitHeader: string | undefined
   /** Response header with the value 1 of a server that leaves; undefined if not supported. */
   readonly leavingHeader: string | undefined
-  /** Header with the id that callers give to each attempt and that servers return; undefined if not supported. */
+  /** Header with the id of an attempt, which servers return; undefined if not supported. */
   readonly attemptHeader: string | undefined
+  /**
+   * - `caller`: callers give each attempt an id, and servers return it in every response.
+   * - `entry`: the entry gives each request to a server an id. A server that returned one has to return each of them.
+   */
+  readonly attemptIds: 'caller' | 'entry'
   /**
    * Request header with the id of the server process; a different process at the address answers 421 and runs nothing.
    */
@@ -71,7 +76,8 @@
   readLoad: parseLoad,
   rateLimitHeader: 'bilberrystall-rate-limit',
   leavingHeader: 'bilberrystall-leaving',
-  attemptHeader: undefined,
+  attemptHeader: 'bilberrystall-attempt',
+  attemptIds: 'entry',
   instanceHeader: undefined,
   instanceResponseHeader: undefined,
   signatureHeader: undefined,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,6 +11,7 @@
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
 import { readArrived, stopListening } from './arrived'
+import { AttemptIds } from './attempt-ids'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
 import { CallPriorities } from './call-priorities'
@@ -58,6 +59,7 @@
   readonly #driver: RouterDriver
   readonly #codec: ContextCodec
   readonly #dialect: Dialect
+  readonly #attemptIds: AttemptIds
   readonly #preparation: CallPreparation
   readonly #keys: KeyCheck
   readonly #priorities: CallPriorities
@@ -90,6 +92,7 @@
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
+    this.#attemptIds = new AttemptIds(this.#dialect, options.random)
     const admission = options.admission ?? OPEN_ADMISSION
     this.#keys = new KeyCheck({ document: options.document, admission, dialect: this.#dialect })
     this.#priorities = new CallPriorities({ router: options.router, now: this.#clock.monotonic })
@@ -325,6 +328,7 @@
       limits: this.#limits,
       codec: this.#codec,
       dialect: this.#dialect,
+      attemptIds: this.#attemptIds,
       onMisdirected: (server) => {
         this.removeServer(server)
       },
@@ -446,7 +450,7 @@
     const onHead = (head: ResponseHead) => {
       this.#probeAnswered(id, head)
     }
-    const target = { path, timeoutMs, dialect: this.#dialect, onHead }
+    const target = { path, timeoutMs, dialect: this.#dialect, attemptId: this.#attemptIds.next(), onHead }
     probe(pool, target, this.#clock.monotonic, (outcome, latency, load) => {
       this.#driver.probed(id, outcome, latency, load)
     })
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -226,6 +226,9 @@
   /** Refuses a late response to an earlier request and a success that the server did not sign. */
   #refusalOf({ status, attemptId, signed, encoded, notRun, repeatedField }: ResponseHead): ResponseRefusal | undefined {
     if (repeatedField !== undefined) return { kind: 'repeated-field', field: repeatedField }
+    if (attemptId === undefined && this.#dialect.attemptIds === 'entry' && !this.connection.hasReturnedAttempt) {
+      return undefined
+    }
     if (attemptId !== this.#attemptId) {
       if (!notRun || attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
       // A server that names the attempt in its other responses names it in its refusals as well.
--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -96,15 +96,19 @@
     callerTimeoutMs: dialect.acceptsCallerDeadline
       ? parseTimeMs(firstValue(headers[dialect.deadlineHeader]))
       : undefined,
-    attemptId: parseAttemptId(dialect.attemptHeader === undefined ? undefined : headers[dialect.attemptHeader]),
+    attemptId: parseAttemptId(callerAttemptHeader(dialect), headers),
     authorization: headers.authorization,
     relay: readRelayFields((name) => firstValue(headers[name])),
     bytes: headBytes(request),
   })
 }
 
-function parseAttemptId(value: string | string[] | undefined): AttemptId | undefined {
-  const text = firstValue(value)
+function callerAttemptHeader({ attemptHeader, attemptIds }: Dialect): string | undefined {
+  return attemptIds === 'caller' ? attemptHeader : undefined
+}
+
+function parseAttemptId(name: string | undefined, headers: IncomingMessage['headers']): AttemptId | undefined {
+  const text = name === undefined ? undefined : firstValue(headers[name])
   return text === undefined ? undefined : attemptId(text)
 }
 
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -4,6 +4,7 @@
  */
 import type { CallId } from '@bilberrystall/routing'
 import type { ServerId } from '@bilberrystall/base'
+import { attemptFields } from './attempt-ids'
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange, MAX_UNUSED_BODY_BYTES } from './exchange'
@@ -62,7 +63,7 @@
   }
 
   #send(server: ServerId, pool: ConnectionPool, connection: Connection): void {
-    const { clock, dialect, healthPath, instance, reachability } = this.#dependencies
+    const { attemptIds, clock, dialect, healthPath, instance, reachability } = this.#dependencies
     const timer = setTimeout(() => {
       exchange.cancel()
       this.#reportUnanswered(server)
@@ -88,12 +89,15 @@
       dialect,
     )
     const instanceId = instance(server)
-    const fields =
-      dialect.instanceHeader === undefined || instanceId === undefined ? [] : [dialect.instanceHeader, instanceId]
+    const attemptId = attemptIds.next()
+    const fields = [...attemptFields(attemptId, dialect)]
+    if (dialect.instanceHeader !== undefined && instanceId !== undefined)
+      fields.push(dialect.instanceHeader, instanceId)
     exchange.start({
       method: 'GET',
       target: dialect.probePath ?? healthPath(server),
       fields,
+      attemptId,
       body: undefined,
       maxResponseBytes: MAX_UNUSED_BODY_BYTES,
     })
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -1,5 +1,6 @@
 /** Probes a server with a separate request to a path that every server supports, to measure its latency and load. */
 import type { ExchangeOutcome, Load } from '@bilberrystall/routing'
+import { attemptFields } from './attempt-ids'
 import type { Dialect } from './dialect'
 import { Exchange, MAX_UNUSED_BODY_BYTES } from './exchange'
 import { isUnnamedRefusal, type ResponseHead } from './head'
@@ -9,6 +10,8 @@
   readonly path: string
   readonly timeoutMs: number
   readonly dialect: Dialect
+  /** Id of the request, if the entry gives one. */
+  readonly attemptId: string | undefined
   /** Called with the head of the response. */
   readonly onHead: (head: ResponseHead) => void
 }
@@ -17,7 +20,7 @@
 
 /** Reports the result once, after `timeoutMs` at the latest. A probe that takes longer is cancelled. */
 export function probe(pool: ConnectionPool, target: ProbeTarget, now: () => number, onResult: ProbeCallback): void {
-  const { path, timeoutMs, dialect, onHead } = target
+  const { path, timeoutMs, dialect, attemptId, onHead } = target
   const startedAt = now()
   let exchange: Exchange | undefined
   let reported = false
@@ -61,7 +64,8 @@
     exchange.start({
       method: 'GET',
       target: path,
-      fields: [],
+      fields: [...attemptFields(attemptId, dialect)],
+      attemptId,
       body: undefined,
       maxResponseBytes: MAX_UNUSED_BODY_BYTES,
     })
--- a/packages/entry/test/repeated-refusal.test.ts
+++ b/packages/entry/test/repeated-refusal.test.ts
@@ -9,7 +9,7 @@
 import { DEFAULT_DIALECT, type Dialect } from '../src/index'
 import { DOCUMENT, respond, sendCall, startEntry, startFakeServer, type ReceivedRequest } from './harness'
 
-const NAMED: Dialect = { ...DEFAULT_DIALECT, attemptHeader: 'x-attempt' }
+const NAMED: Dialect = { ...DEFAULT_DIALECT, attemptHeader: 'x-attempt', attemptIds: 'caller' }
 const ROUNDS = 10
 
 const refuse = (received: ReceivedRequest, fields: readonly string[] = []) => {
--- a/packages/entry/test/support/attempt-dialect.ts
+++ b/packages/entry/test/support/attempt-dialect.ts
@@ -16,6 +16,7 @@
   isNotRun: () => true,
   loadHeader: 'x-load',
   attemptHeader: 'x-attempt',
+  attemptIds: 'caller',
   instanceHeader: 'x-instance',
   instanceResponseHeader: 'x-self',
   signatureHeader: 'x-signature',
