--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -34,6 +34,7 @@
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
 import type { QuarantineExchange } from './quarantine-exchange'
+import { ResponseRefusals } from './response-refusals'
 import type { EntrySettings } from './settings'
 import { limitStopTimes, type StopTimes } from './stop-times'
 
@@ -65,6 +66,7 @@
   readonly #calls: Counter<'result'>
   readonly #latency: Histogram
   readonly #failures: FailureLog
+  readonly #refusals: ResponseRefusals
   readonly #lostCalls: Counter<'check'>
   readonly #relayed: Counter
   readonly #ejected = new Set<string>()
@@ -89,6 +91,7 @@
     )
     this.#relayed = context.metrics.counter('calls_relayed_total', 'Calls passed on to another entry', [])
     this.#failures = createFailureLog(context)
+    this.#refusals = new ResponseRefusals({ context, isKnown: (server) => this.#firstSeen.has(server) })
     const allowance = options.adapter?.loadQueries
     this.#entries = new EntryList(context, settings.environment)
     this.#router = new Router({
@@ -144,6 +147,7 @@
       ...(settings.relayListen === undefined ? {} : { relayListen: splitAddress(settings.relayListen) }),
       relayPeers: () => this.#relayPeers(),
       events: {
+        ...this.#refusals.events,
         callEnded: (result, latencyMs, call) => {
           this.#callEnded(result, latencyMs, call)
         },
@@ -375,6 +379,7 @@
     if (!this.#firstSeen.delete(key)) return
     this.#limited.delete(key)
     this.#entry.removeServer(serverId(key))
+    this.#refusals.serverLeft(serverId(key))
     this.#options.context.log.info('serverLeft', { server: key, state: server.state })
   }
 
--- a/packages/node/src/failure-log.ts
+++ b/packages/node/src/failure-log.ts
@@ -4,11 +4,10 @@
  */
 import type { CodeName } from '@bilberrystall/base'
 import type { EndedCall, LostCall, ServerCheck } from '@bilberrystall/entry'
+import { LineBudget } from './line-budget'
 import type { Log, LogFields } from './log'
 
-const LINES_PER_SECOND = 20
-const BURST_LINES = 60
-const MS_PER_SECOND = 1000
+const LINES = { linesPerSecond: 20, burst: 60 }
 
 export interface FailureLogOptions {
   readonly log: Log
@@ -20,12 +19,11 @@
 
 export class FailureLog {
   readonly #options: FailureLogOptions
-  #tokens = BURST_LINES
-  #refilledAt: number
+  readonly #budget: LineBudget
 
   constructor(options: FailureLogOptions) {
     this.#options = options
-    this.#refilledAt = options.now()
+    this.#budget = new LineBudget({ ...LINES, now: options.now })
   }
 
   write(result: CodeName, latencyMs: number, { attempt, ...call }: EndedCall): void {
@@ -41,17 +39,7 @@
 
   #write(code: CodeName, fields: LogFields): void {
     const { log, onOmitted } = this.#options
-    if (this.#tryTakeToken()) log.info(code, fields)
+    if (this.#budget.tryTake()) log.info(code, fields)
     else onOmitted()
   }
-
-  #tryTakeToken(): boolean {
-    const now = this.#options.now()
-    const refilled = ((now - this.#refilledAt) / MS_PER_SECOND) * LINES_PER_SECOND
-    this.#tokens = Math.min(BURST_LINES, this.#tokens + refilled)
-    this.#refilledAt = now
-    if (this.#tokens < 1) return false
-    this.#tokens -= 1
-    return true
-  }
 }
