Show refused responses to a call in bilberrystall explain

Cause: a line response-refused about a call was one among the events of its server, which may refuse many responses in the same seconds.

Change: lines response-refused of the node with the attempt of the call are printed right after its call-failed line. Output without them is unchanged.

--- a/packages/cli/src/explain-command.ts
+++ b/packages/cli/src/explain-command.ts
@@ -11,7 +11,7 @@
     category: 'Reference',
     description: 'explain a failed call from the log files of several nodes',
     details:
-      'Prints the log line of the call, the state of its node at that time, and events of the servers it was sent to.',
+      'Prints the log line of the call, the responses to it that were refused, the state of its node at that time, and events of the servers it was sent to.',
     examples: [['Explain an attempt', '$0 explain 9c41d07be2a35f68 entry-1.log entry-2.log control-1.log']],
   })
 
@@ -35,10 +35,11 @@
   }
 }
 
-function formatCall({ call, beliefs, servers }: ExplainedCall): string {
+function formatCall({ call, refusals, beliefs, servers }: ExplainedCall): string {
   return [
     `attempt ${call.attempt ?? ''} at ${call.node}: ${call.result ?? ''} after ${call.ms ?? 0} ms`,
     `  ${formatLine(call)}`,
+    ...(refusals.length === 0 ? [] : ['  refused responses to it:', ...formatLines(refusals)]),
     '  state of the node:',
     ...formatLines(beliefs),
     '  events of the servers it was sent to:',
--- a/packages/cli/src/explanation.ts
+++ b/packages/cli/src/explanation.ts
@@ -35,6 +35,8 @@
   readonly beliefs: readonly LogLine[]
   /** Lines of all nodes about the servers that the call was sent to, sorted by time. */
   readonly servers: readonly LogLine[]
+  /** Responses to the call that its node refused, sorted by time. */
+  readonly refusals: readonly LogLine[]
 }
 
 /** Groups of events that report the same aspect of a node's state. The latest event of a group is the current state. */
@@ -75,7 +77,16 @@
   const sortedLines = lines.toSorted((left, right) => Date.parse(left.time) - Date.parse(right.time))
   return sortedLines
     .filter((line) => line.event === 'call-failed' && line.attempt === attempt)
-    .map((call) => ({ call, beliefs: nodeStateBefore(sortedLines, call), servers: serverEventsOf(sortedLines, call) }))
+    .map((call) => ({
+      call,
+      refusals: sortedLines.filter((line) => isRefusedResponse(line, call)),
+      beliefs: nodeStateBefore(sortedLines, call),
+      servers: serverEventsOf(sortedLines, call),
+    }))
+}
+
+function isRefusedResponse(line: LogLine, call: LogLine): boolean {
+  return line.event === 'response-refused' && line.node === call.node && line.attempt === call.attempt
 }
 
 function nodeStateBefore(sortedLines: readonly LogLine[], call: LogLine): LogLine[] {
@@ -90,6 +101,7 @@
   return sortedLines.filter((line) => {
     const timeMs = Date.parse(line.time)
     const isNear = timeMs >= begin - BEFORE_CALL_MS && timeMs <= end + AFTER_CALL_MS
-    return isNear && line.server !== undefined && serversOfCall.has(line.server)
+    const isOfServer = line.server !== undefined && serversOfCall.has(line.server)
+    return isNear && isOfServer && !isRefusedResponse(line, call)
   })
 }
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -51,6 +51,26 @@
   await expect(explained.stdout).toMatchFileSnapshot('golden/explain.txt')
 })
 
+/** Guards against a refused response that is lost among the events of its server, or shown with another call. */
+test('the responses to the call that its node refused are shown with the call', async () => {
+  const refused = (node: string, attempt: string) =>
+    formatLogLine(29, node, 'response-refused', {
+      server: 'production/booking/b1',
+      reason: 'other-attempt',
+      received: '635a',
+      connection: 40_001,
+      requests: 3,
+      attempt,
+    })
+  const others = [refused('entry-1', '77aa'), refused('entry-2', '9c41')]
+  const explained = await cli(
+    'explain',
+    '9c41',
+    await logFile('e.log', [...ENTRY_1, refused('entry-1', '9c41'), ...others]),
+  )
+  await expect(explained.stdout).toMatchFileSnapshot('golden/explain-refused.txt')
+})
+
 test('truncated, damaged and foreign lines are skipped and counted, prefixes of collectors are ignored', async () => {
   const foreign = ['{"time":"2026-03', 'started', '{"time":"yesterday","event":"x","node":"n"}', '[1]']
   const prefixed = ENTRY_1.map((text) => `  36.16 entry-1 ${text}`)
