Check the attempt in the lines of refused responses, and take the events from the entry

Cause: the entry gives each request an id now, so the line of a refusal has one. The test compares it with the id that the server received, and the test of attempt ids builds the same bytes without the header: without it, the first body answered the second request with 200.

--- a/packages/entry/test/attempt-ids.test.ts
+++ b/packages/entry/test/attempt-ids.test.ts
@@ -15,7 +15,8 @@
   const server = await startFakeServer((received) => {
     const { socket, body } = received
     const copy = last
-    last = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n${attemptField(received)}\r\n\r\n${body}`
+    const fields = [`content-length: ${body.length}`, attemptField(received)].filter((field) => field !== '')
+    last = `HTTP/1.1 200 OK\r\n${fields.join('\r\n')}\r\n\r\n${body}`
     socket.write(copy + last)
   })
   const { origin, results } = await startEntry([server])
--- a/packages/node/src/response-refusals.ts
+++ b/packages/node/src/response-refusals.ts
@@ -33,10 +33,7 @@
   readonly isKnown: (server: ServerId) => boolean
 }
 
-export type ResponseRefusalEvents = Required<Pick<EntryEvents, 'responseRefused'>> & {
-  /** Connections to the server are used for one request only, or for several again. */
-  readonly reuseChanged: (server: ServerId, mayReuse: boolean) => void
-}
+export type ResponseRefusalEvents = Required<Pick<EntryEvents, 'responseRefused' | 'reuseChanged'>>
 
 export class ResponseRefusals {
   readonly #options: ResponseRefusalsOptions
--- a/packages/node/test/refused-response-node.test.ts
+++ b/packages/node/test/refused-response-node.test.ts
@@ -26,6 +26,8 @@
 let answer = COMPLETE
 /** Port of the entry's side of the connection on which the last POST arrived, and the requests on it until then. */
 let lastCall: { readonly connection: number | undefined; readonly requests: number } | undefined
+/** Id that the entry gave to the last POST. */
+let lastAttempt: string | undefined
 
 /** Requests have no body, and a small head arrives in one piece. */
 const server = createServer((socket) => {
@@ -33,8 +35,12 @@
   socket.on('error', () => undefined)
   socket.on('data', (bytes) => {
     requests += 1
-    const isCall = bytes.toString('latin1').startsWith('POST')
-    if (isCall) lastCall = { connection: socket.remotePort, requests }
+    const text = bytes.toString('latin1')
+    const isCall = text.startsWith('POST')
+    if (isCall) {
+      lastCall = { connection: socket.remotePort, requests }
+      lastAttempt = /^bilberrystall-attempt: (.+)$/m.exec(text)?.[1]
+    }
     socket.write(isCall ? answer : COMPLETE)
   })
 })
@@ -91,7 +97,8 @@
   answer = 'HTTP/1.1 700 Unknown\r\ncontent-length: 0\r\n\r\n'
   expect(await call()).toBe(502)
   const common = { server: 'production/booking/booking-1' }
-  expect(refused()).toEqual([{ ...common, reason: 'invalid-status', status: 700, ...lastCall }])
+  expect(lastAttempt).toBeDefined()
+  expect(refused()).toEqual([{ ...common, reason: 'invalid-status', status: 700, ...lastCall, attempt: lastAttempt }])
 
   answer = `${COMPLETE}${COMPLETE}`
   expect(await call()).toBe(200)
