--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,6 +11,7 @@
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
 import { readArrived, stopListening } from './arrived'
+import { AttemptIds } from './attempt-ids'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
 import { CallPriorities } from './call-priorities'
@@ -24,7 +25,7 @@
 import { KeyCheck } from './key-check'
 import { createListener, listenOn } from './listener'
 import { DEFAULT_LIMITS, SYSTEM_CLOCK, type Clock, type Limits } from './limits'
-import { ConnectionPool } from './connection-pool'
+import type { ConnectionPool } from './connection-pool'
 import { CallerConnection, type StopPhase } from './caller-connection'
 import { CallerResponse } from './caller-response'
 import type { EntryOptions, EntryServer } from './entry-options'
@@ -37,6 +38,7 @@
 import { RelayPeers } from './relay-peers'
 import { rejectionFields } from './retry-after'
 import { relayResponseFields } from './relay-response'
+import { createServerPool } from './server-pool'
 
 /** Interval of the check for idle connections. Short compared with the idle timeout of several seconds. */
 const IDLE_SWEEP_INTERVAL_MS = 1_000
@@ -57,6 +59,7 @@
   readonly #driver: RouterDriver
   readonly #codec: ContextCodec
   readonly #dialect: Dialect
+  readonly #attemptIds: AttemptIds
   readonly #preparation: CallPreparation
   readonly #keys: KeyCheck
   readonly #priorities: CallPriorities
@@ -89,6 +92,7 @@
     this.#clock = options.clock ?? SYSTEM_CLOCK
     this.#codec = new ContextCodec(options.nodeKey)
     this.#dialect = options.dialect ?? DEFAULT_DIALECT
+    this.#attemptIds = new AttemptIds(this.#dialect, options.random)
     const admission = options.admission ?? OPEN_ADMISSION
     this.#keys = new KeyCheck({ document: options.document, admission, dialect: this.#dialect })
     this.#priorities = new CallPriorities({ router: options.router, now: this.#clock.monotonic })
@@ -324,6 +328,7 @@
       limits: this.#limits,
       codec: this.#codec,
       dialect: this.#dialect,
+      attemptIds: this.#attemptIds,
       onMisdirected: (server) => {
         this.removeServer(server)
       },
@@ -404,13 +409,11 @@
     const known = this.#pools.get(id)
     const server = this.#servers.get(id)
     if (known !== undefined || server === undefined) return known
-    const pool = new ConnectionPool({
-      address: server.address,
+    const pool = createServerPool(server, {
       limits: this.#limits,
       clock: this.#clock,
       maxConnections: () => this.#connectionShare(id),
-      onRetired: (count) => this.#options.events?.silentRetired?.(id, count),
-      onRefused: (refused) => this.#options.events?.responseRefused?.(id, refused),
+      events: this.#options.events ?? {},
     })
     this.#pools.set(id, pool)
     return pool
@@ -447,7 +450,7 @@
     const onHead = (head: ResponseHead) => {
       this.#probeAnswered(id, head)
     }
-    const target = { path, timeoutMs, dialect: this.#dialect, onHead }
+    const target = { path, timeoutMs, dialect: this.#dialect, attemptId: this.#attemptIds.next(), onHead }
     probe(pool, target, this.#clock.monotonic, (outcome, latency, load) => {
       this.#driver.probed(id, outcome, latency, load)
     })
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -6,7 +6,8 @@
 import type { Connection } from './connection'
 import type { Dialect } from './dialect'
 import { parseResponseHead, type ResponseHead } from './head'
-import type { ResponseRefusal } from './response-refusal'
+import { BodyScan } from './message-boundary'
+import { RefusedBytes, type ResponseRefusal } from './response-refusal'
 
 export interface ExchangeRequest {
   readonly method: string
@@ -57,6 +58,8 @@
   #bodyBytes = 0
   #maxBodyBytes = Infinity
   #expectsBody = true
+  /** Present for a body that ends with its connection. */
+  #bodyScan: BodyScan | undefined
   #pieces: Buffer[] = []
   #pieceBytes = 0
   /** Time in ms at which the server last sent data. */
@@ -115,6 +118,8 @@
       return
     }
     this.#head = head
+    if (head.attemptId !== undefined) this.connection.hasReturnedAttempt = true
+    if (!head.delimited) this.#bodyScan = new BodyScan()
     this.#events.head(head)
   }
 
@@ -125,14 +130,19 @@
     controller.abort(new Error(`the server sent more than ${MAX_INTERIM_RESPONSES} interim responses`))
   }
 
-  onResponseData(_: Dispatcher.DispatchController, piece: Buffer): void {
+  onResponseData(_: Dispatcher.DispatchController, received: Buffer): void {
     if (this.#finished) return
-    this.connection.onBody(piece.length)
-    this.#bodyBytes += piece.length
+    this.connection.onBody(received.length)
+    this.#bodyBytes += received.length
     if (this.#bodyBytes > this.#maxBodyBytes) {
       this.#fail()
       return
     }
+    const piece = this.#bodyScan === undefined ? received : this.#bodyScan.add(received)
+    if (piece === undefined) {
+      this.#refuse({ kind: 'head-in-body' })
+      return
+    }
     this.#pieces.push(piece)
     this.#pieceBytes += piece.length
     if (this.#pieceBytes >= MIN_PIECE_BYTES) this.#passOn()
@@ -155,8 +165,12 @@
 
   onResponseEnd(): void {
     this.#progress()
-    this.#passOn()
     if (this.#finished) return
+    if (this.#bodyScan?.mayEnd === false) {
+      this.#refuse({ kind: 'head-in-body' })
+      return
+    }
+    this.#passOn()
     if (this.#head?.delimited !== false) {
       this.#end()
       return
@@ -176,7 +190,9 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, cause: Error): void {
-    if (this.sent && this.connection.isCausedByBytes(cause)) this.#refuse({ kind: 'malformed', detail: cause.message })
+    if (cause instanceof RefusedBytes) this.#refuse(cause.refusal)
+    else if (this.sent && this.connection.isCausedByBytes(cause))
+      this.#refuse({ kind: 'malformed', detail: cause.message })
     else this.#fail()
   }
 
@@ -208,9 +224,15 @@
   }
 
   /** Refuses a late response to an earlier request and a success that the server did not sign. */
-  #refusalOf({ status, attemptId, signed, encoded, notRun }: ResponseHead): ResponseRefusal | undefined {
-    if (attemptId !== this.#attemptId && !(notRun && attemptId === undefined)) {
-      return { kind: 'other-attempt', received: attemptId }
+  #refusalOf({ status, attemptId, signed, encoded, notRun, repeatedField }: ResponseHead): ResponseRefusal | undefined {
+    if (repeatedField !== undefined) return { kind: 'repeated-field', field: repeatedField }
+    if (attemptId === undefined && this.#dialect.attemptIds === 'entry' && !this.connection.hasReturnedAttempt) {
+      return undefined
+    }
+    if (attemptId !== this.#attemptId) {
+      if (!notRun || attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
+      // A server that names the attempt in its other responses names it in its refusals as well.
+      if (this.connection.hasReturnedAttempt) return { kind: 'unnamed-refusal' }
     }
     const isSuccess = status >= 200 && status < 300
     if (!isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -4,6 +4,7 @@
  */
 import type { CallId } from '@bilberrystall/routing'
 import type { ServerId } from '@bilberrystall/base'
+import { attemptFields } from './attempt-ids'
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange, MAX_UNUSED_BODY_BYTES } from './exchange'
@@ -36,7 +37,7 @@
       return
     }
     // A query may be sent again, so it may use a connection that has been idle; the answer shows that it works.
-    pool.acquire(false, (result) => {
+    pool.acquire({ recentOnly: false }, (result) => {
       if (result.isErr()) this.#reportUnanswered(server)
       else if (this.#closed || !this.#dependencies.driver.accepts(server)) {
         pool.release(result.value)
@@ -49,7 +50,9 @@
   take(server: ServerId): Connection | undefined {
     const reserved = this.#reserved.get(server)
     this.#reserved.delete(server)
-    return reserved?.connection.open === true ? reserved.connection : undefined
+    if (reserved?.connection.isReusable === true) return reserved.connection
+    reserved?.pool.release(reserved.connection)
+    return undefined
   }
 
   /** Returns reserved connections to their pools; queries in progress run to their end. */
@@ -60,7 +63,7 @@
   }
 
   #send(server: ServerId, pool: ConnectionPool, connection: Connection): void {
-    const { clock, dialect, healthPath, instance, reachability } = this.#dependencies
+    const { attemptIds, clock, dialect, healthPath, instance, reachability } = this.#dependencies
     const timer = setTimeout(() => {
       exchange.cancel()
       this.#reportUnanswered(server)
@@ -86,12 +89,15 @@
       dialect,
     )
     const instanceId = instance(server)
-    const fields =
-      dialect.instanceHeader === undefined || instanceId === undefined ? [] : [dialect.instanceHeader, instanceId]
+    const attemptId = attemptIds.next()
+    const fields = [...attemptFields(attemptId, dialect)]
+    if (dialect.instanceHeader !== undefined && instanceId !== undefined)
+      fields.push(dialect.instanceHeader, instanceId)
     exchange.start({
       method: 'GET',
       target: dialect.probePath ?? healthPath(server),
       fields,
+      attemptId,
       body: undefined,
       maxResponseBytes: MAX_UNUSED_BODY_BYTES,
     })
@@ -108,7 +114,7 @@
       this.#reportRefused(server)
       return
     }
-    if (this.#closed) pool.release(connection)
+    if (this.#closed || !connection.isReusable) pool.release(connection)
     else this.#reserved.set(server, { pool, connection })
     const load = head?.load
     driver.answered(this.#call, server, load === undefined ? { kind: 'no-load' } : { kind: 'load', load })
--- a/packages/entry/src/response-refusal.ts
+++ b/packages/entry/src/response-refusal.ts
@@ -15,7 +15,7 @@
   | { readonly kind: 'invalid-status'; readonly status: number }
   /** The response names another attempt, or none. */
   | { readonly kind: 'other-attempt'; readonly received: string | undefined }
-  /** A refusal that names no attempt follows other responses on its connection, and may be a copy of an earlier one. */
+  /** A refusal names no attempt, on a connection where other responses did. */
   | { readonly kind: 'unnamed-refusal' }
   /** A successful response has no signature. */
   | { readonly kind: 'unsigned' }
@@ -24,6 +24,16 @@
   /** A body that ends with its connection contains the start of a further message. */
   | { readonly kind: 'head-in-body' }
 
+/** Destroys a connection because of what it received. */
+export class RefusedBytes extends Error {
+  readonly refusal: ResponseRefusal
+
+  constructor(refusal: ResponseRefusal) {
+    super(`the bytes of the server are no response to the request: ${refusal.kind}`)
+    this.refusal = refusal
+  }
+}
+
 export interface RefusedResponse {
   readonly refusal: ResponseRefusal
   /** Local port of the connection to the server. */
