--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -241,13 +241,14 @@
   let relayRevision: number | undefined
   let retryAfter: string | undefined
   let isLeaving = false
+  const decisive = decisiveFieldsOf(dialect)
   const seen = new Set<string>()
   let repeatedField: string | undefined
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index]?.toString('latin1') ?? ''
     const value = raw[index + 1]?.toString('latin1') ?? ''
     const lower = name.toLowerCase()
-    if (isDecisive(lower, dialect)) {
+    if (decisive.has(lower)) {
       if (seen.has(lower)) repeatedField = lower
       seen.add(lower)
     }
@@ -293,25 +294,28 @@
   }
 }
 
-/** Whether the entry decides on a field of a response, which may be present at most once. */
-function isDecisive(name: string, dialect: Dialect): boolean {
+const decisiveFields = new WeakMap<Dialect, ReadonlySet<string>>()
+
+/** Returns the names of the fields of a response on which the entry decides, which may be present at most once. */
+function decisiveFieldsOf(dialect: Dialect): ReadonlySet<string> {
+  const known = decisiveFields.get(dialect)
+  if (known !== undefined) return known
   const { attemptHeader, signatureHeader, instanceResponseHeader } = dialect
-  return (
-    name === attemptHeader ||
-    name === signatureHeader ||
-    name === instanceResponseHeader ||
-    name === 'content-length' ||
-    name === 'retry-after' ||
-    name === RELAY_RESULT_HEADER ||
-    name === RELAY_REVISION_HEADER ||
-    isForEntry(name, dialect)
-  )
+  const names = [attemptHeader, signatureHeader, instanceResponseHeader, ...fieldsForEntry(dialect)]
+  const fields = new Set(['content-length', 'retry-after', RELAY_RESULT_HEADER, RELAY_REVISION_HEADER])
+  for (const name of names) if (name !== undefined) fields.add(name)
+  decisiveFields.set(dialect, fields)
+  return fields
 }
 
 /** Whether a field of a response is a statement of the server to the entry, which callers do not get. */
 function isForEntry(name: string, dialect: Dialect): boolean {
+  return fieldsForEntry(dialect).includes(name)
+}
+
+function fieldsForEntry(dialect: Dialect): readonly (string | undefined)[] {
   const { loadHeader, notRunHeader, rateLimitHeader, leavingHeader, warmUpHeader } = dialect
-  return [loadHeader, notRunHeader, rateLimitHeader, leavingHeader, warmUpHeader].includes(name)
+  return [loadHeader, notRunHeader, rateLimitHeader, leavingHeader, warmUpHeader]
 }
 
 function withoutFields(fields: readonly string[], hopByHop: ReadonlySet<string>): string[] {
