Buffer responses that end with their connection for up to a second

What callers saw: a whole response without a length was cut off, and its connection broke, if more than 30 ms passed between its head and its end.

Cause: after 30 ms a response of unknown length is begun, and one that ends with its connection can't be completed once it has begun, since its caller could not tell the end from a break.

Change: such a response is buffered for up to a second, as one that shares its connection is, and passed on whole if it ends in that time.

Evidence: the new test of close-delimited-response.test.ts got a cut-off response before, and the whole one now.

--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -15,10 +15,11 @@
  */
 const MAX_BUFFERED_MS = 30
 /**
- * Maximum time for which a response is buffered beyond that while other requests are in progress on the connection,
- * because a response that breaks off after its start takes theirs along.
+ * Maximum time for which a response is buffered that breaks off if it is begun before it is complete: while other requests
+ * are in progress on the connection, because theirs break off with it, and if it ends with its connection, because its
+ * caller cannot tell its end from a break.
  */
-const MAX_SHARED_BUFFERED_MS = 1_000
+const MAX_WHOLE_BUFFERED_MS = 1_000
 const PROBLEM_TYPE = 'application/problem+json'
 
 export interface CallerResponseOptions {
@@ -98,7 +99,7 @@
     if (head.length !== undefined && head.length <= MAX_BUFFERED_BYTES) return
     // A long response, or one of unknown length that is not complete in time, is streamed.
     if (head.length !== undefined && !this.#connection.isShared) process.nextTick(this.#flush)
-    else this.#flushTimer = setTimeout(this.#flushIfAlone, MAX_BUFFERED_MS, MAX_BUFFERED_MS)
+    else this.#flushTimer = setTimeout(this.#tryFlush, MAX_BUFFERED_MS, MAX_BUFFERED_MS)
   }
 
   /** Returns false if the caller reads more slowly than the server sends; `drained` is called when it can continue. */
@@ -143,9 +144,10 @@
     this.#response.destroy()
   }
 
-  readonly #flushIfAlone = (bufferedMs: number): void => {
-    if (!this.#connection.isShared || bufferedMs >= MAX_SHARED_BUFFERED_MS) this.#flush()
-    else this.#flushTimer = setTimeout(this.#flushIfAlone, MAX_BUFFERED_MS, bufferedMs + MAX_BUFFERED_MS)
+  readonly #tryFlush = (bufferedMs: number): void => {
+    const shouldBeWhole = this.#connection.isShared || this.#head?.delimited === false
+    if (!shouldBeWhole || bufferedMs >= MAX_WHOLE_BUFFERED_MS) this.#flush()
+    else this.#flushTimer = setTimeout(this.#tryFlush, MAX_BUFFERED_MS, bufferedMs + MAX_BUFFERED_MS)
   }
 
   readonly #flush = (): void => {
--- a/packages/entry/test/close-delimited-response.test.ts
+++ b/packages/entry/test/close-delimited-response.test.ts
@@ -86,6 +86,20 @@
   expect(results).toEqual(['complete'])
 })
 
+/** Guards against cutting off a whole response because its server takes some time to write it and to end the connection. */
+test('a response without a length that takes longer than usual responses are buffered is whole', async () => {
+  const server = await startFakeServer(({ socket }) => {
+    socket.write(`${HEADS['no length']}first`)
+    void sleep(PAUSES_MS[1]).then(() => socket.end(' last'))
+  })
+  const { entry, results } = await startEntry([server])
+  const caller = connectCaller(entry.port)
+  caller.send(post('/write', 'x'))
+  await caller.closed
+  expect(caller.text().split('\r\n\r\n')[1]).toBe('first last')
+  expect(results).toEqual(['complete'])
+})
+
 /** Guards against refusing a response to HEAD, which has no body, because it has no length. */
 test('a response to HEAD needs no length', async () => {
   const server = await startFakeServer(({ socket }) => {
