Count each token of a quota once per window, and hand out the tolerance again in each window

Cause: in the slot of 100 ms in which the leader handed out a token, every window counted it twice, as handed out and as lying in a bucket. The pool began with the burst alone and gained the rate, so the part of the tolerance that belongs to shares could be used once.

Change: the history keeps, for windows that begin in a slot, the most tokens lying and handed out after. The pool begins with the burst and the tolerance for shares, and gains both per window. The check of all windows decides as before.

--- a/packages/routing/src/quota-account.ts
+++ b/packages/routing/src/quota-account.ts
@@ -11,6 +11,7 @@
   RESPONSE_LIMIT_MS,
   SHARE_VALIDITY_MS,
   sharedRequests,
+  sharedTolerance,
   type QuotaBounds,
   type QuotaLimit,
 } from './quota-limit'
@@ -117,7 +118,7 @@
     this.#bounds = bounds
     this.#growsFrom = growsFrom
     this.#history = new QuotaHistory(bounds.windowMs, now)
-    this.#pool = Math.max(1, limit.burst)
+    this.#pool = Math.max(1, limit.burst) + sharedTolerance(limit, bounds)
     this.#advancedAt = now
   }
 
@@ -223,7 +224,8 @@
     this.#history.advance(now, rate, lying)
     const spare = sharedRequests(this.#limit, this.#bounds) - (this.#limit.rate * this.#bounds.windowMs) / MS_PER_SECOND
     const most = this.#poolBase + spare
-    const gain = (Math.max(0, this.#limit.rate - rate) * (now - this.#advancedAt)) / MS_PER_SECOND
+    const tolerated = (sharedTolerance(this.#limit, this.#bounds) * MS_PER_SECOND) / this.#bounds.windowMs
+    const gain = (Math.max(0, this.#limit.rate + tolerated - rate) * (now - this.#advancedAt)) / MS_PER_SECOND
     this.#pool = Math.min(most, this.#pool + gain)
     this.#advancedAt = now
     for (const [entry, { kept, granted }] of this.#holders) {
--- a/packages/routing/src/quota-history.ts
+++ b/packages/routing/src/quota-history.ts
@@ -12,8 +12,8 @@
 export class QuotaHistory {
   readonly #windowMs: number
   readonly #slots: number
-  /** Most tokens in the buckets of the entries during each slot. */
-  readonly #lying: Float64Array
+  /** Most tokens that a window which begins in each slot has in its slot: those in buckets, and those issued after. */
+  readonly #begun: Float64Array
   /** Tokens handed out and accrued in each slot. */
   readonly #issued: Float64Array
   /** Least rate of all shares in each slot. */
@@ -24,7 +24,7 @@
   constructor(windowMs: number, now: number) {
     this.#windowMs = windowMs
     this.#slots = Math.ceil(windowMs / SLOT_MS) + 1
-    this.#lying = new Float64Array(this.#slots)
+    this.#begun = new Float64Array(this.#slots)
     this.#issued = new Float64Array(this.#slots)
     this.#rates = new Float64Array(this.#slots)
     this.#slot = Math.floor(now / SLOT_MS)
@@ -39,7 +39,7 @@
     if (slot > this.#slot) this.#accrue((this.#slot + 1) * SLOT_MS, rate)
     for (let next = first; next <= slot; next += 1) {
       const index = next % this.#slots
-      this.#lying[index] = lying
+      this.#begun[index] = lying
       this.#issued[index] = 0
       this.#rates[index] = rate
       this.#slot = next
@@ -56,7 +56,8 @@
   record(change: { readonly issued: number; readonly lying: number; readonly rate: number }): void {
     const index = this.#slot % this.#slots
     this.#issued[index] = at(this.#issued, index) + change.issued
-    this.#lying[index] = Math.max(at(this.#lying, index), change.lying)
+    // Tokens issued count as such in the windows that began before, and as lying in buckets in those that begin after.
+    this.#begun[index] = Math.max(at(this.#begun, index) + change.issued, change.lying)
     this.#rates[index] = Math.min(at(this.#rates, index), change.rate)
   }
 
@@ -66,18 +67,20 @@
     let issued = 0
     for (let slot = this.#slot; slot > this.#slot - this.#slots; slot -= 1) {
       const index = ((slot % this.#slots) + this.#slots) % this.#slots
-      issued += at(this.#issued, index)
       const leftMs = Math.max(0, slot * SLOT_MS + this.#windowMs - this.#advancedAt)
       // A window that begins at the end of the slot ends later, and gains what the rate has grown since.
       const growth = Math.max(0, rate - at(this.#rates, index)) * SLOT_MS
-      most = Math.max(most, at(this.#lying, index) + issued + (rate * leftMs + growth) / MS_PER_SECOND)
+      most = Math.max(most, at(this.#begun, index) + issued + (rate * leftMs + growth) / MS_PER_SECOND)
+      issued += at(this.#issued, index)
     }
     return most
   }
 
   #accrue(until: number, rate: number): void {
     const index = this.#slot % this.#slots
-    this.#issued[index] = at(this.#issued, index) + (rate * (until - this.#advancedAt)) / MS_PER_SECOND
+    const accrued = (rate * (until - this.#advancedAt)) / MS_PER_SECOND
+    this.#begun[index] = at(this.#begun, index) + accrued
+    this.#issued[index] = at(this.#issued, index) + accrued
     this.#advancedAt = until
   }
 }
--- a/packages/routing/src/quota-limit.ts
+++ b/packages/routing/src/quota-limit.ts
@@ -49,7 +49,12 @@
   return Math.floor(toleratedRequests(limit, bounds) * RESERVED_FRACTION)
 }
 
+/** Requests in a window that all shares together may admit beyond the limit. */
+export function sharedTolerance(limit: Pick<QuotaLimit, 'rate' | 'burst'>, bounds: QuotaBounds): number {
+  return toleratedRequests(limit, bounds) * SHARED_FRACTION
+}
+
 /** Requests in a window that all shares together may admit. */
 export function sharedRequests(limit: Pick<QuotaLimit, 'rate' | 'burst'>, bounds: QuotaBounds): number {
-  return nominalRequests(limit, bounds) + toleratedRequests(limit, bounds) * SHARED_FRACTION
+  return nominalRequests(limit, bounds) + sharedTolerance(limit, bounds)
 }
--- a/packages/routing/test/organisation-quota.test.ts
+++ b/packages/routing/test/organisation-quota.test.ts
@@ -366,6 +366,21 @@
     expect(leader.allocatedRate(6_200)).toBeGreaterThan(9)
   })
 
+  // Guards against a window that counts a token as handed out and as lying in a bucket.
+  test('hands out at once what a window allows, to entries with one request each', () => {
+    const leader = new QuotaAllocator({ bounds: BOUNDS })
+    leader.becomeLeader(0)
+    leader.configure(environment, [limitOf('a', 0.4, 2)], 0)
+    // The rate and the burst, and 0.4 of the tolerance of 20.4.
+    const most = 4 + 0.4 * 20.4
+    let tokens = 0
+    for (let entry = 0; entry < 20; entry += 1) {
+      tokens += request(leader, 6_000 + entry, `e${entry}`, ask(0.5, { waiting: 1 }))?.tokens ?? 0
+    }
+    expect(tokens).toBeGreaterThan(most - 1)
+    expect(tokens).toBeLessThanOrEqual(most)
+  })
+
   test('ignores numbers that are negative or not finite', () => {
     const leader = create()
     expect(request(leader, 6_000, 'e', ask(Number.NaN))).toBeUndefined()
