Count what the rates accrue while a window that begins within a slot ends later

Cause: since a slot counts the most tokens that a window has in it, at any time in the slot. A window that begins late in the slot also ends later than one from its start, by up to 100 ms. That part of the rates was counted only as far as they had grown since. Before the accrual of the whole slot was added to the tokens in the buckets and covered it. The undercount is at most the rate times 100 ms, and a tenth of the tolerance is not assigned: above it for a rate of 100 and a burst of 10 (10 requests against 7.1).

Change: tokens that lie in buckets after a change count with what the least rate accrues from the start of the slot to the change.

--- a/packages/routing/src/quota-history.ts
+++ b/packages/routing/src/quota-history.ts
@@ -57,7 +57,9 @@
     const index = this.#slot % this.#slots
     this.#issued[index] = at(this.#issued, index) + change.issued
     // Tokens issued count as such in the windows that began before, and as lying in buckets in those that begin after.
-    this.#begun[index] = Math.max(at(this.#begun, index) + change.issued, change.lying)
+    // A window that begins now also ends later than one from the start of the slot, by what the rates accrue until then.
+    const later = (at(this.#rates, index) * (this.#advancedAt - this.#slot * SLOT_MS)) / MS_PER_SECOND
+    this.#begun[index] = Math.max(at(this.#begun, index) + change.issued, change.lying + later)
     this.#rates[index] = Math.min(at(this.#rates, index), change.rate)
   }
 
