Leave what entries that are cut off may have used when a new leader gives tokens

Cause: a new leader counts only the shares that are stated to it. An entry that is cut off when the leader changes states nothing, and uses its share of the earlier leader until 3.5 s after the change. The new leader gave what a whole window allows from 5.5 s on, so a window of 5 s could contain both.

Change: for 3 s after a leader begins to give tokens, it leaves the capacity for buckets, and the rate for the part of the oldest open window in which such shares may have been in use.

--- a/packages/routing/src/quota-account.ts
+++ b/packages/routing/src/quota-account.ts
@@ -192,6 +192,7 @@
     const totalRate = others.rate + kept.rate
     // What may be handed out in the windows that began before, and in the one that begins now.
     let left = allowed - Math.max(this.#history.most(totalRate), others.lying + kept.lying + totalRate * windowS)
+    left -= this.#unstated(allowed)
 
     const served = Math.floor(clamp(Math.min(waiting, left, this.#pool)))
     left -= served
@@ -216,6 +217,18 @@
     return { rate, burst: possible, tokens: served + tokens, planned: rate > 0 ? burst : request.tokens + tokens }
   }
 
+  /**
+   * Requests in the windows that end from now on which entries may have run with shares of an earlier leader that they
+   * did not state here, because they are cut off. The last of these shares expires a window before the end of this time.
+   */
+  #unstated(allowed: number): number {
+    const leftMs = this.#growsFrom + SHARE_VALIDITY_MS - this.#advancedAt
+    if (leftMs <= 0) return 0
+    const { rate } = this.#limit
+    const perWindow = (rate * this.#bounds.windowMs) / MS_PER_SECOND
+    return clamp(allowed - perWindow - Math.sqrt(perWindow)) + (rate * leftMs) / MS_PER_SECOND
+  }
+
   #bucketSize(demandPerS: number, others: Totals, capacity: number): number {
     const wanted = wantedBucket(demandPerS)
     const share = (capacity * DIVIDED_FRACTION * wanted) / (others.wanted + wanted)
