Tests: give servers that have ended ports that no other process can get

Cause: relay, key-check and claim tests crashed fake servers and went on to use their ports as addresses that refuse connections.

Change: endedServers() returns servers at the ports 1, 2, ... of loopback, which are never handed out for port 0, and fails if one of them does not refuse connections. No check changed.

--- a/packages/entry/test/claim.test.ts
+++ b/packages/entry/test/claim.test.ts
@@ -13,6 +13,7 @@
   type Roster,
 } from '../src/index'
 import {
+  endedServers,
   respond,
   sendCall,
   startFakeServer,
@@ -173,8 +174,7 @@
 
 test('a keyed call that is passed on to another entry runs once, and its response is replayed by every entry', async () => {
   const server = await startFakeServer(done)
-  const unreachable = await Promise.all([1, 2, 3].map(() => startFakeServer(() => undefined)))
-  for (const lost of unreachable) lost.crash()
+  const unreachable = await endedServers(3)
   const peers: RelayPeer[] = []
   let isCutOff = false
   const { origins, setups } = await startEntries(server, {
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -71,6 +71,33 @@
   return { port: (server.address() as AddressInfo).port, received, sockets, crash }
 }
 
+/** The first port of addresses that refuse connections. Ports below 1024 are never handed out for port 0. */
+const FIRST_REFUSED_PORT = 1
+
+/**
+ * Returns servers that have ended before a test uses them: their addresses refuse connections. The port of a fake server
+ * that was crashed does not do for this, because the operating system may give it to the next listener.
+ */
+export async function endedServers(count: number): Promise<FakeServer[]> {
+  const ports = Array.from({ length: count }, (_, index) => FIRST_REFUSED_PORT + index)
+  await Promise.all(ports.map(expectRefused))
+  return ports.map((port) => ({ port, received: [], sockets: [], crash: () => undefined }))
+}
+
+function expectRefused(port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, '127.0.0.1')
+    socket.once('connect', () => {
+      socket.destroy()
+      reject(new Error(`a process listens on port ${port} of 127.0.0.1, which must refuse connections`))
+    })
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') resolve()
+      else reject(error)
+    })
+  })
+}
+
 function endOfRequest(text: string): number | undefined {
   const split = text.indexOf('\r\n\r\n')
   if (split < 0) return undefined
--- a/packages/entry/test/key-check.test.ts
+++ b/packages/entry/test/key-check.test.ts
@@ -7,7 +7,16 @@
 import { Router } from '@bilberrystall/routing'
 import { expect, test } from 'vitest'
 import { OPEN_ADMISSION, type EntryOptions } from '../src/index'
-import { respond, sendCall, startEntry, startFakeServer, waitUntil, type FakeServer, type Setup } from './harness'
+import {
+  endedServers,
+  respond,
+  sendCall,
+  startEntry,
+  startFakeServer,
+  waitUntil,
+  type FakeServer,
+  type Setup,
+} from './harness'
 
 const ROUTES = `[document]
 title = test
@@ -183,10 +192,8 @@
     respond(received, 'ran')
   })
   const peers = [await startPeer('first', [server]), await startPeer('second', [server])]
-  const unreachable = await Promise.all([1, 2, 3].map(() => startFakeServer(() => undefined)))
-  for (const { crash } of unreachable) crash()
   const state = { isCutOff: false }
-  const cutOff = await startEntryWithKeys(unreachable, {
+  const cutOff = await startEntryWithKeys(await endedServers(3), {
     relayPeers: () => (state.isCutOff ? peers.map(({ peer }) => peer) : []),
     events: { reachabilityChanged: (isCutOff) => (state.isCutOff = isCutOff) },
   })
--- a/packages/entry/test/relay.test.ts
+++ b/packages/entry/test/relay.test.ts
@@ -6,6 +6,7 @@
 import { expect, test } from 'vitest'
 import type { EntryOptions, RelayPeer } from '../src/index'
 import {
+  endedServers,
   respond,
   sendCall,
   sendRaw,
@@ -36,10 +37,8 @@
 
 /** Starts an entry that reaches none of its servers and has found that out. */
 async function startCutOffEntry(peers: readonly Peer[], options: Partial<EntryOptions> = {}): Promise<Setup> {
-  const unreachable = await Promise.all([1, 2, 3].map(() => startFakeServer(() => undefined)))
-  for (const server of unreachable) server.crash()
   const state = { isCutOff: false, hasPeers: false }
-  const setup = await startPeer('cut-off', unreachable, {
+  const setup = await startPeer('cut-off', await endedServers(3), {
     relayPeers: () => (state.hasPeers ? peers.map(({ peer }) => peer) : []),
     ...options,
     events: {
