--- a/packages/routing/src/quota-account.ts
+++ b/packages/routing/src/quota-account.ts
@@ -11,6 +11,7 @@
   RESPONSE_LIMIT_MS,
   SHARE_VALIDITY_MS,
   sharedRequests,
+  sharedTolerance,
   type QuotaBounds,
   type QuotaLimit,
 } from './quota-limit'
@@ -20,6 +21,13 @@
 const MIN_DEMAND = 1e-6
 /** Demand per second from which an entry gets a rate; below it gets tokens only. */
 const MIN_RATED_DEMAND = 1
+/**
+ * The same near the limit, where a bucket is small: a rate of few requests per second is partly lost while it is full, and
+ * the requests that wait at other entries find no tokens.
+ */
+const MIN_RATED_DEMAND_NEAR_LIMIT = 4
+/** Fraction of the limit above which an organisation's demand is near it; the usual demand lies at 1 / 1.6. */
+const NEAR_LIMIT = 0.8
 /** Fraction of its demand that an entry gets as rate. Tokens that come while the bucket is full are lost to others. */
 const RATED_FRACTION = 0.8
 /** Fraction of the capacity for buckets that is divided; the rest is for entries that ask next. */
@@ -29,6 +37,8 @@
 const COVERED_SECONDS = 0.5
 /** Below this demand per second, which is left 5 s after a single request, entries give way to busier ones. */
 const WHOLE_TOKEN_DEMAND = 0.05
+/** Buckets leave the tokens for this time of demand, and one more, to requests that wait at any entry. */
+const HEADROOM_S = 1
 /** Added to the validity of a share, which the entry counts from the sending of its request. */
 const GRANTED_MS = SHARE_VALIDITY_MS + 100
 
@@ -117,7 +127,7 @@
     this.#bounds = bounds
     this.#growsFrom = growsFrom
     this.#history = new QuotaHistory(bounds.windowMs, now)
-    this.#pool = Math.max(1, limit.burst)
+    this.#pool = Math.max(1, limit.burst) + sharedTolerance(limit, bounds)
     this.#advancedAt = now
   }
 
@@ -182,18 +192,21 @@
     const totalRate = others.rate + kept.rate
     // What may be handed out in the windows that began before, and in the one that begins now.
     let left = allowed - Math.max(this.#history.most(totalRate), others.lying + kept.lying + totalRate * windowS)
+    left -= this.#unstated(allowed)
 
     const served = Math.floor(clamp(Math.min(waiting, left, this.#pool)))
     left -= served
     const demand = others.demand + demandPerS
+    const leastRated = demand > NEAR_LIMIT * limit ? MIN_RATED_DEMAND_NEAR_LIMIT : MIN_RATED_DEMAND
     const wantedRate =
-      demandPerS < MIN_RATED_DEMAND ? 0 : Math.min(RATED_FRACTION * demandPerS, (limit * demandPerS) / demand)
+      demandPerS < leastRated ? 0 : Math.min(RATED_FRACTION * demandPerS, (limit * demandPerS) / demand)
     const rate = clamp(Math.min(wantedRate, limit - others.rate, kept.rate + clamp(left) / windowS))
     left -= clamp(rate - kept.rate) * windowS
 
     // Buckets that are full must leave room for the requests of a window, whose number varies.
     const capacity = allowed - limit * windowS - Math.sqrt(limit * windowS)
     const burst = this.#bucketSize(demandPerS, others, capacity)
+    left -= 1 + HEADROOM_S * Math.min(demand, limit)
     const fillable = Math.min(left, capacity - others.lying - kept.lying)
     // A rate fills the bucket later.
     const possible =
@@ -204,6 +217,18 @@
     return { rate, burst: possible, tokens: served + tokens, planned: rate > 0 ? burst : request.tokens + tokens }
   }
 
+  /**
+   * Requests in the windows that end from now on which entries may have run with shares of an earlier leader that they
+   * did not state here, because they are cut off. The last of these shares expires a window before the end of this time.
+   */
+  #unstated(allowed: number): number {
+    const leftMs = this.#growsFrom + SHARE_VALIDITY_MS - this.#advancedAt
+    if (leftMs <= 0) return 0
+    const { rate } = this.#limit
+    const perWindow = (rate * this.#bounds.windowMs) / MS_PER_SECOND
+    return clamp(allowed - perWindow - Math.sqrt(perWindow)) + (rate * leftMs) / MS_PER_SECOND
+  }
+
   #bucketSize(demandPerS: number, others: Totals, capacity: number): number {
     const wanted = wantedBucket(demandPerS)
     const share = (capacity * DIVIDED_FRACTION * wanted) / (others.wanted + wanted)
@@ -223,7 +248,8 @@
     this.#history.advance(now, rate, lying)
     const spare = sharedRequests(this.#limit, this.#bounds) - (this.#limit.rate * this.#bounds.windowMs) / MS_PER_SECOND
     const most = this.#poolBase + spare
-    const gain = (Math.max(0, this.#limit.rate - rate) * (now - this.#advancedAt)) / MS_PER_SECOND
+    const tolerated = (sharedTolerance(this.#limit, this.#bounds) * MS_PER_SECOND) / this.#bounds.windowMs
+    const gain = (Math.max(0, this.#limit.rate + tolerated - rate) * (now - this.#advancedAt)) / MS_PER_SECOND
     this.#pool = Math.min(most, this.#pool + gain)
     this.#advancedAt = now
     for (const [entry, { kept, granted }] of this.#holders) {
