Take bodies with other transfer encodings than chunks for ones that end with their connection

What callers saw: a response with 'transfer-encoding: identity' (or gzip) and an extra copy behind it as one whole 200, and one that was reset midway as whole.

Cause: any transfer-encoding counted as delimited. Unless chunked is the last coding, the body ends with its connection, so neither the scan of such bodies nor the check of how the connection ended applied.

Change: only chunked as the last coding delimits a body.

Evidence: transfer-encoding.test.ts: 4 of 4 failed on, 0 now; close-delimited-response, truncated-head and odd-response tests pass.

--- a/packages/entry/src/head.ts
+++ b/packages/entry/src/head.ts
@@ -40,6 +40,8 @@
   'transfer-encoding',
   'upgrade',
 ])
+/** Without chunks as its last coding, a body ends with its connection (RFC 9112, 6.3). */
+const CHUNKED = /(?:^|,)\s*chunked\s*$/i
 const DOT_SEGMENT = /\/(?:\.|%2e){1,2}(?:\/|$)/i
 const SINGLETON_FIELDS: ReadonlySet<string> = new Set([
   'host',
@@ -265,7 +267,7 @@
     else if (lower === dialect.leavingHeader) isLeaving = value.trim() === '1'
     else if (lower === RELAY_RESULT_HEADER) relayResult = decodeRelayResult(value)
     else if (lower === RELAY_REVISION_HEADER) relayRevision = parseInteger(value)
-    if (lower === 'content-length' || lower === 'transfer-encoding') delimited = true
+    if (lower === 'content-length' || (lower === 'transfer-encoding' && CHUNKED.test(value))) delimited = true
     if (lower === 'content-length') length = Number(value)
     const isInternal = isForEntry(lower, dialect) || lower.startsWith(SYSTEM_PREFIX)
     if (!HOP_BY_HOP.has(lower) && !isInternal) fields.push(name, value)
