Refuse bodies with a length that contain a message and end before other bytes

What callers saw: a copy of another response that a server sent between the pieces of a body, or behind a body that it cut off, as a part of one whole 200 with the signature of the response.

Cause: the length of the body takes in any bytes. What shows the fault is that the body contains the start of a message and that bytes are left over behind it; the entry closed the connection for these, but had passed on the response.

Change: BodySearch finds the start of a message in a body that has a length, or at its end. The last piece of such a body is withheld until the turn in which the response ended is over. If bytes follow, the response is refused as head-in-body: 502, or a response that breaks off if it has begun. A body that only mentions a status line is passed on whole. undici returns the bytes behind a response with 'connection: close' to the destroyed socket, which records them.

Limits: a copy that is cut off before the end of its status, or a part of a message that contains no status line, is not recognised.

--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -43,6 +43,7 @@
   /** Attempts that the server refused to run, whose refusals may arrive once more. */
   readonly #refusedAttempts = new Set<string>()
   #requests = 0
+  #hasStrayBytes = false
   /** Bytes written when the request in progress was dispatched; undefined if there is none. */
   #bytesBeforeRequest: number | undefined
   #onRefused: ((refused: RefusedResponse) => void) | undefined
@@ -188,9 +189,17 @@
     return cause.name === 'HTTPParserError' || (cause.name === 'SocketError' && !this.#socket.readableEnded)
   }
 
+  /** Whether bytes follow the last response. */
+  get hasStrayBytes(): boolean {
+    const { destroyed, hasDiscardedBytes, readableLength } = this.#socket
+    return this.#hasStrayBytes || hasDiscardedBytes || (!destroyed && readableLength > 0)
+  }
+
   private onError(cause: Error): void {
     const isRequestSent = this.#bytesBeforeRequest !== undefined && this.bytesWritten > this.#bytesBeforeRequest
-    if (!isRequestSent && this.isCausedByBytes(cause)) this.refuse({ kind: 'stray-bytes' }, undefined)
+    if (isRequestSent || !this.isCausedByBytes(cause)) return
+    this.#hasStrayBytes = true
+    this.refuse({ kind: 'stray-bytes' }, undefined)
   }
 
   destroy(): void {
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -6,7 +6,7 @@
 import type { Connection } from './connection'
 import type { Dialect } from './dialect'
 import { parseResponseHead, type ResponseHead } from './head'
-import { BodyScan } from './message-boundary'
+import { BodyScan, BodySearch } from './message-boundary'
 import { RefusedBytes, type ResponseRefusal } from './response-refusal'
 
 export interface ExchangeRequest {
@@ -60,6 +60,8 @@
   #expectsBody = true
   /** Present for a body that ends with its connection. */
   #bodyScan: BodyScan | undefined
+  /** Present for a body that has a length. */
+  #bodySearch: BodySearch | undefined
   #pieces: Buffer[] = []
   #pieceBytes = 0
   /** Time in ms at which the server last sent data. */
@@ -120,6 +122,7 @@
     this.#head = head
     if (head.attemptId !== undefined) this.connection.hasReturnedAttempt = true
     if (!head.delimited) this.#bodyScan = new BodyScan()
+    else if (head.length !== undefined) this.#bodySearch = new BodySearch()
     this.#events.head(head)
   }
 
@@ -143,6 +146,7 @@
       this.#refuse({ kind: 'head-in-body' })
       return
     }
+    this.#bodySearch?.add(piece)
     this.#pieces.push(piece)
     this.#pieceBytes += piece.length
     if (this.#pieceBytes >= MIN_PIECE_BYTES) this.#passOn()
@@ -150,8 +154,27 @@
     if (this.paused) this.connection.onPause()
   }
 
+  /** Whether bytes behind the response would show that its body is not whole. */
+  get #mayBeJoined(): boolean {
+    return this.#bodySearch?.mayBeJoined === true
+  }
+
   /** Passes on what was collected. Each piece on its own would cost a write to the caller. */
   #passOn(): void {
+    if (!this.#mayBeJoined) {
+      this.#passOnPieces()
+      return
+    }
+    // Without its last piece, the body is not whole for the caller.
+    const last = this.#pieces.pop()
+    if (last === undefined) return
+    this.#pieceBytes -= last.length
+    this.#passOnPieces()
+    this.#pieces.push(last)
+    this.#pieceBytes += last.length
+  }
+
+  #passOnPieces(): void {
     if (this.#finished || this.#pieceBytes === 0) return
     this.#progress()
     const [first, ...others] = this.#pieces
@@ -170,6 +193,16 @@
       this.#refuse({ kind: 'head-in-body' })
       return
     }
+    if (this.#mayBeJoined) {
+      this.connection.onResponseEnd()
+      // The parser gets what follows in this turn.
+      setImmediate(() => {
+        if (this.connection.hasStrayBytes) this.#refuse({ kind: 'head-in-body' })
+        this.#passOnPieces()
+        this.#end()
+      })
+      return
+    }
     this.#passOn()
     if (this.#head?.delimited !== false) {
       this.#end()
--- a/packages/entry/src/message-boundary.ts
+++ b/packages/entry/src/message-boundary.ts
@@ -7,6 +7,7 @@
 /** A status line as any response starts with, up to the end of its status. */
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?=[ \r\n])/
 const STATUS_LINE_EXAMPLE = 'HTTP/1.1 200 '
+const STATUS_LINE_START = 'HTTP/'
 /** End of the head of a message, in the forms that the parser accepts. */
 const HEAD_END = /\n\r?\n/
 const FINAL_STATUS = /^HTTP\/\d\.\d [2-9]/
@@ -66,6 +67,29 @@
   }
 }
 
+/**
+ * Tells whether a body that has a length contains the start of a message, or ends with bytes with which one starts. Its
+ * server may have sent a copy of another response within the body, which then ends too soon: what is left of the copy and
+ * of the body follows. Nothing follows a body that only mentions a status line.
+ */
+export class BodySearch {
+  #last = ''
+  #isFound = false
+
+  get mayBeJoined(): boolean {
+    return this.#isFound || lengthOfStart(this.#last) > 0
+  }
+
+  add(part: Buffer): void {
+    if (this.#isFound) return
+    const kept = STATUS_LINE_EXAMPLE.length - 1
+    const seam = this.#last + part.toString('latin1', 0, kept)
+    this.#isFound =
+      STATUS_LINE.test(seam) || (part.includes(STATUS_LINE_START) && STATUS_LINE.test(part.toString('latin1')))
+    this.#last = (this.#last + part.toString('latin1', Math.max(0, part.length - kept))).slice(-kept)
+  }
+}
+
 /** Length of the longest end of `text` with which a status line could start. */
 function lengthOfStart(text: string): number {
   const first = Math.max(0, text.length - STATUS_LINE_EXAMPLE.length + 1)
--- a/packages/entry/src/response-refusal.ts
+++ b/packages/entry/src/response-refusal.ts
@@ -21,7 +21,7 @@
   | { readonly kind: 'unsigned' }
   /** A successful response has a content encoding, which no caller requests. */
   | { readonly kind: 'encoded' }
-  /** A body that ends with its connection contains the start of a further message. */
+  /** A body contains the start of a further message, and ends with its connection or before other bytes. */
   | { readonly kind: 'head-in-body' }
 
 /** Destroys a connection because of what it received. */
--- a/packages/entry/src/server-socket.ts
+++ b/packages/entry/src/server-socket.ts
@@ -23,6 +23,8 @@
 const readBudget = new ReadBudget()
 
 export class ServerSocket extends Socket {
+  /** Whether bytes were received behind a response that ended the connection. */
+  hasDiscardedBytes = false
   /** Time at which the parser got the last part, until it asks for the next one. */
   #parsedSince: number | undefined
   #isWaiting = false
@@ -87,6 +89,12 @@
     return part === null || !this.#isHeadJoined(part) ? part : null
   }
 
+  /** The parser returns what it has not parsed; of a socket that it destroyed, this is what followed the response. */
+  override unshift(bytes: Buffer): void {
+    if (!this.destroyed) super.unshift(bytes)
+    else if (bytes.length > 0) this.hasDiscardedBytes = true
+  }
+
   #isHeadJoined(part: Buffer): boolean {
     if (this.#headScan?.add(part) !== true) return false
     this.destroy(new RefusedBytes({ kind: 'joined-heads' }))
