--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -265,8 +265,7 @@
     if (attemptId !== this.#attemptId) {
       if (!notRun || attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
       // A server that names the attempt in its other responses names it in its refusals as well.
-      // Behind a load query, which has no id, the refusal may be a late one as well.
-      if (this.connection.hasReturnedAttempt || this.connection.requests > 1) return { kind: 'unnamed-refusal' }
+      if (this.connection.hasReturnedAttempt) return { kind: 'unnamed-refusal' }
     }
     const isSuccess = status >= 200 && status < 300
     if (!isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
