Carry each attempt once on a connection

What callers saw: a caller that sends one attempt id twice got the body of its first request for the second, if the server sent a copy of its first response in time.

Cause: a connection remembered the attempts that were refused on it, not those that were answered.

Change: it remembers each attempt that it carried, and is replaced after 256 in place of 64 refusals. Ids that the entry gives are not repeated and need no memory.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -190,6 +190,7 @@
       dependencies.dialect,
     )
     this.#exchange = exchange
+    connection.carry(this.#options.attemptId)
     this.#sentAt = dependencies.clock.monotonic()
     dependencies.driver.started(call)
     const { buffered } = body
@@ -217,8 +218,6 @@
   /** Handles a response with which the server reports that it did not run the request. */
   #onNotRun(head: ResponseHead | undefined): void {
     const { dependencies, server } = this.#options
-    const { attemptId: attempt } = this.#options
-    if (attempt !== undefined) this.#exchange?.connection.onNotRun(attempt)
     if (head?.status === MISDIRECTED) {
       this.#finish('unattributed')
       dependencies.onMisdirected(server)
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -14,8 +14,8 @@
 /** Keep-alive timeout of undici: far above the idle limit of the pool, which closes idle connections first. */
 const CLIENT_IDLE_TIMEOUT_MS = 600_000
 
-/** After so many refusals the connection is not used again, which bounds the attempts that it remembers. */
-const MAX_REFUSED_ATTEMPTS = 64
+/** After so many attempts the connection is not used again, which bounds what it remembers. */
+const MAX_ATTEMPTS = 256
 
 /** Maximum size of the names and values of the header fields of a response, and of its trailer fields. */
 const MAX_FIELD_BYTES = 16_384
@@ -40,8 +40,8 @@
   hasReturnedAttempt = false
   /** Set while the server sends bytes that belong to no request: the connection is not used again. */
   isSuspect = false
-  /** Attempts that the server refused to run, whose refusals may arrive once more. */
-  readonly #refusedAttempts = new Set<string>()
+  /** Attempts whose requests were sent, and whose responses may arrive once more. */
+  readonly #attempts = new Set<string>()
   #requests = 0
   #hasStrayBytes = false
   /** Bytes written when the request in progress was dispatched; undefined if there is none. */
@@ -153,19 +153,19 @@
     this.#onRefused?.({ refusal, connection: this.#localPort, requests: this.#requests, attempt })
   }
 
-  /** Records that the server refused to run the request of the attempt. */
-  onNotRun(attempt: string): void {
-    this.#refusedAttempts.add(attempt)
+  /** Records that a request of the attempt is sent. */
+  carry(attempt: string | undefined): void {
+    if (attempt !== undefined) this.#attempts.add(attempt)
   }
 
-  /** Whether the connection can be used for a request of the attempt: a copy of an earlier refusal would decide it. */
+  /** Whether the connection can be used for a request of the attempt: a copy of an earlier response would answer it. */
   canCarry(attempt: string | undefined): boolean {
-    return attempt === undefined || !this.#refusedAttempts.has(attempt)
+    return attempt === undefined || !this.#attempts.has(attempt)
   }
 
   /** Whether the connection can be used for another request. */
   get isReusable(): boolean {
-    return this.open && !this.retired && !this.isSuspect && this.#refusedAttempts.size < MAX_REFUSED_ATTEMPTS
+    return this.open && !this.retired && !this.isSuspect && this.#attempts.size < MAX_ATTEMPTS
   }
 
   onResponseEnd(): void {
