Believe refusals without an id for the first request of a connection only

What callers saw: 503 'not run' about a POST that ran, if a server sent a refusal that names no attempt ahead of the response, on a connection that had answered a load query.

Cause: responses to load queries have no id where callers give the ids, so they did not show whether the server names attempts, and any refusal was accepted.

Change: on a connection that was used before, a refusal has to name its attempt; this costs the caller of a server that doesn't a 502. In the product's own dialect, failures need no id, since they may come from a layer that doesn't know the header; without that, a server that returns the id in some responses got 502 for its 404. Responses without an id, unsigned ones and refusals don't stop the reuse of connections: they are bad responses, not bytes too many.

--- a/packages/entry/src/connection-pool.ts
+++ b/packages/entry/src/connection-pool.ts
@@ -231,7 +231,10 @@
   }
 }
 
-/** Whether bytes of a server came behind a complete response. What answers the first request of a connection did not. */
+/**
+ * Whether bytes of a server came behind a complete response. What answers the first request of a connection did not, and a
+ * server that names no attempt in some of its responses sends nothing too many.
+ */
 function concernsReuse({ refusal, requests }: RefusedResponse): boolean {
   switch (refusal.kind) {
     case 'stray-bytes':
@@ -240,10 +243,11 @@
     case 'malformed':
     case 'joined-heads':
     case 'repeated-field':
+      return requests > 1
     case 'other-attempt':
+      return requests > 1 && refusal.received !== undefined
     case 'unnamed-refusal':
     case 'unsigned':
-      return requests > 1
     case 'invalid-status':
     case 'encoded':
       return false
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -257,24 +257,38 @@
   }
 
   /** Refuses a late response to an earlier request and a success that the server did not sign. */
-  #refusalOf({ status, attemptId, signed, encoded, notRun, repeatedField }: ResponseHead): ResponseRefusal | undefined {
+  #refusalOf(head: ResponseHead): ResponseRefusal | undefined {
+    const { repeatedField, signed, encoded } = head
     if (repeatedField !== undefined) return { kind: 'repeated-field', field: repeatedField }
-    if (attemptId === undefined && this.#dialect.attemptIds === 'entry' && !this.connection.hasReturnedAttempt) {
-      return undefined
-    }
-    if (attemptId !== this.#attemptId) {
-      if (!notRun || attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
-      // A server that names the attempt in its other responses names it in its refusals as well.
-      if (this.connection.hasReturnedAttempt) return { kind: 'unnamed-refusal' }
-    }
-    const isSuccess = status >= 200 && status < 300
-    if (!isSuccess || this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
+    const mismatch = head.attemptId === this.#attemptId ? undefined : this.#mismatchOf(head)
+    if (mismatch !== undefined || !isSuccess(head)) return mismatch
+    if (this.#dialect.signatureHeader === undefined || this.#attemptId === undefined) return undefined
     if (!signed) return { kind: 'unsigned' }
     return encoded ? { kind: 'encoded' } : undefined
   }
 
+  #mismatchOf(head: ResponseHead): ResponseRefusal | undefined {
+    const { attemptId, notRun } = head
+    if (attemptId !== undefined) return { kind: 'other-attempt', received: attemptId }
+    const { attemptIds } = this.#dialect
+    switch (attemptIds) {
+      case 'caller':
+        if (!notRun) return { kind: 'other-attempt', received: undefined }
+        // Nothing can be left of an earlier request on a new connection.
+        return this.connection.requests > 1 ? { kind: 'unnamed-refusal' } : undefined
+      case 'entry':
+        // Failures may come from a layer of the server that does not know the header.
+        if (!this.connection.hasReturnedAttempt || !(isSuccess(head) || notRun)) return undefined
+        return notRun ? { kind: 'unnamed-refusal' } : { kind: 'other-attempt', received: undefined }
+    }
+  }
+
   #progress(): void {
     this.progressAt = this.#now()
     this.connection.receivedAt = this.progressAt
   }
 }
+
+function isSuccess({ status }: ResponseHead): boolean {
+  return status >= 200 && status < 300
+}
--- a/packages/entry/src/response-refusal.ts
+++ b/packages/entry/src/response-refusal.ts
@@ -15,7 +15,7 @@
   | { readonly kind: 'invalid-status'; readonly status: number }
   /** The response names another attempt, or none. */
   | { readonly kind: 'other-attempt'; readonly received: string | undefined }
-  /** A refusal names no attempt, on a connection where other responses did. */
+  /** A refusal names no attempt, on a connection that was used before. */
   | { readonly kind: 'unnamed-refusal' }
   /** A successful response has no signature. */
   | { readonly kind: 'unsigned' }
--- a/packages/entry/test/own-refusal.test.ts
+++ b/packages/entry/test/own-refusal.test.ts
@@ -5,7 +5,14 @@
 import { randomInt, seededRandom } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
 import { respond, sendCall, startEntry, startFakeServer } from './harness'
-import { ATTEMPT_DIALECT, PATIENT_ATTEMPT_DOCUMENT, complete } from './support/attempt-dialect'
+import {
+  ATTEMPT_DIALECT,
+  PATIENT_ATTEMPT_DOCUMENT,
+  complete,
+  isProbe,
+  respondToProbe,
+  startQueryingEntry,
+} from './support/attempt-dialect'
 import { auditCall } from './support/response-audit'
 import {
   call,
@@ -73,6 +80,22 @@
   expect(results).toEqual(['complete', 'connectionLost'])
 })
 
+/** Guards against a refusal behind the response to a load query, which has no id, and shows none of the server. */
+test('a refusal that names no attempt is not believed behind a load query', async () => {
+  const server = await startFakeServer((received) => {
+    if (isProbe(received)) {
+      respondToProbe(received)
+      return
+    }
+    received.socket.write('HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n')
+    complete(received)
+  })
+  const { origin, results } = await startQueryingEntry([server], { document: () => PATIENT_ATTEMPT_DOCUMENT })
+  const options = { method: 'POST', body: 'x', headers: { 'x-attempt': 'a' } } as const
+  expect(await sendCall(`${origin}/write`, options)).toMatchObject({ status: 502, outcome: 'unknown' })
+  expect(results).toEqual(['connectionLost'])
+})
+
 /** Guards against remembering ever more attempts on one connection. */
 test('a connection that has carried many attempts is replaced', async () => {
   const REFUSALS = 600
