Recognise further forms of status lines in joined heads

Cause: llhttp reads RTSP/1.0 and ICE/1.0 as well, and a field value may contain forms that it refuses alone, such as several blanks. A head that a server joined from these was accepted with the id of the second message. Found in the review.

Change: heads are scanned for all of them. Evidence: the two new cases of message-boundary.test.ts; joined-response and stray-response tests pass.

--- a/packages/entry/src/message-boundary.ts
+++ b/packages/entry/src/message-boundary.ts
@@ -4,6 +4,8 @@
  * which takes a status line for the rest of a reason phrase, of a field value or of a body.
  */
 
+/** A status line in all forms that the parser accepts, and some that it does not. */
+const ANY_STATUS_LINE = /(?:HTTP|RTSP|ICE)\/\d[\d.]*[ \t]+\d{3}(?=[ \t\r\n])/i
 /** A status line as any response starts with, up to the end of its status. */
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?=[ \r\n])/
 const STATUS_LINE_EXAMPLE = 'HTTP/1.1 200 '
@@ -30,7 +32,7 @@
         return false
       }
       const next = end.index + end[0].length
-      if (STATUS_LINE.test(head.slice(1, next))) return true
+      if (ANY_STATUS_LINE.test(head.slice(1, next))) return true
       this.#head = head.slice(next)
       // An interim response is followed by another head.
       if (!FINAL_STATUS.test(head)) continue
--- a/packages/entry/test/message-boundary.test.ts
+++ b/packages/entry/test/message-boundary.test.ts
@@ -46,6 +46,8 @@
   ['interim responses', `HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 102\r\n\r\n${NEXT}HTTP/1.1 200 `, false],
   ['an interim response that is cut off', `HTTP/1.1 103 Early Hints\r\nlink: ${NEXT}`, true],
   ['the start of another one behind an interim response', `HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 O${NEXT}`, true],
+  ['a status line of another protocol', 'HTTP/1.1 200 OK\r\nload: RTSP/1.0 503 x\r\n\r\n', true],
+  ['a status line with odd blanks', 'HTTP/1.1 200 OK\r\nload: http/1.10 \t503\tx\r\n\r\n', true],
   ['a status line without a reason as its last value', 'HTTP/1.1 200 OK\r\nload: HTTP/1.0 503\n\n', true],
 ])('a head with %s', (_, text, isJoined) => {
   expect(scan(text)).toBe(isJoined)
