--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -195,7 +195,7 @@
     return this.#hasStrayBytes || hasDiscardedBytes || (!destroyed && readableLength > 0)
   }
 
-  private onError(cause: Error): void {
+  onError(cause: Error): void {
     const isRequestSent = this.#bytesBeforeRequest !== undefined && this.bytesWritten > this.#bytesBeforeRequest
     if (isRequestSent || !this.isCausedByBytes(cause)) return
     this.#hasStrayBytes = true
--- a/packages/routing/src/quota-account.ts
+++ b/packages/routing/src/quota-account.ts
@@ -26,7 +26,7 @@
  * the requests that wait at other entries find no tokens.
  */
 const MIN_RATED_DEMAND_NEAR_LIMIT = 4
-/** Fraction of the limit above which an organisation's demand is near it; the usual demand lies at 1 / 1.6. */
+/** Fraction of the limit above which an organisation's demand is near it. */
 const NEAR_LIMIT = 0.8
 /** Fraction of its demand that an entry gets as rate. Tokens that come while the bucket is full are lost to others. */
 const RATED_FRACTION = 0.8
