--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -1,6 +1,6 @@
 /** Dependencies of a call that the entry provides. */
 import type { AttemptId, CodeName, RequestId, ServerId } from '@bilberrystall/base'
-import type { AttemptIds } from './attempt-ids'
+import type { AttemptIds } from './ids-of-attempts'
 import type { Call } from './call'
 import type { CallOptions } from './call-options'
 import type { ClaimCoordinator } from './claim-coordinator'
--- a/packages/entry/src/call-request.ts
+++ b/packages/entry/src/call-request.ts
@@ -1,5 +1,5 @@
 /** Builds the request that is sent for a call: to a server, or to another entry that chooses the server. */
-import { attemptFields } from './attempt-ids'
+import { attemptFields } from './ids-of-attempts'
 import { organisationFields } from './authentication'
 import type { CallDependencies } from './call-dependencies'
 import type { CallOptions } from './call-options'
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,7 +11,7 @@
 import type { Document } from '@bilberrystall/document'
 import { err, ok, type Result } from 'neverthrow'
 import { readArrived, stopListening } from './arrived'
-import { AttemptIds } from './attempt-ids'
+import { AttemptIds } from './ids-of-attempts'
 import { OPEN_ADMISSION } from './call-admission'
 import { Call } from './call'
 import { CallPriorities } from './call-priorities'
--- a/packages/entry/src/load-query.ts
+++ b/packages/entry/src/load-query.ts
@@ -4,7 +4,7 @@
  */
 import type { CallId } from '@bilberrystall/routing'
 import type { ServerId } from '@bilberrystall/base'
-import { attemptFields } from './attempt-ids'
+import { attemptFields } from './ids-of-attempts'
 import type { CallDependencies } from './call-dependencies'
 import type { Connection } from './connection'
 import { Exchange, MAX_UNUSED_BODY_BYTES } from './exchange'
--- a/packages/entry/src/probe.ts
+++ b/packages/entry/src/probe.ts
@@ -1,6 +1,6 @@
 /** Probes a server with a separate request to a path that every server supports, to measure its latency and load. */
 import type { ExchangeOutcome, Load } from '@bilberrystall/routing'
-import { attemptFields } from './attempt-ids'
+import { attemptFields } from './ids-of-attempts'
 import type { Dialect } from './dialect'
 import { Exchange, MAX_UNUSED_BODY_BYTES } from './exchange'
 import { isUnnamedRefusal, type ResponseHead } from './head'
--- a/packages/entry/test/attempt-ids.test.ts
+++ b/packages/entry/test/attempt-ids.test.ts
@@ -1,7 +1,7 @@
 /** Guards against a late copy of a response that answers the next request, where callers give no ids to their attempts. */
 import { seededRandom } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
-import { AttemptIds, attemptFields } from '../src/attempt-ids'
+import { AttemptIds, attemptFields } from '../src/ids-of-attempts'
 import { DEFAULT_DIALECT } from '../src/index'
 import { respond, sendCall, startEntry, startFakeServer, type ReceivedRequest } from './harness'
 
