--- a/review/stand-ins-2/case-7.ts
+++ b/review/stand-ins-2/case-7.ts
@@ -15,7 +15,7 @@
 const CLIENT_INTERVAL_MS = 50
 /** Times that clients wait, drawn by lot. */
 const CLIENT_TIMEOUTS_MS = [2_400, 4_800]
-const SILENCES = 12
+const SILENCES = 8
 const SILENCE_INTERVAL_MS = 6_000
 
 const [, , root = '.', folder = '.'] = process.argv
--- a/review/stand-ins-2/proxy.ts
+++ b/review/stand-ins-2/proxy.ts
@@ -2,9 +2,15 @@
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import type { AddressInfo } from 'node:net'
 
+interface Pair {
+  readonly caller: Socket
+  readonly server: Socket
+  usedAt: number
+}
+
 export class Proxy {
   readonly #target: { readonly host: string; readonly port: number }
-  readonly #pairs = new Set<readonly [Socket, Socket]>()
+  readonly #pairs = new Set<Pair>()
   readonly #listener: Server
 
   constructor(target: { readonly host: string; readonly port: number }) {
@@ -21,13 +27,14 @@
   }
 
   /**
-   * Half of the open connections, the oldest ones, forward nothing more in either direction and stay open. Returns their
-   * number.
+   * Half of the open connections, those that forwarded something last, forward nothing more in either direction and stay
+   * open. Returns their number.
    */
   silenceHalf(): number {
-    const silenced = [...this.#pairs].slice(0, Math.ceil(this.#pairs.size / 2))
+    const byUse = [...this.#pairs].toSorted((left, right) => right.usedAt - left.usedAt)
+    const silenced = byUse.slice(0, Math.ceil(byUse.length / 2))
     for (const pair of silenced) {
-      const [caller, server] = pair
+      const { caller, server } = pair
       caller.unpipe(server)
       server.unpipe(caller)
       caller.pause()
@@ -39,16 +46,19 @@
 
   close(): void {
     this.#listener.close()
-    for (const pair of this.#pairs) for (const socket of pair) socket.destroy()
+    for (const { caller, server } of this.#pairs) for (const socket of [caller, server]) socket.destroy()
   }
 
   #forward(caller: Socket): void {
     const server = connect({ ...this.#target, noDelay: true })
     caller.setNoDelay(true)
-    const pair = [caller, server] as const
+    const pair: Pair = { caller, server, usedAt: performance.now() }
     this.#pairs.add(pair)
-    for (const [socket, other] of [pair, [server, caller] as const]) {
+    for (const [socket, other] of [[caller, server] as const, [server, caller] as const]) {
       socket.pipe(other)
+      socket.on('data', () => {
+        pair.usedAt = performance.now()
+      })
       socket.on('error', () => other.destroy())
       socket.on('close', () => {
         this.#pairs.delete(pair)
--- a/review/stand-ins-2/server.ts
+++ b/review/stand-ins-2/server.ts
@@ -36,6 +36,8 @@
   readonly #options: ServerOptions
   /** Times at which requests reached this server, in ms of the record. */
   readonly arrivals: number[] = []
+  /** Attempts that ran here. */
+  readonly ran = new Set<string>()
   #http: HttpServer | undefined
   #port = 0
   #born = 0
@@ -129,6 +131,7 @@
       return
     }
     this.arrivals.push(record.now())
+    this.ran.add(attempt)
     record.write(`server ${id} runs ${attempt}`)
     this.#running += 1
     await sleep(workMs)
