--- a/packages/node/src/entry-limits.ts
+++ b/packages/node/src/entry-limits.ts
@@ -1,7 +1,9 @@
 /** Limits of a service in one entry: its part of what the document and the platform allow all entries together. */
-import type { Service } from '@bilberrystall/document'
-import type { RetryLimits, ServiceLimits, WarmUp } from '@bilberrystall/routing'
+import type { NodeId } from '@bilberrystall/base'
+import type { Document, Service } from '@bilberrystall/document'
+import type { RetryLimits, Router, RouterOptions, ServiceLimits, WarmUp } from '@bilberrystall/routing'
 import type { Adapter } from './adapter'
+import type { EntryList } from './entry-list'
 
 const MS_PER_SECOND = 1000
 /** Fraction of an allowance that is used, because entries disagree on their number while nodes join and leave. */
@@ -9,11 +11,29 @@
 
 type Allowances = Pick<Adapter, 'retries' | 'coldServers'>
 
-export function serviceLimits(
-  service: Service,
-  allowances: Allowances | undefined,
-  liveEntries: number,
-): ServiceLimits {
+/** Returns with which entries a router shares the limits that apply to all of them together. */
+export function entrySharing(entry: NodeId, entries: EntryList): Pick<RouterOptions, 'limitSharing' | 'coldSharing'> {
+  return {
+    limitSharing: { entry, entries: () => entries.live() },
+    coldSharing: { entry, entries: () => entries.known() },
+  }
+}
+
+export interface LimitConfiguration {
+  readonly router: Router
+  readonly allowances: Allowances | undefined
+  readonly entries: EntryList
+}
+
+/** Applies the limits of a document to the router. */
+export function configureLimits(document: Document, configuration: LimitConfiguration, now: number): void {
+  const { router, allowances, entries } = configuration
+  for (const service of document.services.values()) {
+    router.configure(service.name, serviceLimits(service, allowances, entries.live().length), now)
+  }
+}
+
+function serviceLimits(service: Service, allowances: Allowances | undefined, liveEntries: number): ServiceLimits {
   const { retryBudget, concurrency } = service
   const warmUp = warmUpOf(service, allowances)
   return {
--- a/packages/node/src/entry-list.ts
+++ b/packages/node/src/entry-list.ts
@@ -3,14 +3,18 @@
 import { KnownEntries, type DirectoryChange, type Node } from '@bilberrystall/membership'
 import type { NodeContext } from './node-context'
 
+export type EntryListContext = Pick<NodeContext, 'self' | 'now'> & {
+  readonly directory: Pick<NodeContext['directory'], 'nodes'>
+}
+
 export class EntryList {
-  readonly #context: Pick<NodeContext, 'self' | 'directory' | 'now'>
+  readonly #context: EntryListContext
   readonly #environment: Environment
   readonly #known: KnownEntries
   /** Undefined after a change of the known nodes. */
   #live: readonly NodeId[] | undefined
 
-  constructor(context: Pick<NodeContext, 'self' | 'directory' | 'now'>, environment: Environment) {
+  constructor(context: EntryListContext, environment: Environment) {
     this.#context = context
     this.#environment = environment
     this.#known = new KnownEntries(context.self, context.now())
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -25,7 +25,7 @@
 import { ControlClient } from './control-client'
 import type { NotifiedEntry } from './control-delivery'
 import { EntryList } from './entry-list'
-import { ALLOWANCE_FRACTION, serviceLimits } from './entry-limits'
+import { ALLOWANCE_FRACTION, configureLimits, entrySharing } from './entry-limits'
 import { Evacuations, type EvacuationChange, type EvacuationList } from './evacuations'
 import { EntryQuotas } from './entry-quotas'
 import { createFailureLog, registerEntryGauges } from './entry-metrics'
@@ -96,8 +96,7 @@
     this.#entries = new EntryList(context, settings.environment)
     this.#router = new Router({
       random: context.random,
-      limitSharing: { entry: context.self, entries: () => this.#entries.live() },
-      coldSharing: { entry: context.self, entries: () => this.#entries.known() },
+      ...entrySharing(context.self, this.#entries),
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
     this.#hedging = new HedgingPolicies({ defaultLimit: settings.hedgeLimit })
@@ -325,12 +324,10 @@
   }
 
   #configure(document: Document): void {
-    const now = this.#options.context.now()
-    for (const service of document.services.values()) {
-      const limits = serviceLimits(service, this.#options.adapter, this.#entries.live().length)
-      this.#router.configure(service.name, limits, now)
-      this.#hedging.configure(service.name, service.hedgeLimit)
-    }
+    const { adapter, context } = this.#options
+    const limits = { router: this.#router, allowances: adapter, entries: this.#entries }
+    configureLimits(document, limits, context.now())
+    for (const { name, hedgeLimit } of document.services.values()) this.#hedging.configure(name, hedgeLimit)
     this.#quotas.configure(document)
     this.#entry.configure(document)
   }
