Count and log the requests that are sent once more, by kind

A node showed nothing about retries.

Change: each entry counts repeated requests by kind and by whether the retry budget was used, exhausted or not needed, and writes one line for each service and 10 s in which there were any, with the number of entries that it divides the allowance by.

--- a/packages/base/src/result-code.ts
+++ b/packages/base/src/result-code.ts
@@ -222,6 +222,12 @@
   ),
   keyLeaseEnded: code(193, 'key-lease-ended', 0, 'This entry accepts no keys of organisations; the line says why.'),
   keyLeaseReturned: code(194, 'key-lease-returned', 0, 'This entry accepts keys of organisations again.'),
+  requestsRepeated: code(
+    199,
+    'requests-repeated',
+    0,
+    'Requests for a service that this entry sent once more, or may not have sent, in the last 10 s.',
+  ),
   controlReachable: code(165, 'control-reachable', 0, 'Control answers again.'),
 } as const satisfies Record<string, ResultCode>
 
--- a/packages/entry/src/attempt-budget.ts
+++ b/packages/entry/src/attempt-budget.ts
@@ -1,16 +1,34 @@
 /** Attempts that a call may still make, bounded by its own limit, its deadline and the retry budget of its service. */
+import type { ServiceName } from '@bilberrystall/base'
 import type { Route } from '@bilberrystall/document'
+import type { CallDependencies } from './call-dependencies'
 import type { RequestBody } from './request-body'
-import type { RouterDriver } from './router-driver'
+import type { AttemptKind } from './router-call'
 
 /** Further servers tried after refused connections, beside the retries that the budget allows. */
 const MAX_RECONNECTS = 2
 
+/**
+ * Why a request is sent once more:
+ * - `retry`: the attempt before ended, and nothing may have run or the call may run twice.
+ * - `reconnect`: a server could not be connected to.
+ * - `relay`: an attempt was sent, and another entry is to repeat it.
+ * - the others: beside an attempt in progress, see `AttemptKind`.
+ */
+export type RepeatKind = 'retry' | 'reconnect' | 'relay' | Exclude<AttemptKind, 'regular'>
+
+export interface Repeat {
+  readonly service: ServiceName
+  readonly kind: RepeatKind
+  /** Whether the retry budget of the service was used for it, or did not allow it. */
+  readonly budget: 'used' | 'exhausted' | 'not-needed'
+}
+
 export interface AttemptBudgetOptions {
   readonly attempts: number
   readonly body: RequestBody
   readonly route: Route
-  readonly driver: RouterDriver
+  readonly dependencies: Pick<CallDependencies, 'driver' | 'onRepeat'>
   /** Returns the time in ms until the deadline of the call. */
   readonly remaining: () => number
 }
@@ -40,17 +58,22 @@
   }
 
   /** Takes a retry from the budget of the service. */
-  mayRetry(): boolean {
-    const { driver, route } = this.#options
-    return this.canSend && driver.mayRetry(route.service)
+  mayRetry(kind: RepeatKind): boolean {
+    if (!this.canSend) return false
+    const { dependencies, route } = this.#options
+    const { driver, onRepeat } = dependencies
+    const isAllowed = driver.mayRetry(route.service)
+    onRepeat({ service: route.service, kind, budget: isAllowed ? 'used' : 'exhausted' })
+    return isAllowed
   }
 
   /** A server that could not be connected to received nothing, so trying another one adds no load that a budget limits. */
   mayReconnect(): boolean {
-    const { body, remaining } = this.#options
+    const { body, remaining, route, dependencies } = this.#options
     if (this.#reconnectsLeft === 0 || !body.canSend || remaining() <= 0) return false
     this.#reconnectsLeft -= 1
     this.#left += 1
+    dependencies.onRepeat({ service: route.service, kind: 'reconnect', budget: 'not-needed' })
     return true
   }
 }
--- a/packages/entry/src/call-dependencies.ts
+++ b/packages/entry/src/call-dependencies.ts
@@ -1,5 +1,6 @@
 /** Dependencies of a call that the entry provides. */
 import type { AttemptId, CodeName, RequestId, ServerId } from '@bilberrystall/base'
+import type { Repeat } from './attempt-budget'
 import type { AttemptIds } from './ids-of-attempts'
 import type { Call } from './call'
 import type { CallOptions } from './call-options'
@@ -49,6 +50,8 @@
   readonly stopStartedAt: () => number | undefined
   /** Reports that a call is passed on to another entry. */
   readonly onRelayed: () => void
+  /** Reports that a request is sent once more, or would be if the retry budget allowed it. */
+  readonly onRepeat: (repeat: Repeat) => void
   readonly onLost: (lost: LostCall) => void
   /** Reports that the result of a call is final. */
   readonly onEnded: (call: Call, result: CodeName | 'complete', options: CallOptions) => void
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -6,7 +6,7 @@
 import { failure, resultCode, type CodeName, type NodeId, type RequestId, type ServerId } from '@bilberrystall/base'
 import type { RequestStanding } from '@bilberrystall/quarantine'
 import type { AttemptFailure } from './attempt'
-import { AttemptBudget } from './attempt-budget'
+import { AttemptBudget, type RepeatKind } from './attempt-budget'
 import { AttemptOutcomes } from './attempt-outcomes'
 import { AttemptSet } from './attempt-set'
 import type { CallAttempt } from './call-attempt'
@@ -73,7 +73,7 @@
       attempts: Math.max(1, context.attempts),
       body: this.#body,
       route,
-      driver: dependencies.driver,
+      dependencies,
       remaining: () => this.#remaining(),
     })
     this.#callerResponse = new CallerResponse({
@@ -171,7 +171,7 @@
     if (attempts.length === 0 || isRelayed || !this.#mayRelay()) return
     const unsent = attempts.filter((attempt) => !attempt.sent)
     const mayRepeat = this.#options.route.repeatable && this.#standing.kind === 'clear'
-    if (unsent.length < attempts.length && !(mayRepeat && this.#budget.mayRetry())) return
+    if (unsent.length < attempts.length && !(mayRepeat && this.#budget.mayRetry('relay'))) return
     for (const attempt of unsent) this.#cancel(attempt, 'callerCancelled')
     this.#submit()
   }
@@ -260,7 +260,9 @@
     const isUnknown = resultCode(code).outcome === 'unknown'
     this.#outcomes.record(code)
     if (this.#attempts.size > 0) return
-    const mayRepeat = isUnknown ? this.#options.route.repeatable && this.#budget.mayRetry() : saysNothingOfServers(code)
+    const mayRepeat = isUnknown
+      ? this.#options.route.repeatable && this.#budget.mayRetry('relay')
+      : saysNothingOfServers(code)
     if (mayRepeat && !this.#callerResponse.hasStarted && this.#mayRelay()) {
       this.#submit()
       return
@@ -290,7 +292,7 @@
       attemptId: this.#options.head.attemptId,
       events: {
         serverChosen: (server) => {
-          const mayBeSent = () => this.#onServerChosen(server, kind !== 'regular')
+          const mayBeSent = () => this.#onServerChosen(server, kind)
           const isSent = this.#hedging.send({ attempt, server, kind }, mayBeSent)
           if (!isSent) this.#onNotSent(attempt)
           return isSent
@@ -333,9 +335,10 @@
     if (this.#attempts.size === 0) this.#fail(this.#outcomes.last ?? 'overloaded')
   }
 
-  #onServerChosen(server: ServerId, isExtra: boolean): boolean {
+  #onServerChosen(server: ServerId, kind: AttemptKind): boolean {
     if (this.#done || this.#failIfKeyRefused()) return false
-    if (isExtra ? this.#standing.kind !== 'clear' || !this.#budget.mayRetry() : this.#failIfQuarantined()) return false
+    const mayAdd = (extra: RepeatKind) => this.#standing.kind === 'clear' && this.#budget.mayRetry(extra)
+    if (kind === 'regular' ? this.#failIfQuarantined() : !mayAdd(kind)) return false
     this.#budget.take()
     this.#triedServers.push(server)
     return true
@@ -388,7 +391,7 @@
     // Nothing has run, so passing the call on is no retry.
     const isPassedOn = canRetry && outcome === 'not-run' && this.#mayRelay()
     const mayReconnect = () => code === 'connectFailed' && this.#budget.mayReconnect()
-    if (isPassedOn || (canRetry && repeatable && (mayReconnect() || this.#budget.mayRetry()))) this.#submit()
+    if (isPassedOn || (canRetry && repeatable && (mayReconnect() || this.#budget.mayRetry('retry')))) this.#submit()
     else this.#fail(code)
   }
 
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -2,6 +2,7 @@
 import type { CodeName, NodeId, RandomSource, ServerId } from '@bilberrystall/base'
 import type { Document } from '@bilberrystall/document'
 import type { HedgingPolicies, Router, Server, ServerChange } from '@bilberrystall/routing'
+import type { Repeat } from './attempt-budget'
 import type { CallAdmission } from './call-admission'
 import type { EndedCall } from './call-options'
 import type { LostCall } from './call-dependencies'
@@ -32,6 +33,8 @@
   readonly serverChanged?: (change: ServerChange) => void
   /** A call was passed on to another entry. */
   readonly callRelayed?: () => void
+  /** A request is sent once more, or would be if the retry budget allowed it. */
+  readonly callRepeated?: (repeat: Repeat) => void
   /** This entry lost its way to all servers, or reaches one again. */
   readonly reachabilityChanged?: (isCutOff: boolean) => void
   /** A connection broke while a call was in progress; `start` is that of the server process, `check` its state now. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -350,12 +350,11 @@
       revision: () => this.#options.revision?.() ?? 0,
       stopStartedAt: () => this.#stopStartedAt,
       onRelayed: () => this.#options.events?.callRelayed?.(),
+      onRepeat: (repeat) => this.#options.events?.callRepeated?.(repeat),
       onLost: (lost) => {
         this.#lostCalls.add(lost)
       },
-      onClosed: (call) => {
-        this.#calls.delete(call)
-      },
+      onClosed: (call) => void this.#calls.delete(call),
     }
   }
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry: an HTTP reverse proxy between callers and servers. */
 export { OPEN_ADMISSION, type CallAdmission } from './call-admission'
+export type { Repeat, RepeatKind } from './attempt-budget'
 export type { EndedCall } from './call-options'
 export type { LostCall } from './call-dependencies'
 export * from './claim-coordinator'
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -30,6 +30,7 @@
 import { EntryQuotas } from './entry-quotas'
 import { createFailureLog, registerEntryGauges } from './entry-metrics'
 import type { FailureLog } from './failure-log'
+import { RepeatLog } from './repeat-log'
 import { registerHedgingMetrics } from './hedging-metrics'
 import type { NodeContext } from './node-context'
 import { splitAddress } from './listener'
@@ -91,6 +92,7 @@
     )
     this.#relayed = context.metrics.counter('calls_relayed_total', 'Calls passed on to another entry', [])
     this.#failures = createFailureLog(context)
+    const repeats = new RepeatLog({ context, entries: () => this.#entries.live().length })
     this.#refusals = new ResponseRefusals({ context, isKnown: (server) => this.#firstSeen.has(server) })
     const allowance = options.adapter?.loadQueries
     this.#entries = new EntryList(context, settings.environment)
@@ -163,6 +165,9 @@
         callRelayed: () => {
           this.#relayed.inc()
         },
+        callRepeated: (repeat) => {
+          repeats.add(repeat)
+        },
         callLost: (lost, start, check) => {
           this.#lostCalls.inc({ check })
           this.#failures.writeLost(lost, check)
