Keep the tokens of a retry budget when a document changes its limits

Cause: ServicePool.configure made a new retry budget for each document, whatever changed in it, and a new budget begins with a token. So each revision allowed every entry another retry for every service, and what was earned was lost.

Change: the budget takes the new limits and keeps its tokens, up to the new capacity. No revision adds any, so storms of revisions no longer matter.

--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -10,22 +10,26 @@
 }
 
 const MS_PER_SECOND = 1000
+const DEFAULT_LIMITS: Required<RetryLimits> = { share: 0.1, minimum: 1, burst: 100 }
 
 export class RetryBudget {
-  readonly #share: number
-  readonly #perMs: number
-  readonly #burst: number
+  #limits: Required<RetryLimits>
   #tokens: number
   #refilledAt: number
 
   constructor(limits: RetryLimits, now: number) {
-    this.#share = limits.share ?? 0.1
-    this.#perMs = (limits.minimum ?? 1) / MS_PER_SECOND
-    this.#burst = limits.burst ?? 100
-    this.#tokens = Math.min(1, this.#burst)
+    this.#limits = { ...DEFAULT_LIMITS, ...limits }
+    this.#tokens = Math.min(1, this.#limits.burst)
     this.#refilledAt = now
   }
 
+  /** Replaces the limits. Tokens are kept, as far as the new capacity allows, so that a change allows no retry by itself. */
+  configure(limits: RetryLimits, now: number): void {
+    this.#refill(now)
+    this.#limits = { ...DEFAULT_LIMITS, ...limits }
+    this.#add(0)
+  }
+
   /** Returns the available tokens; one token allows one retry. */
   available(now: number): number {
     this.#refill(now)
@@ -35,7 +39,7 @@
   /** Adds the share of a retry that one first attempt earns. */
   credit(now: number): void {
     this.#refill(now)
-    this.#tokens = Math.min(this.#burst, this.#tokens + this.#share)
+    this.#add(this.#limits.share)
   }
 
   /** Takes one token; false if the budget is exhausted. */
@@ -48,13 +52,17 @@
 
   /** Puts back a token that was reserved and not used. */
   refund(): void {
-    this.#tokens = Math.min(this.#burst, this.#tokens + 1)
+    this.#add(1)
   }
 
   #refill(now: number): void {
     const elapsed = now - this.#refilledAt
     if (elapsed <= 0) return
     this.#refilledAt = now
-    this.#tokens = Math.min(this.#burst, this.#tokens + elapsed * this.#perMs)
+    this.#add((elapsed * this.#limits.minimum) / MS_PER_SECOND)
+  }
+
+  #add(tokens: number): void {
+    this.#tokens = Math.min(this.#limits.burst, this.#tokens + tokens)
   }
 }
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -97,7 +97,7 @@
 
 export class ServicePool {
   readonly #records: ServerRecord[] = []
-  budget: RetryBudget
+  readonly budget: RetryBudget
   /** Calls of this entry at servers of the service. */
   inFlight = 0
   failureRate = 0
@@ -180,7 +180,7 @@
   }
 
   configure(retries: RetryLimits, queue: number, concurrency: number, warmUp: WarmUp | undefined, now: number): void {
-    this.budget = new RetryBudget(retries, now)
+    this.budget.configure(retries, now)
     this.coldLimits.configure(warmUp, now)
     this.#queueLimit = queue
     this.#concurrency = concurrency
--- a/packages/routing/test/retry-budget.test.ts
+++ b/packages/routing/test/retry-budget.test.ts
@@ -25,3 +25,16 @@
   const budget = new RetryBudget({ burst: 5 }, 0)
   expect(budget.available(1e9)).toBe(5)
 })
+
+// Guards against documents that allow a further retry with each revision (issue 73).
+test('a change of limits allows no retry by itself and keeps the tokens that were earned', () => {
+  const budget = new RetryBudget({ minimum: 0, burst: 20 }, 0)
+  expect(budget.take(0)).toBe(true)
+  budget.configure({ minimum: 0, burst: 10 }, 0)
+  expect(budget.take(0)).toBe(false)
+  for (let call = 0; call < 200; call += 1) budget.credit(0)
+  budget.configure({ minimum: 0, burst: 15 }, 0)
+  expect(budget.available(0)).toBe(10)
+  budget.configure({ minimum: 0, burst: 5 }, 0)
+  expect(budget.available(0)).toBe(5)
+})
