Share the retries of all entries by windows and by the entries that may send

Cause: an entry divided the fixed part of the allowance by the number of entries that were live when it applied a document, and kept that until the next one. At a start it knows few others, behind a cut only its side. The part was the content of a bucket and its refill in a window, so it counted twice, and a process that took the place of another one spent the part again.

Change: routing/src/shared-retry-budget.ts counts the calls and retries of the last window. The divisor is read when it is needed: live entries, those lost in the last hour, those that ended in the last window. In its first window a process has no fixed part. Without an allowance of the platform nothing changes.

--- a/packages/base/src/rendezvous.ts
+++ b/packages/base/src/rendezvous.ts
@@ -14,6 +14,17 @@
   return (hash ^ (hash >>> 16)) >>> 0
 }
 
+/** Number of candidates that precede `candidate` for the chooser. It changes little when candidates join or leave. */
+export function rendezvousRank(chooser: string, candidate: string, candidates: readonly string[]): number {
+  const weight = rendezvousWeight(chooser, candidate)
+  let rank = 0
+  for (const other of candidates) {
+    const otherWeight = rendezvousWeight(chooser, other)
+    if (otherWeight > weight || (otherWeight === weight && other < candidate)) rank += 1
+  }
+  return rank
+}
+
 /** Returns the `count` candidates of highest weight, highest first. */
 export function rendezvousChoice<Candidate>(
   chooser: string,
--- a/packages/bench/src/routing/baselines.ts
+++ b/packages/bench/src/routing/baselines.ts
@@ -1,7 +1,7 @@
 /** Baseline policies: each entry sends a call immediately to a server that a simple rule selects. */
 import { requireDefined } from './require-defined'
 import { randomInt, seededRandom, type RandomSource } from '@bilberrystall/base'
-import { RetryBudget, type ExchangeOutcome, type Load } from '@bilberrystall/routing'
+import { TokenRetryBudget, type ExchangeOutcome, type Load } from '@bilberrystall/routing'
 import type { SimulatedExchange, Policy, SimulatedCall, Simulation } from './simulation'
 
 export type Baseline = 'random' | 'round robin' | 'least reported load' | 'power of two choices'
@@ -9,7 +9,7 @@
 interface EntryView {
   readonly inFlight: Int32Array
   readonly reportedLoad: Float64Array
-  readonly retries: RetryBudget
+  readonly retries: TokenRetryBudget
   nextCandidate: number
 }
 
@@ -29,7 +29,7 @@
     this.#entries = Array.from({ length: simulation.workload.entries }, () => ({
       inFlight: new Int32Array(serverCount),
       reportedLoad: new Float64Array(serverCount),
-      retries: new RetryBudget({}, 0),
+      retries: new TokenRetryBudget({}, 0),
       nextCandidate: randomInt(this.#random, serverCount),
     }))
   }
--- a/packages/membership/test/known-entries.test.ts
+++ b/packages/membership/test/known-entries.test.ts
@@ -1,9 +1,9 @@
 /** Guards against entries that each use a whole bound because they lost sight of each other. */
 import { expect, test } from 'vitest'
-import { KnownEntries } from '../src/index'
+import { KnownEntries, type KnownEntriesOptions } from '../src/index'
 
-function makeEntries(): KnownEntries {
-  const entries = new KnownEntries('b', 0)
+function makeEntries(options: Partial<KnownEntriesOptions> = {}): KnownEntries {
+  const entries = new KnownEntries({ self: 'b', startedAt: 0, ...options })
   entries.seen('a')
   entries.seen('c')
   return entries
@@ -38,3 +38,13 @@
   entries.seen('a')
   expect(entries.list(4_000_000)).toBe(list)
 })
+
+test('an entry that left counts for the retention of those that left, also beside one that was lost before', () => {
+  const entries = makeEntries({ settleMs: 10_000, leftRetentionMs: 10_000 })
+  expect(entries.list(9_999)).toEqual([])
+  entries.lost('a', false, 11_000)
+  entries.lost('c', true, 12_000)
+  expect(entries.list(21_999)).toEqual(['a', 'b', 'c'])
+  expect(entries.list(22_000)).toEqual(['a', 'b'])
+  expect(entries.list(3_611_000)).toEqual(['b'])
+})
--- a/packages/node/src/entry-list.ts
+++ b/packages/node/src/entry-list.ts
@@ -1,4 +1,4 @@
-/** The entries of one environment: those that are live, and those that may be sending calls. */
+/** The entries of one environment: those that are live, and those that may be sending calls or did so a moment ago. */
 import type { Environment, NodeId } from '@bilberrystall/base'
 import { KnownEntries, type DirectoryChange, type Node } from '@bilberrystall/membership'
 import type { NodeContext } from './node-context'
@@ -7,17 +7,26 @@
   readonly directory: Pick<NodeContext['directory'], 'nodes'>
 }
 
+export interface EntryListOptions {
+  /** Window in ms of the bounds that all entries share, default 0. */
+  readonly windowMs?: number | undefined
+}
+
 export class EntryList {
   readonly #context: EntryListContext
   readonly #environment: Environment
   readonly #known: KnownEntries
+  readonly #recent: KnownEntries
   /** Undefined after a change of the known nodes. */
   #live: readonly NodeId[] | undefined
 
-  constructor(context: EntryListContext, environment: Environment) {
+  constructor(context: EntryListContext, environment: Environment, { windowMs = 0 }: EntryListOptions = {}) {
     this.#context = context
     this.#environment = environment
-    this.#known = new KnownEntries(context.self, context.now())
+    const own = { self: context.self, startedAt: context.now() }
+    this.#known = new KnownEntries(own)
+    // In its first window this process does not know what its predecessor sent, so it counts no entry, nor itself.
+    this.#recent = new KnownEntries({ ...own, settleMs: windowMs, leftRetentionMs: windowMs })
     for (const node of context.directory.nodes.values()) this.#see(node)
   }
 
@@ -32,10 +41,20 @@
     return this.#known.list(this.#context.now())
   }
 
+  /**
+   * Sorted ids of the entries that may be sending calls or sent some in the last window, including this one; the same
+   * array while nothing changed. Empty in the first window of this process.
+   */
+  recent(): readonly string[] {
+    return this.#recent.list(this.#context.now())
+  }
+
   nodeChanged({ kind, node }: Extract<DirectoryChange, { kind: 'node-changed' | 'node-lost' }>): void {
     this.#live = undefined
     if (kind === 'node-changed') this.#see(node)
-    else this.#known.lost(node.node, node.state === 'leaving', this.#context.now())
+    else
+      for (const entries of [this.#known, this.#recent])
+        entries.lost(node.node, node.state === 'leaving', this.#context.now())
   }
 
   #collectLive(): readonly NodeId[] {
@@ -47,7 +66,9 @@
   }
 
   #see(node: Node): void {
-    if (this.#isEntry(node)) this.#known.seen(node.node)
+    if (!this.#isEntry(node)) return
+    this.#known.seen(node.node)
+    this.#recent.seen(node.node)
   }
 
   #isEntry({ roles, environment }: Node): boolean {
--- a/packages/node/src/entry-role.ts
+++ b/packages/node/src/entry-role.ts
@@ -92,13 +92,13 @@
     )
     this.#relayed = context.metrics.counter('calls_relayed_total', 'Calls passed on to another entry', [])
     this.#failures = createFailureLog(context)
-    const repeats = new RepeatLog({ context, entries: () => this.#entries.live().length })
+    const repeats = new RepeatLog({ context, entries: () => this.#entries.recent().length })
     this.#refusals = new ResponseRefusals({ context, isKnown: (server) => this.#firstSeen.has(server) })
     const allowance = options.adapter?.loadQueries
-    this.#entries = new EntryList(context, settings.environment)
+    this.#entries = new EntryList(context, settings.environment, { windowMs: options.adapter?.retries?.windowMs })
     this.#router = new Router({
       random: context.random,
-      ...entrySharing(context.self, this.#entries),
+      ...entrySharing(context.self, this.#entries, options.adapter),
       ...(allowance === undefined ? {} : { loadQueries: this.#loadQueries(allowance) }),
     })
     this.#hedging = new HedgingPolicies({ defaultLimit: settings.hedgeLimit })
@@ -330,8 +330,7 @@
 
   #configure(document: Document): void {
     const { adapter, context } = this.#options
-    const limits = { router: this.#router, allowances: adapter, entries: this.#entries }
-    configureLimits(document, limits, context.now())
+    configureLimits(document, this.#router, adapter, context.now())
     for (const { name, hedgeLimit } of document.services.values()) this.#hedging.configure(name, hedgeLimit)
     this.#quotas.configure(document)
     this.#entry.configure(document)
--- a/packages/node/test/retry-allowance-fleet.red.ts
+++ b/packages/node/test/retry-allowance-fleet.test.ts
@@ -1,4 +1,5 @@
 /** Retries of all entries together, in each window in which the platform limits them, beside changes of the fleet. */
+import { randomInt, seededRandom } from '@bilberrystall/base'
 import { expect, test } from 'vitest'
 import { RetryFleet } from './retry-fleet'
 
@@ -82,6 +83,41 @@
   expectWithinAllowance(fleet)
 })
 
+/** Cuts of random parts, restarts and revisions that overlap, under traffic that swings by half. */
+function runMixed(entries: number, callsPerSecond: number, seed: number): RetryFleet {
+  const swing = (now: number) => 1 + 0.55 * Math.sin((2 * Math.PI * now) / 17_000)
+  const fleet = new RetryFleet({ entries, callsPerSecond, allowance: ALLOWANCE, seed, swing })
+  const random = seededRandom(seed)
+  const all = Array.from({ length: entries }, (_, index) => index)
+  fleet.meetAll()
+  fleet.revise()
+  fleet.now = TRAFFIC_AT
+  fleet.run(END, (now) => {
+    if (random() < 0.01) fleet.revise()
+    if (random() < 0.02) fleet.restart(randomInt(random, entries))
+    if (random() < 0.003) {
+      const share = 0.1 + 0.4 * random()
+      const isCutOff = all.map(() => random() < share)
+      for (const index of all) {
+        fleet.lose(
+          index,
+          all.filter((other) => isCutOff[other] !== isCutOff[index]),
+        )
+      }
+    }
+    if (now % 5_000 === 0) fleet.meetAll()
+  })
+  return fleet
+}
+
+// Guards against changes of the fleet that are harmless one by one and exceed the allowance together (issue 73).
+test.each([1, 2, 3].flatMap((seed) => FLEETS.slice(0, 4).map((fleet) => [...fleet, seed] as const)))(
+  '%i entries, %i calls/s: cuts, restarts and revisions overlap, seed %i',
+  (entries, callsPerSecond, seed) => {
+    expectWithinAllowance(runMixed(entries, callsPerSecond, seed))
+  },
+)
+
 // Guards against processes that spend the part of their predecessor once more (issue 73).
 test.each(FLEETS)('%i entries, %i calls/s: entries are restarted in turn', (entries, callsPerSecond) => {
   const fleet = settledFleet(entries, callsPerSecond)
--- a/packages/node/test/retry-fleet.ts
+++ b/packages/node/test/retry-fleet.ts
@@ -21,6 +21,8 @@
 export interface RetryFleetOptions {
   readonly entries: number
   readonly callsPerSecond: number
+  /** Factor on that at a time, default 1. */
+  readonly swing?: (now: number) => number
   readonly allowance: RetryAllowance
   readonly seed?: number
 }
@@ -88,10 +90,10 @@
 
   /** Runs until `end`, with calls at random entries. `act` is called every 10 ms. */
   run(end: number, act: (now: number) => void = () => undefined): void {
-    const { callsPerSecond } = this.#options
+    const { callsPerSecond, swing = () => 1 } = this.#options
     while (this.now < end) {
       act(this.now)
-      this.#due += (callsPerSecond * STEP_MS) / 1_000
+      this.#due += (callsPerSecond * swing(this.now) * STEP_MS) / 1_000
       for (; this.#due >= 1; this.#due -= 1) this.#call(Math.floor(this.#random() * this.size))
       this.now += STEP_MS
     }
@@ -116,15 +118,16 @@
   }
 
   #start(id: NodeId): FleetEntry {
+    const { allowance } = this.#options
+    const { windowMs } = allowance
     const nodes = new Map<NodeId, Node>()
-    const list = new EntryList({ self: id, directory: { nodes }, now: () => this.now }, ENVIRONMENT)
-    const router = new Router({ random: this.#random, ...entrySharing(id, list) })
+    const list = new EntryList({ self: id, directory: { nodes }, now: () => this.now }, ENVIRONMENT, { windowMs })
+    const router = new Router({ random: this.#random, ...entrySharing(id, list, { retries: allowance }) })
     return { id, nodes, list, router }
   }
 
-  #configure({ list, router }: FleetEntry): void {
-    const allowances = { retries: this.#options.allowance }
-    configureLimits(DOCUMENT, { router, allowances, entries: list }, this.now)
+  #configure({ router }: FleetEntry): void {
+    configureLimits(DOCUMENT, router, { retries: this.#options.allowance }, this.now)
   }
 
   #call(index: number): void {
--- a/packages/routing/src/cold-limits.ts
+++ b/packages/routing/src/cold-limits.ts
@@ -5,7 +5,7 @@
  * times the calls of each in a second stays below the bound with a reserve, so the bound holds if all of them send in
  * the same second, if entries disagree on the list of entries, and if one has not yet learned that the server is cold.
  */
-import { rendezvousWeight, type ServerId } from '@bilberrystall/base'
+import { rendezvousRank, type ServerId } from '@bilberrystall/base'
 
 /** What the document says of the servers of a service while they are cold. */
 export interface WarmUp {
@@ -90,18 +90,7 @@
   const entries = sharing.entries()
   if (!entries.includes(sharing.entry)) return Number.POSITIVE_INFINITY
   const { senders, interval } = coldShare(warmUp, entries.length)
-  return rankOf(sharing.entry, entries, server) < senders ? interval : Number.POSITIVE_INFINITY
-}
-
-/** Number of entries that precede `entry` for the server. It changes little when entries join or leave. */
-function rankOf(entry: string, entries: readonly string[], server: ServerId): number {
-  const weight = rendezvousWeight(server, entry)
-  let rank = 0
-  for (const other of entries) {
-    const otherWeight = rendezvousWeight(server, other)
-    if (otherWeight > weight || (otherWeight === weight && other < entry)) rank += 1
-  }
-  return rank
+  return rendezvousRank(server, sharing.entry, entries) < senders ? interval : Number.POSITIVE_INFINITY
 }
 
 /** What this entry knows of one server process: until when it is cold, and when this entry may send the next call. */
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -1,4 +1,19 @@
-/** Token bucket that limits retries to a share of calls, so that retries cannot amplify an overload. */
+/** Limits retries to a share of calls, so that retries cannot amplify an overload. */
+
+/** Decides on the retries of one service. */
+export interface RetryBudget {
+  /** Returns the number of retries that are allowed now. */
+  available(now: number): number
+  /** Records a first attempt, which earns a share of a retry. */
+  credit(now: number): void
+  /** Uses one retry; false if the budget is exhausted. */
+  take(now: number): boolean
+  /** Sets one retry aside for a call that its server may shed, until `release`; false if the budget is exhausted. */
+  reserve(now: number): boolean
+  release(): void
+  /** Applies the limits of a document. */
+  configure(limits: RetryLimits, now: number): void
+}
 
 export interface RetryLimits {
   /** Retries per call, default 0.1. */
@@ -12,7 +27,8 @@
 const MS_PER_SECOND = 1000
 const DEFAULT_LIMITS: Required<RetryLimits> = { share: 0.1, minimum: 1, burst: 100 }
 
-export class RetryBudget {
+/** Token bucket of this entry alone. */
+export class TokenRetryBudget implements RetryBudget {
   #limits: Required<RetryLimits>
   #tokens: number
   #refilledAt: number
@@ -30,19 +46,16 @@
     this.#add(0)
   }
 
-  /** Returns the available tokens; one token allows one retry. */
   available(now: number): number {
     this.#refill(now)
     return this.#tokens
   }
 
-  /** Adds the share of a retry that one first attempt earns. */
   credit(now: number): void {
     this.#refill(now)
     this.#add(this.#limits.share)
   }
 
-  /** Takes one token; false if the budget is exhausted. */
   take(now: number): boolean {
     this.#refill(now)
     if (this.#tokens < 1) return false
@@ -50,8 +63,11 @@
     return true
   }
 
-  /** Puts back a token that was reserved and not used. */
-  refund(): void {
+  reserve(now: number): boolean {
+    return this.take(now)
+  }
+
+  release(): void {
     this.#add(1)
   }
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -18,7 +18,8 @@
 import { eject, ejectOutlier, endTrial, restoreWhenNoneHealthy } from './health'
 import { recordOutcome } from './call-outcome'
 import { ServicePool, REFRESH_INTERVAL_MS, type InFlightCall } from './service-pool'
-import type { RetryLimits } from './retry-budget'
+import { TokenRetryBudget, type RetryBudget, type RetryLimits } from './retry-budget'
+import { SharedRetryBudget, type RetrySharing } from './shared-retry-budget'
 import type { LimitSharing } from './rate-limit'
 import { ServerProcesses } from './server-processes'
 import { ServerRecord } from './server-record'
@@ -39,6 +40,8 @@
   readonly limitSharing?: LimitSharing
   /** Entries with which this one shares the bound for cold servers. Absent: those of `limitSharing`. */
   readonly coldSharing?: ColdSharing
+  /** Allowance of retries of all entries together. Absent: this entry applies the limits of the document by itself. */
+  readonly retrySharing?: RetrySharing | undefined
   /** Options for querying the load of servers before a call is sent. Absent: servers are chosen by estimates alone. */
   readonly loadQueries?: Omit<LoadQueriesOptions, 'random'>
 }
@@ -79,6 +82,7 @@
   readonly #subset: SubsetOptions
   readonly #limitSharing: LimitSharing
   readonly #coldSharing: ColdSharing
+  readonly #retrySharing: RetrySharing | undefined
   readonly #processes = new ServerProcesses()
   readonly #leaving = new LeavingServers()
   readonly #evacuated = new EvacuatedDomains()
@@ -96,6 +100,7 @@
     this.#loadQueries = loadQueries === undefined ? undefined : new LoadQueries({ ...loadQueries, random })
     this.#limitSharing = options.limitSharing ?? { entry: '', entries: () => SINGLE_ENTRY }
     this.#coldSharing = options.coldSharing ?? this.#limitSharing
+    this.#retrySharing = options.retrySharing
     this.#subset = { entry: loadQueries?.entry ?? '', domain: loadQueries?.domain ?? '' }
   }
 
@@ -371,49 +376,51 @@
     const known = this.#pools.get(service)
     if (known !== undefined) return known
     const limits = this.#limits.get(service)
-    const pool = new ServicePool(
-      {
-        random: this.#random,
-        tuning: this.#tuning,
-        retries: limits?.retries ?? {},
-        queue: limits?.queue ?? DEFAULT_QUEUE,
-        concurrency: limits?.concurrency ?? Number.POSITIVE_INFINITY,
-        dispatch: (inFlightCall, effects) => {
-          this.#queued.delete(inFlightCall.call.id)
-          this.#inFlightCalls.set(inFlightCall.call.id, inFlightCall)
-          const dispatch = {
-            kind: 'dispatch',
-            call: inFlightCall.call.id,
-            server: inFlightCall.record.server.id,
-          } as const
-          effects.push(inFlightCall.hasReservedRetry ? { ...dispatch, queueLimit: 0 } : dispatch)
-        },
-        // With load queries, the server has already reported its queue.
-        limitsServerQueue: this.#loadQueries === undefined,
-        limitSharing: this.#limitSharing,
-        coldSharing: this.#coldSharing,
-        warmUp: limits?.warmUp,
-        queriesLoad: this.queriesLoad,
-        subset: this.#subset,
-        queryLoad: (call, host, at, effects) => this.#loadQueries?.start(call, host, at, effects) === true,
-        queued: (call, queuedCall) => {
-          this.#queued.set(call.id, { pool, queuedCall })
-        },
-        shed: (call, refusal, effects) => {
-          this.#queued.delete(call.id)
-          effects.push({ kind: 'shed', call: call.id, ...refusal })
-        },
+    const pool = new ServicePool({
+      random: this.#random,
+      tuning: this.#tuning,
+      retries: this.#retryBudget(service, limits?.retries, now),
+      queue: limits?.queue ?? DEFAULT_QUEUE,
+      concurrency: limits?.concurrency ?? Number.POSITIVE_INFINITY,
+      dispatch: (inFlightCall, effects) => {
+        this.#queued.delete(inFlightCall.call.id)
+        this.#inFlightCalls.set(inFlightCall.call.id, inFlightCall)
+        const dispatch = {
+          kind: 'dispatch',
+          call: inFlightCall.call.id,
+          server: inFlightCall.record.server.id,
+        } as const
+        effects.push(inFlightCall.hasReservedRetry ? { ...dispatch, queueLimit: 0 } : dispatch)
       },
-      now,
-    )
+      // With load queries, the server has already reported its queue.
+      limitsServerQueue: this.#loadQueries === undefined,
+      limitSharing: this.#limitSharing,
+      coldSharing: this.#coldSharing,
+      warmUp: limits?.warmUp,
+      queriesLoad: this.queriesLoad,
+      subset: this.#subset,
+      queryLoad: (call, host, at, effects) => this.#loadQueries?.start(call, host, at, effects) === true,
+      queued: (call, queuedCall) => {
+        this.#queued.set(call.id, { pool, queuedCall })
+      },
+      shed: (call, refusal, effects) => {
+        this.#queued.delete(call.id)
+        effects.push({ kind: 'shed', call: call.id, ...refusal })
+      },
+    })
     this.#pools.set(service, pool)
     return pool
   }
 
+  #retryBudget(service: ServiceName, limits: RetryLimits = {}, now: number): RetryBudget {
+    const sharing = this.#retrySharing
+    return sharing === undefined ? new TokenRetryBudget(limits, now) : new SharedRetryBudget(service, sharing)
+  }
+
   #release(inFlightCall: InFlightCall): void {
     inFlightCall.record.removeInFlight(inFlightCall.sentAt)
     inFlightCall.pool.inFlight -= 1
-    if (inFlightCall.hasReservedRetry) inFlightCall.pool.budget.refund()
+    if (inFlightCall.hasReservedRetry) inFlightCall.pool.budget.release()
   }
 
   #updateHealth(
--- a/packages/routing/src/service-pool.ts
+++ b/packages/routing/src/service-pool.ts
@@ -6,7 +6,7 @@
 import type { Call, Effect, Load } from './call'
 import { CallQueue, type QueuedCall } from './call-queue'
 import type { LoadQueryHost } from './load-query'
-import { RetryBudget, type RetryLimits } from './retry-budget'
+import type { RetryBudget, RetryLimits } from './retry-budget'
 import { isEligible, isRetry, isStaying, mayServe } from './eligibility'
 import { chooseServer, type Choice, type ServiceStats } from './selection'
 import type { ColdSharing, WarmUp } from './cold-limits'
@@ -32,7 +32,7 @@
 export interface ServicePoolOptions {
   readonly random: RandomSource
   readonly tuning: Tuning
-  readonly retries: RetryLimits
+  readonly retries: RetryBudget
   /** Largest number of waiting calls. */
   readonly queue: number
   /** Largest number of calls in flight. */
@@ -138,11 +138,11 @@
   /** Undefined if servers changed since it was chosen. */
   #subset: readonly ServerRecord[] | undefined
 
-  constructor(options: ServicePoolOptions, now: number) {
+  constructor(options: ServicePoolOptions) {
     this.#options = options
     this.#queueLimit = options.queue
     this.#concurrency = options.concurrency
-    this.budget = new RetryBudget(options.retries, now)
+    this.budget = options.retries
     this.coldLimits = new ServiceColdLimits(this.#records, options.coldSharing, options.warmUp)
     this.rateLimits = new ServiceRateLimits({
       records: this.#records,
@@ -390,7 +390,7 @@
     if (!this.#options.limitsServerQueue || call.resendable === false || isRetry(call)) return false
     // Without another usable server, a call that was shed could not be sent again.
     if (!this.#records.some((other) => other !== record && isEligible(other, 'call', now))) return false
-    return this.budget.available(now) >= this.#options.tuning.minRetryTokens && this.budget.take(now)
+    return this.budget.available(now) >= this.#options.tuning.minRetryTokens && this.budget.reserve(now)
   }
 
   #drainQueue(queue: CallQueue, now: number, effects: Effect[]): void {
--- a/packages/routing/test/hedging-simulation.ts
+++ b/packages/routing/test/hedging-simulation.ts
@@ -3,7 +3,7 @@
  * wait there in order. A hedged attempt starts only at a server with a free slot; the loser of two attempts is cancelled.
  */
 import { seededRandom, type RandomSource } from '@bilberrystall/base'
-import { RetryBudget, ServiceHedging, unansweredAfterMs, type HedgeDenial } from '../src/index'
+import { TokenRetryBudget, ServiceHedging, unansweredAfterMs, type HedgeDenial } from '../src/index'
 
 export interface Scenario {
   readonly servers: number
@@ -90,7 +90,7 @@
   #won = 0
   #discarded = 0
   #repeated = 0
-  readonly #budget = new RetryBudget({}, 0)
+  readonly #budget = new TokenRetryBudget({}, 0)
 
   constructor(scenario: Scenario, seed: number) {
     this.#scenario = scenario
