Add another learner beside one that does not answer

Change: a learner that has not answered for 1 s no longer keeps the leader from adding another one. A learner has no vote, so no majority changes. Replicas beyond the target are removed as before.

Evidence: the new case of self-repair.test.ts fails without the change; 81 tests of consensus pass, with those of schedules and injected faults.

--- a/packages/consensus/src/self-repair.ts
+++ b/packages/consensus/src/self-repair.ts
@@ -152,8 +152,9 @@
   return chosen === undefined ? undefined : { kind: 'remove', replica: chosen.replica }
 }
 
+/** A learner that does not answer, such as one whose node is still starting, does not hold up the others. */
 function addLearner(view: RepairView): ReplicaSetChange | undefined {
-  if (view.learners.length > 0) return undefined
+  if (view.learners.some((learner) => learner.isLive)) return undefined
   const remaining = view.voters.filter((voter) => !voter.isLost)
   const needsVoter = remaining.length < targetVoterCount(view)
   const voterCounts = view.spares.map((spare) => countVotersInDomain(remaining, spare.failureDomain))
--- a/packages/consensus/test/self-repair.test.ts
+++ b/packages/consensus/test/self-repair.test.ts
@@ -59,6 +59,17 @@
 const ABC_NODES = [spare('a', 'x'), spare('b', 'y'), spare('c', 'z')]
 
 describe('planRepair', () => {
+  // Guards against a cluster that waits for one busy node to start while others could vote (issue 73).
+  it('adds another learner beside one that does not answer, and none beside one that catches up', () => {
+    const nodes = ['a', 'b', 'c', 'd', 'e', 'f'].map((node) => spare(node, node))
+    const starting = { name: 'b', role: 'learner' as const, caughtUp: false }
+    expect(plan([{ name: 'a' }, { ...starting, sinceContactMs: 1_000 }], nodes, 5)).toBe('none')
+    expect(plan([{ name: 'a' }, { ...starting, sinceContactMs: 1_001 }], nodes, 5)).toBe('add-learner c/1')
+    const silent = { ...starting, sinceContactMs: 1_001 }
+    const complete = ['c', 'd', 'e', 'f'].map((name) => ({ name }))
+    expect(plan([{ name: 'a' }, silent, ...complete], nodes, 5)).toBe('none')
+  })
+
   it('replaces a replica lost for 60 s in the order add, promote, remove', () => {
     const nodes = [spare('a', 'x'), spare('b', 'y'), spare('d', 'z')]
     const lost = { name: 'c', sinceContactMs: 60_000 }
