Grant another entry only the attempts that a call has left

Cause: an entry that has lost its way to the servers passes a repeatable call on while its own attempts go on. It granted the other entry all attempts less those that had ended with an unknown outcome: the ones in progress were not counted, nor how many the other entry had made when it was lost.

Change: the attempts that another entry gets are taken from the budget of the call, and come back only if that entry says that nothing ran. A repeatable call keeps one, in case the other entry is lost. Nothing is passed on without an attempt left.

--- a/packages/entry/src/attempt-budget.ts
+++ b/packages/entry/src/attempt-budget.ts
@@ -51,6 +51,22 @@
     this.#left -= 1
   }
 
+  /**
+   * Takes the attempts that another entry may make. A repeatable call keeps one, in case that entry is lost. Without
+   * `mayHaveRun` the attempts so far ran nowhere, so one is left in any case.
+   */
+  grant(mayHaveRun: boolean): number {
+    const available = mayHaveRun ? this.#left : Math.max(1, this.#left)
+    const granted = this.#options.route.repeatable && available > 1 ? available - 1 : available
+    this.#left = available - granted
+    return granted
+  }
+
+  /** Adds attempts that the other entry did not make. */
+  giveBack(granted: number): void {
+    this.#left += granted
+  }
+
   /** Whether the request can be sent once more, regardless of the retry budget of its service. */
   get canSend(): boolean {
     const { body, remaining } = this.#options
--- a/packages/entry/src/attempt-outcomes.ts
+++ b/packages/entry/src/attempt-outcomes.ts
@@ -5,15 +5,9 @@
 import { resultCode, type CodeName } from '@bilberrystall/base'
 
 export class AttemptOutcomes {
-  #unknown = 0
   #firstUnknown: CodeName | undefined
   #last: CodeName | undefined
 
-  /** Number of attempts after which it is unknown whether the server ran the call. */
-  get unknown(): number {
-    return this.#unknown
-  }
-
   /** Whether no server can have run the call. */
   get isNotRun(): boolean {
     return this.#firstUnknown === undefined
@@ -29,7 +23,6 @@
     this.#last = code
     if (resultCode(code).outcome !== 'unknown') return
     this.#firstUnknown ??= code
-    this.#unknown += 1
   }
 
   /** The call fails because of `cause` while a server may have its request. */
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -200,6 +200,7 @@
   /** Whether the call can be passed on to another entry, because this one reaches no server. */
   #mayRelay(): boolean {
     const { reachability, relayPeers } = this.#dependencies
+    if (this.#mayHaveRun && this.#budget.left === 0) return false
     if (this.#options.isRelayed || !reachability.isCutOff || this.#triedPeers.length >= MAX_RELAY_PEERS) return false
     return this.#body.canSend && relayPeers.choose(this.#triedPeers) !== undefined
   }
@@ -211,25 +212,26 @@
     else this.#relay(peer)
   }
 
+  get #mayHaveRun(): boolean {
+    return this.#attempts.isSent || !this.#outcomes.isNotRun
+  }
+
   #relay(peer: RelayPeer): void {
-    const { route, context } = this.#options
     const { relayPeers } = this.#dependencies
     this.#triedPeers.push(peer.node)
+    const attempts = this.#budget.grant(this.#mayHaveRun)
     const attempt: RelayAttempt = new RelayAttempt({
       peer,
       peers: relayPeers,
-      repeatable: route.repeatable,
+      repeatable: this.#options.route.repeatable,
       dependencies: this.#dependencies,
       body: this.#body,
-      request: () => {
-        const attempts = Math.max(1, context.attempts - this.#outcomes.unknown)
-        return requestForEntry(this.#requestSource, { attempts, remainingMs: this.#remaining() })
-      },
+      request: () => requestForEntry(this.#requestSource, { attempts, remainingMs: this.#remaining() }),
       events: {
         ...this.#responseEvents(() => attempt),
         failed: (relayFailure) => {
           this.#remove(attempt)
-          this.#onRelayFailure(relayFailure)
+          this.#onRelayFailure(relayFailure, attempts)
         },
       },
     })
@@ -255,9 +257,10 @@
     return { call: this.#options, body: this.#body, dependencies: this.#dependencies }
   }
 
-  #onRelayFailure({ code, retryAfter }: RelayFailure): void {
+  #onRelayFailure({ code, retryAfter }: RelayFailure, attempts: number): void {
     if (this.#done) return
     const isUnknown = resultCode(code).outcome === 'unknown'
+    if (!isUnknown) this.#budget.giveBack(attempts)
     this.#outcomes.record(code)
     if (this.#attempts.size > 0) return
     const mayRepeat = isUnknown
--- a/packages/entry/test/relay.test.ts
+++ b/packages/entry/test/relay.test.ts
@@ -18,6 +18,8 @@
   type Setup,
 } from './harness'
 
+/** Attempts of a call if its route names no number. */
+const DEFAULT_ATTEMPTS = 3
 const ANY_PORT = { host: '127.0.0.1', port: 0 }
 
 interface Peer extends Setup {
@@ -132,6 +134,32 @@
   expect(await sendCall(`${origin}/read`)).toMatchObject({ status: 200 })
 })
 
+// Guards against a call that runs on more servers than its attempts, since the other entry got all of them (issue 73).
+test('a call that is passed on while its attempt continues runs on no more servers than it has attempts', async () => {
+  const silent = await Promise.all(Array.from({ length: 4 }, () => startFakeServer(() => undefined)))
+  const losing = await Promise.all(
+    Array.from({ length: 4 }, () =>
+      startFakeServer(({ socket }) => {
+        socket.resetAndDestroy()
+      }),
+    ),
+  )
+  const helpers = await Promise.all([startPeer('near', losing), startPeer('distant', losing)])
+  const router = new Router({ random: seededRandom(1) })
+  router.configure(serviceName('booking'), { retries: { minimum: 1_000 } }, performance.now())
+  const { origin } = await startPeer('entry', silent, {
+    router,
+    limits: { silenceMs: 400, sweepIntervalMs: 10 },
+    relayPeers: () => helpers.map(({ peer }) => peer),
+  })
+  const paths = Array.from({ length: 6 }, (_, index) => `/read?call=${index}`)
+  await Promise.all(paths.map((path) => sendCall(`${origin}${path}`)))
+  const received = [...silent, ...losing].flatMap((server) => server.received.map(({ head }) => head.split(' ')[1]))
+  const runs = paths.map((path) => received.filter((other) => other === path).length)
+  expect(losing.some((server) => server.received.length > 0)).toBe(true)
+  expect(Math.max(...runs)).toBeLessThanOrEqual(DEFAULT_ATTEMPTS)
+})
+
 test('a call is not passed on a second time, so entries that all reach no server cannot form a loop', async () => {
   const peers: Peer[] = []
   const second = await startCutOffEntry(peers)
